--- /dev/null
+++ b/apps/stallwing/bin/stallwing.js
@@ -0,0 +1,2 @@
+#!/usr/bin/env node
+import '../dist/main.js'
--- /dev/null
+++ b/apps/stallwing/src/lib/OperatorConfig.ts
@@ -0,0 +1,73 @@
+import { existsSync, readFileSync } from 'node:fs'
+import { dirname, resolve } from 'node:path'
+import { describeFileFault, locateFault, parseJsonc, PlatformClient } from '@stallwing/platform'
+import * as E from 'fp-ts/lib/Either.js'
+import { z } from 'zod'
+import { CommandError, EXIT } from './CommandError.js'
+
+const schema = z.strictObject({
+	platform: z.string().url(),
+	operator: z.strictObject({ name: z.string(), privateKeyFile: z.string() }).optional(),
+	operators: z.array(z.strictObject({ name: z.string(), publicKey: z.string() })).default([]),
+	routers: z.array(z.string().url()).default([]),
+})
+
+/** An operator's own settings. */
+export type OperatorConfig = z.infer<typeof schema>
+
+/** File name that is used where none is given. */
+export const DEFAULT_OPERATOR_FILE = 'stallwing-operator.jsonc'
+const PLATFORM_TIMEOUT_MS = 3_000
+
+/** Reads a text file. @throws CommandError where it is missing. */
+export function readText(file: string): string {
+	if (!existsSync(file)) throw new CommandError(EXIT.invalid, `${file}: no such file`)
+	return readFileSync(file, 'utf8')
+}
+
+/** Reads and checks the operator's settings. @throws CommandError listing every fault. */
+export function loadOperatorConfig(file: string): OperatorConfig {
+	const text = readText(file)
+	const parsed = parseJsonc(file, text)
+	if (E.isLeft(parsed)) throw new CommandError(EXIT.invalid, listFaults(parsed.left))
+	const result = schema.safeParse(parsed.right)
+	if (result.success) return resolveKeys(file, result.data)
+	const faults = result.error.issues.map((issue) =>
+		locateFault(file, text, issue.path as (string | number)[], issue.message),
+	)
+	throw new CommandError(EXIT.invalid, listFaults(faults))
+}
+
+/** Text of a list of file faults, a line each. */
+export function listFaults(
+	faults:
+		Parameters<typeof describeFileFault>[0][] | readonly Parameters<typeof describeFileFault>[0][],
+): string {
+	return faults.map(describeFileFault).join('\n')
+}
+
+/** Opens the platform for one command and closes it after. */
+export async function withPlatform<T>(
+	config: OperatorConfig,
+	work: (platform: PlatformClient) => Promise<T>,
+): Promise<T> {
+	const platform = new PlatformClient({ url: config.platform, timeoutMs: PLATFORM_TIMEOUT_MS })
+	try {
+		return await work(platform)
+	} finally {
+		await platform.close()
+	}
+}
+
+/** The operator who signs. @throws CommandError where the settings name none. */
+export function signer(config: OperatorConfig): { name: string; privateKey: string } {
+	if (!config.operator)
+		throw new CommandError(EXIT.invalid, 'the operator settings have no "operator" to sign with')
+	return { name: config.operator.name, privateKey: readText(config.operator.privateKeyFile) }
+}
+
+function resolveKeys(file: string, config: OperatorConfig): OperatorConfig {
+	if (!config.operator) return config
+	const privateKeyFile = resolve(dirname(file), config.operator.privateKeyFile)
+	return { ...config, operator: { ...config.operator, privateKeyFile } }
+}
--- /dev/null
+++ b/apps/stallwing/src/lib/commands/budgetCommands.ts
@@ -0,0 +1,205 @@
+import { createInterface } from 'node:readline/promises'
+import {
+	doubtEntry,
+	entryKey,
+	releaseEntry,
+	shardKey,
+	zoneKeys,
+	type BoxName,
+	type BudgetName,
+	type BudgetShardValue,
+	type Bundle,
+	type Incarnation,
+	type ZoneLedgerValue,
+} from '@stallwing/core'
+import { BundleStore, checkAccepted, signHash, type PlatformClient } from '@stallwing/platform'
+import type { Command } from 'commander'
+import * as E from 'fp-ts/lib/Either.js'
+import { CommandError, EXIT } from '../CommandError.js'
+import { loadOperatorConfig, signer, withPlatform, type OperatorConfig } from '../OperatorConfig.js'
+import { print, printJson, printTable } from '../print.js'
+import { askRouters, type RouterStatus } from '../routerStatus.js'
+
+interface BudgetRow {
+	readonly account: string
+	readonly budget: string
+	readonly prepaid: number
+	readonly billed: number
+	readonly reserved: number
+	readonly inDoubt: number
+}
+
+interface BudgetSums {
+	billed: number
+	reserved: number
+	inDoubt: number
+}
+
+/** Adds `stallwing budget …`. */
+export function addBudgetCommands(program: Command, config: () => string): void {
+	const budget = program.command('budget').description('prepaid budgets')
+	budget
+		.command('show')
+		.description('what is paid, billed, reserved and in doubt')
+		.option('--json', 'print JSON')
+		.action((options: { json?: boolean }) =>
+			show(loadOperatorConfig(config()), options.json === true),
+		)
+	budget
+		.command('release')
+		.description('free the money in doubt of a box whose machine is gone')
+		.requiredOption('--zone <zone>', 'availability zone of the box')
+		.requiredOption('--box <box>', 'name of the box')
+		.requiredOption('--incarnation <id>', 'the start of the box that is gone')
+		.option('--yes', 'do not ask')
+		.action((options: ReleaseOptions) => release(loadOperatorConfig(config()), options))
+}
+
+async function show(config: OperatorConfig, json: boolean): Promise<void> {
+	const rows = await withPlatform(config, async (platform) => {
+		const bundle = await acceptedBundle(platform, config)
+		const statuses = await askRouters(config.routers)
+		return budgetRows(platform, bundle, statuses)
+	})
+	if (json) printJson(rows)
+	else
+		printTable(
+			['account', 'budget', 'prepaid', 'billed', 'reserved', 'in doubt'],
+			rows.map((row) => Object.values(row).map(String)),
+		)
+}
+
+async function acceptedBundle(platform: PlatformClient, config: OperatorConfig): Promise<Bundle> {
+	const document = await new BundleStore(platform).accepted()
+	const checked = document && checkAccepted(document, config.operators)
+	if (!checked || E.isLeft(checked))
+		throw new CommandError(EXIT.conflict, 'no valid version is in force')
+	return checked.right
+}
+
+async function budgetRows(
+	platform: PlatformClient,
+	bundle: Bundle,
+	statuses: readonly (RouterStatus | undefined)[],
+): Promise<BudgetRow[]> {
+	const sums = new Map<string, BudgetSums>()
+	const prepaid = new Map<string, number>()
+	const live = liveBudgets(statuses)
+	for (let shard = 0; shard < bundle.policy.shardCount; shard++) {
+		const found = await platform.read(shardKey(shard))
+		const value = found?.value as BudgetShardValue | undefined
+		for (const [name, row] of Object.entries(value?.budgets ?? {})) prepaid.set(name, row.prepaid)
+		for (const zone of bundle.zones) {
+			const ledger = await platform.read(zoneKeys.ledger(zone.name, shard))
+			addLedger(sums, ledger?.value as ZoneLedgerValue | undefined, live)
+		}
+	}
+	return bundle.accounts.flatMap((account) =>
+		account.budgets.map((budget) => ({
+			account: account.name,
+			budget,
+			prepaid: prepaid.get(budget) ?? prepaidOf(bundle, budget),
+			...(sums.get(budget) ?? { billed: 0, reserved: 0, inDoubt: 0 }),
+		})),
+	)
+}
+
+function prepaidOf(bundle: Bundle, budget: BudgetName): number {
+	return bundle.budgets.find((row) => row.name === budget)?.prepaid ?? 0
+}
+
+/** What running routers say, by `<box>#<incarnation>/<budget>`. */
+function liveBudgets(statuses: readonly (RouterStatus | undefined)[]) {
+	const live = new Map<string, { billed: number; reserved: number }>()
+	for (const status of statuses) {
+		if (!status) continue
+		const key = entryKey(status.box as BoxName, status.incarnation as Incarnation)
+		for (const row of status.budgets) live.set(`${key}/${row.budget}`, row)
+	}
+	return live
+}
+
+/** A running router's own counters are newer than the ledger's. */
+function addLedger(
+	sums: Map<string, BudgetSums>,
+	ledger: ZoneLedgerValue | undefined,
+	live: ReadonlyMap<string, { billed: number; reserved: number }>,
+): void {
+	for (const [name, row] of Object.entries(ledger?.budgets ?? {})) {
+		const sum = sums.get(name) ?? { billed: 0, reserved: 0, inDoubt: 0 }
+		sums.set(name, sum)
+		sum.billed += row.closed.billed
+		for (const [key, entry] of Object.entries(row.entries)) {
+			const own = live.get(`${key}/${name}`)
+			sum.billed += Math.max(entry.billed, own?.billed ?? 0)
+			sum.reserved += own?.reserved ?? 0
+			sum.inDoubt += entry.inDoubt ?? 0
+		}
+	}
+}
+
+interface ReleaseOptions {
+	readonly zone: string
+	readonly box: string
+	readonly incarnation: string
+	readonly yes?: boolean
+}
+
+const CAS_TRIES = 8
+
+async function release(config: OperatorConfig, options: ReleaseOptions): Promise<void> {
+	const { name, privateKey } = signer(config)
+	await confirm(options)
+	const key = entryKey(options.box as BoxName, options.incarnation as Incarnation)
+	await withPlatform(config, async (platform) => {
+		const bundle = await acceptedBundle(platform, config)
+		const statement = `release ${options.zone} ${key} ${new Date().toISOString()}`
+		const audit = { statement, ...signHash(statement, name, privateKey) }
+		await platform.call({
+			kind: 'cas',
+			key: `audit/${statement}`,
+			expected: 0,
+			value: audit,
+		})
+		let freed = 0
+		for (let shard = 0; shard < bundle.policy.shardCount; shard++)
+			freed += await releaseInShard(platform, options.zone, shard, key)
+		print(`released ${freed} budget tokens of ${key}`)
+	})
+}
+
+async function confirm(options: ReleaseOptions): Promise<void> {
+	if (options.yes) return
+	const prompt = createInterface({ input: process.stdin, output: process.stderr })
+	const question = `Is the machine of ${options.box} really gone? Type its name to go on: `
+	const answer = await prompt.question(question)
+	prompt.close()
+	if (answer.trim() !== options.box) throw new CommandError(EXIT.usage, 'not confirmed')
+}
+
+async function releaseInShard(
+	platform: PlatformClient,
+	zone: string,
+	shard: number,
+	key: string,
+): Promise<number> {
+	const ledgerKey = zoneKeys.ledger(zone as Parameters<typeof zoneKeys.ledger>[0], shard)
+	for (let i = 0; i < CAS_TRIES; i++) {
+		const found = await platform.read(ledgerKey)
+		if (!found) return 0
+		const value = found.value as ZoneLedgerValue
+		let freed = 0
+		for (const row of Object.values(value.budgets)) {
+			doubtEntry(row, key)
+			freed += releaseEntry(row, key)
+		}
+		const result = await platform.call({
+			kind: 'cas',
+			key: ledgerKey,
+			expected: found.revision,
+			value,
+		})
+		if (result.kind === 'written') return freed
+	}
+	throw new CommandError(EXIT.unavailable, `the ledger of shard ${shard} could not be written`)
+}
--- /dev/null
+++ b/apps/stallwing/src/lib/commands/bundleCommands.ts
@@ -0,0 +1,174 @@
+import { readFileSync, writeFileSync, existsSync } from 'node:fs'
+import { fileURLToPath } from 'node:url'
+import { validateBundle, type Bundle } from '@stallwing/core'
+import {
+	BundleStore,
+	checkAccepted,
+	checkProposal,
+	hashText,
+	locateFault,
+	parseJsonc,
+	signHash,
+	type BundleDocument,
+	type DocumentFault,
+	type StoreFault,
+} from '@stallwing/platform'
+import type { Command } from 'commander'
+import * as E from 'fp-ts/lib/Either.js'
+import { CommandError, EXIT } from '../CommandError.js'
+import { diffBundles } from '../diffBundles.js'
+import {
+	listFaults,
+	loadOperatorConfig,
+	readText,
+	signer,
+	withPlatform,
+	type OperatorConfig,
+} from '../OperatorConfig.js'
+import { print, printJson } from '../print.js'
+
+const TEMPLATE = fileURLToPath(new URL('../../../templates/bundle.jsonc', import.meta.url))
+
+/** Adds `stallwing bundle …`. */
+export function addBundleCommands(program: Command, config: () => string): void {
+	const bundle = program.command('bundle').description('the versioned configuration')
+	const load = (): OperatorConfig => loadOperatorConfig(config())
+	bundle
+		.command('init')
+		.description('write a first bundle to start from')
+		.argument('[file]', 'file to write', 'bundle.jsonc')
+		.action(initBundle)
+	bundle
+		.command('check')
+		.description('check a bundle file; lists every fault')
+		.argument('<file>')
+		.action((file: string) => {
+			const found = readBundle(file)
+			print(`${file}: version ${found.version} is valid`)
+		})
+	bundle
+		.command('propose')
+		.description('sign a bundle as its author and store it')
+		.argument('<file>')
+		.action((file: string) => propose(load(), file))
+	bundle
+		.command('sign')
+		.description('approve a proposed bundle; not by its author')
+		.argument('<hash>')
+		.action((hash: string) => approve(load(), hash))
+	bundle
+		.command('accept')
+		.description('put an approved bundle in force')
+		.argument('<hash>')
+		.action((hash: string) => accept(load(), hash))
+	bundle
+		.command('status')
+		.description('the version in force')
+		.option('--json', 'print JSON')
+		.action((options: { json?: boolean }) => status(load(), options.json === true))
+	bundle
+		.command('diff')
+		.description('what a file would change of the version in force')
+		.argument('<file>')
+		.action((file: string) => diff(load(), file))
+}
+
+function initBundle(file: string): void {
+	if (existsSync(file)) throw new CommandError(EXIT.conflict, `${file} is there already`)
+	writeFileSync(file, readFileSync(TEMPLATE, 'utf8'))
+	print(`wrote ${file}`)
+}
+
+/** Reads and checks a bundle file. @throws CommandError listing every fault. */
+export function readBundle(file: string): Bundle {
+	const text = readText(file)
+	const parsed = parseJsonc(file, text)
+	if (E.isLeft(parsed)) throw new CommandError(EXIT.invalid, listFaults(parsed.left))
+	const result = validateBundle(parsed.right)
+	if (E.isRight(result)) return result.right
+	const faults = result.left.map((fault) => locateFault(file, text, fault.path, fault.expected))
+	throw new CommandError(EXIT.invalid, listFaults(faults))
+}
+
+async function propose(config: OperatorConfig, file: string): Promise<void> {
+	const text = JSON.stringify(readBundle(file))
+	const hash = hashText(text)
+	const { name, privateKey } = signer(config)
+	const document = { text, hash, author: signHash(hash, name, privateKey) }
+	valid(checkProposal(document, config.operators))
+	await withPlatform(config, async (platform) => {
+		done(await new BundleStore(platform).propose(document))
+	})
+	print(hash)
+}
+
+async function approve(config: OperatorConfig, hash: string): Promise<void> {
+	const { name, privateKey } = signer(config)
+	await withPlatform(config, async (platform) => {
+		const store = new BundleStore(platform)
+		const document = await read(store, hash)
+		const approval = signHash(hash, name, privateKey)
+		valid(checkAccepted({ ...document, approval }, config.operators))
+		done(await store.approve(hash, approval))
+	})
+	print(`${hash} is approved by ${name}`)
+}
+
+async function accept(config: OperatorConfig, hash: string): Promise<void> {
+	await withPlatform(config, async (platform) => {
+		const store = new BundleStore(platform)
+		const bundle = valid(checkAccepted(await read(store, hash), config.operators))
+		const head = done(await store.accept(bundle, hash))
+		print(`version ${head.version} is in force`)
+	})
+}
+
+async function status(config: OperatorConfig, json: boolean): Promise<void> {
+	await withPlatform(config, async (platform) => {
+		const { head } = await new BundleStore(platform).head()
+		if (json) printJson(head ?? null)
+		else print(head ? `version ${head.version}, ${head.hash}` : 'no version is in force')
+	})
+}
+
+async function diff(config: OperatorConfig, file: string): Promise<void> {
+	const next = readBundle(file)
+	await withPlatform(config, async (platform) => {
+		const document = await new BundleStore(platform).accepted()
+		const current = document && valid(checkAccepted(document, config.operators))
+		for (const line of diffBundles(current, next)) print(line)
+	})
+}
+
+async function read(store: BundleStore, hash: string): Promise<BundleDocument> {
+	const document = await store.document(hash)
+	if (!document) throw new CommandError(EXIT.invalid, `no bundle ${hash} is proposed`)
+	return document
+}
+
+function valid<T>(result: E.Either<readonly DocumentFault[], T>): T {
+	if (E.isRight(result)) return result.right
+	throw new CommandError(EXIT.invalid, result.left.map((fault) => JSON.stringify(fault)).join('\n'))
+}
+
+function done<T>(result: E.Either<StoreFault, T>): T {
+	if (E.isRight(result)) return result.right
+	const fault = result.left
+	const code = fault.kind === 'no-answer' ? EXIT.unavailable : EXIT.conflict
+	throw new CommandError(code, describeStoreFault(fault))
+}
+
+function describeStoreFault(fault: StoreFault): string {
+	switch (fault.kind) {
+		case 'conflict':
+			return `conflict: version ${fault.head?.version ?? 0} is in force already`
+		case 'no-answer':
+			return `the platform did not answer (${fault.step}); it is safe to repeat the command`
+		case 'unknown-version':
+			return 'no such bundle is proposed'
+		case 'not-next':
+			return `version ${fault.version} is not the next one: expected ${fault.next}`
+		case 'prepaid-allotted':
+			return `budget ${fault.budget}: ${fault.outstanding} is out in the zones, more than ${fault.prepaid}`
+	}
+}
--- /dev/null
+++ b/apps/stallwing/src/lib/commands/operatorCommands.ts
@@ -0,0 +1,23 @@
+import { existsSync, writeFileSync } from 'node:fs'
+import { makeOperatorKey } from '@stallwing/platform'
+import type { Command } from 'commander'
+import { CommandError, EXIT } from '../CommandError.js'
+import { print } from '../print.js'
+
+const PRIVATE_FILE_MODE = 0o600
+
+/** Adds `stallwing operator key`. */
+export function addOperatorCommands(program: Command): void {
+	const operator = program.command('operator').description('operators who sign bundles')
+	operator
+		.command('key')
+		.description('make a signing key; prints the public half as JSON')
+		.argument('<name>', 'name of the operator')
+		.argument('<file>', 'file for the private key')
+		.action((name: string, file: string) => {
+			if (existsSync(file)) throw new CommandError(EXIT.conflict, `${file} is there already`)
+			const { publicKey, privateKey } = makeOperatorKey()
+			writeFileSync(file, privateKey, { mode: PRIVATE_FILE_MODE })
+			print(JSON.stringify({ name, publicKey }))
+		})
+}
--- /dev/null
+++ b/apps/stallwing/src/lib/commands/routerCommand.ts
@@ -0,0 +1,35 @@
+import { RouterDaemon, SettingsError, loadSettings, type RouterSettings } from '@stallwing/router'
+import type { Command } from 'commander'
+import { CommandError, EXIT } from '../CommandError.js'
+import { readText } from '../OperatorConfig.js'
+
+/** Adds `stallwing router`. */
+export function addRouterCommand(program: Command): void {
+	program
+		.command('router')
+		.description('run a router; logs go to the standard output, a JSON line each')
+		.requiredOption('--config <file>', 'settings of this box, JSON with comments')
+		.option('--ready-fd', 'print the addresses as the first line of the standard error')
+		.action((options: { config: string; readyFd?: boolean }) => run(options))
+}
+
+async function run(options: { config: string; readyFd?: boolean }): Promise<void> {
+	const daemon = new RouterDaemon(settings(options.config), {
+		writeLog: (line) => process.stdout.write(line),
+		onExit: (clean) => process.exit(clean ? EXIT.ok : EXIT.failure),
+	})
+	const addresses = await daemon.start()
+	if (options.readyFd) process.stderr.write(`${JSON.stringify(addresses)}\n`)
+	process.on('SIGTERM', () => daemon.stop())
+	process.on('SIGINT', () => daemon.stop())
+}
+
+function settings(file: string): RouterSettings {
+	readText(file)
+	try {
+		return loadSettings(file)
+	} catch (error) {
+		if (error instanceof SettingsError) throw new CommandError(EXIT.invalid, error.message)
+		throw error
+	}
+}
--- /dev/null
+++ b/apps/stallwing/src/lib/commands/statusCommands.ts
@@ -0,0 +1,62 @@
+import type { Command } from 'commander'
+import { CommandError, EXIT } from '../CommandError.js'
+import { loadOperatorConfig } from '../OperatorConfig.js'
+import { print, printJson, printTable } from '../print.js'
+import { askRouter, askRouters, requireRouters } from '../routerStatus.js'
+
+/** Adds `stallwing status` and `stallwing explain`. */
+export function addStatusCommands(program: Command, config: () => string): void {
+	program
+		.command('status')
+		.description('the routers, their zones and versions')
+		.option('--json', 'print JSON')
+		.action((options: { json?: boolean }) => status(config(), options.json === true))
+	program
+		.command('explain')
+		.description('why a request ran where it ran, or why it was refused')
+		.argument('<request-id>', 'value of the stallwing-request-id header')
+		.option('--json', 'print JSON')
+		.action((request: string, options: { json?: boolean }) =>
+			explain(config(), request, options.json === true),
+		)
+}
+
+async function status(file: string, json: boolean): Promise<void> {
+	const urls = requireRouters(loadOperatorConfig(file).routers)
+	const statuses = await askRouters(urls)
+	if (json) {
+		printJson(statuses.map((row, i) => row ?? { url: urls[i], ready: false, answered: false }))
+		return
+	}
+	const rows = statuses.map((row, i) => {
+		if (!row) return [urls[i] ?? '', '', 'no answer', '', '', '', '']
+		const state = row.ready ? 'ready' : 'not ready'
+		const role = row.keeper ? 'keeper' : ''
+		const platform = row.platformUp ? 'up' : 'down'
+		return [row.box, row.zone, state, role, `${row.view}`, `${row.bundleVersion}`, platform]
+	})
+	printTable(['box', 'zone', 'state', 'role', 'view', 'bundle', 'platform'], rows)
+}
+
+async function explain(file: string, request: string, json: boolean): Promise<void> {
+	const urls = requireRouters(loadOperatorConfig(file).routers)
+	const path = `/explain?request=${encodeURIComponent(request)}`
+	const found = await Promise.all(
+		urls.map((url) => askRouter<Record<string, unknown>[]>(`${url}${path}`)),
+	)
+	const lines = found.flatMap((part) => part ?? [])
+	lines.sort((a, b) => String(a.time).localeCompare(String(b.time)))
+	if (lines.length === 0)
+		throw new CommandError(EXIT.conflict, `no router remembers a request ${request}`)
+	if (json) {
+		printJson(lines)
+		return
+	}
+	for (const { time, event, name, box, zone, ...rest } of lines) {
+		delete rest.request
+		const facts = Object.entries(rest).map(([key, value]) => `${key}=${String(value)}`)
+		print(
+			`${String(time)} ${String(zone)}/${String(box)} ${String(event)} ${String(name)} ${facts.join(' ')}`,
+		)
+	}
+}
--- /dev/null
+++ b/apps/stallwing/src/lib/routerStatus.ts
@@ -0,0 +1,42 @@
+import { CommandError, EXIT } from './CommandError.js'
+
+/** A router's own word on itself, as far as the command line reads it. */
+export interface RouterStatus {
+	readonly box: string
+	readonly zone: string
+	readonly incarnation: string
+	readonly ready: boolean
+	readonly keeper: boolean
+	readonly view: number
+	readonly bundleVersion: number
+	readonly platformUp: boolean
+	readonly requests: number
+	readonly budgets: readonly {
+		readonly budget: string
+		readonly billed: number
+		readonly reserved: number
+	}[]
+}
+
+const TIMEOUT_MS = 1_000
+
+/** Asks every router; one that does not answer is undefined. */
+export function askRouters(urls: readonly string[]): Promise<(RouterStatus | undefined)[]> {
+	return Promise.all(urls.map((url) => askRouter<RouterStatus>(`${url}/status`)))
+}
+
+/** Asks one router for a JSON document; undefined where it does not answer. */
+export async function askRouter<T>(url: string): Promise<T | undefined> {
+	try {
+		const reply = await fetch(url, { signal: AbortSignal.timeout(TIMEOUT_MS) })
+		return (await reply.json()) as T
+	} catch {
+		return undefined
+	}
+}
+
+/** @throws CommandError where the settings name no router. */
+export function requireRouters(urls: readonly string[]): readonly string[] {
+	if (urls.length > 0) return urls
+	throw new CommandError(EXIT.invalid, 'the operator settings list no "routers" to ask')
+}
--- /dev/null
+++ b/apps/stallwing/src/main.ts
@@ -0,0 +1,55 @@
+/** The `stallwing` command. */
+import { PlatformUnavailable } from '@stallwing/platform'
+import { Command, CommanderError } from 'commander'
+import { CommandError, EXIT } from './lib/CommandError.js'
+import { addBudgetCommands } from './lib/commands/budgetCommands.js'
+import { addBundleCommands } from './lib/commands/bundleCommands.js'
+import { addOperatorCommands } from './lib/commands/operatorCommands.js'
+import { addRouterCommand } from './lib/commands/routerCommand.js'
+import { addStatusCommands } from './lib/commands/statusCommands.js'
+import { DEFAULT_OPERATOR_FILE } from './lib/OperatorConfig.js'
+
+const program = new Command('stallwing')
+	.description('Router fleet for prepaid token budgets')
+	.version('0.1.0')
+	.option(
+		'-c, --operator-config <file>',
+		'settings of the operator',
+		process.env.STALLWING_OPERATOR,
+	)
+	.showHelpAfterError('(run with --help for the options)')
+	.addHelpText(
+		'after',
+		'\nExit codes: 0 done, 1 failed, 2 wrong usage, 3 invalid file, 4 conflict, 5 no answer.',
+	)
+	.exitOverride()
+
+function operatorFile(): string {
+	return program.opts<{ operatorConfig?: string }>().operatorConfig ?? DEFAULT_OPERATOR_FILE
+}
+
+addRouterCommand(program)
+addBundleCommands(program, operatorFile)
+addBudgetCommands(program, operatorFile)
+addStatusCommands(program, operatorFile)
+addOperatorCommands(program)
+
+try {
+	await program.parseAsync()
+} catch (error) {
+	process.exitCode = report(error)
+}
+
+function report(error: unknown): number {
+	if (error instanceof CommanderError) return error.exitCode === 0 ? EXIT.ok : EXIT.usage
+	if (error instanceof CommandError) {
+		process.stderr.write(`stallwing: ${error.message}\n`)
+		return error.exitCode
+	}
+	if (error instanceof PlatformUnavailable) {
+		process.stderr.write(`stallwing: ${error.message}\n`)
+		return EXIT.unavailable
+	}
+	process.stderr.write(`stallwing: ${String(error)}\n`)
+	return EXIT.failure
+}
--- /dev/null
+++ b/internal/bench/src/main.ts
@@ -0,0 +1,1 @@
+/** Placeholder entry. */
--- /dev/null
+++ b/internal/demo/src/lib/DemoFleet.ts
@@ -0,0 +1,250 @@
+import { mkdtempSync, rmSync, writeFileSync } from 'node:fs'
+import { tmpdir } from 'node:os'
+import { join } from 'node:path'
+import { fileURLToPath } from 'node:url'
+import type { EngineModel } from '@stallwing/standins'
+import { DEMO_ACCOUNTS, demoBundle, type DemoTarget } from './demoBundle.js'
+import { ProcessGroup, type Started } from './ProcessGroup.js'
+
+const CLI = fileURLToPath(new URL('../../../../apps/stallwing/bin/stallwing.js', import.meta.url))
+const STANDIN = fileURLToPath(
+	new URL('../../../../packages/standins/dist/main.js', import.meta.url),
+)
+const READY_TIMEOUT_MS = 20_000
+const READY_POLL_MS = 50
+
+/** Size of a fleet. */
+export interface FleetOptions {
+	readonly zones: number
+	readonly routersPerZone: number
+	readonly enginesPerZone: number
+	readonly servicesPerZone: number
+	/** Cost model of the engines. */
+	readonly engineModel: Partial<EngineModel>
+	/** Takes every log line of every router. */
+	readonly onLog: (line: string) => void
+}
+
+/** Two availability zones of two routers, two engines and one service each. */
+export const DEFAULT_FLEET: FleetOptions = {
+	zones: 2,
+	routersPerZone: 2,
+	enginesPerZone: 2,
+	servicesPerZone: 1,
+	engineModel: {},
+	onLog: () => undefined,
+}
+
+/** A router that runs. */
+export interface FleetRouter {
+	readonly box: string
+	readonly zone: string
+	readonly url: string
+	readonly admin: string
+	readonly pid: number
+	readonly process: Started
+}
+
+/** A target that runs. */
+export interface FleetTarget extends DemoTarget {
+	readonly pid: number
+	readonly process: Started
+}
+
+interface Operator {
+	readonly name: string
+	readonly publicKey: string
+	readonly file: string
+}
+
+/** A whole fleet of real processes on the loopback address, with its stand-ins. */
+export class DemoFleet {
+	readonly routers: FleetRouter[] = []
+	readonly targets: FleetTarget[] = []
+	readonly operatorFile: string
+	platform = { url: '', pid: 0 }
+	private readonly group = new ProcessGroup()
+	private readonly folder = mkdtempSync(join(tmpdir(), 'stallwing-demo-'))
+	private readonly operators: Operator[] = []
+	private readonly options: FleetOptions
+
+	constructor(options: Partial<FleetOptions> = {}) {
+		this.options = { ...DEFAULT_FLEET, ...options }
+		this.operatorFile = join(this.folder, 'author.jsonc')
+	}
+
+	/** Starts everything and accepts the bundle through the command line. */
+	async start(): Promise<void> {
+		const platform = await this.standin('platform', {})
+		this.platform = { url: String(platform.ready.url), pid: Number(platform.ready.pid) }
+		const zones = this.zones()
+		for (const zone of zones) await this.startTargets(zone)
+		for (const name of ['author', 'approver']) await this.addOperator(name)
+		const boxes = zones.flatMap((zone) =>
+			Array.from({ length: this.options.routersPerZone }, (_, i) => ({
+				box: `${zone}-box-${i + 1}`,
+				zone,
+			})),
+		)
+		const routers = await Promise.all(boxes.map(({ box, zone }) => this.startRouter(box, zone)))
+		this.routers.push(...routers)
+		this.writeOperators()
+		await this.acceptBundle(demoBundle(zones, this.targets))
+		await this.waitReady()
+	}
+
+	/** Runs a stallwing command as the author. */
+	cli(...args: string[]): Promise<{ code: number | null; out: string; err: string }> {
+		return this.group.run([CLI, '--operator-config', this.operatorFile, ...args])
+	}
+
+	/** The command line of a stallwing command, for others to run. */
+	commandLine(...args: string[]): string[] {
+		return [process.execPath, CLI, '--operator-config', this.operatorFile, ...args]
+	}
+
+	/** Starts a router process; a box name that ran before is a new incarnation. */
+	async startRouter(box: string, zone: string): Promise<FleetRouter> {
+		const file = join(this.folder, `${box}.jsonc`)
+		const settings = {
+			box,
+			zone,
+			listen: { callers: { port: 0 }, peers: { port: 0 }, admin: { port: 0 } },
+			platform: { url: this.platform.url },
+			operators: this.operators.map(({ name, publicKey }) => ({ name, publicKey })),
+		}
+		writeFileSync(file, `// Settings of ${box}.\n${JSON.stringify(settings, null, '\t')}\n`)
+		const args = [CLI, 'router', '--config', file, '--ready-fd']
+		const process = await this.group.start(args, 'stderr', this.options.onLog)
+		const { callers, admin } = process.ready as { callers: string; admin: string }
+		return { box, zone, url: callers, admin, pid: process.child.pid ?? 0, process }
+	}
+
+	/** Waits until every router that runs is ready. */
+	async waitReady(): Promise<void> {
+		const until = Date.now() + READY_TIMEOUT_MS
+		for (const router of this.routers) {
+			if (router.process.child.exitCode !== null || router.process.child.signalCode) continue
+			while (!(await isReady(router.url))) {
+				if (Date.now() > until) throw new FleetNotReady(router.box)
+				await new Promise((resolve) => setTimeout(resolve, READY_POLL_MS))
+			}
+		}
+	}
+
+	/** Ends all processes and removes the files. */
+	async stop(): Promise<void> {
+		await this.group.stopAll()
+		rmSync(this.folder, { recursive: true, force: true })
+	}
+
+	private zones(): string[] {
+		return Array.from({ length: this.options.zones }, (_, i) => `rosario-${'abcdefgh'[i] ?? i}`)
+	}
+
+	private standin(kind: string, options: object): Promise<Started> {
+		return this.group.start([STANDIN, kind, '0', JSON.stringify(options)], 'stdout')
+	}
+
+	private async startTargets(zone: string): Promise<void> {
+		const { enginesPerZone, servicesPerZone, engineModel } = this.options
+		const kinds = [
+			...Array.from({ length: enginesPerZone }, () => 'engine' as const),
+			...Array.from({ length: servicesPerZone }, () => 'service' as const),
+		]
+		const model = { ...DEFAULT_DEMO_MODEL, ...engineModel }
+		const started = await Promise.all(
+			kinds.map(async (kind, i) => {
+				const process = await this.standin(kind, kind === 'engine' ? { model } : {})
+				const url = String(process.ready.url)
+				const name = `${zone}-${kind}-${i + 1}`
+				return { name, zone, kind, url, pid: Number(process.ready.pid), process }
+			}),
+		)
+		this.targets.push(...started)
+	}
+
+	private async addOperator(name: string): Promise<void> {
+		const file = join(this.folder, `${name}.pem`)
+		const made = await this.group.run([CLI, 'operator', 'key', name, file])
+		const { publicKey } = JSON.parse(made.out) as { publicKey: string }
+		this.operators.push({ name, publicKey, file })
+	}
+
+	private writeOperators(): void {
+		const operators = this.operators.map(({ name, publicKey }) => ({ name, publicKey }))
+		for (const { name, file } of this.operators) {
+			const config = {
+				platform: this.platform.url,
+				operator: { name, privateKeyFile: file },
+				operators,
+				routers: this.routers.map((router) => router.admin),
+			}
+			writeFileSync(join(this.folder, `${name}.jsonc`), JSON.stringify(config, null, '\t'))
+		}
+	}
+
+	private async acceptBundle(text: string): Promise<void> {
+		const file = join(this.folder, 'bundle.jsonc')
+		writeFileSync(file, text)
+		const hash = (await this.must('author', 'bundle', 'propose', file)).trim()
+		await this.must('approver', 'bundle', 'sign', hash)
+		await this.must('author', 'bundle', 'accept', hash)
+	}
+
+	private async must(operator: string, ...args: string[]): Promise<string> {
+		const config = join(this.folder, `${operator}.jsonc`)
+		const result = await this.group.run([CLI, '--operator-config', config, ...args])
+		if (result.code !== 0) throw new CommandFailed(args.join(' '), result.err)
+		return result.out
+	}
+}
+
+/** Engines of the demo answer fast, so that it ends soon. */
+const DEFAULT_DEMO_MODEL: EngineModel = {
+	batchLimit: 32,
+	stepMs: 4,
+	stepPerRequestMs: 0.1,
+	prefillPerStep: 4_096,
+	prefixCacheEntries: 64,
+}
+
+async function isReady(url: string): Promise<boolean> {
+	const reply = await fetch(`${url}/readyz`)
+	await reply.text()
+	return reply.ok
+}
+
+/** A router that did not become ready in time. */
+export class FleetNotReady extends Error {
+	readonly kind = 'fleet-not-ready'
+	constructor(readonly box: string) {
+		super(`${box} did not become ready`)
+	}
+}
+
+/** A stallwing command that failed. */
+export class CommandFailed extends Error {
+	readonly kind = 'command-failed'
+	constructor(command: string, message: string) {
+		super(`stallwing ${command}: ${message}`)
+	}
+}
+
+/** What the ready file of `npm run demo -- --stay` holds. */
+export function readyDocument(fleet: DemoFleet): Record<string, unknown> {
+	return {
+		routers: fleet.routers.map(({ box, zone, url, pid }) => ({ box, zone, url, pid })),
+		platform: fleet.platform,
+		targets: fleet.targets.map(({ name, zone, kind, url, pid }) => ({
+			name,
+			zone,
+			kind,
+			url,
+			pid,
+		})),
+		accounts: DEMO_ACCOUNTS.map(({ name, key, budget }) => ({ name, key, budget })),
+		statusCommand: fleet.commandLine('status', '--json'),
+		budgetCommand: fleet.commandLine('budget', 'show', '--json'),
+	}
+}
--- /dev/null
+++ b/internal/demo/src/lib/demoRequests.ts
@@ -0,0 +1,121 @@
+import type { DemoFleet } from './DemoFleet.js'
+import { DEMO_ACCOUNTS, type DemoAccount } from './demoBundle.js'
+
+/** One line of the demo's report. */
+export interface DemoResult {
+	readonly what: string
+	readonly status: number
+	readonly run: string
+	readonly requestId: string
+	readonly ms: number
+	readonly note: string
+}
+
+/** What a request of the demo sends. */
+export interface DemoCall {
+	readonly what: string
+	readonly account: DemoAccount
+	readonly path: string
+	readonly body: unknown
+	readonly headers?: Readonly<Record<string, string>>
+}
+
+function chat(content: string, stream: boolean): unknown {
+	return { model: 'heat-small', stream, messages: [{ role: 'user', content }] }
+}
+
+/** A few requests of each kind. */
+export function demoCalls(): DemoCall[] {
+	const [dispatch, billing, field] = DEMO_ACCOUNTS as [DemoAccount, DemoAccount, DemoAccount]
+	const path = '/v1/chat/completions'
+	const urgent = { 'stallwing-priority': 'urgent', 'stallwing-repeat': 'never' }
+	const key = { 'idempotency-key': 'valve-17-closed' }
+	return [
+		{
+			what: 'fault summary, streamed',
+			account: dispatch,
+			path,
+			body: chat('Summarise the faults of substation 9.', true),
+		},
+		{
+			what: 'tariff letter, whole',
+			account: billing,
+			path,
+			body: chat('Draft a letter on the new tariff.', false),
+		},
+		{
+			what: 'valve note, streamed',
+			account: field,
+			path,
+			body: chat('Note: valve 17 is stiff.', true),
+		},
+		{
+			what: 'meter reading, urgent',
+			account: billing,
+			path: '/services/meters/readings',
+			body: { meter: 4, value: 1871 },
+			headers: urgent,
+		},
+		{
+			what: 'acknowledgement, first',
+			account: dispatch,
+			path: '/services/meters/ack',
+			body: { valve: 17 },
+			headers: { ...urgent, ...key },
+		},
+		{
+			what: 'acknowledgement, again',
+			account: dispatch,
+			path: '/services/meters/ack',
+			body: { valve: 17 },
+			headers: { ...urgent, ...key },
+		},
+		{
+			what: 'unknown model',
+			account: field,
+			path,
+			body: { ...(chat('?', false) as object), model: 'none' },
+		},
+	]
+}
+
+/** Sends a request to a router and reads the whole answer. */
+export async function sendCall(url: string, call: DemoCall): Promise<DemoResult> {
+	const startedAt = performance.now()
+	const reply = await fetch(`${url}${call.path}`, {
+		method: 'POST',
+		headers: {
+			'content-type': 'application/json',
+			authorization: `Bearer ${call.account.key}`,
+			...call.headers,
+		},
+		body: JSON.stringify(call.body),
+	})
+	const text = await reply.text()
+	return {
+		what: call.what,
+		status: reply.status,
+		run: reply.headers.get('stallwing-run') ?? '',
+		requestId: reply.headers.get('stallwing-request-id') ?? '',
+		ms: Math.round(performance.now() - startedAt),
+		note: noteOf(text),
+	}
+}
+
+function noteOf(text: string): string {
+	if (text.startsWith('data:')) {
+		const whole = text.trimEnd().endsWith('data: [DONE]')
+		return `${text.split('\n\n').length - 1} events, ${whole ? 'whole' : 'broken'}`
+	}
+	return text.length > 60 ? `${text.slice(0, 57)}...` : text
+}
+
+/** Sends each call to the next router in turn. */
+export async function runDemoCalls(fleet: DemoFleet): Promise<DemoResult[]> {
+	const results: DemoResult[] = []
+	for (const [i, call] of demoCalls().entries()) {
+		const router = fleet.routers[i % fleet.routers.length]
+		if (router) results.push(await sendCall(router.url, call))
+	}
+	return results
+}
--- /dev/null
+++ b/packages/core/src/index.ts
@@ -0,0 +1,162 @@
+/** Decisions of a stallwing router: pure, deterministic, without sockets or clocks. */
+export { InvariantBreach, assertInvariant, type InvariantName } from './lib/InvariantBreach.js'
+export {
+	REFUSAL_STATUS,
+	notRun,
+	maybeRun,
+	type RunState,
+	type RefusalType,
+	type Refusal,
+} from './lib/Refusal.js'
+export {
+	DEFAULT_POLICY,
+	type Priority,
+	type ZoneRecord,
+	type ModelRecord,
+	type ServiceRecord,
+	type TargetRecord,
+	type AccountRecord,
+	type BudgetRecord,
+	type PolicyRecord,
+	type Bundle,
+} from './lib/bundle/Bundle.js'
+export { BundleIndex } from './lib/bundle/BundleIndex.js'
+export { bundleSchema, validateBundle, type BundleFault } from './lib/bundle/validateBundle.js'
+export { exhaustive } from './lib/exhaustive.js'
+export { fnv1a } from './lib/fnv1a.js'
+export { isWellFormedKey, parseKey, mintKey, type KeyParts } from './lib/identity/IdempotencyKey.js'
+export {
+	laterRecord,
+	requestId,
+	keyOf,
+	type IdentityState,
+	type IdentityRecord,
+	type LossMark,
+} from './lib/identity/IdentityRecord.js'
+export { type Ticket } from './lib/identity/LogSender.js'
+export { WitnessCopy, type MoneyRow, type LogBatch } from './lib/identity/WitnessCopy.js'
+export { rendezvous, rendezvousFirst } from './lib/identity/rendezvous.js'
+export {
+	brandId,
+	type Branded,
+	type BoxName,
+	type Incarnation,
+	type ZoneName,
+	type AccountName,
+	type BudgetName,
+	type TargetName,
+	type RequestId,
+	type CallId,
+} from './lib/ids.js'
+export {
+	PAST_VIEWS_KEPT,
+	EMPTY_VIEW,
+	nextView,
+	findMember,
+	hasIncarnation,
+	owningBoxes,
+	ownerOf,
+	witnessOf,
+	membersAt,
+	zoneKeys,
+	shardKey,
+	HEAD_KEY,
+	type Member,
+	type PastView,
+	type ZoneView,
+} from './lib/membership/ZoneView.js'
+export {
+	emptyShard,
+	shardOf,
+	zoneAllotment,
+	outstandingInShard,
+	freeInShard,
+	wantedInShard,
+	allotToZone,
+	noteZoneCounters,
+	setPrepaid,
+	type ZoneAllotment,
+	type ShardBudget,
+	type BudgetShardValue,
+} from './lib/money/BudgetShard.js'
+export {
+	EMPTY_COUNTERS,
+	heldAmount,
+	SliceLedger,
+	type SliceCounters,
+} from './lib/money/SliceLedger.js'
+export {
+	entryKey,
+	splitEntryKey,
+	emptyZoneLedger,
+	ledgerBudget,
+	outstandingInZone,
+	freeInZone,
+	billedInZone,
+	inDoubtInZone,
+	noteAllotment,
+	grantToBox,
+	noteCounters,
+	sealEntry,
+	doubtEntry,
+	releaseEntry,
+	closeEntry,
+	giveUpToShard,
+	type LedgerEntry,
+	type LedgerBudget,
+	type ZoneLedgerValue,
+	type Testimony,
+} from './lib/money/ZoneLedger.js'
+export { type OpId, type PlatformOp, type PlatformResult } from './lib/platform/PlatformOp.js'
+export { type RunStage, type Run, type WaitReason } from './lib/requests/Run.js'
+export { ALL_REQUEST_PROTECTIONS, type RequestProtections } from './lib/requests/RunAdvancer.js'
+export { DEFAULT_QUEUE_LIMITS, type QueueLimits } from './lib/requests/RunQueue.js'
+export {
+	emptyBlackboard,
+	isMember,
+	type ConfigSection,
+	type MembersSection,
+	type MoneySection,
+	type IdentitySection,
+	type TargetsSection,
+	type RequestsSection,
+	type RolesSection,
+	type BlackboardView,
+	type Blackboard,
+} from './lib/router/Blackboard.js'
+export { DEFAULT_TIMING, type BoxConfig, type Timing } from './lib/router/BoxConfig.js'
+export { type CoreAction } from './lib/router/CoreAction.js'
+export { CoreContext, type RandomSource } from './lib/router/CoreContext.js'
+export {
+	type CallerRequest,
+	type Work,
+	type AttemptOutcome,
+	type LoadReport,
+	type CoreEvent,
+	type Charge,
+} from './lib/router/CoreEvent.js'
+export { type LogEventName, type LogEvent, type LogValue } from './lib/router/LogEvent.js'
+export {
+	type AskRow,
+	type GrantRow,
+	type ZoneAddresses,
+	type PeerMessage,
+	type Confession,
+} from './lib/router/PeerMessage.js'
+export {
+	ALL_PROTECTIONS,
+	DEFAULT_CORE_OPTIONS,
+	RouterCore,
+	type Protections,
+	type RouterCoreOptions,
+} from './lib/router/RouterCore.js'
+export { LOG_EVENTS } from './lib/router/logEvents.js'
+export { type TargetState } from './lib/routing/TargetState.js'
+export {
+	DEFAULT_PICK_OPTIONS,
+	pickTarget,
+	type PickOptions,
+	type PickInput,
+	type PickResult,
+} from './lib/routing/pickTarget.js'
+export { SECOND_MS, type Amount, type Millis } from './lib/units.js'
--- /dev/null
+++ b/packages/core/src/lib/InvariantBreach.ts
@@ -0,0 +1,34 @@
+/** Names of the invariants that the program checks at each write. @public */
+export type InvariantName =
+	| 'slice-not-overdrawn'
+	| 'watermark-not-passed'
+	| 'counter-not-lowered'
+	| 'zone-not-overgranted'
+	| 'budget-not-overallotted'
+	| 'billed-once'
+	| 'run-at-most-once'
+	| 'bundle-not-reverted'
+
+/** Thrown when an invariant does not hold. The write that would break it is not made. @public */
+export class InvariantBreach extends Error {
+	readonly kind = 'invariant-breach'
+	constructor(
+		readonly invariant: InvariantName,
+		readonly facts: Readonly<Record<string, string | number | boolean>>,
+	) {
+		super(`invariant ${invariant} broken: ${JSON.stringify(facts)}`)
+	}
+}
+
+/**
+ * Checks an invariant.
+ * @throws InvariantBreach when it does not hold.
+ * @public
+ */
+export function assertInvariant(
+	holds: boolean,
+	invariant: InvariantName,
+	facts: Readonly<Record<string, string | number | boolean>>,
+): void {
+	if (!holds) throw new InvariantBreach(invariant, facts)
+}
--- /dev/null
+++ b/packages/core/src/lib/controllers/ConfigController.ts
@@ -0,0 +1,83 @@
+import type { Bundle } from '../bundle/Bundle.js'
+import { BundleIndex } from '../bundle/BundleIndex.js'
+import { HEAD_KEY } from '../membership/ZoneView.js'
+import type { ConfigSection } from '../router/Blackboard.js'
+import type { CoreContext } from '../router/CoreContext.js'
+import type { PlatformResult } from '../platform/PlatformOp.js'
+import type { Millis } from '../units.js'
+
+const FETCH_RETRY_MS: Millis = 500
+
+/** Reads the version that a head value names; 0 for anything else. */
+function headVersion(value: unknown): number {
+	const version = (value as { version?: unknown } | null)?.version
+	return typeof version === 'number' && Number.isSafeInteger(version) ? version : 0
+}
+
+/**
+ * Keeps the highest bundle version in force. The keeper watches the platform, other boxes hear the
+ * version in its digest. A lower version is never taken.
+ */
+export class ConfigController {
+	private watching = false
+	private headRevision = 0
+	private fetchedAt: Millis = -Infinity
+
+	constructor(
+		private readonly context: CoreContext,
+		private readonly section: ConfigSection,
+	) {}
+
+	/** Version in force; 0 for none. */
+	version(): number {
+		return this.section.index?.bundle.version ?? 0
+	}
+
+	/** Notes that somebody holds a version. Fetches it if it is newer. */
+	offer(version: number): void {
+		this.section.offered = Math.max(this.section.offered, version)
+		this.fetchIfNewer()
+	}
+
+	/** Takes a bundle whose signatures and hashes the shell has checked. */
+	take(bundle: Bundle): boolean {
+		if (bundle.version <= this.version()) return false
+		this.section.index = new BundleIndex(bundle)
+		this.section.offered = Math.max(this.section.offered, bundle.version)
+		this.context.log('bundle-in-force', { version: bundle.version })
+		return true
+	}
+
+	tick(): void {
+		const { roles, members } = this.context.board
+		const alone = members.keeper === undefined
+		if (!this.watching && (roles.keeper || alone)) this.watchHead()
+		this.fetchIfNewer()
+	}
+
+	private watchHead(): void {
+		this.watching = true
+		const timeoutMs = this.context.self.timing.watch
+		this.context.callPlatform(
+			{ kind: 'watch', key: HEAD_KEY, after: this.headRevision, timeoutMs },
+			(result) => this.onHead(result),
+		)
+	}
+
+	private onHead(result: PlatformResult): void {
+		this.watching = false
+		if (result.kind !== 'value') return
+		this.headRevision = result.revision
+		this.offer(headVersion(result.value))
+	}
+
+	private fetchIfNewer(): void {
+		if (this.section.offered <= this.version()) return
+		if (this.context.now - this.fetchedAt < FETCH_RETRY_MS) return
+		this.fetchedAt = this.context.now
+		const peers = this.context.board.members.view.members
+			.filter((member) => member.box !== this.context.self.box)
+			.map((member) => member.address)
+		this.context.emit({ kind: 'fetch-bundle', version: this.section.offered, peers })
+	}
+}
--- /dev/null
+++ b/packages/core/src/lib/controllers/TargetController.ts
@@ -0,0 +1,183 @@
+import type { TargetRecord } from '../bundle/Bundle.js'
+import type { RequestId, TargetName } from '../ids.js'
+import { pickTarget, DEFAULT_PICK_OPTIONS, type PickOptions } from '../routing/pickTarget.js'
+import type { TargetState } from '../routing/TargetState.js'
+import type { TargetsSection } from '../router/Blackboard.js'
+import type { CoreContext } from '../router/CoreContext.js'
+import type { LoadReport, Work } from '../router/CoreEvent.js'
+import type { Priority } from '../bundle/Bundle.js'
+import type { Millis } from '../units.js'
+
+const EJECT_AFTER = 3
+const EJECT_MS: Millis = 5_000
+const FAILURE_SMOOTHING = 0.1
+
+/** What the choice needs to know of a run. */
+export interface ChoosingRun {
+	readonly id: RequestId
+	readonly work: Work
+	readonly priority: Priority
+	/** Targets that were tried already; taken again only where there is no other. */
+	readonly tried: ReadonlySet<TargetName>
+}
+
+/** Targets of the zone: which one a request goes to, and which get none. */
+export class TargetController {
+	private bundleVersion = 0
+	private listedLeaving = new Set<TargetName>()
+	private readonly selfLeaving = new Set<TargetName>()
+
+	constructor(
+		private readonly context: CoreContext,
+		private readonly section: TargetsSection,
+		private readonly options: PickOptions = DEFAULT_PICK_OPTIONS,
+	) {}
+
+	tick(): void {
+		const index = this.context.board.config.index
+		if (!index || index.bundle.version === this.bundleVersion) return
+		this.bundleVersion = index.bundle.version
+		this.follow(index.targetsOf(this.context.self.zone))
+	}
+
+	/** True where the zone has a target for this work, free or not. */
+	serves(work: Work): boolean {
+		for (const state of this.section.states.values())
+			if (!state.leaving && doesServe(state.record, work)) return true
+		return false
+	}
+
+	/** Chooses a target and says why; undefined where none is free. */
+	choose(run: ChoosingRun): TargetState | undefined {
+		const { id, work, priority, tried } = run
+		const headroom = this.context.board.config.index?.bundle.policy.urgentHeadroom ?? 0
+		const candidates = [...this.section.states.values()].filter((state) => {
+			return this.isOpen(state, priority, headroom) && doesServe(state.record, work)
+		})
+		const fresh = candidates.filter((state) => !tried.has(state.record.name))
+		const pool = fresh.length > 0 ? fresh : candidates
+		const prefix = work.kind === 'model' ? work.prefixHash : undefined
+		const choice = pickTarget(pool, {
+			prefix,
+			now: this.context.now,
+			random: this.context.random,
+			options: this.options,
+		})
+		if (!choice) return undefined
+		this.context.log('target-chosen', {
+			request: id,
+			target: choice.state.record.name,
+			score: choice.score,
+			considered: choice.considered,
+			candidates: pool.length,
+		})
+		return choice.state
+	}
+
+	started(name: TargetName): void {
+		const state = this.section.states.get(name)
+		if (!state) return
+		state.inFlight++
+		state.startedSinceReport++
+		if (state.ejectedUntil > 0) state.probing = true
+	}
+
+	ended(name: TargetName, failed: boolean): void {
+		const state = this.section.states.get(name)
+		if (!state) return
+		state.inFlight = Math.max(0, state.inFlight - 1)
+		state.failureShare += FAILURE_SMOOTHING * ((failed ? 1 : 0) - state.failureShare)
+		state.failures = failed ? state.failures + 1 : 0
+		if (failed) this.noteFailure(state)
+		else this.restore(state)
+	}
+
+	onLoad(reports: readonly LoadReport[]): void {
+		for (const report of reports) {
+			const state = this.section.states.get(report.target)
+			if (!state || report.at < state.reportedAt) continue
+			state.reported = report.running + report.waiting
+			state.reportedAt = report.at
+			state.startedSinceReport = 0
+			if (report.leaving) this.selfLeaving.add(report.target)
+			else this.selfLeaving.delete(report.target)
+			this.markLeaving(state)
+		}
+	}
+
+	/** Targets that the platform's list calls leaving. */
+	onLeaving(targets: readonly TargetName[]): void {
+		this.listedLeaving = new Set(targets)
+		for (const state of this.section.states.values()) this.markLeaving(state)
+	}
+
+	private isOpen(state: TargetState, priority: Priority, headroom: number): boolean {
+		if (state.leaving || state.ejectedUntil > this.context.now || state.probing) return false
+		const limit = this.share(state.record.concurrency)
+		const usable = priority === 'urgent' ? limit : Math.max(1, Math.floor(limit * (1 - headroom)))
+		return state.inFlight < usable
+	}
+
+	/** This box's part of a limit that holds for the whole zone. */
+	private share(limit: number): number {
+		const boxes = Math.max(1, this.context.board.members.view.members.length)
+		return Math.max(1, Math.ceil(limit / boxes))
+	}
+
+	private noteFailure(state: TargetState): void {
+		const again = state.probing
+		state.probing = false
+		if (state.failures < EJECT_AFTER && !again) return
+		state.ejectedUntil = this.context.now + EJECT_MS
+		this.context.log('target-ejected', { target: state.record.name, failures: state.failures })
+	}
+
+	private restore(state: TargetState): void {
+		if (state.ejectedUntil === 0) return
+		state.ejectedUntil = 0
+		state.probing = false
+		state.since = this.context.now
+		this.context.log('target-restored', { target: state.record.name })
+	}
+
+	private follow(records: readonly TargetRecord[]): void {
+		const { states } = this.section
+		const names = new Set(records.map((record) => record.name))
+		for (const name of states.keys()) if (!names.has(name)) states.delete(name)
+		for (const record of records) {
+			const known = states.get(record.name)
+			if (known) known.record = record
+			else states.set(record.name, newState(record, this.context.now))
+		}
+		for (const state of states.values()) this.markLeaving(state)
+	}
+
+	private markLeaving(state: TargetState): void {
+		const { name, leaving } = state.record
+		const now = leaving || this.listedLeaving.has(name) || this.selfLeaving.has(name)
+		if (now && !state.leaving) this.context.log('target-leaving', { target: name })
+		state.leaving = now
+	}
+}
+
+function newState(record: TargetRecord, now: Millis): TargetState {
+	return {
+		record,
+		inFlight: 0,
+		since: now,
+		reported: 0,
+		reportedAt: 0,
+		startedSinceReport: 0,
+		failures: 0,
+		ejectedUntil: 0,
+		probing: false,
+		leaving: false,
+		failureShare: 0,
+	}
+}
+
+function doesServe(record: TargetRecord, work: Work): boolean {
+	const served = work.kind === 'model' ? work.model : work.service
+	const kind = work.kind === 'model' ? 'engine' : 'service'
+	return record.kind === kind && record.serves.includes(served)
+}
--- /dev/null
+++ b/packages/core/src/lib/identity/rendezvous.ts
@@ -0,0 +1,29 @@
+import { fnv1a } from '../fnv1a.js'
+
+/**
+ * Ranks candidates for a key by rendezvous hashing: every box computes the same order, and removing
+ * one candidate moves only the keys that it held.
+ * @public
+ */
+export function rendezvous<T extends string>(key: string, candidates: readonly T[]): T[] {
+	const scored = candidates.map((name) => ({ name, score: fnv1a(`${name}\u0000${key}`) }))
+	scored.sort((a, b) => b.score - a.score || (a.name < b.name ? -1 : 1))
+	return scored.map((entry) => entry.name)
+}
+
+/** The first candidate of {@link rendezvous}, without sorting. @public */
+export function rendezvousFirst<T extends string>(
+	key: string,
+	candidates: readonly T[],
+): T | undefined {
+	let best: T | undefined
+	let bestScore = -1
+	for (const name of candidates) {
+		const score = fnv1a(`${name}\u0000${key}`)
+		const wins = score > bestScore || (score === bestScore && best !== undefined && name < best)
+		if (!wins) continue
+		best = name
+		bestScore = score
+	}
+	return best
+}
--- /dev/null
+++ b/packages/core/src/lib/money/ZoneLedger.ts
@@ -0,0 +1,195 @@
+import type { BoxName, BudgetName, Incarnation } from '../ids.js'
+import { assertInvariant } from '../InvariantBreach.js'
+import type { Amount } from '../units.js'
+import { heldAmount, type SliceCounters } from './SliceLedger.js'
+
+/** What the zone ledger holds of one box incarnation and budget. @public */
+export interface LedgerEntry {
+	granted: Amount
+	returned: Amount
+	billed: Amount
+	/** Set when the incarnation is gone: what it may have spent beyond `billed`. */
+	inDoubt?: Amount
+	/** Set once a witness has testified: its bills are all counted. */
+	sealed?: boolean
+}
+
+/** All entries of one budget in one zone. @public */
+export interface LedgerBudget {
+	/** Highest allotment that was read from the budget shard. */
+	allotted: Amount
+	/** Given back to the budget shard; written here before it is written there. */
+	returned: Amount
+	/** Sum of the entries that are closed and have been folded away. */
+	closed: LedgerEntry
+	/** Open entries, by `<box>#<incarnation>`. */
+	entries: Record<string, LedgerEntry>
+}
+
+/** Platform value of one zone and shard. Written by the keeper, by compare-and-swap. @public */
+export interface ZoneLedgerValue {
+	/** View of the last writer. A keeper with an older view must not write. */
+	view: number
+	readonly budgets: Record<string, LedgerBudget>
+}
+
+/** Key of a box incarnation inside a ledger value. @public */
+export function entryKey(box: BoxName, incarnation: Incarnation): string {
+	return `${box}#${incarnation}`
+}
+
+/** Reads the parts of an {@link entryKey}. @public */
+export function splitEntryKey(key: string): { box: BoxName; incarnation: Incarnation } {
+	const at = key.indexOf('#')
+	return { box: key.slice(0, at) as BoxName, incarnation: key.slice(at + 1) as Incarnation }
+}
+
+/** An empty ledger value. @public */
+export function emptyZoneLedger(): ZoneLedgerValue {
+	return { view: 0, budgets: {} }
+}
+
+/** The budget's part of a ledger value, made where absent. @public */
+export function ledgerBudget(value: ZoneLedgerValue, budget: BudgetName): LedgerBudget {
+	const found = value.budgets[budget]
+	if (found) return found
+	const made: LedgerBudget = {
+		allotted: 0,
+		returned: 0,
+		closed: { granted: 0, returned: 0, billed: 0 },
+		entries: {},
+	}
+	value.budgets[budget] = made
+	return made
+}
+
+/** Money that boxes of the zone hold, spent money included. @public */
+export function outstandingInZone(row: LedgerBudget): Amount {
+	let sum = row.closed.granted - row.closed.returned
+	for (const entry of Object.values(row.entries)) sum += entry.granted - entry.returned
+	return sum
+}
+
+/** Money of the zone that no box holds. @public */
+export function freeInZone(row: LedgerBudget): Amount {
+	return row.allotted - row.returned - outstandingInZone(row)
+}
+
+/** Money billed in the zone, as far as the ledger knows. @public */
+export function billedInZone(row: LedgerBudget): Amount {
+	let sum = row.closed.billed
+	for (const entry of Object.values(row.entries)) sum += entry.billed
+	return sum
+}
+
+/** Money in doubt in the zone: held by incarnations that are gone. @public */
+export function inDoubtInZone(row: LedgerBudget): Amount {
+	let sum = row.closed.inDoubt ?? 0
+	for (const entry of Object.values(row.entries)) sum += entry.inDoubt ?? 0
+	return sum
+}
+
+function openEntry(row: LedgerBudget, key: string): LedgerEntry {
+	const found = row.entries[key]
+	if (found) return found
+	const made: LedgerEntry = { granted: 0, returned: 0, billed: 0 }
+	row.entries[key] = made
+	return made
+}
+
+function checkZone(row: LedgerBudget): void {
+	const free = freeInZone(row)
+	assertInvariant(free >= 0, 'zone-not-overgranted', { allotted: row.allotted, free })
+}
+
+/** Notes a newer allotment of the shard. An older one changes nothing. @public */
+export function noteAllotment(row: LedgerBudget, allotted: Amount): void {
+	row.allotted = Math.max(row.allotted, allotted)
+}
+
+/** Grants up to `want` to a box. Returns what was granted now. @public */
+export function grantToBox(row: LedgerBudget, key: string, want: Amount): Amount {
+	const entry = openEntry(row, key)
+	if (entry.inDoubt !== undefined) return 0
+	const given = Math.max(0, Math.min(want, freeInZone(row)))
+	entry.granted += given
+	checkZone(row)
+	return given
+}
+
+/** Takes a box's own cumulative counters. Older ones change nothing. @public */
+export function noteCounters(row: LedgerBudget, key: string, counters: SliceCounters): void {
+	const entry = openEntry(row, key)
+	entry.billed = Math.max(entry.billed, counters.billed)
+	entry.returned = Math.max(entry.returned, counters.returned)
+	checkZone(row)
+}
+
+/** What a witness knows of a box incarnation that is gone, for one budget. @public */
+export interface Testimony {
+	readonly billed: Amount
+	/** The incarnation cannot have drawn more than this. */
+	readonly watermark: Amount
+	readonly sent: Amount
+	readonly received: Amount
+	readonly returned: Amount
+}
+
+/**
+ * Seals the entry of an incarnation that is gone. Money past the watermark is free again at once,
+ * the tranche between bill and watermark stays in doubt.
+ * @public
+ */
+export function sealEntry(row: LedgerBudget, key: string, testimony: Testimony): void {
+	const entry = openEntry(row, key)
+	if (entry.sealed) return
+	const returned = Math.max(entry.returned, testimony.returned)
+	const held = heldAmount({ ...testimony, granted: entry.granted, returned })
+	const billed = Math.max(entry.billed, testimony.billed)
+	const drawn = Math.max(billed, Math.min(held, testimony.watermark))
+	const free = Math.max(0, held - drawn)
+	entry.billed = billed
+	entry.returned = returned + free
+	entry.inDoubt = Math.max(0, Math.min(held, drawn) - billed)
+	entry.sealed = true
+	checkZone(row)
+	if (entry.inDoubt === 0) closeEntry(row, key)
+}
+
+/** Sets the whole unbilled slice of a lost incarnation in doubt: nobody can testify. @public */
+export function doubtEntry(row: LedgerBudget, key: string): void {
+	const entry = row.entries[key]
+	if (!entry || entry.inDoubt !== undefined) return
+	entry.inDoubt = Math.max(0, entry.granted - entry.returned - entry.billed)
+	if (entry.inDoubt === 0) closeEntry(row, key)
+}
+
+/** Frees the money in doubt of an incarnation. Only on its own or an operator's word. @public */
+export function releaseEntry(row: LedgerBudget, key: string): Amount {
+	const entry = row.entries[key]
+	if (!entry || entry.inDoubt === undefined) return 0
+	const freed = entry.inDoubt
+	entry.returned += freed
+	entry.inDoubt = 0
+	checkZone(row)
+	closeEntry(row, key)
+	return freed
+}
+
+/** Folds an entry that can change no more into the sum of closed ones. @public */
+export function closeEntry(row: LedgerBudget, key: string): void {
+	const entry = row.entries[key]
+	if (!entry) return
+	row.closed.granted += entry.granted
+	row.closed.returned += entry.returned
+	row.closed.billed += entry.billed
+	delete row.entries[key]
+	checkZone(row)
+}
+
+/** Gives free money of the zone up for the shard. Returns the new cumulative amount. @public */
+export function giveUpToShard(row: LedgerBudget, amount: Amount): Amount {
+	row.returned += Math.max(0, Math.min(amount, freeInZone(row)))
+	checkZone(row)
+	return row.returned
+}
--- /dev/null
+++ b/packages/core/src/lib/requests/Run.ts
@@ -0,0 +1,60 @@
+import type { AccountName, BudgetName, CallId, RequestId, TargetName } from '../ids.js'
+import type { Priority } from '../bundle/Bundle.js'
+import type { Amount, Millis } from '../units.js'
+import type { Work } from '../router/CoreEvent.js'
+
+/**
+ * Stages of a run at the box that owns it.
+ * - `admitting`: waits for a settled view, money, the witness and a target.
+ * - `running`: an attempt is in flight.
+ * - `settling`: the answer is whole, its bill is on the way to the witness.
+ * - `done`: the answer is kept for second tries.
+ * - `failed`: ended without a whole answer; kept so that late events are told apart.
+ * @public
+ */
+export type RunStage = 'admitting' | 'running' | 'settling' | 'done' | 'failed'
+
+/** One request at the box that runs it. @public */
+export interface Run {
+	readonly id: RequestId
+	readonly account: AccountName
+	readonly budget: BudgetName
+	readonly bodyHash: string
+	readonly work: Work
+	readonly priority: Priority
+	readonly repeatable: boolean
+	readonly deadline: Millis
+	readonly startedAt: Millis
+	/** Worst-case charge. */
+	readonly worst: Amount
+	readonly maxOutputTokens: number
+	stage: RunStage
+	/** The call whose body is sent; the shell holds it until the run ends. */
+	readonly firstCall: CallId
+	readonly calls: Set<CallId>
+	reserved: boolean
+	/** Log ticket that must be acknowledged before the next step; 0 for none. */
+	ticket: number
+	/** True while the reservation counts as drawn towards the watermark. */
+	committed: boolean
+	attempt: number
+	/** Target that the claim names; a slot there is held from then on. */
+	target: TargetName | undefined
+	/** Set where an earlier run is resumed instead of running again. */
+	resumeAt: TargetName | undefined
+	/** What earlier runs of this request were billed; only the difference is billed now. */
+	priorBilled: Amount
+	/** True once a byte may have left for a target. */
+	maybeStarted: boolean
+	charge: Amount
+	endedAt: Millis
+	waitingFor: WaitReason | undefined
+	/** Time since which it waits for the present reason. */
+	waitingSince: Millis
+	/** Targets that this run has tried. */
+	readonly tried: Set<TargetName>
+	cancelling: boolean
+}
+
+/** What a run waits for. @public */
+export type WaitReason = 'view' | 'money' | 'witness' | 'target'
--- /dev/null
+++ b/packages/core/src/lib/router/logEvents.ts
@@ -0,0 +1,45 @@
+/**
+ * The catalogue of numbered events. `docs/EVENTS.md` lists the same rows, and a test compares them.
+ * Numbers are never reused: 1xx requests, 2xx money, 3xx membership, 4xx configuration, 5xx targets.
+ * @public
+ */
+export const LOG_EVENTS = {
+	'request-refused': { number: 100, text: 'A request was refused, with the reason' },
+	'request-relayed': { number: 101, text: 'A request was passed on to the box that owns its key' },
+	'request-joined': { number: 102, text: 'A second try was joined to the first' },
+	'target-chosen': { number: 103, text: 'A target was chosen, with the candidates and scores' },
+	'attempt-ended': { number: 104, text: 'An attempt at a target ended' },
+	'request-billed': { number: 105, text: 'A request was billed' },
+	'request-failed': { number: 106, text: 'A request ended without a whole answer' },
+	'request-resumed': { number: 107, text: 'The answer of an earlier run was asked for again' },
+	'request-queued': { number: 108, text: 'A request waits, with the reason' },
+	'slice-asked': { number: 200, text: 'Money was asked of the keeper' },
+	'slice-granted': { number: 201, text: 'Money was granted by the keeper' },
+	'slice-returned': { number: 202, text: 'Idle money was given back' },
+	'transfer-sent': { number: 203, text: 'Idle money was sent to another box' },
+	'transfer-received': { number: 204, text: 'Money was received from another box' },
+	'ledger-written': { number: 205, text: 'The keeper wrote a zone ledger' },
+	'shard-written': { number: 206, text: 'The keeper wrote a budget shard' },
+	'slice-in-doubt': { number: 207, text: 'The slice of a lost incarnation is in doubt in part' },
+	'doubt-released': { number: 208, text: 'Money in doubt was released' },
+	'view-changed': { number: 300, text: 'A new view of the zone is in force' },
+	'keeper-gained': { number: 301, text: 'This box became the keeper of its zone' },
+	'keeper-lost': { number: 302, text: 'This box is no longer the keeper of its zone' },
+	'box-sealed': { number: 303, text: 'The witness sealed an incarnation that is gone' },
+	'box-fenced': { number: 304, text: 'This incarnation was fenced off and starts anew' },
+	'records-lost': { number: 305, text: 'Identity records were lost with a box and its witness' },
+	'handoff-done': { number: 306, text: 'All records of the keys of this box have arrived' },
+	'platform-lost': { number: 307, text: 'The platform cannot be reached' },
+	'platform-back': { number: 308, text: 'The platform can be reached again' },
+	'stop-begun': { number: 309, text: 'A planned stop has begun' },
+	'stop-done': { number: 310, text: 'A planned stop is done' },
+	'bundle-in-force': { number: 400, text: 'A bundle version is in force on this box' },
+	'bundle-refused': { number: 401, text: 'A bundle was refused' },
+	'target-ejected': { number: 500, text: 'A failing target gets no work for a while' },
+	'target-restored': { number: 501, text: 'An ejected target gets work again' },
+	'target-leaving': { number: 502, text: 'A target is leaving and gets no new work' },
+	'invariant-breach': {
+		number: 900,
+		text: 'An invariant would have been broken; the write was not made',
+	},
+} as const
--- /dev/null
+++ b/packages/core/src/lib/routing/TargetState.ts
@@ -0,0 +1,25 @@
+import type { TargetRecord } from '../bundle/Bundle.js'
+import type { Millis } from '../units.js'
+
+/** What this box knows of one target. @public */
+export interface TargetState {
+	record: TargetRecord
+	/** Attempts of this box that are in flight. */
+	inFlight: number
+	/** Time since which this box sends to the target; slow start counts from here. */
+	since: Millis
+	/** Last load report, and how many attempts this box has started since. */
+	reported: number
+	reportedAt: Millis
+	startedSinceReport: number
+	/** Failures in a row. */
+	failures: number
+	/** No work until this time. */
+	ejectedUntil: Millis
+	/** True while one probe is out after an ejection. */
+	probing: boolean
+	/** True where the bundle, the platform's list or the target itself says so. */
+	leaving: boolean
+	/** Smoothed share of failed attempts, 0 to 1. */
+	failureShare: number
+}
--- /dev/null
+++ b/packages/platform/src/index.ts
@@ -0,0 +1,20 @@
+/** Client of the platform: key-value service, box list, bundles. */
+export {
+	DEFAULT_PLATFORM_TIMEOUT_MS,
+	PlatformClient,
+	PlatformUnavailable,
+	type PlatformClientOptions,
+} from './lib/PlatformClient.js'
+export {
+	checkAccepted,
+	checkProposal,
+	hashText,
+	makeOperatorKey,
+	signHash,
+	type BundleDocument,
+	type BundleSignature,
+	type DocumentFault,
+	type OperatorKey,
+} from './lib/BundleDocument.js'
+export { BundleStore, type BundleHead, type StoreFault } from './lib/BundleStore.js'
+export { describeFileFault, locateFault, parseJsonc, type FileFault } from './lib/jsonc.js'
--- /dev/null
+++ b/packages/platform/src/lib/BundleStore.ts
@@ -0,0 +1,185 @@
+import {
+	HEAD_KEY,
+	emptyShard,
+	freeInShard,
+	outstandingInShard,
+	setPrepaid,
+	shardKey,
+	shardOf,
+	type Bundle,
+	type BudgetShardValue,
+	type PlatformResult,
+} from '@stallwing/core'
+import * as E from 'fp-ts/lib/Either.js'
+import type { BundleDocument } from './BundleDocument.js'
+import type { PlatformClient } from './PlatformClient.js'
+
+/** The accepted version. @public */
+export interface BundleHead {
+	readonly version: number
+	readonly hash: string
+}
+
+/** Why a step of the bundle's life failed. @public */
+export type StoreFault =
+	| { readonly kind: 'conflict'; readonly head: BundleHead | undefined }
+	| { readonly kind: 'no-answer'; readonly step: string }
+	| { readonly kind: 'unknown-version'; readonly version: number }
+	| { readonly kind: 'not-next'; readonly version: number; readonly next: number }
+	| {
+			readonly kind: 'prepaid-allotted'
+			readonly budget: string
+			readonly prepaid: number
+			readonly outstanding: number
+	  }
+
+interface Manifest {
+	readonly hash: string
+	readonly chunks: number
+	readonly author: BundleDocument['author']
+	readonly approval?: BundleDocument['approval']
+}
+
+/** Characters per chunk; values of the platform hold up to a megabyte of UTF-8. */
+const CHUNK_CHARACTERS = 200_000
+const CAS_TRIES = 8
+
+/** Bundles in the platform: immutable chunks under their hash, and one head. @public */
+export class BundleStore {
+	constructor(private readonly platform: PlatformClient) {}
+
+	/** The accepted head. */
+	async head(): Promise<{ head: BundleHead | undefined; revision: number }> {
+		const found = await this.platform.read(HEAD_KEY)
+		return { head: found?.value as BundleHead | undefined, revision: found?.revision ?? 0 }
+	}
+
+	/** Writes a proposal under its hash. Writing it twice changes nothing. */
+	async propose(document: BundleDocument): Promise<E.Either<StoreFault, void>> {
+		const chunks = Math.ceil(document.text.length / CHUNK_CHARACTERS)
+		for (let i = 0; i < chunks; i++) {
+			const text = document.text.slice(i * CHUNK_CHARACTERS, (i + 1) * CHUNK_CHARACTERS)
+			const result = await this.write(chunkKey(document.hash, i), 0, { text })
+			if (result.kind === 'no-answer') return E.left({ kind: 'no-answer', step: `chunk ${i}` })
+		}
+		const manifest: Manifest = { hash: document.hash, chunks, author: document.author }
+		const result = await this.write(manifestKey(document.hash), 0, manifest)
+		return result.kind === 'no-answer'
+			? E.left({ kind: 'no-answer', step: 'manifest' })
+			: E.right(undefined)
+	}
+
+	/** Adds the approver's signature to a proposal. */
+	async approve(
+		hash: string,
+		approval: NonNullable<BundleDocument['approval']>,
+	): Promise<E.Either<StoreFault, void>> {
+		const found = await this.platform.read(manifestKey(hash))
+		if (!found) return E.left({ kind: 'unknown-version', version: 0 })
+		const manifest = { ...(found.value as Manifest), approval }
+		const result = await this.write(manifestKey(hash), found.revision, manifest)
+		return result.kind === 'written' ? E.right(undefined) : E.left(failure(result, 'approval'))
+	}
+
+	/** Reads a document by hash. */
+	async document(hash: string): Promise<BundleDocument | undefined> {
+		const found = await this.platform.read(manifestKey(hash))
+		if (!found) return undefined
+		const manifest = found.value as Manifest
+		const chunks: string[] = []
+		for (let i = 0; i < manifest.chunks; i++) {
+			const chunk = await this.platform.read(chunkKey(hash, i))
+			if (!chunk) return undefined
+			chunks.push((chunk.value as { text: string }).text)
+		}
+		const { author, approval } = manifest
+		return { text: chunks.join(''), hash, author, ...(approval ? { approval } : {}) }
+	}
+
+	/** The document of the head, if any is accepted. */
+	async accepted(): Promise<BundleDocument | undefined> {
+		const { head } = await this.head()
+		return head && this.document(head.hash)
+	}
+
+	/**
+	 * Accepts a version by one compare-and-swap of the head. Of two racing operators one gets a
+	 * conflict; a lost answer is settled by reading the head again.
+	 */
+	async accept(bundle: Bundle, hash: string): Promise<E.Either<StoreFault, BundleHead>> {
+		const { head, revision } = await this.head()
+		if (head?.hash === hash) return E.right(head)
+		const next = (head?.version ?? 0) + 1
+		if (bundle.version !== next) {
+			if (head && bundle.version <= head.version) return E.left({ kind: 'conflict', head })
+			return E.left({ kind: 'not-next', version: bundle.version, next })
+		}
+		const lowered = await this.lowerPrepaid(bundle)
+		if (E.isLeft(lowered)) return lowered
+		const wanted: BundleHead = { version: bundle.version, hash }
+		const result = await this.platform.call({
+			kind: 'cas',
+			key: HEAD_KEY,
+			expected: revision,
+			value: wanted,
+		})
+		if (result.kind === 'written') return E.right(wanted)
+		const now = await this.head()
+		return now.head?.hash === hash ? E.right(wanted) : E.left({ kind: 'conflict', head: now.head })
+	}
+
+	/** Takes lower prepaid amounts into the shards first: nothing more is allotted from then on. */
+	private async lowerPrepaid(bundle: Bundle): Promise<E.Either<StoreFault, void>> {
+		const shards = new Set(
+			bundle.budgets.map((budget) => shardOf(budget.name, bundle.policy.shardCount)),
+		)
+		for (const shard of shards) {
+			const result = await this.lowerShard(bundle, shard)
+			if (E.isLeft(result)) return result
+		}
+		return E.right(undefined)
+	}
+
+	private async lowerShard(bundle: Bundle, shard: number): Promise<E.Either<StoreFault, void>> {
+		for (let i = 0; i < CAS_TRIES; i++) {
+			const found = await this.platform.read(shardKey(shard))
+			const value = (found?.value as BudgetShardValue | undefined) ?? emptyShard()
+			let changed = false
+			for (const budget of bundle.budgets) {
+				const row = value.budgets[budget.name]
+				if (!row || budget.prepaid >= row.prepaid) continue
+				if (freeInShard(row) < row.prepaid - budget.prepaid)
+					return E.left({
+						kind: 'prepaid-allotted',
+						budget: budget.name,
+						prepaid: budget.prepaid,
+						outstanding: outstandingInShard(row),
+					})
+				setPrepaid(value, budget.name, budget.prepaid, bundle.version)
+				changed = true
+			}
+			if (!changed) return E.right(undefined)
+			const result = await this.write(shardKey(shard), found?.revision ?? 0, value)
+			if (result.kind === 'written') return E.right(undefined)
+		}
+		return E.left({ kind: 'no-answer', step: `shard ${shard}` })
+	}
+
+	private write(key: string, expected: number, value: unknown): Promise<PlatformResult> {
+		return this.platform.call({ kind: 'cas', key, expected, value })
+	}
+}
+
+function failure(result: PlatformResult, step: string): StoreFault {
+	return result.kind === 'conflict'
+		? { kind: 'conflict', head: undefined }
+		: { kind: 'no-answer', step }
+}
+
+function manifestKey(hash: string): string {
+	return `bundles/${hash}/manifest`
+}
+
+function chunkKey(hash: string, chunk: number): string {
+	return `bundles/${hash}/chunk/${chunk}`
+}
--- /dev/null
+++ b/packages/platform/src/lib/PlatformClient.ts
@@ -0,0 +1,147 @@
+import { exhaustive, type Millis, type PlatformOp, type PlatformResult } from '@stallwing/core'
+import { Agent, request } from 'undici'
+
+/** Options of a platform client. @public */
+export interface PlatformClientOptions {
+	/** Address of the key-value service, without a path. */
+	readonly url: string
+	/** Time after which a call other than a watch counts as not answered, in ms. */
+	readonly timeoutMs: Millis
+}
+
+/** Time-out of a client that states none. @public */
+export const DEFAULT_PLATFORM_TIMEOUT_MS: Millis = 1_000
+const WATCH_GRACE_MS: Millis = 1_000
+const DEFAULT_RETRY_MS: Millis = 1_000
+
+interface Answer {
+	readonly status: number
+	readonly retryAfter: string | undefined
+	readonly body: Record<string, unknown>
+}
+
+/**
+ * Client of the platform's key-value service. Never throws for a failed call: a call without an
+ * answer is a result of its own, since it may have taken effect.
+ * @public
+ */
+export class PlatformClient {
+	private readonly agent = new Agent({ connections: 16, pipelining: 1 })
+
+	constructor(private readonly options: PlatformClientOptions) {}
+
+	/** Carries out one call. */
+	async call(op: PlatformOp): Promise<PlatformResult> {
+		try {
+			return await this.perform(op)
+		} catch {
+			return { kind: 'no-answer' }
+		}
+	}
+
+	/** Reads a value; undefined where absent. @throws PlatformUnavailable without an answer. */
+	async read(key: string): Promise<{ value: unknown; revision: number } | undefined> {
+		const result = await this.call({ kind: 'get', key })
+		if (result.kind === 'value') return { value: result.value, revision: result.revision }
+		if (result.kind === 'absent') return undefined
+		throw new PlatformUnavailable(key)
+	}
+
+	async close(): Promise<void> {
+		await this.agent.destroy()
+	}
+
+	private async perform(op: PlatformOp): Promise<PlatformResult> {
+		switch (op.kind) {
+			case 'get':
+				return valueResult(await this.send('GET', kvPath(op.key)))
+			case 'cas':
+				return writeResult(
+					await this.send('POST', kvPath(op.key), {
+						expected: op.expected,
+						value: op.value,
+						lease: op.lease,
+					}),
+				)
+			case 'lease-create':
+				return leaseResult(await this.send('POST', '/v1/leases', { ttlMs: op.ttlMs }))
+			case 'lease-renew':
+				return leaseResult(await this.send('POST', `/v1/leases/${op.lease}/renew`, {}))
+			case 'lease-drop':
+				return leaseResult(await this.send('DELETE', `/v1/leases/${op.lease}`))
+			case 'watch':
+				return valueResult(await this.watch(op.key, op.after, op.timeoutMs))
+			default:
+				return exhaustive(op)
+		}
+	}
+
+	private watch(key: string, after: number, timeoutMs: Millis): Promise<Answer> {
+		const path = `/v1/watch/${encodeURIComponent(key)}?after=${after}&timeoutMs=${timeoutMs}`
+		return this.send('GET', path, undefined, timeoutMs + WATCH_GRACE_MS)
+	}
+
+	private async send(
+		method: 'GET' | 'POST' | 'DELETE',
+		path: string,
+		body?: unknown,
+		timeoutMs = this.options.timeoutMs,
+	): Promise<Answer> {
+		const reply = await request(`${this.options.url}${path}`, {
+			method,
+			dispatcher: this.agent,
+			headersTimeout: timeoutMs,
+			bodyTimeout: timeoutMs,
+			signal: AbortSignal.timeout(timeoutMs),
+			...(body === undefined
+				? {}
+				: { body: JSON.stringify(body), headers: { 'content-type': 'application/json' } }),
+		})
+		const retryAfter = reply.headers['retry-after']
+		return {
+			status: reply.statusCode,
+			retryAfter: typeof retryAfter === 'string' ? retryAfter : undefined,
+			body: (await reply.body.json()) as Record<string, unknown>,
+		}
+	}
+}
+
+/** Thrown where a caller cannot go on without the platform. @public */
+export class PlatformUnavailable extends Error {
+	readonly kind = 'platform-unavailable'
+	constructor(readonly key: string) {
+		super(`the platform did not answer for ${key}`)
+	}
+}
+
+function kvPath(key: string): string {
+	return `/v1/kv/${encodeURIComponent(key)}`
+}
+
+function refused(answer: Answer): PlatformResult {
+	const seconds = Number(answer.retryAfter)
+	const retryAfterMs = Number.isFinite(seconds) ? seconds * 1000 : DEFAULT_RETRY_MS
+	return { kind: 'refused', retryAfterMs }
+}
+
+function valueResult(answer: Answer): PlatformResult {
+	if (answer.status === 404) return { kind: 'absent' }
+	if (answer.status === 429) return refused(answer)
+	if (answer.status !== 200) return { kind: 'no-answer' }
+	return { kind: 'value', revision: Number(answer.body.revision), value: answer.body.value }
+}
+
+function writeResult(answer: Answer): PlatformResult {
+	const revision = Number(answer.body.revision ?? 0)
+	if (answer.status === 200) return { kind: 'written', revision }
+	if (answer.status === 409) return { kind: 'conflict', revision }
+	if (answer.status === 429) return refused(answer)
+	return { kind: 'no-answer' }
+}
+
+function leaseResult(answer: Answer): PlatformResult {
+	if (answer.status === 200) return { kind: 'lease', lease: String(answer.body.lease) }
+	if (answer.status === 404) return { kind: 'lease-lost' }
+	if (answer.status === 429) return refused(answer)
+	return { kind: 'no-answer' }
+}
--- /dev/null
+++ b/packages/router/src/index.ts
@@ -0,0 +1,12 @@
+/** The router daemon as a library: settings, sockets, timers around the core. */
+export { RouterDaemon, type DaemonAddresses, type DaemonOptions } from './lib/RouterDaemon.js'
+export {
+	SettingsError,
+	loadSettings,
+	parseSettings,
+	settingsSchema,
+	type RouterSettings,
+} from './lib/settings.js'
+export { hashKey } from './lib/readCall.js'
+export { Metrics } from './lib/Metrics.js'
+export { LogWriter, type LogLine } from './lib/LogWriter.js'
--- /dev/null
+++ b/packages/router/src/lib/BundleFetcher.ts
@@ -0,0 +1,69 @@
+import type { Bundle } from '@stallwing/core'
+import {
+	BundleStore,
+	checkAccepted,
+	type BundleDocument,
+	type OperatorKey,
+	type PlatformClient,
+} from '@stallwing/platform'
+import * as E from 'fp-ts/lib/Either.js'
+import type { PeerLinks } from './PeerLinks.js'
+
+/** What became of fetching a version. */
+export type FetchResult =
+	| { readonly kind: 'taken'; readonly bundle: Bundle }
+	| { readonly kind: 'refused'; readonly faults: readonly string[] }
+	| { readonly kind: 'unavailable' }
+
+/** Gets accepted bundles from the platform or from another box, and checks them. */
+export class BundleFetcher {
+	private readonly store: BundleStore
+	private held: { version: number; document: BundleDocument } | undefined
+
+	constructor(
+		platform: PlatformClient,
+		private readonly links: PeerLinks,
+		private readonly operators: readonly OperatorKey[],
+	) {
+		this.store = new BundleStore(platform)
+	}
+
+	/** The document of the version held, as JSON; empty for any other version. */
+	document(version: number): string {
+		return this.held?.version === version ? JSON.stringify(this.held.document) : ''
+	}
+
+	/** Fetches a version or a later one. */
+	async fetch(version: number, peers: readonly string[]): Promise<FetchResult> {
+		const document = (await this.fromPlatform()) ?? (await this.fromPeers(version, peers))
+		if (!document) return { kind: 'unavailable' }
+		const checked = checkAccepted(document, this.operators)
+		if (E.isLeft(checked))
+			return { kind: 'refused', faults: checked.left.map((fault) => JSON.stringify(fault)) }
+		this.held = { version: checked.right.version, document }
+		return { kind: 'taken', bundle: checked.right }
+	}
+
+	private async fromPlatform(): Promise<BundleDocument | undefined> {
+		try {
+			return await this.store.accepted()
+		} catch {
+			return undefined
+		}
+	}
+
+	private async fromPeers(
+		version: number,
+		peers: readonly string[],
+	): Promise<BundleDocument | undefined> {
+		for (const peer of peers) {
+			try {
+				const { document } = await this.links.client(peer).getBundle({ version })
+				if (document !== '') return JSON.parse(document) as BundleDocument
+			} catch {
+				continue
+			}
+		}
+		return undefined
+	}
+}
--- /dev/null
+++ b/packages/router/src/lib/CallerServer.ts
@@ -0,0 +1,153 @@
+import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http'
+import type { AddressInfo } from 'node:net'
+import { brandId, notRun, type CallId, type Refusal } from '@stallwing/core'
+import * as E from 'fp-ts/lib/Either.js'
+import { HttpSink } from './HttpSink.js'
+import type { Metrics } from './Metrics.js'
+import type { OpenCall } from './OpenCall.js'
+import { readCall, type RawCall } from './readCall.js'
+
+/** What the caller side needs of the daemon. */
+export interface CallerHandlers {
+	open(call: OpenCall): void
+	/** The connection has closed; `answered` where the whole answer went out. */
+	closed(callId: CallId, answered: boolean): void
+	isReady(): boolean
+	metrics(): string
+}
+
+/** Limits on callers. */
+export interface CallerLimits {
+	readonly bodyBytes: number
+	/** Longest wait for the first byte; a request that cannot start by then is refused. */
+	readonly firstByteMs: number
+}
+
+const BODY_TIMEOUT_MS = 10_000
+
+/** Serves callers over HTTP, and the probes of the balancer. */
+export class CallerServer {
+	private readonly server: Server
+	private nextCall = 1
+	private readonly open = new Set<ServerResponse>()
+
+	constructor(
+		private readonly handlers: CallerHandlers,
+		private readonly limits: CallerLimits,
+		private readonly metrics: Metrics,
+	) {
+		this.server = createServer((request, response) => {
+			this.handle(request, response).catch(() => response.destroy())
+		})
+		this.server.requestTimeout = BODY_TIMEOUT_MS
+		this.server.keepAliveTimeout = 30_000
+	}
+
+	async listen(host: string, port: number): Promise<number> {
+		await new Promise<void>((resolve, reject) => {
+			this.server.once('error', reject)
+			this.server.listen(port, host, resolve)
+		})
+		return (this.server.address() as AddressInfo).port
+	}
+
+	/** Requests that have not been answered yet. */
+	openCalls(): number {
+		return this.open.size
+	}
+
+	async close(): Promise<void> {
+		await new Promise<void>((resolve) => {
+			this.server.close(() => resolve())
+			this.server.closeAllConnections()
+		})
+	}
+
+	private async handle(request: IncomingMessage, response: ServerResponse): Promise<void> {
+		const path = request.url ?? '/'
+		if (path === '/healthz') send(response, 200, 'ok\n')
+		else if (path === '/readyz') send(response, this.handlers.isReady() ? 200 : 503, '')
+		else if (path === '/metrics') send(response, 200, this.handlers.metrics())
+		else await this.call(request, response)
+	}
+
+	private async call(request: IncomingMessage, response: ServerResponse): Promise<void> {
+		const startedAt = Date.now()
+		const callId = brandId<CallId>(`call-${this.nextCall++}`)
+		const sink = new HttpSink(
+			response,
+			() => this.metrics.time('stallwing_first_byte_ms', Date.now() - startedAt),
+			() => this.metrics.time('stallwing_request_ms', Date.now() - startedAt),
+		)
+		const body = await this.readBody(request)
+		if (!body) {
+			this.refuse(sink, notRun('body-too-large', `at most ${this.limits.bodyBytes} bytes`))
+			return
+		}
+		const raw = rawCall(callId, request, body, startedAt + this.limits.firstByteMs)
+		const read = readCall(raw)
+		if (E.isLeft(read)) {
+			this.refuse(sink, read.left)
+			return
+		}
+		this.open.add(response)
+		response.on('close', () => {
+			this.open.delete(response)
+			this.handlers.closed(callId, response.writableFinished)
+		})
+		const { request: core, outgoing } = read.right
+		this.handlers.open({ request: core, outgoing, sink, callerPath: raw.path, startedAt })
+	}
+
+	private refuse(sink: HttpSink, refusal: Refusal): void {
+		this.metrics.count('stallwing_refused_total', `type="${refusal.type}"`)
+		sink.fail(refusal, undefined)
+	}
+
+	/** The whole body; undefined where it is too large. */
+	private async readBody(request: IncomingMessage): Promise<Buffer | undefined> {
+		const parts: Buffer[] = []
+		let bytes = 0
+		for await (const part of request) {
+			bytes += (part as Buffer).length
+			if (bytes <= this.limits.bodyBytes) parts.push(part as Buffer)
+		}
+		return bytes <= this.limits.bodyBytes ? Buffer.concat(parts) : undefined
+	}
+}
+
+function rawCall(
+	callId: CallId,
+	request: IncomingMessage,
+	body: Buffer,
+	deadline: number,
+): RawCall {
+	const header = (name: string): string | undefined => {
+		const value = request.headers[name]
+		return Array.isArray(value) ? value[0] : value
+	}
+	const bearer = /^Bearer (.+)$/.exec(header('authorization') ?? '')?.[1]
+	const key = header('idempotency-key')
+	const budget = header('stallwing-budget')
+	const priority = header('stallwing-priority')
+	const repeat = header('stallwing-repeat')
+	return {
+		callId,
+		method: request.method ?? 'GET',
+		path: request.url ?? '/',
+		contentType: header('content-type') ?? 'application/octet-stream',
+		body,
+		...(bearer === undefined ? {} : { bearer }),
+		...(key === undefined ? {} : { idempotencyKey: key }),
+		...(budget === undefined ? {} : { budget }),
+		...(priority === undefined ? {} : { priority }),
+		...(repeat === undefined ? {} : { repeat }),
+		deadline,
+		hops: 0,
+	}
+}
+
+function send(response: ServerResponse, status: number, text: string): void {
+	response.writeHead(status, { 'content-type': 'text/plain; version=0.0.4' })
+	response.end(text)
+}
--- /dev/null
+++ b/packages/router/src/lib/LogWriter.ts
@@ -0,0 +1,43 @@
+import { LOG_EVENTS, type LogEvent } from '@stallwing/core'
+
+/** A log line as kept for explanations. @public */
+export interface LogLine extends Readonly<Record<string, unknown>> {
+	readonly event: number
+	readonly name: string
+	readonly time: string
+}
+
+/** Lines kept in memory for `stallwing explain`. */
+const KEPT_LINES = 5_000
+
+/** Writes one JSON line per numbered event, and keeps the last ones for explanations. @public */
+export class LogWriter {
+	private readonly kept: LogLine[] = []
+	private next = 0
+
+	constructor(
+		private readonly box: string,
+		private readonly zone: string,
+		private readonly write: (line: string) => void,
+	) {}
+
+	log(event: LogEvent): void {
+		const line: LogLine = {
+			time: new Date().toISOString(),
+			event: LOG_EVENTS[event.name].number,
+			name: event.name,
+			box: this.box,
+			zone: this.zone,
+			...event.fields,
+		}
+		this.kept[this.next] = line
+		this.next = (this.next + 1) % KEPT_LINES
+		this.write(`${JSON.stringify(line)}\n`)
+	}
+
+	/** Lines about a request, oldest first. */
+	about(request: string): LogLine[] {
+		const ordered = [...this.kept.slice(this.next), ...this.kept.slice(0, this.next)]
+		return ordered.filter((line) => line.request === request)
+	}
+}
--- /dev/null
+++ b/packages/router/src/lib/Metrics.ts
@@ -0,0 +1,41 @@
+import { build, type Histogram } from 'hdr-histogram-js'
+
+const HIGHEST_MS = 600_000
+const PERCENTILES = [50, 90, 99, 99.9]
+
+/** Counters and latency histograms in Prometheus text. @public */
+export class Metrics {
+	private readonly counters = new Map<string, number>()
+	private readonly histograms = new Map<string, Histogram>()
+
+	/** Adds to a counter. `labels` is Prometheus label text, such as `kind="log"`. */
+	count(name: string, labels = '', amount = 1): void {
+		const key = labels === '' ? name : `${name}{${labels}}`
+		this.counters.set(key, (this.counters.get(key) ?? 0) + amount)
+	}
+
+	/** Notes a duration, in ms. */
+	time(name: string, ms: number): void {
+		let histogram = this.histograms.get(name)
+		if (!histogram) {
+			histogram = build({ highestTrackableValue: HIGHEST_MS, numberOfSignificantValueDigits: 2 })
+			this.histograms.set(name, histogram)
+		}
+		histogram.recordValue(Math.min(HIGHEST_MS, Math.max(0, Math.round(ms))))
+	}
+
+	/** All metrics, with gauges that the caller has at hand. */
+	render(gauges: Readonly<Record<string, number>>): string {
+		const lines: string[] = []
+		for (const [name, value] of this.counters) lines.push(`${name} ${value}`)
+		for (const [name, value] of Object.entries(gauges)) lines.push(`${name} ${value}`)
+		for (const [name, histogram] of this.histograms) {
+			for (const percentile of PERCENTILES) {
+				const value = histogram.getValueAtPercentile(percentile)
+				lines.push(`${name}{quantile="${percentile / 100}"} ${value}`)
+			}
+			lines.push(`${name}_count ${histogram.totalCount}`)
+		}
+		return `${lines.sort().join('\n')}\n`
+	}
+}
--- /dev/null
+++ b/packages/router/src/lib/OpenCall.ts
@@ -0,0 +1,13 @@
+import type { CallerRequest } from '@stallwing/core'
+import type { AnswerSink } from './AnswerSink.js'
+import type { OutgoingCall } from './AttemptRunner.js'
+
+/** A caller's request that this box holds: what to send on, and where the answer goes. */
+export interface OpenCall {
+	readonly request: CallerRequest
+	readonly outgoing: OutgoingCall
+	readonly sink: AnswerSink
+	/** Path as the caller sent it, for relaying. */
+	readonly callerPath: string
+	readonly startedAt: number
+}
--- /dev/null
+++ b/packages/router/src/lib/PeerServer.ts
@@ -0,0 +1,103 @@
+import {
+	createSecureServer,
+	createServer,
+	type Http2Server,
+	type Http2SecureServer,
+	type ServerHttp2Session,
+} from 'node:http2'
+import type { AddressInfo } from 'node:net'
+import { create } from '@bufbuild/protobuf'
+import type { ConnectRouter, HandlerContext } from '@connectrpc/connect'
+import { connectNodeAdapter } from '@connectrpc/connect-node'
+import type { BoxName, PeerMessage } from '@stallwing/core'
+import {
+	GetBundleResponseSchema,
+	PeerService,
+	decodeMessage,
+	type Frame,
+	type GetBundleRequest,
+	type LinkReply,
+	type RelayChunk,
+	type RelayRequest,
+} from '@stallwing/wire'
+import createDebug from 'debug'
+import type { Metrics } from './Metrics.js'
+import type { PeerTls } from './peerTransport.js'
+
+const debug = createDebug('stallwing:peer')
+
+/** What a box does for other boxes. */
+export interface PeerHandlers {
+	onMessage(from: BoxName, message: PeerMessage): void
+	relay(request: RelayRequest, signal: AbortSignal): AsyncIterable<RelayChunk>
+	bundleDocument(version: number): string
+}
+
+/** Listens for other boxes: HTTP/2, with mTLS where keys are given. */
+export class PeerServer {
+	private readonly server: Http2Server | Http2SecureServer
+	private readonly sessions = new Set<ServerHttp2Session>()
+
+	constructor(
+		private readonly handlers: PeerHandlers,
+		private readonly metrics: Metrics,
+		tls: PeerTls | undefined,
+	) {
+		const adapter = connectNodeAdapter({ routes: (router) => this.routes(router) })
+		this.server = tls
+			? createSecureServer({ ...tls, requestCert: true, rejectUnauthorized: true }, adapter)
+			: createServer(adapter)
+		this.server.on('session', (session) => {
+			this.sessions.add(session)
+			session.on('close', () => this.sessions.delete(session))
+		})
+		this.server.on('tlsClientError', (error: Error) => {
+			this.metrics.count('stallwing_peer_refused_total')
+			debug('a connection was refused: %s', error.message)
+		})
+	}
+
+	/** Starts to listen; returns the port. */
+	async listen(host: string, port: number): Promise<number> {
+		await new Promise<void>((resolve, reject) => {
+			this.server.once('error', reject)
+			this.server.listen(port, host, resolve)
+		})
+		return (this.server.address() as AddressInfo).port
+	}
+
+	async close(): Promise<void> {
+		for (const session of this.sessions) session.destroy()
+		await new Promise<void>((resolve) => this.server.close(() => resolve()))
+	}
+
+	private routes(router: ConnectRouter): void {
+		router.service(PeerService, {
+			link: (frames: AsyncIterable<Frame>) => this.link(frames),
+			relay: (request: RelayRequest, context: HandlerContext) =>
+				this.handlers.relay(request, context.signal),
+			getBundle: (request: GetBundleRequest) => {
+				const document = this.handlers.bundleDocument(request.version)
+				return create(GetBundleResponseSchema, { document })
+			},
+		})
+	}
+
+	private async *link(frames: AsyncIterable<Frame>): AsyncGenerator<LinkReply> {
+		for await (const frame of frames) this.take(frame)
+		// Replies go over the other box's own stream; this one only ends.
+		yield* []
+	}
+
+	private take(frame: Frame): void {
+		const from = frame.from as BoxName
+		for (const bytes of frame.messages) {
+			const message = decodeMessage(bytes)
+			if (!message) continue
+			const labels = `kind="${message.kind}"`
+			this.metrics.count('stallwing_peer_messages_received_total', labels)
+			this.metrics.count('stallwing_peer_bytes_received_total', labels, bytes.length)
+			this.handlers.onMessage(from, message)
+		}
+	}
+}
--- /dev/null
+++ b/packages/router/src/lib/peerTransport.ts
@@ -0,0 +1,39 @@
+import { readFileSync } from 'node:fs'
+import { createClient, type Client, type Transport } from '@connectrpc/connect'
+import { createConnectTransport } from '@connectrpc/connect-node'
+import { PeerService } from '@stallwing/wire'
+import type { RouterSettings } from './settings.js'
+
+/** Keys of a box for mTLS, read from its settings. */
+export interface PeerTls {
+	readonly key: Buffer
+	readonly cert: Buffer
+	readonly ca: Buffer
+}
+
+const IDLE_PING_MS = 5_000
+const PING_TIMEOUT_MS = 2_000
+
+/** Reads the key files of the settings; undefined where boxes talk in the clear. */
+export function readPeerTls(settings: RouterSettings): PeerTls | undefined {
+	const { tls } = settings
+	if (!tls) return undefined
+	return {
+		key: readFileSync(tls.keyFile),
+		cert: readFileSync(tls.certFile),
+		ca: readFileSync(tls.caFile),
+	}
+}
+
+/** Opens a client to another box over HTTP/2. */
+export function openPeer(address: string, tls: PeerTls | undefined): Client<typeof PeerService> {
+	const transport: Transport = createConnectTransport({
+		baseUrl: address,
+		httpVersion: '2',
+		useBinaryFormat: true,
+		pingIntervalMs: IDLE_PING_MS,
+		pingTimeoutMs: PING_TIMEOUT_MS,
+		...(tls ? { nodeOptions: { key: tls.key, cert: tls.cert, ca: tls.ca } } : {}),
+	})
+	return createClient(PeerService, transport)
+}
--- /dev/null
+++ b/packages/standins/src/lib/KvStore.ts
@@ -0,0 +1,139 @@
+import type { Millis, PlatformOp, PlatformResult } from '@stallwing/core'
+
+interface Entry {
+	value: unknown
+	revision: number
+	lease: string | undefined
+}
+
+interface Watcher {
+	readonly key: string
+	readonly after: number
+	readonly until: Millis
+	readonly answer: (result: PlatformResult) => void
+}
+
+/** Calls that a store has answered. A waiting watch counts as one. @public */
+export interface CallCounts {
+	reads: number
+	writes: number
+	watches: number
+}
+
+const MAX_VALUE_BYTES = 1_048_576
+
+/**
+ * The platform's key-value service without a network: compare-and-swap, leases, watches. Time is
+ * passed in, so that the same store serves a process and a run in virtual time.
+ * @public
+ */
+export class KvStore {
+	readonly counts: CallCounts = { reads: 0, writes: 0, watches: 0 }
+	private readonly entries = new Map<string, Entry>()
+	private readonly leases = new Map<string, { ttlMs: Millis; until: Millis }>()
+	private watchers: Watcher[] = []
+	private revision = 0
+	private nextLease = 1
+
+	/** Carries out one call; a watch may answer later. */
+	call(op: PlatformOp, now: Millis, answer: (result: PlatformResult) => void): void {
+		this.expire(now)
+		switch (op.kind) {
+			case 'get':
+				this.counts.reads++
+				answer(this.get(op.key))
+				return
+			case 'cas':
+				this.counts.writes++
+				answer(this.cas(op))
+				return
+			case 'lease-create':
+			case 'lease-renew':
+			case 'lease-drop':
+				this.counts.writes++
+				answer(this.lease(op, now))
+				return
+			case 'watch':
+				this.counts.watches++
+				this.watch(op, now, answer)
+		}
+	}
+
+	/** Ends leases and watches whose time is up. */
+	expire(now: Millis): void {
+		for (const [lease, { until }] of this.leases) if (until <= now) this.endLease(lease)
+		const due = this.watchers.filter((watcher) => watcher.until <= now)
+		if (due.length === 0) return
+		this.watchers = this.watchers.filter((watcher) => watcher.until > now)
+		for (const watcher of due) watcher.answer(this.get(watcher.key))
+	}
+
+	/** All keys with a prefix, for reports and checks. */
+	list(prefix: string): { key: string; value: unknown }[] {
+		const found: { key: string; value: unknown }[] = []
+		for (const [key, entry] of this.entries)
+			if (key.startsWith(prefix)) found.push({ key, value: structuredClone(entry.value) })
+		return found
+	}
+
+	private get(key: string): PlatformResult {
+		const entry = this.entries.get(key)
+		if (!entry) return { kind: 'absent' }
+		return { kind: 'value', revision: entry.revision, value: structuredClone(entry.value) }
+	}
+
+	private cas(op: Extract<PlatformOp, { kind: 'cas' }>): PlatformResult {
+		const entry = this.entries.get(op.key)
+		const current = entry?.revision ?? 0
+		if (current !== op.expected) return { kind: 'conflict', revision: current }
+		if (op.lease !== undefined && !this.leases.has(op.lease)) return { kind: 'lease-lost' }
+		if (JSON.stringify(op.value).length > MAX_VALUE_BYTES)
+			return { kind: 'refused', retryAfterMs: 0 }
+		const revision = ++this.revision
+		this.entries.set(op.key, { value: structuredClone(op.value), revision, lease: op.lease })
+		this.notify(op.key)
+		return { kind: 'written', revision }
+	}
+
+	private lease(
+		op: Extract<PlatformOp, { kind: 'lease-create' | 'lease-renew' | 'lease-drop' }>,
+		now: Millis,
+	): PlatformResult {
+		if (op.kind === 'lease-create') {
+			const lease = `lease-${this.nextLease++}`
+			this.leases.set(lease, { ttlMs: op.ttlMs, until: now + op.ttlMs })
+			return { kind: 'lease', lease }
+		}
+		const held = this.leases.get(op.lease)
+		if (!held) return { kind: 'lease-lost' }
+		if (op.kind === 'lease-drop') this.endLease(op.lease)
+		else held.until = now + held.ttlMs
+		return { kind: 'lease', lease: op.lease }
+	}
+
+	private endLease(lease: string): void {
+		this.leases.delete(lease)
+		for (const [key, entry] of this.entries) {
+			if (entry.lease !== lease) continue
+			this.entries.delete(key)
+			this.revision++
+		}
+	}
+
+	private watch(
+		op: Extract<PlatformOp, { kind: 'watch' }>,
+		now: Millis,
+		answer: (result: PlatformResult) => void,
+	): void {
+		const entry = this.entries.get(op.key)
+		if (entry && entry.revision > op.after) answer(this.get(op.key))
+		else this.watchers.push({ key: op.key, after: op.after, until: now + op.timeoutMs, answer })
+	}
+
+	private notify(key: string): void {
+		const due = this.watchers.filter((watcher) => watcher.key === key)
+		if (due.length === 0) return
+		this.watchers = this.watchers.filter((watcher) => watcher.key !== key)
+		for (const watcher of due) watcher.answer(this.get(key))
+	}
+}
--- /dev/null
+++ b/packages/wire/src/lib/peerCodec.test.ts
@@ -0,0 +1,34 @@
+import { brandId, type BoxName, type Incarnation, type PeerMessage } from '@stallwing/core'
+import { describe, expect, it } from 'vitest'
+import { decodeMessage, encodeMessage } from './peerCodec.js'
+
+function roundTrip(message: PeerMessage): PeerMessage | undefined {
+	return decodeMessage(encodeMessage(message))
+}
+
+describe('peerCodec', () => {
+	it('carries an acknowledgement unchanged', () => {
+		const incarnation = brandId<Incarnation>('i1')
+		const message: PeerMessage = { kind: 'log-ack', incarnation, view: 3, seq: 7 }
+		expect(roundTrip(message)).toMatchObject(message)
+	})
+
+	it('keeps an absent view of a digest absent', () => {
+		const box = brandId<BoxName>('box-1')
+		const incarnation = brandId<Incarnation>('i1')
+		const keeper = { box, incarnation, address: 'http://127.0.0.1:1', leaving: false }
+		const message: PeerMessage = {
+			kind: 'digest',
+			keeper,
+			term: 4,
+			platformUp: true,
+			bundleVersion: 2,
+			zones: [],
+			reports: [],
+			leavingTargets: [],
+		}
+		const read = roundTrip(message)
+		expect(read).toMatchObject(message)
+		expect(read?.kind === 'digest' && read.view).toBeUndefined()
+	})
+})
