--- a/internal/demo/src/lib/DemoFleet.ts
+++ b/internal/demo/src/lib/DemoFleet.ts
@@ -132,8 +132,10 @@
 		}
 	}
 
-	/** Ends all processes and removes the files. */
+	/** Ends all processes, the routers first, and removes the files. */
 	async stop(): Promise<void> {
+		const running = this.routers.map((router) => router.process)
+		await this.group.stop(running.filter((started) => started.child.exitCode === null))
 		await this.group.stopAll()
 		rmSync(this.folder, { recursive: true, force: true })
 	}
--- a/internal/demo/src/lib/ProcessGroup.ts
+++ b/internal/demo/src/lib/ProcessGroup.ts
@@ -46,9 +46,13 @@
 		return { code, out, err }
 	}
 
-	/** Asks every process to end, and waits until all have. */
-	async stopAll(): Promise<void> {
-		const all = [...this.started]
+	/** Asks every process that was started and still runs to end, and waits until all have. */
+	stopAll(): Promise<void> {
+		return this.stop([...this.started])
+	}
+
+	/** Asks processes to end, and waits until they have. */
+	async stop(all: readonly Started[]): Promise<void> {
 		for (const entry of all) {
 			entry.child.kill('SIGCONT')
 			entry.child.kill('SIGTERM')
--- a/internal/demo/src/main.ts
+++ b/internal/demo/src/main.ts
@@ -7,6 +7,9 @@
 const stay = args.includes('--stay')
 const readyFile = args.includes('--ready-file') ? args[args.indexOf('--ready-file') + 1] : undefined
 
+// A reader that closes the pipe early must not leave processes behind.
+process.stdout.on('error', () => undefined)
+
 const fleet = new DemoFleet()
 try {
 	await fleet.start()
--- a/packages/core/src/lib/controllers/MembershipController.ts
+++ b/packages/core/src/lib/controllers/MembershipController.ts
@@ -53,6 +53,7 @@
 	private tickedAt: Millis = 0
 	private failures = 0
 	private wasMember = false
+	private resigning = false
 
 	constructor(
 		private readonly context: CoreContext,
@@ -76,10 +77,18 @@
 	/** Gives the lease up, so that another box takes over at once. */
 	resign(): void {
 		if (!this.lease) return
+		this.resigning = true
+		for (const pulse of this.pulses.values()) this.sendDigest(pulse)
 		this.context.callPlatform({ kind: 'lease-drop', lease: this.lease }, () => undefined)
 		this.stepDown()
 	}
 
+	/** True where another member is not leaving: it is the one to be keeper. */
+	othersStay(): boolean {
+		const { box } = this.context.self
+		return this.section.view.members.some((member) => member.box !== box && !member.leaving)
+	}
+
 	tick(): void {
 		const { timing } = this.context.self
 		const paused = this.context.now - this.tickedAt > timing.memberSilent / 2
@@ -128,7 +137,7 @@
 		if (message.term < this.section.term) return
 		if (message.keeper.box !== this.context.self.box && this.roles.keeper) this.stepDown()
 		this.section.term = message.term
-		this.section.keeper = message.keeper
+		this.section.keeper = message.resigned ? undefined : message.keeper
 		this.section.keeperSeenAt = this.context.now
 		this.setPlatform(message.platformUp)
 		for (const zone of message.zones) this.noteZone(zone)
@@ -160,6 +169,13 @@
 		return this.context.now - this.section.keeperSeenAt > this.context.self.timing.keeperSilent
 	}
 
+	/** A stopping box leaves the role to those that stay, unless none of them takes it. */
+	private mayBeKeeper(): boolean {
+		const silence = this.context.now - this.section.keeperSeenAt
+		const nobody = silence > this.context.self.timing.keeperLease
+		return !this.section.stopping || !this.othersStay() || nobody
+	}
+
 	private beat(): void {
 		this.heartbeatAt = this.context.now
 		const heartbeat: PeerMessage = {
@@ -191,6 +207,7 @@
 			...(behind ? { view } : {}),
 			keeper: this.me(),
 			term,
+			resigned: this.resigning,
 			platformUp,
 			bundleVersion: this.hooks.bundleVersion(),
 			zones: zonesDue ? [...zones.values()] : [],
@@ -223,7 +240,7 @@
 		this.context.callPlatform({ kind: 'get', key: zoneKeys.keeper(zone) }, (result) => {
 			this.busy.keeper = false
 			if (result.kind === 'value') this.meetKeeper(result.value as Member, result.revision)
-			if (result.kind === 'absent' && !this.section.stopping) this.takeLease()
+			if (result.kind === 'absent' && this.mayBeKeeper()) this.takeLease()
 		})
 	}
 
--- a/packages/core/src/lib/identity/LogSender.ts
+++ b/packages/core/src/lib/identity/LogSender.ts
@@ -39,6 +39,7 @@
 	private acked: Ticket = 0
 	private inFlight: InFlight | undefined
 	private snapshotDue = true
+	private synced = false
 	private readonly dirtyRecords: IdentityRecord[] = []
 	private readonly dirtyLosses: LossMark[] = []
 	private readonly dirtyBudgets = new Set<BudgetName>()
@@ -69,6 +70,7 @@
 		this.seq = 0
 		this.inFlight = undefined
 		this.snapshotDue = true
+		this.synced = false
 		this.soloActive = false
 		if (!this.witness) this.acked = this.issued
 	}
@@ -119,7 +121,7 @@
 
 	/** True where the witness holds a snapshot of this view. */
 	isSynced(): boolean {
-		return this.isAlone() || (this.view > 0 && !this.snapshotDue && this.acked > 0)
+		return this.isAlone() || this.synced
 	}
 
 	/** Sends what has gathered, or again what was not acknowledged. */
@@ -142,6 +144,7 @@
 		if (!flight || view !== this.view || seq !== flight.batch.seq) return
 		this.inFlight = undefined
 		this.acked = flight.ticket
+		this.synced = true
 		this.soloActive = flight.batch.solo && this.soloWanted
 		for (const row of flight.batch.money) this.source.onAcked(row)
 	}
--- a/packages/core/src/lib/router/PeerMessage.ts
+++ b/packages/core/src/lib/router/PeerMessage.ts
@@ -55,6 +55,8 @@
 			readonly keeper: Member
 			/** Revision at which the keeper took its lease; the higher term wins. */
 			readonly term: number
+			/** True where the keeper gives its role up: the next one may take it at once. */
+			readonly resigned: boolean
 			readonly platformUp: boolean
 			readonly bundleVersion: number
 			/** Other zones; only those that changed since the last digest to the receiver. */
--- a/packages/core/src/lib/router/RouterCore.ts
+++ b/packages/core/src/lib/router/RouterCore.ts
@@ -320,8 +320,7 @@
 	}
 
 	private stopStep(): void {
-		const staying = this.board.members.view.members.some((member) => !member.leaving)
-		if (this.board.roles.keeper && staying) this.membership.resign()
+		if (this.board.roles.keeper && this.membership.othersStay()) this.membership.resign()
 		if (!this.requests.isIdle()) return
 		this.money.returnAll()
 		if (this.isDrained() && this.board.members.view.number === 0) this.exit()
--- a/packages/router/src/lib/RouterDaemon.ts
+++ b/packages/router/src/lib/RouterDaemon.ts
@@ -36,6 +36,8 @@
 
 const TICK_MS = 50
 const POLL_MS = 1_000
+/** Time for the last messages of a planned stop to leave. */
+const EXIT_FLUSH_MS = 100
 
 /** Addresses that a daemon listens on. @public */
 export interface DaemonAddresses {
@@ -260,7 +262,7 @@
 				this.newCore(action.confession)
 				return
 			case 'exit':
-				void this.close(true)
+				this.timers.push(setTimeout(() => void this.close(true), EXIT_FLUSH_MS))
 				return
 			default:
 				exhaustive(action)
--- a/packages/wire/src/lib/peerCodec.test.ts
+++ b/packages/wire/src/lib/peerCodec.test.ts
@@ -21,6 +21,7 @@
 			kind: 'digest',
 			keeper,
 			term: 4,
+			resigned: false,
 			platformUp: true,
 			bundleVersion: 2,
 			zones: [],
