Randomised runs over many cores; two faults that they found are mended

(1) A request that waited for a settled view had looked its record up before the records arrived, so a new owner ran it again (billed twice, ran twice). (2) After a broken attempt a later refusal said 'not run'.

Ruled out: lost witness records (the copies were complete in all three).

Change: requests of an unsettled zone are parked and placed once all records have arrived; unclaimed runs are taken back at each view change and placed anew; a run remembers that an earlier attempt may have run.

--- /dev/null
+++ b/internal/soak/src/lib/Random.ts
@@ -0,0 +1,32 @@
+import prand, { type RandomGenerator } from 'pure-rand'
+
+const TWO_TO_32 = 4_294_967_296
+
+/** Seeded random numbers: the same seed gives the same run. */
+export class Random {
+	private readonly generator: RandomGenerator
+
+	constructor(seed: number) {
+		this.generator = prand.xoroshiro128plus(seed)
+	}
+
+	/** A number in [0, 1). */
+	next(): number {
+		return (this.generator.unsafeNext() >>> 0) / TWO_TO_32
+	}
+
+	/** A whole number in [low, high]. */
+	between(low: number, high: number): number {
+		return low + Math.floor(this.next() * (high - low + 1))
+	}
+
+	/** True with a probability. */
+	chance(probability: number): boolean {
+		return this.next() < probability
+	}
+
+	/** One element of a list that is not empty. */
+	pick<T>(list: readonly T[]): T {
+		return list[Math.floor(this.next() * list.length)] as T
+	}
+}
--- /dev/null
+++ b/internal/soak/src/lib/checkEnd.ts
@@ -0,0 +1,109 @@
+import {
+	entryKey,
+	billedInZone,
+	inDoubtInZone,
+	outstandingInShard,
+	shardKey,
+	zoneKeys,
+	type BudgetShardValue,
+	type Incarnation,
+	type RequestId,
+	type ZoneLedgerValue,
+} from '@stallwing/core'
+import { INPUT_TOKENS, outputTokens } from './FakeTarget.js'
+import type { World } from './World.js'
+
+interface BudgetSums {
+	billed: number
+	inDoubt: number
+	prepaid: number
+}
+
+const SERVICE_CHARGE = 7
+
+/** Charge of a model request that ran to its end: the same wherever it ran. */
+function fullCharge(id: RequestId): number {
+	return INPUT_TOKENS + 2 * outputTokens(id)
+}
+
+/** Checks the promises once everything has healed and come to rest. */
+export function checkEnd(world: World): void {
+	const sums = collect(world)
+	for (const [budget, sum] of sums) {
+		if (sum.billed > sum.prepaid) world.fail('overspent', { budget, ...sum })
+		if (sum.billed + sum.inDoubt > sum.prepaid) world.fail('over-allotted', { budget, ...sum })
+	}
+	checkRuns(world)
+	checkBills(world, sums)
+}
+
+function collect(world: World): Map<string, BudgetSums> {
+	const sums = new Map<string, BudgetSums>()
+	const shard = read<BudgetShardValue>(world, shardKey(0))
+	for (const [name, row] of Object.entries(shard?.budgets ?? {})) {
+		if (outstandingInShard(row) > row.prepaid) world.fail('over-allotted', { budget: name })
+		sums.set(name, { billed: 0, inDoubt: 0, prepaid: row.prepaid })
+	}
+	const live = liveBills(world)
+	for (const zone of world.zones) {
+		const ledger = read<ZoneLedgerValue>(world, zoneKeys.ledger(zone, 0))
+		for (const [name, row] of Object.entries(ledger?.budgets ?? {})) {
+			const sum = sums.get(name)
+			if (!sum) continue
+			sum.billed += billedInZone(row)
+			sum.inDoubt += inDoubtInZone(row)
+			for (const [key, entry] of Object.entries(row.entries))
+				sum.billed += Math.max(0, (live.get(`${key}/${name}`) ?? 0) - entry.billed)
+		}
+	}
+	return sums
+}
+
+function read<T>(world: World, key: string): T | undefined {
+	return world.store.list(key).find((row) => row.key === key)?.value as T | undefined
+}
+
+/** Bills of the boxes that run, which the ledger may not have yet. */
+function liveBills(world: World): Map<string, number> {
+	const live = new Map<string, number>()
+	for (const box of world.boxes) {
+		const ledger = box.core?.board.money.ledger
+		if (!ledger) continue
+		const key = entryKey(box.name, String(box.incarnation) as Incarnation)
+		for (const budget of ledger.budgets())
+			live.set(`${key}/${budget}`, ledger.counters(budget).billed)
+	}
+	return live
+}
+
+/** A request that may not be repeated ran at most once. */
+function checkRuns(world: World): void {
+	for (const target of world.targets.values())
+		for (const id of target.runs.keys()) {
+			const runs = world.runsOf(id)
+			if (runs > 1 && world.callers.neverRepeat.has(id)) world.fail('ran-twice', { id, runs })
+		}
+}
+
+/** Every answered request is billed once: neither lost nor doubled, within what is in doubt. */
+function checkBills(world: World, sums: ReadonlyMap<string, BudgetSums>): void {
+	const least = new Map<string, number>()
+	const most = new Map<string, number>()
+	for (const [id, budget] of world.callers.accounts) {
+		const charge = world.callers.isService.has(id) ? SERVICE_CHARGE : fullCharge(id)
+		if (world.callers.answered.has(id)) add(least, budget, charge)
+		const bills = world.billed.get(id)
+		if (bills) add(most, budget, Math.max(charge, ...bills))
+	}
+	for (const [budget, sum] of sums) {
+		const low = least.get(budget) ?? 0
+		const high = most.get(budget) ?? 0
+		if (sum.billed + sum.inDoubt < low)
+			world.fail('answered-but-not-billed', { budget, low, ...sum })
+		if (sum.billed > high) world.fail('billed-twice', { budget, high, ...sum })
+	}
+}
+
+function add(map: Map<string, number>, key: string, amount: number): void {
+	map.set(key, (map.get(key) ?? 0) + amount)
+}
--- a/packages/core/src/lib/controllers/RequestController.ts
+++ b/packages/core/src/lib/controllers/RequestController.ts
@@ -34,6 +34,8 @@
 	private readonly store: RunStore
 	private readonly advancer: RunAdvancer
 	private readonly finisher: RunFinisher
+	/** Requests that wait until it is settled which box has which records. */
+	private parked: CallerRequest[] = []
 
 	constructor(private readonly parts: RunParts) {
 		this.context = parts.context
@@ -44,6 +46,7 @@
 
 	/** Runs what can go on after any event. */
 	afterEvent(): void {
+		this.placeParked()
 		this.advancer.advanceAll()
 		this.finisher.releaseSettled()
 	}
@@ -52,13 +55,27 @@
 		this.store.expire()
 	}
 
+	/**
+	 * A new view may give a key to another box, which knows nothing of a run that is not claimed
+	 * yet: such runs are taken back and placed anew once all records have arrived.
+	 */
+	onView(): void {
+		for (const run of [...this.store.all()]) {
+			if (run.stage !== 'admitting' || run.target !== undefined || run.attached) continue
+			this.advancer.release(run)
+			this.parked.push(...this.store.takeBack(run))
+		}
+	}
+
 	/** True where no request of this box is under way. */
 	isIdle(): boolean {
 		for (const run of this.store.all()) if (run.stage !== 'done') return false
-		return true
+		return this.parked.length === 0
 	}
 
 	fence(): void {
+		for (const request of this.parked)
+			this.refuse(request, notRun('box-fenced', 'this box was fenced off', COME_BACK_MS))
 		this.store.fenceAll()
 	}
 
@@ -79,6 +96,7 @@
 
 	onCallerGone(event: Extract<CoreEvent, { kind: 'caller-gone' }>): void {
 		const run = this.store.byCaller(event.callId)
+		this.parked = this.parked.filter((request) => request.callId !== event.callId)
 		if (!run) return
 		this.store.leave(run, event.callId)
 		if (run.calls.size > 0) return
@@ -110,12 +128,35 @@
 		const key = request.idempotencyKey ?? this.mint()
 		const id = requestId(account, key)
 		if (this.joinLocal(request, id)) return
+		if (this.isUnsettled(key, priced)) {
+			this.parked.push({ ...request, idempotencyKey: key })
+			return
+		}
 		const place = this.findPlace(id, key, priced)
 		if (place.kind === 'nowhere') this.refuse(request, place.refusal, id)
 		else if (place.kind === 'there') this.relay(request, place.member, id, account, key)
 		else this.serveHere(request, priced, id)
 	}
 
+	/** True while records of keys of this zone may still be on their way to this box. */
+	private isUnsettled(key: string, priced: PricedRequest): boolean {
+		const { members, identity } = this.context.board
+		if (this.homeZone(key, priced) !== this.context.self.zone) return false
+		const { box, incarnation } = this.context.self
+		const member = hasIncarnation(members.view.members, box, incarnation)
+		return !member || !identity.settled
+	}
+
+	private placeParked(): void {
+		const parked = this.parked
+		if (parked.length === 0) return
+		this.parked = []
+		for (const request of parked) {
+			if (this.context.now < request.deadline) this.onRequest(request)
+			else this.refuse(request, notRun('not-ready', 'the zone changes its members', COME_BACK_MS))
+		}
+	}
+
 	/** A key that this box owns itself, so that no other box need hear of it. */
 	private mint(): string {
 		const { box, zone } = this.context.self
@@ -138,7 +179,7 @@
 			const text = 'an earlier try is being cancelled'
 			this.refuse(request, maybeRun('outcome-unknown', text, COME_BACK_MS), id)
 		} else {
-			this.store.join(run, request.callId)
+			this.store.join(run, request)
 			this.context.log('request-joined', { request: id, stage: run.stage })
 		}
 		return true
@@ -152,7 +193,6 @@
 		if (home === zone) {
 			const record = this.parts.identity.find(id)
 			if (record) return this.placeOfRecord(record, members)
-			if (members.length === 0) return { kind: 'here' }
 		}
 		const owner = ownerOf(members, key)
 		if (!owner) {
@@ -243,6 +283,7 @@
 		record: IdentityRecord | undefined,
 		resumeAt: TargetName | undefined,
 	): void {
+		const ranBefore = record !== undefined && record.state !== 'void'
 		const run: Run = {
 			id,
 			account: priced.account.name,
@@ -257,7 +298,8 @@
 			maxOutputTokens: priced.maxOutputTokens,
 			stage: 'admitting',
 			firstCall: request.callId,
-			calls: new Set([request.callId]),
+			calls: new Map([[request.callId, request]]),
+			attached: false,
 			reserved: false,
 			committed: false,
 			ticket: 0,
@@ -265,7 +307,8 @@
 			target: undefined,
 			resumeAt,
 			priorBilled: record?.state === 'billed' ? record.amount : 0,
-			maybeStarted: false,
+			mayHaveRun: ranBefore,
+			mayHaveRunBefore: ranBefore,
 			charge: 0,
 			endedAt: 0,
 			waitingFor: undefined,
@@ -278,7 +321,6 @@
 			return
 		}
 		this.store.add(run)
-		this.context.emit({ kind: 'attach', callId: request.callId, id })
 	}
 
 	private refuse(request: CallerRequest, refusal: Refusal, id?: RequestId): void {
--- a/packages/core/src/lib/requests/Run.ts
+++ b/packages/core/src/lib/requests/Run.ts
@@ -1,7 +1,7 @@
 import type { AccountName, BudgetName, CallId, RequestId, TargetName } from '../ids.js'
 import type { Priority } from '../bundle/Bundle.js'
 import type { Amount, Millis } from '../units.js'
-import type { Work } from '../router/CoreEvent.js'
+import type { CallerRequest, Work } from '../router/CoreEvent.js'
 
 /**
  * Stages of a run at the box that owns it.
@@ -31,7 +31,10 @@
 	stage: RunStage
 	/** The call whose body is sent; the shell holds it until the run ends. */
 	readonly firstCall: CallId
-	readonly calls: Set<CallId>
+	/** Callers that wait for the answer, with what each sent. */
+	readonly calls: Map<CallId, CallerRequest>
+	/** True once the shell keeps an answer for the run. */
+	attached: boolean
 	reserved: boolean
 	/** Log ticket that must be acknowledged before the next step; 0 for none. */
 	ticket: number
@@ -44,8 +47,10 @@
 	resumeAt: TargetName | undefined
 	/** What earlier runs of this request were billed; only the difference is billed now. */
 	priorBilled: Amount
-	/** True once a byte may have left for a target. */
-	maybeStarted: boolean
+	/** True while an attempt is out, or has ended in a way that does not say whether it ran. */
+	mayHaveRun: boolean
+	/** The same of the attempts before the one that is out, and of other boxes' tries. */
+	mayHaveRunBefore: boolean
 	charge: Amount
 	endedAt: Millis
 	waitingFor: WaitReason | undefined
--- a/packages/core/src/lib/requests/RunAdvancer.ts
+++ b/packages/core/src/lib/requests/RunAdvancer.ts
@@ -4,7 +4,7 @@
 import type { BudgetName, TargetName } from '../ids.js'
 import type { IdentityState } from '../identity/IdentityRecord.js'
 import { assertInvariant } from '../InvariantBreach.js'
-import { notRun, type RefusalType } from '../Refusal.js'
+import { maybeRun, notRun, type RefusalType } from '../Refusal.js'
 import { isMember } from '../router/Blackboard.js'
 import type { CoreContext } from '../router/CoreContext.js'
 import { SECOND_MS, type Amount, type Millis } from '../units.js'
@@ -79,10 +79,11 @@
 		})
 	}
 
-	/** Ends a run that has certainly not run; frees its money. */
+	/** Ends a waiting run and frees its money. It is called not run only if no earlier try was. */
 	refuse(run: Run, type: RefusalType, message: string, retryAfterMs?: Millis): void {
 		this.release(run)
-		this.parts.store.fail(run, notRun(type, message, retryAfterMs))
+		const refusal = run.mayHaveRun ? maybeRun : notRun
+		this.parts.store.fail(run, refusal(type, message, retryAfterMs))
 	}
 
 	/** Frees what a run holds: its reservation and its slot at a target. */
@@ -92,7 +93,7 @@
 		run.reserved = false
 		run.committed = false
 		if (run.target !== undefined && run.stage === 'admitting') {
-			if (run.ticket > 0 && !run.maybeStarted) this.record(run, 'void', 0)
+			if (!run.mayHaveRun) this.record(run, 'void', 0)
 			targets.ended(run.target, false)
 			run.target = undefined
 		}
@@ -197,15 +198,16 @@
 			return
 		}
 		const resume = run.resumeAt !== undefined
-		assertInvariant(run.repeatable || resume || !run.maybeStarted, 'run-at-most-once', {
+		assertInvariant(run.repeatable || resume || !run.mayHaveRun, 'run-at-most-once', {
 			request: run.id,
 		})
 		run.stage = 'running'
 		run.attempt++
-		run.maybeStarted = true
+		run.mayHaveRun = true
 		run.tried.add(run.target)
 		store.queue.remove(run.id)
 		store.countRunning(run, 1)
+		store.attach(run)
 		context.emit({
 			kind: 'start-attempt',
 			runId: run.id,
--- a/packages/core/src/lib/requests/RunFinisher.ts
+++ b/packages/core/src/lib/requests/RunFinisher.ts
@@ -25,6 +25,9 @@
 		if (run.stage !== 'running') return
 		const { context, store, targets } = this.parts
 		store.countRunning(run, -1)
+		const untouched = outcome.kind === 'not-sent' || outcome.kind === 'rejected'
+		if (untouched) run.mayHaveRun = run.mayHaveRunBefore
+		else run.mayHaveRunBefore = true
 		const failed = outcome.kind === 'broken' || outcome.kind === 'not-sent'
 		if (run.target !== undefined) targets.ended(run.target, failed)
 		context.log('attempt-ended', {
@@ -128,13 +131,12 @@
 	private retryOrRefuse(run: Run, refusal: Refusal, mayRetry: boolean): void {
 		const { context } = this.parts
 		const inTime = context.now < run.deadline && run.attempt < MAX_ATTEMPTS
-		if (refusal.run === 'no') run.maybeStarted = false
 		if (mayRetry && inTime && run.calls.size > 0) {
 			this.again(run)
 			return
 		}
-		if (refusal.run === 'no') this.advancer.record(run, 'void', 0)
-		this.giveUp(run, refusal)
+		if (!run.mayHaveRun) this.advancer.record(run, 'void', 0)
+		this.giveUp(run, run.mayHaveRun ? { ...refusal, run: 'unknown' } : refusal)
 	}
 
 	private again(run: Run): void {
--- a/packages/core/src/lib/requests/RunStore.ts
+++ b/packages/core/src/lib/requests/RunStore.ts
@@ -2,6 +2,7 @@
 import { maybeRun, notRun, type Refusal } from '../Refusal.js'
 import type { RequestsSection } from '../router/Blackboard.js'
 import type { CoreContext } from '../router/CoreContext.js'
+import type { CallerRequest } from '../router/CoreEvent.js'
 import type { Millis } from '../units.js'
 import type { Run } from './Run.js'
 import { RunQueue } from './RunQueue.js'
@@ -39,11 +40,27 @@
 		this.byCall.set(run.firstCall, run.id)
 	}
 
-	/** Attaches another caller to a run. */
-	join(run: Run, callId: CallId): void {
-		run.calls.add(callId)
+	/** Adds another caller to a run. */
+	join(run: Run, request: CallerRequest): void {
+		const { callId } = request
+		run.calls.set(callId, request)
 		this.byCall.set(callId, run.id)
-		this.context.emit({ kind: 'attach', callId, id: run.id })
+		if (run.attached) this.context.emit({ kind: 'attach', callId, id: run.id })
+	}
+
+	/** Lets the shell keep an answer for the run, with all its callers. */
+	attach(run: Run): void {
+		if (run.attached) return
+		run.attached = true
+		for (const callId of run.calls.keys()) this.context.emit({ kind: 'attach', callId, id: run.id })
+	}
+
+	/** Takes a run that has not been claimed back; its callers are to be placed anew. */
+	takeBack(run: Run): CallerRequest[] {
+		const requests = [...run.calls.values()]
+		this.queue.remove(run.id)
+		this.forget(run)
+		return requests
 	}
 
 	/** Detaches a caller that is gone. */
@@ -63,7 +80,8 @@
 	fail(run: Run, refusal: Refusal): void {
 		this.queue.remove(run.id)
 		run.stage = 'failed'
-		this.context.emit({ kind: 'fail-run', runId: run.id, refusal })
+		if (run.attached) this.context.emit({ kind: 'fail-run', runId: run.id, refusal })
+		else this.refuseAll(run, refusal)
 		this.context.log('request-failed', {
 			request: run.id,
 			type: refusal.type,
@@ -77,7 +95,7 @@
 	keepDone(run: Run): void {
 		run.stage = 'done'
 		run.endedAt = this.context.now
-		for (const callId of run.calls) this.byCall.delete(callId)
+		for (const callId of run.calls.keys()) this.byCall.delete(callId)
 		run.calls.clear()
 		this.done.push(run)
 	}
@@ -100,13 +118,18 @@
 			if (run.stage === 'running')
 				this.context.emit({ kind: 'cancel-attempt', runId: run.id, attempt: run.attempt })
 			const text = 'this box was fenced off; come back with the same key'
-			const refuse = run.maybeStarted ? maybeRun : notRun
+			const refuse = run.mayHaveRun ? maybeRun : notRun
 			this.fail(run, refuse('box-fenced', text, 1))
 		}
 	}
 
+	private refuseAll(run: Run, refusal: Refusal): void {
+		for (const callId of run.calls.keys())
+			this.context.emit({ kind: 'refuse', callId, id: run.id, refusal })
+	}
+
 	private forget(run: Run): void {
-		for (const callId of run.calls) this.byCall.delete(callId)
+		for (const callId of run.calls.keys()) this.byCall.delete(callId)
 		run.calls.clear()
 		this.section.runs.delete(run.id)
 	}
--- a/packages/core/src/lib/router/RouterCore.ts
+++ b/packages/core/src/lib/router/RouterCore.ts
@@ -266,6 +266,7 @@
 	}
 
 	private onView(before: ZoneView, after: ZoneView): void {
+		this.requests.onView()
 		this.money.onView()
 		this.identity.onView(before, after)
 	}
