--- a/internal/soak/src/lib/SimBox.ts
+++ b/internal/soak/src/lib/SimBox.ts
@@ -35,6 +35,11 @@
 		return `${this.name}#${this.incarnation}`
 	}
 
+	/** Name of the present incarnation; names sort by age. */
+	incarnationName(): Incarnation {
+		return brandId<Incarnation>(String(this.incarnation).padStart(6, '0'))
+	}
+
 	isUp(): boolean {
 		return this.core !== undefined && !this.paused
 	}
@@ -46,7 +51,7 @@
 		const self = {
 			box: this.name,
 			zone: this.zone,
-			incarnation: brandId<Incarnation>(String(this.incarnation)),
+			incarnation: this.incarnationName(),
 			address: this.address,
 			timing: DEFAULT_TIMING,
 		}
--- a/internal/soak/src/lib/checkEnd.ts
+++ b/internal/soak/src/lib/checkEnd.ts
@@ -6,7 +6,6 @@
 	shardKey,
 	zoneKeys,
 	type BudgetShardValue,
-	type Incarnation,
 	type RequestId,
 	type ZoneLedgerValue,
 } from '@stallwing/core'
@@ -69,7 +68,7 @@
 	for (const box of world.boxes) {
 		const ledger = box.core?.board.money.ledger
 		if (!ledger) continue
-		const key = entryKey(box.name, String(box.incarnation) as Incarnation)
+		const key = entryKey(box.name, box.incarnationName())
 		for (const budget of ledger.budgets())
 			live.set(`${key}/${budget}`, ledger.counters(budget).billed)
 	}
--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -97,6 +97,7 @@
 	noteAllotment,
 	grantToBox,
 	noteCounters,
+	noteSealed,
 	sealEntry,
 	doubtEntry,
 	releaseEntry,
--- a/packages/core/src/lib/controllers/IdentityController.ts
+++ b/packages/core/src/lib/controllers/IdentityController.ts
@@ -38,6 +38,12 @@
 	readonly ticket: Ticket
 }
 
+interface DueHandOver {
+	readonly view: number
+	readonly source: BoxName
+	readonly members: readonly Member[]
+}
+
 const EXPIRY_PERIOD_MS: Millis = 10_000
 const DEFAULT_RETENTION_MS: Millis = 900_000
 
@@ -50,10 +56,12 @@
 	private readonly copies = new Map<string, WitnessCopy>()
 	private readonly losses = new Map<string, LossMark>()
 	/** Sources whose records have not arrived, with the box that must send them. */
-	private readonly pending = new Map<string, BoxName>()
+	private readonly pending = new Map<string, Member>()
 	private readonly handoffs: HandoffSender
 	/** Handoffs taken, to be acknowledged once the own witness has their records. */
 	private readonly owedAcks: OwedAck[] = []
+	/** Handoffs of this box that wait for records of earlier views. */
+	private readonly dueHandOvers: DueHandOver[] = []
 	private applied = 0
 	private expiredAt: Millis = 0
 
@@ -156,7 +164,7 @@
 		for (const record of message.records) this.inherit(record)
 		const { view, source } = message
 		const key = sourceKey(view, source)
-		if (this.pending.get(key) === from) this.pending.delete(key)
+		if (this.pending.get(key)?.box === from) this.pending.delete(key)
 		this.owedAcks.push({ to: from, view, source, ticket: this.log.lastTicket() })
 		this.update()
 		this.acknowledgeInherited()
@@ -196,7 +204,7 @@
 			const sender = survives ? source : witness
 			const reachable = sender && hasIncarnation(members, sender.box, sender.incarnation)
 			if (!survives && sender?.box === self) this.seal(number, source, old, members)
-			else if (reachable) this.pending.set(sourceKey(number, source.box), sender.box)
+			else if (reachable) this.pending.set(sourceKey(number, source.box), sender)
 			else this.lose(number - 1, source, old)
 		}
 		if (hasIncarnation(old, self, this.context.self.incarnation))
@@ -230,6 +238,26 @@
 	}
 
 	private handOver(view: number, source: BoxName, members: readonly Member[]): void {
+		this.dueHandOvers.push({ view, source, members })
+	}
+
+	/**
+	 * Sends what is due. A box that still waits for records of an earlier view must not pass for
+	 * complete, so it hands nothing over until those have arrived or are known to be lost.
+	 */
+	private sendHandOvers(): void {
+		while (this.dueHandOvers[0] && !this.isWaitingBefore(this.dueHandOvers[0].view)) {
+			const due = this.dueHandOvers.shift()
+			if (due) this.sendHandOver(due)
+		}
+	}
+
+	private isWaitingBefore(view: number): boolean {
+		for (const key of this.pending.keys()) if (splitSource(key).view < view) return true
+		return false
+	}
+
+	private sendHandOver({ view, source, members }: DueHandOver): void {
 		const losses = [...this.losses.values()]
 		const records = [...this.section.records.values()]
 		for (const member of members) {
@@ -258,7 +286,7 @@
 	/** A sender that is gone before its handoff arrived takes the records with it. */
 	private dropUnreachable(number: number, members: readonly Member[]): void {
 		for (const [key, sender] of this.pending) {
-			if (members.some((member) => member.box === sender)) continue
+			if (hasIncarnation(members, sender.box, sender.incarnation)) continue
 			this.pending.delete(key)
 			const { view, box } = splitSource(key)
 			const old = membersAt(this.context.board.members.view, view - 1)
@@ -287,6 +315,7 @@
 	}
 
 	private update(): void {
+		this.sendHandOvers()
 		const settled = this.applied > 0 && this.pending.size === 0
 		if (settled && !this.section.settled) this.context.log('handoff-done', { view: this.applied })
 		this.section.settled = settled
--- a/packages/core/src/lib/controllers/MembershipController.ts
+++ b/packages/core/src/lib/controllers/MembershipController.ts
@@ -1,6 +1,6 @@
 import type { BoxName, TargetName } from '../ids.js'
 import type { LoadReport } from '../router/CoreEvent.js'
-import { hasIncarnation, nextView, zoneKeys } from '../membership/ZoneView.js'
+import { hasIncarnation, isRetired, nextView, zoneKeys } from '../membership/ZoneView.js'
 import type { Member, ZoneView } from '../membership/ZoneView.js'
 import type { PlatformResult } from '../platform/PlatformOp.js'
 import type { MembersSection, RolesSection } from '../router/Blackboard.js'
@@ -52,7 +52,6 @@
 	private zonesChanged = 0
 	private tickedAt: Millis = 0
 	private failures = 0
-	private wasMember = false
 	private resigning = false
 
 	constructor(
@@ -115,12 +114,14 @@
 	onHeartbeat(message: Extract<PeerMessage, { kind: 'heartbeat' }>): void {
 		const { member, drained, bundleVersion, view } = message
 		const known = this.pulses.get(member.box)
+		if (known && member.incarnation < known.member.incarnation) return
 		const same = known?.member.incarnation === member.incarnation
 		const zonesSent = same ? known.zonesSent : -1
 		const pulse = { member, seenAt: this.context.now, drained, view, zonesSent }
 		this.pulses.set(member.box, pulse)
 		this.hooks.offerBundle(bundleVersion)
-		if (this.roles.keeper && (!same || view < this.section.view.number)) this.sendDigest(pulse)
+		const behind = view < this.section.view.number
+		if (this.roles.keeper && (!same || behind)) this.sendDigest(pulse)
 	}
 
 	/** Load reports that this box collected, for the next digest. */
@@ -150,17 +151,15 @@
 		const before = this.section.view
 		if (view.number <= before.number) return
 		const { box, incarnation } = this.context.self
-		const member = hasIncarnation(view.members, box, incarnation)
 		this.section.view = view
 		this.context.log('view-changed', {
 			view: view.number,
 			members: view.members.map((entry) => `${entry.box}#${entry.incarnation}`),
 		})
-		if (this.wasMember && !member) {
+		if (isRetired(view, box, incarnation)) {
 			this.hooks.onFenced()
 			return
 		}
-		this.wasMember = member
 		this.hooks.onView(before, view)
 	}
 
@@ -330,12 +329,16 @@
 		const members: Member[] = []
 		for (const pulse of this.pulses.values()) {
 			const silent = this.context.now - pulse.seenAt > this.context.self.timing.memberSilent
-			if (!silent && !pulse.drained) members.push(pulse.member)
+			if (!silent && !pulse.drained && !this.isRetired(pulse.member)) members.push(pulse.member)
 			if (silent) this.pulses.delete(pulse.member.box)
 		}
 		return members.sort((a, b) => (a.box < b.box ? -1 : 1))
 	}
 
+	private isRetired(member: Member): boolean {
+		return isRetired(this.section.view, member.box, member.incarnation)
+	}
+
 	private writeView(view: ZoneView): void {
 		this.busy.view = true
 		const key = zoneKeys.view(this.context.self.zone)
--- a/packages/core/src/lib/controllers/RequestController.ts
+++ b/packages/core/src/lib/controllers/RequestController.ts
@@ -1,7 +1,7 @@
 import * as E from 'fp-ts/lib/Either.js'
 import type { AccountName, RequestId, TargetName, ZoneName } from '../ids.js'
 import { mintKey, parseKey } from '../identity/IdempotencyKey.js'
-import { requestId, type IdentityRecord } from '../identity/IdentityRecord.js'
+import { mayHaveRun, requestId, type IdentityRecord } from '../identity/IdentityRecord.js'
 import { rendezvousFirst } from '../identity/rendezvous.js'
 import { findMember, hasIncarnation, ownerOf, type Member } from '../membership/ZoneView.js'
 import { maybeRun, notRun, type Refusal } from '../Refusal.js'
@@ -257,7 +257,7 @@
 			return
 		}
 		const resumeAt = this.resumeTarget(record)
-		if (record && this.ranAlready(record) && !resumeAt) {
+		if (record && !record.repeatable && mayHaveRun(record) && !resumeAt) {
 			const text = 'an earlier try may have run, and may not be repeated'
 			this.refuse(request, maybeRun('outcome-unknown', text), id)
 			return
@@ -265,10 +265,6 @@
 		this.begin(request, priced, id, record, resumeAt)
 	}
 
-	private ranAlready(record: IdentityRecord): boolean {
-		return record.state !== 'void' && !record.repeatable
-	}
-
 	/** The engine that may still have the answer of an earlier run. */
 	private resumeTarget(record: IdentityRecord | undefined): TargetName | undefined {
 		if (!record || record.state === 'void' || record.target === undefined) return undefined
@@ -283,7 +279,7 @@
 		record: IdentityRecord | undefined,
 		resumeAt: TargetName | undefined,
 	): void {
-		const ranBefore = record !== undefined && record.state !== 'void'
+		const ranBefore = mayHaveRun(record)
 		const run: Run = {
 			id,
 			account: priced.account.name,
@@ -306,7 +302,8 @@
 			attempt: 0,
 			target: undefined,
 			resumeAt,
-			priorBilled: record?.state === 'billed' ? record.amount : 0,
+			turn: (record?.turn ?? 0) + 1,
+			priorBilled: record?.amount ?? 0,
 			mayHaveRun: ranBefore,
 			mayHaveRunBefore: ranBefore,
 			charge: 0,
--- a/packages/core/src/lib/identity/IdentityRecord.ts
+++ b/packages/core/src/lib/identity/IdentityRecord.ts
@@ -9,9 +9,9 @@
 import type { Amount, Millis } from '../units.js'
 
 /**
- * How far a request has come.
+ * How far the present turn of a request has come.
  * - `claimed`: may be running or have run.
- * - `void`: certainly did not run; may be tried again.
+ * - `void`: this turn certainly did not run; the request may be tried again.
  * - `billed`: ran, and its bill is counted.
  * @public
  */
@@ -25,25 +25,32 @@
 	readonly bodyHash: string
 	/** False where the request may run at most once. */
 	readonly repeatable: boolean
+	/** Counts the claims of this request; a new claim has the next number. */
+	readonly turn: number
 	readonly state: IdentityState
-	/** The box that runs it or ran it. */
+	/** The box that has the present turn. */
 	readonly box: BoxName
 	readonly incarnation: Incarnation
 	/** The target that holds the run, so that its answer can be resumed. */
 	readonly target?: TargetName
 	readonly budget: BudgetName
-	/** The bill; 0 until `billed`. */
+	/** Billed over all turns so far; a later turn bills only the difference. */
 	readonly amount: Amount
 	readonly at: Millis
 }
 
 const RANK: Readonly<Record<IdentityState, number>> = { claimed: 0, void: 1, billed: 2 }
 
-/** The later of two records of the same request. A bill is never undone. @public */
+/** The later of two records of the same request: the higher turn, then the later state. @public */
 export function laterRecord(a: IdentityRecord, b: IdentityRecord): IdentityRecord {
-	if (a.state === 'billed' || b.state === 'billed') return a.state === 'billed' ? a : b
-	if (a.at !== b.at) return a.at > b.at ? a : b
-	return RANK[b.state] > RANK[a.state] ? b : a
+	if (a.turn !== b.turn) return a.turn > b.turn ? a : b
+	if (RANK[a.state] !== RANK[b.state]) return RANK[a.state] > RANK[b.state] ? a : b
+	return b.at > a.at ? b : a
+}
+
+/** True where some turn of the request ran or may have run. @public */
+export function mayHaveRun(record: IdentityRecord | undefined): boolean {
+	return record !== undefined && (record.state !== 'void' || record.amount > 0)
 }
 
 /** Makes the id of a request from its client account and key. @public */
--- a/packages/core/src/lib/membership/ZoneView.ts
+++ b/packages/core/src/lib/membership/ZoneView.ts
@@ -28,19 +28,50 @@
 	readonly members: readonly Member[]
 	/** Latest first. */
 	readonly past: readonly PastView[]
+	/**
+	 * Highest incarnation of each box that was a member and was dropped. It has been sealed, so it
+	 * and older ones must never be members again, however late their heartbeats come.
+	 */
+	readonly retired: readonly RetiredBox[]
+}
+
+/** A box's highest dropped incarnation. @public */
+export interface RetiredBox {
+	readonly box: BoxName
+	readonly incarnation: Incarnation
 }
 
 /** Earlier views kept in the value. @public */
 export const PAST_VIEWS_KEPT = 8
 
 /** The view before any box has joined. @public */
-export const EMPTY_VIEW: ZoneView = { number: 0, members: [], past: [] }
+export const EMPTY_VIEW: ZoneView = { number: 0, members: [], past: [], retired: [] }
 
 /** The next view with the given members. @public */
 export function nextView(view: ZoneView, members: readonly Member[]): ZoneView {
 	const sorted = [...members].sort((a, b) => (a.box < b.box ? -1 : 1))
 	const past = [{ number: view.number, members: view.members }, ...view.past]
-	return { number: view.number + 1, members: sorted, past: past.slice(0, PAST_VIEWS_KEPT) }
+	const dropped = view.members.filter((old) => {
+		return !hasIncarnation(sorted, old.box, old.incarnation)
+	})
+	return {
+		number: view.number + 1,
+		members: sorted,
+		past: past.slice(0, PAST_VIEWS_KEPT),
+		retired: dropped.reduce(retire, view.retired),
+	}
+}
+
+function retire(retired: readonly RetiredBox[], member: Member): RetiredBox[] {
+	const { box, incarnation } = member
+	const others = retired.filter((entry) => entry.box !== box)
+	return [...others, { box, incarnation }]
+}
+
+/** True where an incarnation, or a later one of the box, was dropped. Incarnations sort by age. @public */
+export function isRetired(view: ZoneView, box: BoxName, incarnation: Incarnation): boolean {
+	const entry = view.retired.find((row) => row.box === box)
+	return entry !== undefined && incarnation <= entry.incarnation
 }
 
 /** The member with this box name. @public */
--- a/packages/core/src/lib/money/ShardKeeper.ts
+++ b/packages/core/src/lib/money/ShardKeeper.ts
@@ -27,6 +27,7 @@
 	ledgerBudget,
 	noteAllotment,
 	noteCounters,
+	noteSealed,
 	releaseEntry,
 	sealEntry,
 	splitEntryKey,
@@ -257,7 +258,7 @@
 		const confessions = [...this.confessions.entries()]
 		const releases = [...this.releases]
 		this.noteAllotments(value)
-		for (const [, row] of testimonies) this.applyTestimony(value, row)
+		this.applyTestimonies(value, testimonies)
 		for (const [, row] of confessions) this.applyConfession(value, row)
 		for (const key of releases) this.applyRelease(value, key)
 		this.doubtLost(value)
@@ -292,13 +293,25 @@
 		}
 	}
 
-	private applyTestimony(value: ZoneLedgerValue, row: KeeperTestimony): void {
-		const key = entryKey(row.box, row.incarnation)
-		const budget = ledgerBudget(value, row.budget)
-		if (!budget.entries[key]) return
-		sealEntry(budget, key, row.testimony)
-		const inDoubt = budget.entries[key]?.inDoubt ?? 0
-		this.context.log('slice-in-doubt', { budget: row.budget, entry: key, inDoubt })
+	/**
+	 * Seals every incarnation that a witness has testified of. An incarnation may hold money without
+	 * an entry here, if all of it came from neighbours; so a missing entry is opened.
+	 */
+	private applyTestimonies(
+		value: ZoneLedgerValue,
+		testimonies: readonly [string, KeeperTestimony][],
+	): void {
+		const fresh = new Set<string>()
+		for (const [, row] of testimonies) {
+			const key = entryKey(row.box, row.incarnation)
+			if (value.sealed.includes(key)) continue
+			fresh.add(key)
+			const budget = ledgerBudget(value, row.budget)
+			sealEntry(budget, key, row.testimony)
+			const inDoubt = budget.entries[key]?.inDoubt ?? 0
+			this.context.log('slice-in-doubt', { budget: row.budget, entry: key, inDoubt })
+		}
+		for (const key of fresh) noteSealed(value, key)
 	}
 
 	/** A fenced incarnation drew no more than its bills. Waits until its witness has testified. */
--- a/packages/core/src/lib/money/ZoneLedger.ts
+++ b/packages/core/src/lib/money/ZoneLedger.ts
@@ -30,9 +30,20 @@
 export interface ZoneLedgerValue {
 	/** View of the last writer. A keeper with an older view must not write. */
 	view: number
+	/** Incarnations whose witness has testified, latest last; a repeated testimony is not taken. */
+	readonly sealed: string[]
 	readonly budgets: Record<string, LedgerBudget>
 }
 
+/** Sealed incarnations that a ledger remembers; a testimony is repeated for seconds only. */
+const SEALED_KEPT = 256
+
+/** Notes that an incarnation is sealed in this ledger. @public */
+export function noteSealed(value: ZoneLedgerValue, key: string): void {
+	value.sealed.push(key)
+	while (value.sealed.length > SEALED_KEPT) value.sealed.shift()
+}
+
 /** Key of a box incarnation inside a ledger value. @public */
 export function entryKey(box: BoxName, incarnation: Incarnation): string {
 	return `${box}#${incarnation}`
@@ -46,7 +57,7 @@
 
 /** An empty ledger value. @public */
 export function emptyZoneLedger(): ZoneLedgerValue {
-	return { view: 0, budgets: {} }
+	return { view: 0, sealed: [], budgets: {} }
 }
 
 /** The budget's part of a ledger value, made where absent. @public */
--- a/packages/core/src/lib/requests/Run.ts
+++ b/packages/core/src/lib/requests/Run.ts
@@ -45,8 +45,10 @@
 	target: TargetName | undefined
 	/** Set where an earlier run is resumed instead of running again. */
 	resumeAt: TargetName | undefined
+	/** Number of this claim of the request. */
+	readonly turn: number
 	/** What earlier runs of this request were billed; only the difference is billed now. */
-	priorBilled: Amount
+	readonly priorBilled: Amount
 	/** True while an attempt is out, or has ended in a way that does not say whether it ran. */
 	mayHaveRun: boolean
 	/** The same of the attempts before the one that is out, and of other boxes' tries. */
--- a/packages/core/src/lib/requests/RunAdvancer.ts
+++ b/packages/core/src/lib/requests/RunAdvancer.ts
@@ -69,6 +69,7 @@
 			account: run.account,
 			bodyHash: run.bodyHash,
 			repeatable: run.repeatable,
+			turn: run.turn,
 			state,
 			box,
 			incarnation,
@@ -93,7 +94,7 @@
 		run.reserved = false
 		run.committed = false
 		if (run.target !== undefined && run.stage === 'admitting') {
-			if (!run.mayHaveRun) this.record(run, 'void', 0)
+			if (!run.mayHaveRun) this.record(run, 'void', run.priorBilled)
 			targets.ended(run.target, false)
 			run.target = undefined
 		}
@@ -173,7 +174,7 @@
 		}
 		run.target = chosen
 		targets.started(chosen)
-		run.ticket = run.resumeAt === undefined ? this.record(run, 'claimed', run.priorBilled) : 0
+		run.ticket = this.record(run, 'claimed', run.priorBilled)
 		if (run.resumeAt !== undefined)
 			context.log('request-resumed', { request: run.id, target: chosen })
 		return true
--- a/packages/core/src/lib/requests/RunFinisher.ts
+++ b/packages/core/src/lib/requests/RunFinisher.ts
@@ -82,8 +82,7 @@
 		const tokens = { input: inputTokens, output: outputTokens }
 		const full = chargeOf(context.board.config.index, run.work, tokens, run.worst)
 		const charge = Math.max(0, full - run.priorBilled)
-		const known = identity.find(run.id)
-		const billedBefore = known?.state === 'billed' ? known.amount : 0
+		const billedBefore = identity.find(run.id)?.amount ?? 0
 		assertInvariant(billedBefore === run.priorBilled, 'billed-once', {
 			request: run.id,
 			billedBefore,
@@ -135,7 +134,7 @@
 			this.again(run)
 			return
 		}
-		if (!run.mayHaveRun) this.advancer.record(run, 'void', 0)
+		if (!run.mayHaveRun) this.advancer.record(run, 'void', run.priorBilled)
 		this.giveUp(run, run.mayHaveRun ? { ...refusal, run: 'unknown' } : refusal)
 	}
 
--- a/packages/core/src/lib/router/CoreAction.ts
+++ b/packages/core/src/lib/router/CoreAction.ts
@@ -1,4 +1,4 @@
-import type { AccountName, BoxName, CallId, RequestId, TargetName } from '../ids.js'
+import type { AccountName, BoxName, CallId, Incarnation, RequestId, TargetName } from '../ids.js'
 import type { OpId, PlatformOp } from '../platform/PlatformOp.js'
 import type { Refusal } from '../Refusal.js'
 import type { LogEvent } from './LogEvent.js'
@@ -56,6 +56,11 @@
 	| { readonly kind: 'fetch-bundle'; readonly version: number; readonly peers: readonly string[] }
 	| { readonly kind: 'log'; readonly event: LogEvent }
 	/** This incarnation was fenced off: start again as a new one, which passes its last word on. */
-	| { readonly kind: 'restart'; readonly confession: Confession }
+	| {
+			readonly kind: 'restart'
+			readonly confession: Confession
+			/** The new incarnation must sort after this one. */
+			readonly after: Incarnation
+	  }
 	/** The planned stop is done. */
 	| { readonly kind: 'exit' }
--- a/packages/core/src/lib/router/RouterCore.ts
+++ b/packages/core/src/lib/router/RouterCore.ts
@@ -311,7 +311,9 @@
 		const { box, incarnation } = this.context.self
 		const rows = this.money.confession()
 		const confession: Confession = { kind: 'confess', box, incarnation, rows }
-		this.context.emit({ kind: 'restart', confession })
+		const retired = this.board.members.view.retired.find((entry) => entry.box === box)
+		const after = retired?.incarnation ?? incarnation
+		this.context.emit({ kind: 'restart', confession, after })
 	}
 
 	private isDrained(): boolean {
--- a/packages/router/src/lib/RouterDaemon.ts
+++ b/packages/router/src/lib/RouterDaemon.ts
@@ -1,4 +1,3 @@
-import { randomBytes } from 'node:crypto'
 import {
 	DEFAULT_TIMING,
 	RouterCore,
@@ -21,6 +20,7 @@
 import { AttemptRunner } from './AttemptRunner.js'
 import { BundleFetcher } from './BundleFetcher.js'
 import { CallerServer } from './CallerServer.js'
+import { newIncarnation } from './newIncarnation.js'
 import { LoadPoller } from './LoadPoller.js'
 import { LogWriter } from './LogWriter.js'
 import { Metrics } from './Metrics.js'
@@ -129,7 +129,7 @@
 		const admin = await this.admin.listen(listen.admin.host, listen.admin.port)
 		const scheme = this.tls ? 'https' : 'http'
 		this.address = peerAddress ?? `${scheme}://${listen.peers.host}:${peers}`
-		this.newCore(undefined)
+		this.newCore()
 		this.timers.push(setInterval(() => this.take({ kind: 'tick' }), TICK_MS))
 		this.timers.push(setInterval(() => this.poll(), POLL_MS))
 		return {
@@ -200,8 +200,8 @@
 		for (const action of this.core.handle(event, Date.now())) this.perform(action)
 	}
 
-	private newCore(confession: Confession | undefined): void {
-		const incarnation = `${Date.now().toString(36)}-${randomBytes(3).toString('hex')}`
+	private newCore(confession?: Confession, after?: Incarnation): void {
+		const incarnation = newIncarnation(Date.now(), after)
 		this.incarnation = incarnation
 		const self: BoxConfig = {
 			box: brandId<BoxName>(this.settings.box),
@@ -259,7 +259,7 @@
 				this.log.log(action.event)
 				return
 			case 'restart':
-				this.newCore(action.confession)
+				this.newCore(action.confession, action.after)
 				return
 			case 'exit':
 				this.timers.push(setTimeout(() => void this.close(true), EXIT_FLUSH_MS))
