A box without a witness asks the platform; money goes where it is needed

Ruled out: too little money (6,000 of 20,000 spent); transfers (they answered 0 because the zone had nothing).

Change: a lone box's changes wait for a read of the view that began later and still names it; beyond its need a box or zone holds at most 0.8 of an even share of what is unspent; ledger and shard take turns; an ask for the horizon is repeated every 2 s at most; a recall names the amount; a confession counts where no witness can ever testify.

--- a/internal/soak/src/lib/FakeTarget.ts
+++ b/internal/soak/src/lib/FakeTarget.ts
@@ -26,6 +26,7 @@
 		readonly isEngine: boolean,
 		private readonly queue: EventQueue,
 		private readonly random: Random,
+		private readonly fails: boolean,
 	) {}
 
 	/** Starts a run, or resumes one; the outcome comes later. */
@@ -36,14 +37,14 @@
 			else this.finish(id, known, done)
 			return
 		}
-		if (this.random.chance(0.03)) {
+		if (this.fails && this.random.chance(0.03)) {
 			done(this.random.chance(0.5) ? { kind: 'rejected', status: 503 } : NOT_SENT)
 			return
 		}
 		this.runs.set(id, (this.runs.get(id) ?? 0) + 1)
 		const run = { doneAt: this.queue.now + this.random.between(20, 1500), cancelled: false }
 		this.kept.set(id, run)
-		if (this.random.chance(0.03)) this.queue.after(50, () => done(BROKEN))
+		if (this.fails && this.random.chance(0.03)) this.queue.after(50, () => done(BROKEN))
 		else this.finish(id, run, done)
 	}
 
--- a/internal/soak/src/lib/World.ts
+++ b/internal/soak/src/lib/World.ts
@@ -91,7 +91,7 @@
 		for (const target of this.bundle.targets)
 			this.targets.set(
 				target.name,
-				new FakeTarget(target.kind === 'engine', this.queue, this.random),
+				new FakeTarget(target.kind === 'engine', this.queue, this.random, this.options.faults),
 			)
 		for (const zone of this.zones)
 			for (let i = 0; i < this.options.boxesPerZone; i++)
@@ -167,6 +167,9 @@
 				return
 			case 'attach':
 				this.callers.onAttached(action.callId, action.id)
+				// A finished run's answer goes to a late caller at once.
+				if (box.core?.board.requests.runs.get(action.id)?.stage === 'done')
+					this.callers.onAnswer(box, action.id)
 				return
 			case 'fail-run':
 				this.callers.onRunFailed(box, action.runId, action.refusal)
--- a/packages/core/src/lib/controllers/IdentityController.ts
+++ b/packages/core/src/lib/controllers/IdentityController.ts
@@ -69,7 +69,7 @@
 		private readonly context: CoreContext,
 		private readonly section: IdentitySection,
 		private readonly hooks: IdentityHooks,
-		money: Pick<LogSource, 'budgets' | 'moneyRow' | 'onAcked'>,
+		money: Pick<LogSource, 'budgets' | 'moneyRow' | 'onAcked' | 'onNewerView'>,
 	) {
 		this.log = new LogSender(context, {
 			...money,
--- a/packages/core/src/lib/controllers/KeeperController.ts
+++ b/packages/core/src/lib/controllers/KeeperController.ts
@@ -3,7 +3,7 @@
 import type { Member } from '../membership/ZoneView.js'
 import type { CoreContext } from '../router/CoreContext.js'
 import type { GrantRow, PeerMessage } from '../router/PeerMessage.js'
-import type { Millis } from '../units.js'
+import type { Amount, Millis } from '../units.js'
 
 /** Ends of an incarnation that wait for the ledger. */
 interface Closing {
@@ -90,7 +90,7 @@
 		if (!found) {
 			found = new ShardKeeper(this.context, number, {
 				onGrants: (asks, rows) => this.sendGrants(asks, rows),
-				onRecall: (budget) => this.recall(budget),
+				onRecall: (budget, amount) => this.recall(budget, amount),
 			})
 			this.shards.set(number, found)
 		}
@@ -104,12 +104,12 @@
 		this.context.send(member, { kind: 'grant', incarnation, rows: [row] })
 	}
 
-	private recall(budget: BudgetName): void {
+	private recall(budget: BudgetName, amount: Amount): void {
 		const last = this.recalledAt.get(budget) ?? -Infinity
 		if (this.context.now - last < RECALL_PERIOD_MS) return
 		this.recalledAt.set(budget, this.context.now)
 		for (const member of this.context.board.members.view.members)
-			this.context.send(member, { kind: 'recall', budgets: [budget] })
+			this.context.send(member, { kind: 'recall', rows: [{ budget, amount }] })
 	}
 
 	private closing(box: BoxName, incarnation: Incarnation, replyTo: BoxName): Closing {
--- a/packages/core/src/lib/controllers/MembershipController.ts
+++ b/packages/core/src/lib/controllers/MembershipController.ts
@@ -1,6 +1,6 @@
 import type { BoxName, TargetName } from '../ids.js'
 import type { LoadReport } from '../router/CoreEvent.js'
-import { hasIncarnation, isRetired, nextView, zoneKeys } from '../membership/ZoneView.js'
+import { isRetired, nextView, zoneKeys } from '../membership/ZoneView.js'
 import type { Member, ZoneView } from '../membership/ZoneView.js'
 import type { PlatformResult } from '../platform/PlatformOp.js'
 import type { MembersSection, RolesSection } from '../router/Blackboard.js'
--- a/packages/core/src/lib/controllers/MoneyController.ts
+++ b/packages/core/src/lib/controllers/MoneyController.ts
@@ -7,7 +7,7 @@
 import type { SliceCounters } from '../money/SliceLedger.js'
 import type { MoneySection } from '../router/Blackboard.js'
 import type { CoreContext } from '../router/CoreContext.js'
-import type { AskRow, GrantRow, PeerMessage } from '../router/PeerMessage.js'
+import type { AskRow, GrantRow, PeerMessage, RecallRow } from '../router/PeerMessage.js'
 import { SECOND_MS, type Amount, type Millis } from '../units.js'
 
 /** Switches for experiments and for showing that tests catch a missing protection. @public */
@@ -24,6 +24,8 @@
 const DEMAND_PERIOD_MS: Millis = SECOND_MS
 const DRY_FOR_MS: Millis = SECOND_MS
 const ASK_PERIOD_MS: Millis = 200
+/** An ask for the horizon that was not met is not repeated sooner. */
+const SOFT_ASK_PERIOD_MS: Millis = 2 * SECOND_MS
 const TRANSFER_TIMEOUT_MS: Millis = 300
 /** A slice below this share of its horizon is filled up. */
 const LOW_WATER_SHARE = 0.5
@@ -63,6 +65,8 @@
 	private readonly owed: OwedTransfer[] = []
 	/** What the zone ledger has noted of this box. */
 	private readonly noted = new Map<BudgetName, GrantRow>()
+	/** When money beyond the need was last asked for. */
+	private readonly softAskedAt = new Map<BudgetName, Millis>()
 	private askedAt: Millis = -Infinity
 	private countersAt: Millis = -Infinity
 	private demandAt: Millis = 0
@@ -180,8 +184,12 @@
 	}
 
 	/** The keeper asks for idle money of some budgets. */
-	onRecall(budgets: readonly BudgetName[]): void {
-		for (const budget of budgets) this.giveBack(budget, this.demandOver(budget, DONOR_KEEPS_MS))
+	onRecall(rows: readonly RecallRow[]): void {
+		for (const { budget, amount } of rows) {
+			const idle = this.section.ledger.available(budget)
+			const keep = Math.max(idle - amount, this.demandOver(budget, DONOR_KEEPS_MS))
+			this.giveBack(budget, keep)
+		}
 		this.askedAt = -Infinity
 	}
 
@@ -258,6 +266,8 @@
 
 	/** What the slice should hold beyond what it has. */
 	private wanted(budget: BudgetName): Amount {
+		const softAgain = this.context.now - (this.softAskedAt.get(budget) ?? -Infinity)
+		if (!this.shortages.has(budget) && softAgain < SOFT_ASK_PERIOD_MS) return 0
 		const short = this.shortages.get(budget)?.amount ?? 0
 		const full = this.demandOver(budget, this.policy().sliceHorizonMs)
 		const available = this.section.ledger.available(budget)
@@ -285,6 +295,7 @@
 			if (want === 0 && !this.dirty.has(budget)) continue
 			if (want === 0 && !withCounters && !this.context.board.members.stopping) continue
 			const need = this.needed(budget)
+			if (want > need) this.softAskedAt.set(budget, this.context.now)
 			rows.push({ budget, want, need, counters: this.reportable(budget) })
 		}
 		if (rows.length === 0) return
@@ -298,7 +309,7 @@
 	/** Counters as the ledger may take them: a bill that the witness does not know may be lost. */
 	private reportable(budget: BudgetName): SliceCounters {
 		const counters = this.section.ledger.counters(budget)
-		if (this.log.isAlone() || !this.protections.witnessedBills) return counters
+		if (!this.protections.witnessedBills) return counters
 		return { ...counters, billed: this.safeBilled.get(budget) ?? 0 }
 	}
 
--- a/packages/core/src/lib/identity/LogSender.ts
+++ b/packages/core/src/lib/identity/LogSender.ts
@@ -1,5 +1,5 @@
 import type { BudgetName } from '../ids.js'
-import { witnessOf, type Member } from '../membership/ZoneView.js'
+import { witnessOf, zoneKeys, type Member, type ZoneView } from '../membership/ZoneView.js'
 import type { CoreContext } from '../router/CoreContext.js'
 import type { Amount, Millis } from '../units.js'
 import type { IdentityRecord, LossMark } from './IdentityRecord.js'
@@ -14,6 +14,9 @@
 	sentAt: Millis
 }
 
+/** Least time between two confirmations of a box without a witness. */
+const CONFIRM_PERIOD_MS: Millis = 10
+
 /** Reads what a full snapshot must hold. */
 export interface LogSource {
 	records(): Iterable<IdentityRecord>
@@ -23,6 +26,8 @@
 	moneyRow(budget: BudgetName, watermark: Amount): MoneyRow
 	/** Called with each row that the witness has acknowledged. */
 	onAcked(row: MoneyRow): void
+	/** Called where the platform holds a newer view. */
+	onNewerView(view: ZoneView): void
 }
 
 /**
@@ -43,13 +48,15 @@
 	private readonly dirtyBudgets = new Set<BudgetName>()
 	private readonly wanted = new Map<BudgetName, Amount>()
 	private resentAt: Millis = -Infinity
+	private confirming = false
+	private confirmedAt: Millis = -Infinity
 
 	constructor(
 		private readonly context: CoreContext,
 		private readonly source: LogSource,
 	) {}
 
-	/** True where a change needs no witness: the box is alone in its view. */
+	/** True where the box is alone in its view; then the platform's view stands for a witness. */
 	isAlone(): boolean {
 		return this.view > 0 && this.witness === undefined
 	}
@@ -62,7 +69,6 @@
 		this.inFlight = undefined
 		this.snapshotDue = true
 		this.synced = false
-		if (!this.witness) this.acked = this.issued
 	}
 
 	/** Enqueues a record. */
@@ -97,18 +103,18 @@
 	/** Says whether a change is safe: acknowledged, or not in need of it. */
 	isSafe(ticket: Ticket): boolean {
 		if (this.view === 0) return false
-		return ticket <= this.acked || this.isAlone()
+		return ticket <= this.acked
 	}
 
 	/** True where the witness holds a snapshot of this view. */
 	isSynced(): boolean {
-		return this.isAlone() || this.synced
+		return this.synced
 	}
 
 	/** Sends what has gathered, or again what was not acknowledged. */
 	flush(): void {
 		if (!this.witness) {
-			this.dropAll()
+			this.confirmAlone()
 			return
 		}
 		if (this.inFlight) {
@@ -131,10 +137,45 @@
 
 	private issue(): Ticket {
 		this.issued++
-		if (this.isAlone()) this.acked = this.issued
 		return this.issued
 	}
 
+	/**
+	 * A box without a witness may have been dropped without knowing. So what it wants to do waits for
+	 * a read of the view that began later and still names it: whoever drops it afterwards notes a
+	 * loss that is later than the keys it acted on, and refuses them as unknown.
+	 */
+	private confirmAlone(): void {
+		const upToDate = this.synced && this.issued === this.acked
+		if (this.view === 0 || upToDate || this.confirming) return
+		if (this.context.now - this.confirmedAt < CONFIRM_PERIOD_MS) return
+		this.confirming = true
+		this.confirmedAt = this.context.now
+		const { view, issued } = this
+		const budgets = this.synced ? [...this.dirtyBudgets] : this.source.budgets()
+		const rows = budgets.map((budget) => this.source.moneyRow(budget, 0))
+		this.dropAll()
+		const key = zoneKeys.view(this.context.self.zone)
+		this.context.callPlatform({ kind: 'get', key }, (result) => {
+			this.confirming = false
+			if (result.kind === 'value') this.onConfirmed(result.value as ZoneView, view, issued, rows)
+			else for (const budget of budgets) this.dirtyBudgets.add(budget)
+		})
+	}
+
+	private onConfirmed(
+		found: ZoneView,
+		view: number,
+		ticket: Ticket,
+		rows: readonly MoneyRow[],
+	): void {
+		if (found.number > this.view) this.source.onNewerView(found)
+		if (found.number !== view || view !== this.view || this.witness) return
+		this.acked = Math.max(this.acked, ticket)
+		this.synced = true
+		for (const row of rows) this.source.onAcked(row)
+	}
+
 	private dropAll(): void {
 		this.dirtyRecords.length = 0
 		this.dirtyLosses.length = 0
--- a/packages/core/src/lib/membership/ZoneView.ts
+++ b/packages/core/src/lib/membership/ZoneView.ts
@@ -107,6 +107,20 @@
 	return at < 0 ? undefined : members[(at + 1) % members.length]
 }
 
+/**
+ * True where an incarnation that is no member any more had a witness that is left to testify. Also
+ * true where the view in which it was a member is no longer known.
+ * @public
+ */
+export function hadWitness(view: ZoneView, box: BoxName, incarnation: Incarnation): boolean {
+	const last = view.past.find((past) => hasIncarnation(past.members, box, incarnation))
+	if (!last) return true
+	const witness = witnessOf(last.members, box)
+	const next = membersAt(view, last.number + 1)
+	if (!witness || !next) return witness !== undefined
+	return hasIncarnation(next, witness.box, witness.incarnation)
+}
+
 /** The past members of a view number, or undefined where they are no longer kept. @public */
 export function membersAt(view: ZoneView, number: number): readonly Member[] | undefined {
 	if (view.number === number) return view.members
--- a/packages/core/src/lib/money/BudgetShard.ts
+++ b/packages/core/src/lib/money/BudgetShard.ts
@@ -58,6 +58,13 @@
 	return budget.prepaid - outstandingInShard(budget)
 }
 
+/** Money that is not billed yet, as far as the shard knows. @public */
+export function unspentInShard(budget: ShardBudget): Amount {
+	let billed = 0
+	for (const zone of Object.values(budget.zones)) billed += zone.billed
+	return budget.prepaid - billed
+}
+
 /** Sum of what the zones say they lack. @public */
 export function wantedInShard(budget: ShardBudget): Amount {
 	let sum = 0
--- a/packages/core/src/lib/money/ShardKeeper.ts
+++ b/packages/core/src/lib/money/ShardKeeper.ts
@@ -1,5 +1,5 @@
 import type { BoxName, BudgetName, Incarnation } from '../ids.js'
-import { shardKey, zoneKeys } from '../membership/ZoneView.js'
+import { hadWitness, shardKey, zoneKeys } from '../membership/ZoneView.js'
 import type { PlatformResult } from '../platform/PlatformOp.js'
 import type { CoreContext } from '../router/CoreContext.js'
 import type { GrantRow } from '../router/PeerMessage.js'
@@ -10,6 +10,7 @@
 	freeInShard,
 	noteZoneCounters,
 	setPrepaid,
+	unspentInShard,
 	wantedInShard,
 	zoneAllotment,
 	type BudgetShardValue,
@@ -57,7 +58,7 @@
 /** What a shard keeper tells its controller. */
 export interface ShardKeeperHooks {
 	onGrants(ask: KeeperAsk, row: GrantRow): void
-	onRecall(budget: BudgetName): void
+	onRecall(budget: BudgetName, amount: Amount): void
 }
 
 interface Loaded<T> {
@@ -73,8 +74,10 @@
 }
 
 const SHARD_REPORT_MS: Millis = 5_000
-/** A box or zone takes at most this part of its even share of what is free, beyond its need. */
-const SOFT_PART = 0.5
+/** Beyond its need, a box or zone holds at most this part of an even share of what is unspent. */
+const SOFT_PART = 0.8
+/** A zone that lacks money asks for this part of its share more, so as not to ask at once again. */
+const SPARE_PART = 0.1
 
 type Confession = Omit<KeeperAsk, 'want' | 'need'>
 
@@ -87,6 +90,7 @@
 	private ledger: Loaded<ZoneLedgerValue> | undefined
 	private shard: Loaded<BudgetShardValue> | undefined
 	private busy = false
+	private shardTurn = false
 	private watching = false
 	private stale = false
 	private committedAt: Millis = -Infinity
@@ -159,7 +163,19 @@
 		else if (this.isOutdated()) this.ledger = undefined
 		else if (!this.shard || this.stale) this.loadShard()
 		else if (this.bundleIsNew()) this.writePrepaid()
-		else if (!this.commitLedger() && !this.commitShard()) this.settleShortfalls()
+		else this.commit()
+	}
+
+	/** Ledger and shard take turns, so that a busy ledger does not hold allotments up. */
+	private commit(): void {
+		const shardFirst = this.shardTurn
+		this.shardTurn = false
+		if (shardFirst && this.commitShard()) return
+		if (this.commitLedger()) {
+			this.shardTurn = true
+			return
+		}
+		if (shardFirst || !this.commitShard()) this.settleShortfalls()
 	}
 
 	private loadLedger(): void {
@@ -319,7 +335,9 @@
 	private applyConfession(value: ZoneLedgerValue, row: Confession): void {
 		const key = entryKey(row.box, row.incarnation)
 		const budget = ledgerBudget(value, row.budget)
-		if (!budget.entries[key]?.sealed) return
+		const entry = budget.entries[key]
+		if (entry?.unwitnessed) entry.billed = Math.max(entry.billed, row.counters.billed)
+		else if (!entry?.sealed) return
 		releaseEntry(budget, key)
 		this.context.log('doubt-released', { budget: row.budget, entry: key, by: 'incarnation' })
 	}
@@ -353,7 +371,12 @@
 		this.viewSeen = view.number
 		const alive = new Set(view.members.map((entry) => entryKey(entry.box, entry.incarnation)))
 		for (const budget of Object.values(value.budgets)) {
-			for (const key of Object.keys(budget.entries)) if (!alive.has(key)) doubtEntry(budget, key)
+			for (const [key, entry] of Object.entries(budget.entries)) {
+				if (alive.has(key)) continue
+				doubtEntry(budget, key)
+				const { box, incarnation } = splitEntryKey(key)
+				if (!entry.sealed && !hadWitness(view, box, incarnation)) entry.unwitnessed = true
+			}
 		}
 	}
 
@@ -365,17 +388,20 @@
 			return { budget: ask.budget, granted: 0, returned: 0, billed: 0, dry: true }
 		}
 		noteCounters(row, key, ask.counters)
-		const given = ask.want > 0 ? grantToBox(row, key, this.fairWant(ask, freeInZone(row))) : 0
+		const given = ask.want > 0 ? grantToBox(row, key, this.fairWant(ask, row)) : 0
 		const entry = row.entries[key]
 		if (given < ask.want) this.noteShortfall(ask, ask.want - given, Math.max(0, ask.need - given))
 		const { granted, returned, billed } = entry ?? { granted: 0, returned: 0, billed: 0 }
 		return { budget: ask.budget, granted, returned, billed, dry: false }
 	}
 
-	/** What waiting requests lack in full, and of the rest no more than a share of what is free. */
-	private fairWant(ask: KeeperAsk, free: Amount): Amount {
+	/** What waiting requests lack in full, and of the rest no more than an even share. */
+	private fairWant(ask: KeeperAsk, row: LedgerBudget): Amount {
 		const boxes = Math.max(1, this.context.board.members.view.members.length)
-		return ask.need + softShare(ask.want - ask.need, free - ask.need, boxes)
+		const unspent = row.allotted - row.returned - billedInZone(row)
+		const entry = row.entries[entryKey(ask.box, ask.incarnation)]
+		const holds = entry ? entry.granted - entry.returned - entry.billed : 0
+		return ask.need + softShare(ask.want - ask.need, unspent / boxes, holds + ask.need)
 	}
 
 	private isMember(ask: KeeperAsk): boolean {
@@ -427,12 +453,14 @@
 	private allot(value: BudgetShardValue, name: BudgetName, short: Shortfall): void {
 		const budget = value.budgets[name]
 		if (!budget) return
-		const free = freeInShard(budget)
-		const row = zoneAllotment(budget, this.context.self.zone)
 		const zones = this.context.board.config.index?.zones.length ?? 1
-		const soft = softShare(short.want - short.need, free - short.need, zones)
+		const row = zoneAllotment(budget, this.context.self.zone)
+		const share = unspentInShard(budget) / zones
+		const holds = row.allotted - row.returned - row.billed
+		const soft = softShare(short.want - short.need, share, holds + short.need)
 		const given = allotToZone(budget, this.context.self.zone, short.need + soft)
-		row.wanted = Math.max(0, short.need - given)
+		const spare = softShare(short.want - short.need, share * SPARE_PART, 0)
+		row.wanted = given < short.need ? short.need - given + spare : 0
 	}
 
 	private zoneCounters(row: LedgerBudget): { returned: Amount; billed: Amount; inDoubt: Amount } {
@@ -466,7 +494,8 @@
 			if (this.shortfalls.has(name)) continue
 			const row = ledgerBudget(value, name)
 			giveUpToShard(row, this.lackElsewhere(name))
-			if (freeInZone(row) === 0) this.hooks.onRecall(name)
+			const missing = this.lackElsewhere(name) - freeInZone(row)
+			if (missing > 0) this.hooks.onRecall(name, missing)
 		}
 	}
 
@@ -477,7 +506,7 @@
 			const row = this.ledger?.value.budgets[budget]
 			const age = this.context.now - short.since
 			if (short.need === 0 || (row && freeInZone(row) > 0)) this.shortfalls.delete(budget)
-			else if (age < recallWait) this.hooks.onRecall(budget)
+			else if (age < recallWait) this.hooks.onRecall(budget, short.need)
 			else this.callDry(budget)
 		}
 	}
@@ -514,8 +543,7 @@
 	if (map.get(key) === row) map.delete(key)
 }
 
-/** The part of a want without a waiting request that may be taken of what is free. */
-function softShare(want: Amount, free: Amount, takers: number): Amount {
-	const share = Math.floor((Math.max(0, free) * SOFT_PART) / takers)
-	return Math.max(0, Math.min(want, share))
+/** The part of a want without a waiting request that may be taken beside what is held already. */
+function softShare(want: Amount, share: Amount, holds: Amount): Amount {
+	return Math.max(0, Math.min(want, Math.floor(share * SOFT_PART) - holds))
 }
--- a/packages/core/src/lib/money/ZoneLedger.ts
+++ b/packages/core/src/lib/money/ZoneLedger.ts
@@ -12,6 +12,8 @@
 	inDoubt?: Amount
 	/** Set once a witness has testified: its bills are all counted. */
 	sealed?: boolean
+	/** Set where no witness can ever testify: then the word of the incarnation itself counts. */
+	unwitnessed?: boolean
 }
 
 /** All entries of one budget in one zone. @public */
--- a/packages/core/src/lib/router/PeerMessage.ts
+++ b/packages/core/src/lib/router/PeerMessage.ts
@@ -29,6 +29,12 @@
 	readonly dry: boolean
 }
 
+/** Idle money that the keeper wants back. @public */
+export interface RecallRow {
+	readonly budget: BudgetName
+	readonly amount: Amount
+}
+
 /** Members of another zone, as the keeper last read them. @public */
 export interface ZoneAddresses {
 	readonly zone: ZoneName
@@ -86,7 +92,7 @@
 			readonly rows: readonly GrantRow[]
 	  }
 	/** Keeper to box: give idle money of these budgets back. */
-	| { readonly kind: 'recall'; readonly budgets: readonly BudgetName[] }
+	| { readonly kind: 'recall'; readonly rows: readonly RecallRow[] }
 	/** Witness to keeper: what an incarnation that is gone may have drawn. */
 	| {
 			readonly kind: 'testimony'
--- a/packages/core/src/lib/router/RouterCore.ts
+++ b/packages/core/src/lib/router/RouterCore.ts
@@ -94,6 +94,7 @@
 				budgets: () => board.money.ledger.budgets(),
 				moneyRow: (budget, watermark) => this.money.moneyRow(budget, watermark),
 				onAcked: (row) => this.money.onAcked(row),
+				onNewerView: (view) => this.membership.takeView(view),
 			},
 		)
 		this.money.log = this.identity.log
@@ -232,7 +233,7 @@
 				this.money.onGrant(message)
 				return
 			case 'recall':
-				this.money.onRecall(message.budgets)
+				this.money.onRecall(message.rows)
 				return
 			case 'testimony':
 				this.keeper.onTestimony(from, message)
