--- /dev/null
+++ b/internal/bench/src/capacity.ts
@@ -0,0 +1,203 @@
+/** Slopes of control cost in virtual time and of state in memory: `npm run bench:capacity`. */
+import {
+	brandId,
+	emptyZoneLedger,
+	entryKey,
+	grantToBox,
+	ledgerBudget,
+	noteAllotment,
+	noteCounters,
+	SliceLedger,
+	type BoxName,
+	type BudgetName,
+	type IdentityRecord,
+	type Incarnation,
+	type ZoneLedgerValue,
+} from '@stallwing/core'
+import { describeFit, fitLine } from './lib/fitLine.js'
+import { measureWorld, type WorldFigures } from './lib/measureWorld.js'
+
+type Point = readonly [number, number]
+const PERCENT = 100
+
+function print(text: string): void {
+	process.stdout.write(`${text}\n`)
+}
+
+function line(name: string, points: readonly Point[]): void {
+	print(`${name}: ${describeFit(points)}`)
+}
+
+function section(title: string): void {
+	print(`\n${title}`)
+}
+
+boxesPerZone()
+requestRate()
+budgetCount()
+zoneCount()
+ledgerState()
+boxState()
+
+/** Idle control by boxes in a zone. */
+function boxesPerZone(): void {
+	section('idle, by boxes in a zone (1 zone)')
+	const rows = [2, 4, 8, 16].map((n): [number, WorldFigures] => {
+		return [n, measureWorld({ zones: 1, boxesPerZone: n, requests: 0 }, 0)]
+	})
+	report(rows)
+}
+
+/** Control by requests a second and box. */
+function requestRate(): void {
+	section('by requests a second and box (1 zone of 8 boxes, 40 accounts)')
+	const rows = [2, 5, 10, 15].map((rate): [number, WorldFigures] => {
+		const options = { zones: 1, boxesPerZone: 8, accounts: 40 }
+		return [rate, measureWorld(options, rate * 8)]
+	})
+	report(rows)
+	for (const [rate, figures] of rows)
+		print(
+			`  at ${rate}: answered ${(figures.answered * PERCENT).toFixed(2)} %, bytes/s by kind ${JSON.stringify(figures.bytesByKind)}`,
+		)
+}
+
+/** Control by budgets in use. */
+function budgetCount(): void {
+	section('by budgets in use (1 zone of 4 boxes, 20 requests a second)')
+	const rows = [10, 40, 160, 640].map((accounts): [number, WorldFigures] => {
+		return [accounts, measureWorld({ zones: 1, boxesPerZone: 4, accounts }, 20)]
+	})
+	report(rows)
+}
+
+/** Platform calls by zones. */
+function zoneCount(): void {
+	section('by zones (2 boxes each, 40 accounts, 4 requests a second and zone)')
+	const rows = [1, 2, 4, 8].map((zones): [number, WorldFigures] => {
+		return [zones, measureWorld({ zones, boxesPerZone: 2, accounts: 40 }, 4 * zones)]
+	})
+	report(rows)
+}
+
+function report(rows: readonly (readonly [number, WorldFigures])[]): void {
+	const pick = (read: (figures: WorldFigures) => number): Point[] => {
+		return rows.map(([x, figures]) => [x, read(figures)])
+	}
+	line(
+		'  messages sent a second and box',
+		pick((f) => f.messages),
+	)
+	line(
+		'  bytes sent a second and box',
+		pick((f) => f.bytes),
+	)
+	line(
+		'  bytes sent a second, keeper',
+		pick((f) => f.keeperBytes),
+	)
+	line(
+		'  decisions, % of a core and box',
+		pick((f) => f.core * PERCENT),
+	)
+	line(
+		'  decisions, % of a core, keeper',
+		pick((f) => f.keeperCore * PERCENT),
+	)
+	line(
+		'  platform reads a second',
+		pick((f) => f.reads),
+	)
+	line(
+		'  platform writes a second',
+		pick((f) => f.writes),
+	)
+	line(
+		'  platform watches a second',
+		pick((f) => f.watches),
+	)
+}
+
+/** Size of a ledger value and time to copy and encode it, by budgets. */
+function ledgerState(): void {
+	section('zone ledger value by budgets (16 boxes hold money of each)')
+	const sizes: Point[] = []
+	const times: Point[] = []
+	for (const budgets of [50, 100, 200, 400]) {
+		const value = makeLedger(budgets, 16)
+		sizes.push([budgets, JSON.stringify(value).length])
+		times.push([budgets, timeOf(() => JSON.stringify(structuredClone(value)))])
+	}
+	line('  bytes', sizes)
+	line('  ms to copy and encode', times)
+	print(`  budgets that fit a megabyte: ${Math.floor(1_048_576 / fitLine(sizes).slope)}`)
+}
+
+function makeLedger(budgets: number, boxes: number): ZoneLedgerValue {
+	const value = emptyZoneLedger()
+	for (let b = 0; b < budgets; b++) {
+		const row = ledgerBudget(value, brandId<BudgetName>(`budget-${b}`))
+		noteAllotment(row, 100_000_000)
+		for (let i = 0; i < boxes; i++) {
+			const incarnation = brandId<Incarnation>('0mx5ycai9x-5609e5')
+			const key = entryKey(brandId<BoxName>(`zone-a-box-${i}`), incarnation)
+			grantToBox(row, key, 1_000_000)
+			noteCounters(row, key, { granted: 0, returned: 0, billed: 123_456, sent: 0, received: 0 })
+		}
+	}
+	return value
+}
+
+function timeOf(work: () => unknown): number {
+	const rounds = 20
+	work()
+	const begun = performance.now()
+	for (let i = 0; i < rounds; i++) work()
+	return (performance.now() - begun) / rounds
+}
+
+/** Heap of identity records and slices. */
+function boxState(): void {
+	section('heap of a box')
+	line('  bytes by identity records', heapOf([5_000, 20_000, 80_000], makeRecords))
+	line('  bytes by slices', heapOf([1_000, 4_000, 16_000], makeSlices))
+}
+
+function heapOf(counts: readonly number[], make: (count: number) => unknown): Point[] {
+	return counts.map((count) => {
+		globalThis.gc?.()
+		const before = process.memoryUsage().heapUsed
+		const kept = make(count)
+		globalThis.gc?.()
+		const bytes = process.memoryUsage().heapUsed - before
+		return [kept ? count : 0, bytes]
+	})
+}
+
+function makeRecords(count: number): Map<string, IdentityRecord> {
+	const records = new Map<string, IdentityRecord>()
+	for (let i = 0; i < count; i++) {
+		const id = brandId<IdentityRecord['id']>(`account-${i % 50}/zone-a.mx5ycai9.k${i}`)
+		records.set(id, {
+			id,
+			account: brandId<IdentityRecord['account']>(`account-${i % 50}`),
+			bodyHash: `hash-of-a-body-in-base64-url-form-${i}`,
+			repeatable: true,
+			turn: 1,
+			state: 'billed',
+			box: brandId<BoxName>('zone-a-box-1'),
+			incarnation: brandId<Incarnation>('0mx5ycai9x-5609e5'),
+			target: brandId<NonNullable<IdentityRecord['target']>>('engine-1'),
+			budget: brandId<BudgetName>('budget-1'),
+			amount: i,
+			at: i,
+		})
+	}
+	return records
+}
+
+function makeSlices(count: number): SliceLedger {
+	const ledger = new SliceLedger()
+	for (let i = 0; i < count; i++) ledger.grant(brandId<BudgetName>(`budget-${i}`), 1_000)
+	return ledger
+}
--- a/internal/bench/src/main.ts
+++ /dev/null
@@ -1,1 +0,0 @@
-/** Placeholder entry. */
--- /dev/null
+++ b/internal/soak/src/index.ts
@@ -0,0 +1,5 @@
+/** Worlds of many cores in virtual time, for tests and measurements. */
+export { PromiseBroken, World, type WorldOptions } from './lib/World.js'
+export type { SimBox } from './lib/SimBox.js'
+export { Random } from './lib/Random.js'
+export { EventQueue } from './lib/EventQueue.js'
--- a/internal/soak/src/lib/SimBox.ts
+++ b/internal/soak/src/lib/SimBox.ts
@@ -91,7 +91,9 @@
 			if (event.kind !== 'tick') this.held.push({ event, born })
 			return
 		}
+		const begun = this.world.onHandled ? performance.now() : 0
 		const actions = this.core.handle(event, this.world.queue.now)
+		this.world.onHandled?.(this, event, performance.now() - begun)
 		this.checkVersion()
 		for (const action of actions) this.perform(action, born)
 	}
--- a/internal/soak/src/lib/World.ts
+++ b/internal/soak/src/lib/World.ts
@@ -5,6 +5,8 @@
 	type BoxName,
 	type Bundle,
 	type CoreAction,
+	type CoreEvent,
+	type PeerMessage,
 	type Protections,
 	type RequestId,
 	type TargetName,
@@ -33,6 +35,8 @@
 	/** Prepaid amount of each budget. */
 	readonly prepaid: number
 	readonly policy: Partial<Bundle['policy']>
+	/** Client accounts, each with a budget of its own. */
+	readonly accounts: number
 }
 
 /** A few boxes, a minute of trouble. */
@@ -46,6 +50,7 @@
 	faults: true,
 	prepaid: 20_000,
 	policy: {},
+	accounts: 2,
 }
 
 /** A promise that did not hold in a run. */
@@ -71,13 +76,17 @@
 	readonly store = new KvStore()
 	readonly zones: ZoneName[]
 	readonly boxes: SimBox[] = []
-	readonly accounts = ['alpha', 'beta']
+	readonly accounts: string[]
 	readonly targets = new Map<TargetName, FakeTarget>()
 	readonly callers: Callers
 	readonly faults: Faults
 	readonly options: WorldOptions
 	/** Bills by request id, as the cores logged them. */
 	readonly billed = new Map<string, number[]>()
+	/** Told of each message between boxes; for measurements. */
+	onSend: (from: SimBox, message: PeerMessage) => void = () => undefined
+	/** Told of the time that a core took for an event; for measurements. */
+	onHandled: ((box: SimBox, event: CoreEvent, ms: number) => void) | undefined
 	/** Log lines, kept where asked for. */
 	trace: string[] | undefined
 	bundle: Bundle
@@ -86,6 +95,7 @@
 		this.options = { ...DEFAULT_WORLD, ...options }
 		this.random = new Random(this.options.seed)
 		this.queue.now = START_MS
+		this.accounts = Array.from({ length: this.options.accounts }, (_, i) => `account-${i}`)
 		this.zones = Array.from({ length: this.options.zones }, (_, i) => brandId<ZoneName>(`z${i}`))
 		this.bundle = this.makeBundle(1)
 		for (const target of this.bundle.targets)
@@ -102,12 +112,17 @@
 		this.faults = new Faults(this)
 	}
 
-	/** Runs the whole world; throws where a promise does not hold. */
-	run(): void {
+	/** Starts all boxes and lets them find each other. */
+	start(): void {
 		this.acceptBundle(1)
 		for (const box of this.boxes) box.boot()
 		this.expireLater()
 		this.runFor(8_000)
+	}
+
+	/** Runs the whole world; throws where a promise does not hold. */
+	run(): void {
+		this.start()
 		const { requests, spanMs, faults } = this.options
 		for (let i = 0; i < requests; i++)
 			this.queue.after(this.random.next() * spanMs, () => this.callers.sendNew())
@@ -209,6 +224,7 @@
 		const to = this.boxes.find((other) => other.name === action.to)
 		if (!to) return
 		const message = structuredClone(action.message)
+		this.onSend(box, message)
 		this.deliver(box, to, () => to.take({ kind: 'peer', from: box.name, message }))
 	}
 
--- a/packages/router/src/lib/RouterDaemon.ts
+++ b/packages/router/src/lib/RouterDaemon.ts
@@ -368,10 +368,13 @@
 	}
 
 	private gauges(): Record<string, number> {
+		const cpu = process.cpuUsage()
 		return {
 			stallwing_open_calls: this.callers.openCalls(),
 			stallwing_kept_answers: this.answers.size,
 			stallwing_resident_bytes: process.memoryUsage.rss(),
+			stallwing_heap_used_bytes: process.memoryUsage().heapUsed,
+			stallwing_cpu_microseconds_total: cpu.user + cpu.system,
 			stallwing_ready: this.core?.isReady() ? 1 : 0,
 		}
 	}
