--- a/internal/bench/src/lib/measureWorld.ts
+++ b/internal/bench/src/lib/measureWorld.ts
@@ -20,6 +20,8 @@
 	readonly answered: number
 }
 
+/** Time before the measurement, in which budgets are drawn on for the first time. */
+const WARM_MS = 60_000
 const SPAN_MS = 20_000
 const SECOND_MS = 1_000
 
@@ -30,12 +32,17 @@
 ): WorldFigures {
 	const world = new World({ faults: false, prepaid: 100_000_000, ...options })
 	world.start()
+	const warm = Math.round((requestsPerSecond * WARM_MS) / SECOND_MS)
+	for (let i = 0; i < warm; i++)
+		world.queue.after(world.random.next() * WARM_MS, () => world.callers.sendNew())
+	world.runFor(WARM_MS)
 	const before = { ...world.store.counts }
 	const meter = new Meter(world)
-	const count = Math.round((requestsPerSecond * SPAN_MS) / SECOND_MS)
-	for (let i = 0; i < count; i++)
+	const measured = Math.round((requestsPerSecond * SPAN_MS) / SECOND_MS)
+	for (let i = 0; i < measured; i++)
 		world.queue.after(world.random.next() * SPAN_MS, () => world.callers.sendNew())
 	world.runFor(SPAN_MS)
+	const count = warm + measured
 	const figures = meter.figures(before)
 	world.runFor(5_000)
 	return { ...figures, answered: count === 0 ? 1 : world.callers.answered.size / count }
--- a/packages/core/src/lib/bundle/Bundle.ts
+++ b/packages/core/src/lib/bundle/Bundle.ts
@@ -71,8 +71,11 @@
 	readonly clockSkewMs: Millis
 	/** Share of a target's concurrency that ordinary requests may not use. */
 	readonly urgentHeadroom: number
-	/** Budgets per platform value. Changing it needs a new set of budget names. */
+	/** Platform values that the budgets are spread over. Changing it needs new budget names. */
 	readonly shardCount: number
+	/** Writes and reads a second that the platform can take in all. */
+	readonly platformWrites: number
+	readonly platformReads: number
 }
 
 /** One version of the configuration. Immutable once accepted. @public */
@@ -95,4 +98,6 @@
 	clockSkewMs: 2_000,
 	urgentHeadroom: 0.2,
 	shardCount: 1,
+	platformWrites: 100,
+	platformReads: 2_000,
 }
--- a/packages/core/src/lib/bundle/validateBundle.ts
+++ b/packages/core/src/lib/bundle/validateBundle.ts
@@ -31,6 +31,8 @@
 	clockSkewMs: duration.default(DEFAULT_POLICY.clockSkewMs),
 	urgentHeadroom: z.number().min(0).max(0.9).default(DEFAULT_POLICY.urgentHeadroom),
 	shardCount: z.number().int().min(1).max(4096).default(DEFAULT_POLICY.shardCount),
+	platformWrites: z.number().int().min(1).default(DEFAULT_POLICY.platformWrites),
+	platformReads: z.number().int().min(1).default(DEFAULT_POLICY.platformReads),
 })
 
 /** Schema of a bundle file. The settings reference is made from it. @public */
--- a/packages/core/src/lib/controllers/KeeperController.ts
+++ b/packages/core/src/lib/controllers/KeeperController.ts
@@ -1,9 +1,10 @@
 import type { BoxName, BudgetName, Incarnation } from '../ids.js'
-import { ShardKeeper, type KeeperAsk } from '../money/ShardKeeper.js'
+import { RateBudget } from '../money/RateBudget.js'
+import { ShardKeeper, pollPeriodFor, type KeeperAsk } from '../money/ShardKeeper.js'
 import type { Member } from '../membership/ZoneView.js'
 import type { CoreContext } from '../router/CoreContext.js'
 import type { GrantRow, PeerMessage } from '../router/PeerMessage.js'
-import type { Amount, Millis } from '../units.js'
+import { SECOND_MS, type Amount, type Millis } from '../units.js'
 
 /** Ends of an incarnation that wait for the ledger. */
 interface Closing {
@@ -14,6 +15,12 @@
 }
 
 const RECALL_PERIOD_MS: Millis = 300
+/** Share of the platform's writes that all zones together may use for money. */
+const LEDGER_SHARE = 0.6
+/** Writes that a zone may make at once after a quiet time. */
+const WRITE_BURST = 6
+/** Share of the platform's reads that all zones together may use for polling shards. */
+const POLL_SHARE = 0.3
 
 /**
  * The keeper's money work: gathers the asks of the boxes of its zone and hands them to one
@@ -22,6 +29,7 @@
 export class KeeperController {
 	private readonly shards = new Map<number, ShardKeeper>()
 	private readonly closings: Closing[] = []
+	private readonly writes = new RateBudget(1, WRITE_BURST)
 	private readonly confessed = new Set<Incarnation>()
 	private readonly recalledAt = new Map<BudgetName, Millis>()
 
@@ -38,7 +46,9 @@
 		if (!this.context.board.roles.keeper) return
 		const index = this.context.board.config.index
 		if (!index) return
-		for (let shard = 0; shard < index.bundle.policy.shardCount; shard++) this.shard(shard).tick()
+		const { platformWrites, shardCount } = index.bundle.policy
+		this.writes.setRate((platformWrites * LEDGER_SHARE) / index.zones.length)
+		for (let shard = 0; shard < shardCount; shard++) this.shard(shard).tick()
 		this.finishClosings()
 	}
 
@@ -91,6 +101,8 @@
 			found = new ShardKeeper(this.context, number, {
 				onGrants: (asks, rows) => this.sendGrants(asks, rows),
 				onRecall: (budget, amount) => this.recall(budget, amount),
+				mayWrite: (urgent) => this.writes.take(this.context.now, urgent),
+				pollPeriod: () => this.pollPeriod(),
 			})
 			this.shards.set(number, found)
 		}
@@ -104,6 +116,13 @@
 		this.context.send(member, { kind: 'grant', incarnation, rows: [row] })
 	}
 
+	private pollPeriod(): Millis {
+		const index = this.context.board.config.index
+		if (!index) return SECOND_MS
+		const { platformReads, shardCount } = index.bundle.policy
+		return pollPeriodFor(index.zones.length, shardCount, platformReads * POLL_SHARE)
+	}
+
 	private recall(budget: BudgetName, amount: Amount): void {
 		const last = this.recalledAt.get(budget) ?? -Infinity
 		if (this.context.now - last < RECALL_PERIOD_MS) return
--- a/packages/core/src/lib/controllers/MembershipController.ts
+++ b/packages/core/src/lib/controllers/MembershipController.ts
@@ -28,7 +28,7 @@
 }
 
 const PLATFORM_LOST_AFTER = 2
-const LEASE_RENEWALS_PER_TTL = 3
+const LEASE_RENEWALS_PER_TTL = 2
 
 /**
  * Heartbeats, the lease of the keeper and the numbered view of the zone.
--- a/packages/core/src/lib/money/ShardKeeper.ts
+++ b/packages/core/src/lib/money/ShardKeeper.ts
@@ -3,7 +3,7 @@
 import type { PlatformResult } from '../platform/PlatformOp.js'
 import type { CoreContext } from '../router/CoreContext.js'
 import type { GrantRow } from '../router/PeerMessage.js'
-import type { Amount, Millis } from '../units.js'
+import { SECOND_MS, type Amount, type Millis } from '../units.js'
 import {
 	allotToZone,
 	emptyShard,
@@ -14,7 +14,9 @@
 	wantedInShard,
 	zoneAllotment,
 	type BudgetShardValue,
+	type ShardBudget,
 } from './BudgetShard.js'
+import { LedgerDraft } from './LedgerDraft.js'
 import { EMPTY_COUNTERS, type SliceCounters } from './SliceLedger.js'
 import {
 	billedInZone,
@@ -25,10 +27,8 @@
 	giveUpToShard,
 	grantToBox,
 	inDoubtInZone,
-	ledgerBudget,
 	noteAllotment,
 	noteCounters,
-	noteSealed,
 	releaseEntry,
 	sealEntry,
 	splitEntryKey,
@@ -55,10 +55,14 @@
 	readonly testimony: Testimony
 }
 
-/** What a shard keeper tells its controller. */
+/** What a shard keeper needs of its controller. */
 export interface ShardKeeperHooks {
 	onGrants(ask: KeeperAsk, row: GrantRow): void
 	onRecall(budget: BudgetName, amount: Amount): void
+	/** Counts a platform write against the zone's rate; false where it has to wait. */
+	mayWrite(urgent: boolean): boolean
+	/** Time between two reads of a shard that this zone uses, in ms. */
+	pollPeriod(): Millis
 }
 
 interface Loaded<T> {
@@ -73,13 +77,17 @@
 	since: Millis
 }
 
+type Confession = Omit<KeeperAsk, 'want' | 'need'>
+
 const SHARD_REPORT_MS: Millis = 5_000
+/** Least time between two writes that no request waits for. */
+const ROUTINE_PERIOD_MS: Millis = SECOND_MS
 /** Beyond its need, a box or zone holds at most this part of an even share of what is unspent. */
 const SOFT_PART = 0.8
 /** A zone that lacks money asks for this part of its share more, so as not to ask at once again. */
 const SPARE_PART = 0.1
-
-type Confession = Omit<KeeperAsk, 'want' | 'need'>
+/** Polls of the shard that a recall from other zones may take. */
+const RECALL_POLLS = 2
 
 /**
  * One shard of budgets in one zone: group commits of the zone ledger, allotments from the budget
@@ -91,10 +99,10 @@
 	private shard: Loaded<BudgetShardValue> | undefined
 	private busy = false
 	private shardTurn = false
-	private watching = false
-	private stale = false
 	private committedAt: Millis = -Infinity
 	private reportedAt: Millis = -Infinity
+	private polledAt: Millis = -Infinity
+	private wroteAt: Millis = -Infinity
 	private bundleSeen = 0
 	private readonly asks = new Map<string, KeeperAsk>()
 	private readonly testimonies = new Map<string, KeeperTestimony>()
@@ -132,22 +140,41 @@
 		return this.testimonies.size > 0
 	}
 
+	/** True while a confession of this incarnation waits. */
+	hasConfession(box: BoxName, incarnation: Incarnation): boolean {
+		const prefix = `${entryKey(box, incarnation)}/`
+		return [...this.confessions.keys()].some((key) => key.startsWith(prefix))
+	}
+
 	tick(): void {
-		this.watch()
 		if (this.busy || this.context.now - this.committedAt < this.context.self.timing.commit) return
-		if (!this.hasWork()) return
+		if (!this.hasWork() || this.mayRest()) return
 		this.committedAt = this.context.now
 		this.step()
 	}
 
 	private hasWork(): boolean {
-		if (!this.ledger || !this.shard || this.stale || this.bundleIsNew()) return true
-		if (this.context.board.members.view.number !== this.viewSeen) return true
 		if (this.asks.size + this.testimonies.size + this.confessions.size > 0) return true
 		if (this.releases.size + this.shortfalls.size + this.lacking.length > 0) return true
+		if (!this.ledger || !this.shard) return this.context.now - this.polledAt >= SHARD_REPORT_MS
+		if (this.pollIsDue() || this.bundleIsNew()) return true
+		if (this.context.board.members.view.number !== this.viewSeen) return true
 		return this.reportDue && this.context.now - this.reportedAt >= SHARD_REPORT_MS
 	}
 
+	/** Book-keeping waits for its period, so that many asks share one write. */
+	private mayRest(): boolean {
+		const loading = !this.ledger || !this.shard || this.pollIsDue()
+		const rested = this.context.now - this.wroteAt >= ROUTINE_PERIOD_MS
+		return !rested && !loading && !this.isUrgent()
+	}
+
+	/** A shard that the zone uses is read from time to time: another zone may lack money. */
+	private pollIsDue(): boolean {
+		const used = Object.keys(this.ledger?.value.budgets ?? {}).length > 0
+		return used && this.context.now - this.polledAt >= this.hooks.pollPeriod()
+	}
+
 	private bundleIsNew(): boolean {
 		return (this.context.board.config.index?.bundle.version ?? 0) > this.bundleSeen
 	}
@@ -157,11 +184,24 @@
 		return (this.ledger?.value.view ?? 0) > this.context.board.members.view.number
 	}
 
+	/** True where a request, a testimony or a stopping box waits for the next write. */
+	private isUrgent(): boolean {
+		if (this.testimonies.size + this.confessions.size + this.releases.size > 0) return true
+		for (const ask of this.asks.values()) if (ask.need > 0 || this.isLeaving(ask)) return true
+		for (const short of this.shortfalls.values()) if (short.need > 0) return true
+		return this.lacking.length > 0
+	}
+
+	private isLeaving(ask: KeeperAsk): boolean {
+		const { members } = this.context.board.members.view
+		return members.some((member) => member.box === ask.box && member.leaving)
+	}
+
 	/** One platform call at a time: read what is missing, then shard or ledger as needed. */
 	private step(): void {
 		if (!this.ledger) this.loadLedger()
 		else if (this.isOutdated()) this.ledger = undefined
-		else if (!this.shard || this.stale) this.loadShard()
+		else if (!this.shard || this.pollIsDue()) this.loadShard()
 		else if (this.bundleIsNew()) this.writePrepaid()
 		else this.commit()
 	}
@@ -186,17 +226,17 @@
 	}
 
 	private loadShard(): void {
+		this.polledAt = this.context.now
 		this.read(shardKey(this.number), (value, revision) => {
-			this.stale = false
+			if (this.shard?.revision === revision) return
 			this.holdShard((value as BudgetShardValue | undefined) ?? emptyShard(), revision)
 		})
 	}
 
 	private holdShard(value: BudgetShardValue, revision: number): void {
 		this.shard = { value, revision }
-		this.lacking = Object.keys(value.budgets).filter((name) => {
-			return this.lackElsewhere(name as BudgetName) > 0
-		}) as BudgetName[]
+		const names = Object.keys(value.budgets) as BudgetName[]
+		this.lacking = names.filter((name) => this.lackElsewhere(name) > 0)
 	}
 
 	/** Money that other zones lack and the shard does not have. */
@@ -204,7 +244,8 @@
 		const budget = this.shard?.value.budgets[name]
 		const own = budget?.zones[this.context.self.zone]
 		if (!budget || !own) return 0
-		return wantedInShard(budget) - own.wanted - freeInShard(budget)
+		const wanted = wantedInShard(budget) - own.wanted
+		return wanted > 0 ? wanted - freeInShard(budget) : 0
 	}
 
 	private read(key: string, onValue: (value: unknown, revision: number) => void): void {
@@ -226,16 +267,17 @@
 		this.busy = true
 		this.context.callPlatform({ kind: 'cas', key, expected, value }, (result) => {
 			this.busy = false
+			this.wroteAt = this.context.now
 			if (result.kind === 'written') onWritten(result.revision)
-			else this.forget(result)
+			else this.forget(result, key)
 		})
 	}
 
-	/** After a conflict or a lost answer the values are read again. */
-	private forget(result: PlatformResult): void {
+	/** After a conflict or a lost answer the value is read again. */
+	private forget(result: PlatformResult, key: string): void {
 		if (result.kind === 'refused') return
-		this.ledger = undefined
-		this.shard = undefined
+		if (key === shardKey(this.number)) this.shard = undefined
+		else this.ledger = undefined
 	}
 
 	/** Takes the prepaid amounts of a new bundle into the shard. */
@@ -252,6 +294,7 @@
 			this.bundleSeen = version
 			return
 		}
+		if (!this.hooks.mayWrite(true)) return
 		this.writeShard(value, () => {
 			this.bundleSeen = version
 		})
@@ -268,29 +311,33 @@
 	/** Group commit of everything that the boxes and witnesses said. False where nothing changed. */
 	private commitLedger(): boolean {
 		if (!this.ledger || !this.shard) return false
-		const value = structuredClone(this.ledger.value)
+		const draft = new LedgerDraft(this.ledger.value)
 		const asks = [...this.asks.values()]
 		const testimonies = [...this.testimonies.entries()]
 		const confessions = [...this.confessions.entries()]
 		const releases = [...this.releases]
-		this.noteAllotments(value)
-		this.applyTestimonies(value, testimonies)
-		for (const [, row] of confessions) this.applyConfession(value, row)
-		for (const key of releases) this.applyRelease(value, key)
-		this.doubtLost(value)
-		const rows = asks.map((ask) => this.applyAsk(value, ask))
-		this.giveToOtherZones(value)
+		const urgent = this.isUrgent()
+		this.noteAllotments(draft)
+		this.applyTestimonies(draft, testimonies)
+		for (const [, row] of confessions) this.applyConfession(draft, row)
+		for (const key of releases) this.applyRelease(draft, key)
+		const viewSeen = this.doubtLost(draft)
+		const rows = asks.map((ask) => this.applyAsk(draft, ask))
+		this.giveToOtherZones(draft)
 		const done = (): void => {
+			this.viewSeen = viewSeen
 			for (const [key, row] of testimonies) dropSame(this.testimonies, key, row)
 			for (const [key, row] of confessions) this.endConfession(key, row)
 			for (const key of releases) this.releases.delete(key)
 			asks.forEach((ask, i) => this.answer(ask, rows[i]))
 		}
-		if (JSON.stringify(value) === JSON.stringify(this.ledger.value)) {
+		const value = draft.finish(this.context.board.members.view.number)
+		if (!value) {
 			done()
 			return false
 		}
-		value.view = this.context.board.members.view.number
+		// Held back, the same draft is made again with what has come up by then.
+		if (!this.hooks.mayWrite(urgent)) return true
 		const key = zoneKeys.ledger(this.context.self.zone, this.number)
 		this.swap(key, this.ledger.revision, value, (revision) => {
 			this.ledger = { value, revision }
@@ -301,11 +348,12 @@
 		return true
 	}
 
-	private noteAllotments(value: ZoneLedgerValue): void {
+	private noteAllotments(draft: LedgerDraft): void {
 		const zone = this.context.self.zone
 		for (const [name, budget] of Object.entries(this.shard?.value.budgets ?? {})) {
-			const row = budget.zones[zone]
-			if (row) noteAllotment(ledgerBudget(value, name as BudgetName), row.allotted)
+			const allotted = budget.zones[zone]?.allotted ?? 0
+			const known = draft.peek(name as BudgetName)?.allotted ?? 0
+			if (allotted > known) noteAllotment(draft.budget(name as BudgetName), allotted)
 		}
 	}
 
@@ -314,30 +362,31 @@
 	 * an entry here, if all of it came from neighbours; so a missing entry is opened.
 	 */
 	private applyTestimonies(
-		value: ZoneLedgerValue,
+		draft: LedgerDraft,
 		testimonies: readonly [string, KeeperTestimony][],
 	): void {
 		const fresh = new Set<string>()
 		for (const [, row] of testimonies) {
 			const key = entryKey(row.box, row.incarnation)
-			if (value.sealed.includes(key)) continue
+			if (draft.isSealed(key)) continue
 			fresh.add(key)
-			const budget = ledgerBudget(value, row.budget)
+			const budget = draft.budget(row.budget)
 			sealEntry(budget, key, row.testimony)
 			const inDoubt = budget.entries[key]?.inDoubt ?? 0
 			const { billed } = row.testimony
 			this.context.log('slice-in-doubt', { budget: row.budget, entry: key, inDoubt, billed })
 		}
-		for (const key of fresh) noteSealed(value, key)
+		for (const key of fresh) draft.seal(key)
 	}
 
 	/** A fenced incarnation drew no more than its bills. Waits until its witness has testified. */
-	private applyConfession(value: ZoneLedgerValue, row: Confession): void {
+	private applyConfession(draft: LedgerDraft, row: Confession): void {
 		const key = entryKey(row.box, row.incarnation)
-		const budget = ledgerBudget(value, row.budget)
+		const known = draft.peek(row.budget)?.entries[key]
+		if (!known?.unwitnessed && !known?.sealed) return
+		const budget = draft.budget(row.budget)
 		const entry = budget.entries[key]
 		if (entry?.unwitnessed) entry.billed = Math.max(entry.billed, row.counters.billed)
-		else if (!entry?.sealed) return
 		releaseEntry(budget, key)
 		this.context.log('doubt-released', { budget: row.budget, entry: key, by: 'incarnation' })
 	}
@@ -348,49 +397,49 @@
 		if (!entries[entryKey(row.box, row.incarnation)]) dropSame(this.confessions, key, row)
 	}
 
-	/** True while a confession of this incarnation waits. */
-	hasConfession(box: BoxName, incarnation: Incarnation): boolean {
-		const prefix = `${entryKey(box, incarnation)}/`
-		return [...this.confessions.keys()].some((key) => key.startsWith(prefix))
-	}
-
-	private applyRelease(value: ZoneLedgerValue, key: string): void {
-		noteSealed(value, key)
-		for (const [name, budget] of Object.entries(value.budgets)) {
+	private applyRelease(draft: LedgerDraft, key: string): void {
+		draft.seal(key)
+		for (const name of draft.names()) {
+			if (!draft.peek(name)?.entries[key]) continue
+			const budget = draft.budget(name)
 			doubtEntry(budget, key)
 			const amount = releaseEntry(budget, key)
-			if (amount > 0)
-				this.context.log('doubt-released', { budget: name, entry: key, amount, by: 'operator' })
+			this.context.log('doubt-released', { budget: name, entry: key, amount, by: 'operator' })
 		}
 	}
 
-	/** Shows the slices of incarnations that are no members and had no witness as in doubt. */
-	private doubtLost(value: ZoneLedgerValue): void {
+	/** Shows the slices of incarnations that are no members as in doubt. Returns the view. */
+	private doubtLost(draft: LedgerDraft): number {
 		const { view } = this.context.board.members
-		if (view.number === this.viewSeen) return
-		this.viewSeen = view.number
+		if (view.number === this.viewSeen) return view.number
 		const alive = new Set(view.members.map((entry) => entryKey(entry.box, entry.incarnation)))
-		for (const budget of Object.values(value.budgets)) {
-			for (const [key, entry] of Object.entries(budget.entries)) {
-				if (alive.has(key)) continue
-				doubtEntry(budget, key)
-				const { box, incarnation } = splitEntryKey(key)
-				if (!entry.sealed && !hadWitness(view, box, incarnation)) entry.unwitnessed = true
+		for (const name of draft.names()) {
+			for (const key of Object.keys(draft.peek(name)?.entries ?? {})) {
+				if (!alive.has(key)) this.doubtEntry(draft.budget(name), key)
 			}
 		}
+		return view.number
 	}
 
-	private applyAsk(value: ZoneLedgerValue, ask: KeeperAsk): GrantRow {
+	private doubtEntry(budget: LedgerBudget, key: string): void {
+		doubtEntry(budget, key)
+		const entry = budget.entries[key]
+		const { box, incarnation } = splitEntryKey(key)
+		const { view } = this.context.board.members
+		if (entry && !entry.sealed && !hadWitness(view, box, incarnation)) entry.unwitnessed = true
+	}
+
+	private applyAsk(draft: LedgerDraft, ask: KeeperAsk): GrantRow {
 		const key = entryKey(ask.box, ask.incarnation)
-		const row = ledgerBudget(value, ask.budget)
-		const known = row.entries[key]
+		const known = draft.peek(ask.budget)?.entries[key]
 		if (known?.inDoubt !== undefined || !this.isMember(ask)) {
 			return { budget: ask.budget, granted: 0, returned: 0, billed: 0, dry: true }
 		}
+		const row = draft.budget(ask.budget)
 		noteCounters(row, key, ask.counters)
 		const given = ask.want > 0 ? grantToBox(row, key, this.fairWant(ask, row)) : 0
+		if (given < ask.want) this.noteShortfall(ask, given)
 		const entry = row.entries[key]
-		if (given < ask.want) this.noteShortfall(ask, ask.want - given, Math.max(0, ask.need - given))
 		const { granted, returned, billed } = entry ?? { granted: 0, returned: 0, billed: 0 }
 		return { budget: ask.budget, granted, returned, billed, dry: false }
 	}
@@ -412,16 +461,16 @@
 		})
 	}
 
-	private noteShortfall(ask: KeeperAsk, want: Amount, need: Amount): void {
+	private noteShortfall(ask: KeeperAsk, given: Amount): void {
 		const known = this.shortfalls.get(ask.budget)
 		this.shortfalls.set(ask.budget, {
-			want: Math.max(want, known?.want ?? 0),
-			need: Math.max(need, known?.need ?? 0),
+			want: Math.max(ask.want - given, known?.want ?? 0),
+			need: Math.max(ask.need - given, known?.need ?? 0),
 			since: known?.since ?? this.context.now,
 		})
 	}
 
-	/** Answers an ask once it is durable. An ask that was not filled stays until it is, or is dry. */
+	/** Answers an ask once it is durable. A box that still lacks money asks again. */
 	private answer(ask: KeeperAsk, row: GrantRow | undefined): void {
 		const key = `${entryKey(ask.box, ask.incarnation)}/${ask.budget}`
 		if (this.asks.get(key) === ask) this.asks.delete(key)
@@ -432,27 +481,56 @@
 	private commitShard(): boolean {
 		if (!this.shard || !this.ledger) return false
 		const report = this.reportDue && this.context.now - this.reportedAt >= SHARD_REPORT_MS
-		if (this.shortfalls.size === 0 && !report && !this.owesReturns()) return false
-		const value = structuredClone(this.shard.value)
-		const zone = this.context.self.zone
-		for (const [name, row] of Object.entries(this.ledger.value.budgets)) {
-			const budget = value.budgets[name]
-			if (budget) noteZoneCounters(budget, zone, this.zoneCounters(row))
-		}
-		for (const [name, short] of this.shortfalls) this.allot(value, name, short)
-		this.forgetWants(value)
-		if (JSON.stringify(value) === JSON.stringify(this.shard.value)) return false
-		this.writeShard(value, () => {
+		const owes = this.owesReturns()
+		if (this.shortfalls.size === 0 && !report && !owes) return false
+		const next = new Map<string, ShardBudget>()
+		for (const [name, row] of Object.entries(this.ledger.value.budgets))
+			this.reportBudget(next, name, row)
+		const served = [...this.shortfalls].filter(([name, short]) => this.allot(next, name, short))
+		const changed = [...next].filter(([name, budget]) => {
+			return JSON.stringify(budget) !== JSON.stringify(this.shard?.value.budgets[name])
+		})
+		if (changed.length === 0) return false
+		if (!this.hooks.mayWrite(this.isUrgent() || owes)) return true
+		const budgets = { ...this.shard.value.budgets, ...Object.fromEntries(changed) }
+		this.writeShard({ budgets }, () => {
 			this.reportedAt = this.context.now
 			this.reportDue = false
+			for (const [name, short] of served) dropSame(this.shortfalls, name, short)
 			this.committedAt = -Infinity
 		})
 		return true
 	}
 
-	private allot(value: BudgetShardValue, name: BudgetName, short: Shortfall): void {
-		const budget = value.budgets[name]
+	private copyOf(next: Map<string, ShardBudget>, name: string): ShardBudget | undefined {
+		const known = next.get(name)
+		const old = this.shard?.value.budgets[name]
+		if (known || !old) return known
+		const copy = structuredClone(old)
+		next.set(name, copy)
+		return copy
+	}
+
+	/** Brings the zone's counters of a budget into the shard, and takes back a want that is over. */
+	private reportBudget(next: Map<string, ShardBudget>, name: string, row: LedgerBudget): void {
+		const zone = this.context.self.zone
+		const old = this.shard?.value.budgets[name]?.zones[zone]
+		const billed = billedInZone(row)
+		const inDoubt = inDoubtInZone(row)
+		const { returned } = row
+		const wantIsOver = (old?.wanted ?? 0) > 0 && !this.shortfalls.has(name as BudgetName)
+		const same = old?.billed === billed && old.returned === returned && old.inDoubt === inDoubt
+		if (same && !wantIsOver) return
+		const budget = this.copyOf(next, name)
 		if (!budget) return
+		noteZoneCounters(budget, zone, { returned, billed, inDoubt })
+		if (wantIsOver) zoneAllotment(budget, zone).wanted = 0
+	}
+
+	/** Allots what a shortfall needs and a share of the rest. True where the need is met. */
+	private allot(next: Map<string, ShardBudget>, name: BudgetName, short: Shortfall): boolean {
+		const budget = this.copyOf(next, name)
+		if (!budget) return false
 		const zones = this.context.board.config.index?.zones.length ?? 1
 		const row = zoneAllotment(budget, this.context.self.zone)
 		const share = unspentInShard(budget) / zones
@@ -461,14 +539,7 @@
 		const given = allotToZone(budget, this.context.self.zone, short.need + soft)
 		const spare = softShare(short.want - short.need, share * SPARE_PART, 0)
 		row.wanted = given < short.need ? short.need - given + spare : 0
-	}
-
-	private zoneCounters(row: LedgerBudget): { returned: Amount; billed: Amount; inDoubt: Amount } {
-		return {
-			returned: row.returned,
-			billed: billedInZone(row),
-			inDoubt: inDoubtInZone(row),
-		}
+		return given >= short.need
 	}
 
 	private owesReturns(): boolean {
@@ -479,34 +550,31 @@
 		})
 	}
 
-	/** Takes back a want that no box has any more. */
-	private forgetWants(value: BudgetShardValue): void {
-		const zone = this.context.self.zone
-		for (const [name, budget] of Object.entries(value.budgets)) {
-			const row = budget.zones[zone]
-			if (row && row.wanted > 0 && !this.shortfalls.has(name as BudgetName)) row.wanted = 0
-		}
-	}
-
 	/** Gives money that no box here holds to zones that lack it. */
-	private giveToOtherZones(value: ZoneLedgerValue): void {
+	private giveToOtherZones(draft: LedgerDraft): void {
 		for (const name of this.lacking) {
 			if (this.shortfalls.has(name)) continue
-			const row = ledgerBudget(value, name)
-			giveUpToShard(row, this.lackElsewhere(name))
-			const missing = this.lackElsewhere(name) - freeInZone(row)
+			const row = draft.budget(name)
+			giveUpToShard(row, this.lackElsewhere(name) - this.owed(name, row))
+			const missing = this.lackElsewhere(name) - this.owed(name, row)
 			if (missing > 0) this.hooks.onRecall(name, missing)
 		}
 	}
 
+	/** Given up in the ledger already, and not yet noted in the shard. */
+	private owed(name: BudgetName, row: LedgerBudget): Amount {
+		const noted = this.shard?.value.budgets[name]?.zones[this.context.self.zone]?.returned ?? 0
+		return Math.max(0, row.returned - noted)
+	}
+
 	/** Recalls idle money inside the zone; after a while the word is that the budget is dry. */
 	private settleShortfalls(): void {
-		const { recallWait } = this.context.self.timing
+		const patience = this.context.self.timing.recallWait + RECALL_POLLS * this.hooks.pollPeriod()
 		for (const [budget, short] of this.shortfalls) {
 			const row = this.ledger?.value.budgets[budget]
 			const age = this.context.now - short.since
 			if (short.need === 0 || (row && freeInZone(row) > 0)) this.shortfalls.delete(budget)
-			else if (age < recallWait) this.hooks.onRecall(budget, short.need)
+			else if (age < patience) this.hooks.onRecall(budget, short.need)
 			else this.callDry(budget)
 		}
 	}
@@ -520,26 +588,16 @@
 		}
 		this.shortfalls.delete(budget)
 	}
+}
 
-	private watch(): void {
-		if (this.watching || !this.shard || this.busy) return
-		this.watching = true
-		const timeoutMs = this.context.self.timing.watch
-		const op = {
-			kind: 'watch',
-			key: shardKey(this.number),
-			after: this.shard.revision,
-			timeoutMs,
-		} as const
-		this.context.callPlatform(op, (result) => {
-			this.watching = false
-			if (result.kind === 'value' && result.revision > (this.shard?.revision ?? 0))
-				this.stale = true
-		})
-	}
+/** Time between two reads of a shard so that all zones together stay within a read rate. */
+export function pollPeriodFor(zones: number, shards: number, readsPerSecond: number): Millis {
+	return Math.max(SHORTEST_POLL_MS, (zones * shards * SECOND_MS) / readsPerSecond)
 }
 
-function dropSame<T>(map: Map<string, T>, key: string, row: T): void {
+const SHORTEST_POLL_MS: Millis = 500
+
+function dropSame<K, T>(map: Map<K, T>, key: K, row: T): void {
 	if (map.get(key) === row) map.delete(key)
 }
 
