--- a/internal/bench/src/capacity.ts
+++ b/internal/bench/src/capacity.ts
@@ -180,8 +180,7 @@
 		const id = brandId<IdentityRecord['id']>(`account-${i % 50}/zone-a.mx5ycai9.k${i}`)
 		records.set(id, {
 			id,
-			account: brandId<IdentityRecord['account']>(`account-${i % 50}`),
-			bodyHash: `hash-of-a-body-in-base64-url-form-${i}`,
+			bodyHash: `hash-of-a-body-${i}`,
 			repeatable: true,
 			turn: 1,
 			state: 'billed',
--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -30,6 +30,7 @@
 	requestId,
 	keyOf,
 	type IdentityState,
+	type BillRow,
 	type IdentityRecord,
 	type LossMark,
 } from './lib/identity/IdentityRecord.js'
--- a/packages/core/src/lib/controllers/MoneyController.ts
+++ b/packages/core/src/lib/controllers/MoneyController.ts
@@ -29,6 +29,8 @@
 const TRANSFER_TIMEOUT_MS: Millis = 300
 /** A slice below this share of its horizon is filled up. */
 const LOW_WATER_SHARE = 0.5
+/** Requests of the same size that a watermark covers beyond the one that asks. */
+const COVERED_AHEAD = 3
 /** A donor keeps what it needs itself for so long. */
 const DONOR_KEEPS_MS: Millis = SECOND_MS
 
@@ -109,10 +111,11 @@
 	}
 
 	/** Asks the witness to let this box draw what it has reserved, and a tranche more. */
-	cover(budget: BudgetName): Ticket {
+	cover(budget: BudgetName, worst: Amount): Ticket {
 		const { ledger } = this.section
 		const tranche = this.demandOver(budget, this.policy().trancheMs)
-		const room = Math.min(tranche, ledger.available(budget))
+		const ahead = Math.max(tranche, worst * COVERED_AHEAD)
+		const room = Math.min(ahead, ledger.available(budget))
 		return this.log.raiseWatermark(budget, ledger.drawn(budget) + room)
 	}
 
--- a/packages/core/src/lib/controllers/RequestController.ts
+++ b/packages/core/src/lib/controllers/RequestController.ts
@@ -1,7 +1,7 @@
 import * as E from 'fp-ts/lib/Either.js'
 import type { AccountName, RequestId, TargetName, ZoneName } from '../ids.js'
 import { mintKey, parseKey } from '../identity/IdempotencyKey.js'
-import { mayHaveRun, requestId, type IdentityRecord } from '../identity/IdentityRecord.js'
+import { keyOf, mayHaveRun, requestId, type IdentityRecord } from '../identity/IdentityRecord.js'
 import { rendezvousFirst } from '../identity/rendezvous.js'
 import { findMember, hasIncarnation, ownerOf, type Member } from '../membership/ZoneView.js'
 import { maybeRun, notRun, type Refusal } from '../Refusal.js'
@@ -125,17 +125,18 @@
 
 	private place(request: CallerRequest, priced: PricedRequest): void {
 		const account = priced.account.name
+		const minted = request.idempotencyKey === undefined
 		const key = request.idempotencyKey ?? this.mint()
 		const id = requestId(account, key)
 		if (this.joinLocal(request, id)) return
 		if (this.isUnsettled(key, priced)) {
-			this.parked.push({ ...request, idempotencyKey: key })
+			this.parked.push(request)
 			return
 		}
 		const place = this.findPlace(id, key, priced)
 		if (place.kind === 'nowhere') this.refuse(request, place.refusal, id)
 		else if (place.kind === 'there') this.relay(request, place.member, id, account, key)
-		else this.serveHere(request, priced, id)
+		else this.serveHere(minted ? { ...request, minted } : request, priced, id)
 	}
 
 	/** True while records of keys of this zone may still be on their way to this box. */
@@ -211,7 +212,7 @@
 			if (member) return { kind: 'there', member }
 		}
 		if (lives && record.box === box) return { kind: 'here' }
-		const owner = ownerOf(members, record.id.slice(record.account.length + 1))
+		const owner = ownerOf(members, keyOf(record.id))
 		if (!owner || owner.box === box) return { kind: 'here' }
 		return { kind: 'there', member: owner }
 	}
@@ -288,6 +289,7 @@
 			work: request.work,
 			priority: request.priority,
 			repeatable: request.repeatable && (record?.repeatable ?? true),
+			minted: request.minted === true,
 			deadline: request.deadline,
 			startedAt: this.context.now,
 			worst: priced.worst,
--- a/packages/core/src/lib/identity/IdentityRecord.ts
+++ b/packages/core/src/lib/identity/IdentityRecord.ts
@@ -20,7 +20,6 @@
 /** What is remembered of one request id. @public */
 export interface IdentityRecord {
 	readonly id: RequestId
-	readonly account: AccountName
 	/** Hash of method, path and body: the same key with another body is refused. */
 	readonly bodyHash: string
 	/** False where the request may run at most once. */
@@ -58,6 +57,14 @@
 	return `${account}/${key}` as RequestId
 }
 
+/** A bill that follows a claim which the receiver has already. @public */
+export interface BillRow {
+	readonly id: RequestId
+	readonly turn: number
+	readonly amount: Amount
+	readonly at: Millis
+}
+
 /** The key part of a request id. @public */
 export function keyOf(id: RequestId): string {
 	return id.slice(id.indexOf('/') + 1)
--- a/packages/core/src/lib/identity/LogSender.ts
+++ b/packages/core/src/lib/identity/LogSender.ts
@@ -1,8 +1,8 @@
-import type { BudgetName } from '../ids.js'
+import type { BudgetName, RequestId } from '../ids.js'
 import { witnessOf, zoneKeys, type Member, type ZoneView } from '../membership/ZoneView.js'
 import type { CoreContext } from '../router/CoreContext.js'
 import type { Amount, Millis } from '../units.js'
-import type { IdentityRecord, LossMark } from './IdentityRecord.js'
+import type { BillRow, IdentityRecord, LossMark } from './IdentityRecord.js'
 import type { LogBatch, MoneyRow } from './WitnessCopy.js'
 
 /** Number of an enqueued change; acknowledged in order. @public */
@@ -43,7 +43,9 @@
 	private inFlight: InFlight | undefined
 	private snapshotDue = true
 	private synced = false
-	private readonly dirtyRecords: IdentityRecord[] = []
+	private readonly dirtyRecords = new Map<RequestId, IdentityRecord>()
+	/** Turns whose claim the witness was sent in this view, by request. */
+	private readonly sentClaims = new Map<RequestId, number>()
 	private readonly dirtyLosses: LossMark[] = []
 	private readonly dirtyBudgets = new Set<BudgetName>()
 	private readonly wanted = new Map<BudgetName, Amount>()
@@ -69,11 +71,12 @@
 		this.inFlight = undefined
 		this.snapshotDue = true
 		this.synced = false
+		this.sentClaims.clear()
 	}
 
 	/** Enqueues a record. */
 	addRecord(record: IdentityRecord): Ticket {
-		this.dirtyRecords.push(record)
+		this.dirtyRecords.set(record.id, record)
 		return this.issue()
 	}
 
@@ -177,7 +180,7 @@
 	}
 
 	private dropAll(): void {
-		this.dirtyRecords.length = 0
+		this.dirtyRecords.clear()
 		this.dirtyLosses.length = 0
 		this.dirtyBudgets.clear()
 	}
@@ -192,18 +195,36 @@
 		this.context.send(this.witness, { kind: 'log', batch: flight.batch })
 	}
 
+	/** Changed records; a bill whose claim the witness has is sent short. */
+	private recordsToSend(): { records: IdentityRecord[]; bills: BillRow[] } {
+		if (this.snapshotDue) return { records: [...this.source.records()], bills: [] }
+		const records: IdentityRecord[] = []
+		const bills: BillRow[] = []
+		for (const record of this.dirtyRecords.values()) {
+			const { id, turn, amount, at } = record
+			const known = this.sentClaims.get(id) === turn
+			if (known && record.state === 'billed') bills.push({ id, turn, amount, at })
+			else records.push(record)
+			if (record.state === 'claimed') this.sentClaims.set(id, turn)
+			else this.sentClaims.delete(id)
+		}
+		return { records, bills }
+	}
+
 	private sendNext(witness: Member): void {
 		const budgets = this.snapshotDue ? this.source.budgets() : [...this.dirtyBudgets]
 		const money = budgets.map((budget) => {
 			return this.source.moneyRow(budget, this.wanted.get(budget) ?? 0)
 		})
+		const { records, bills } = this.recordsToSend()
 		const batch: LogBatch = {
 			box: this.context.self.box,
 			incarnation: this.context.self.incarnation,
 			view: this.view,
 			seq: ++this.seq,
 			money,
-			records: this.snapshotDue ? [...this.source.records()] : [...this.dirtyRecords],
+			records,
+			bills,
 			losses: this.snapshotDue ? [...this.source.losses()] : [...this.dirtyLosses],
 		}
 		this.snapshotDue = false
--- a/packages/core/src/lib/identity/WitnessCopy.ts
+++ b/packages/core/src/lib/identity/WitnessCopy.ts
@@ -1,7 +1,7 @@
 import type { BoxName, BudgetName, Incarnation, RequestId } from '../ids.js'
 import type { Testimony } from '../money/ZoneLedger.js'
 import type { Amount, Millis } from '../units.js'
-import { laterRecord, type IdentityRecord, type LossMark } from './IdentityRecord.js'
+import { laterRecord, type BillRow, type IdentityRecord, type LossMark } from './IdentityRecord.js'
 
 /** One budget's line in a batch; all amounts cumulative. @public */
 export interface MoneyRow {
@@ -23,6 +23,8 @@
 	readonly seq: number
 	readonly money: readonly MoneyRow[]
 	readonly records: readonly IdentityRecord[]
+	/** Bills of claims that earlier batches of this view brought. */
+	readonly bills: readonly BillRow[]
 	readonly losses: readonly LossMark[]
 }
 
@@ -57,6 +59,7 @@
 		this.seq = batch.seq
 		for (const row of batch.money) this.money.set(row.budget, mergeRows(row, this.money))
 		for (const record of batch.records) this.note(record)
+		for (const bill of batch.bills) this.noteBill(bill)
 		for (const loss of batch.losses) this.losses.set(`${loss.view}/${loss.box}`, loss)
 		return this.seq
 	}
@@ -75,6 +78,11 @@
 		for (const [id, record] of this.records) if (record.at < before) this.records.delete(id)
 	}
 
+	private noteBill(bill: BillRow): void {
+		const known = this.records.get(bill.id)
+		if (known) this.note({ ...known, ...bill, state: 'billed' })
+	}
+
 	private note(record: IdentityRecord): void {
 		const known = this.records.get(record.id)
 		this.records.set(record.id, known ? laterRecord(known, record) : record)
--- a/packages/core/src/lib/requests/Run.ts
+++ b/packages/core/src/lib/requests/Run.ts
@@ -23,6 +23,8 @@
 	readonly work: Work
 	readonly priority: Priority
 	readonly repeatable: boolean
+	/** True where this box made the key: nobody else has seen it before the answer begins. */
+	readonly minted: boolean
 	readonly deadline: Millis
 	readonly startedAt: Millis
 	/** Worst-case charge. */
--- a/packages/core/src/lib/requests/RunAdvancer.ts
+++ b/packages/core/src/lib/requests/RunAdvancer.ts
@@ -66,7 +66,6 @@
 		const target = run.target
 		return identity.write({
 			id: run.id,
-			account: run.account,
 			bodyHash: run.bodyHash,
 			repeatable: run.repeatable,
 			turn: run.turn,
@@ -94,7 +93,7 @@
 		run.reserved = false
 		run.committed = false
 		if (run.target !== undefined && run.stage === 'admitting') {
-			if (!run.mayHaveRun) this.record(run, 'void', run.priorBilled)
+			if (!run.mayHaveRun && run.ticket > 0) this.record(run, 'void', run.priorBilled)
 			targets.ended(run.target, false)
 			run.target = undefined
 		}
@@ -159,7 +158,8 @@
 			run.ticket = 0
 			return true
 		}
-		if (run.ticket === 0 || identity.log.isSafe(run.ticket)) run.ticket = money.cover(run.budget)
+		if (run.ticket === 0 || identity.log.isSafe(run.ticket))
+			run.ticket = money.cover(run.budget, run.worst)
 		this.waitForWitness(run)
 		return false
 	}
@@ -174,7 +174,9 @@
 		}
 		run.target = chosen
 		targets.started(chosen)
-		run.ticket = this.record(run, 'claimed', run.priorBilled)
+		// A repeatable run of a key that nobody else knows yet needs no claim; its bill is recorded.
+		const bare = run.minted && run.repeatable
+		run.ticket = bare ? 0 : this.record(run, 'claimed', run.priorBilled)
 		if (run.resumeAt !== undefined)
 			context.log('request-resumed', { request: run.id, target: chosen })
 		return true
--- a/packages/core/src/lib/requests/RunFinisher.ts
+++ b/packages/core/src/lib/requests/RunFinisher.ts
@@ -134,7 +134,7 @@
 			this.again(run)
 			return
 		}
-		if (!run.mayHaveRun) this.advancer.record(run, 'void', run.priorBilled)
+		if (!run.mayHaveRun && run.ticket > 0) this.advancer.record(run, 'void', run.priorBilled)
 		this.giveUp(run, run.mayHaveRun ? { ...refusal, run: 'unknown' } : refusal)
 	}
 
--- a/packages/core/src/lib/router/CoreEvent.ts
+++ b/packages/core/src/lib/router/CoreEvent.ts
@@ -20,6 +20,8 @@
 	readonly budget?: BudgetName
 	/** Time by which the first byte must come. */
 	readonly deadline: Millis
+	/** Set by the core where it made the key itself. */
+	readonly minted?: boolean
 	/** Boxes that have passed this call on; bounds relaying. */
 	readonly hops: number
 }
--- a/packages/router/src/index.ts
+++ b/packages/router/src/index.ts
@@ -10,3 +10,6 @@
 export { hashKey } from './lib/readCall.js'
 export { Metrics } from './lib/Metrics.js'
 export { LogWriter, type LogLine } from './lib/LogWriter.js'
+/** For measurements of the talk between boxes only. */
+export { PeerLinks } from './lib/PeerLinks.js'
+export { PeerServer } from './lib/PeerServer.js'
--- a/packages/router/src/lib/PeerLinks.ts
+++ b/packages/router/src/lib/PeerLinks.ts
@@ -12,6 +12,10 @@
 /** Messages that may wait for a box that does not answer; older ones are dropped. */
 const MOST_WAITING = 2_000
 const IDLE_CLOSE_MS = 30_000
+/** Frames a second of a box whose settings state none; `docs/CAPACITY.md` has the cost of one. */
+const DEFAULT_FRAMES_PER_SECOND = 400
+/** Unused frames are kept for so long. */
+const BURST_SECONDS = 0.25
 
 interface Link {
 	readonly client: Client<typeof PeerService>
@@ -29,12 +33,19 @@
 export class PeerLinks {
 	private readonly links = new Map<string, Link>()
 	private flushing = false
+	private timer: NodeJS.Timeout | undefined
+	private tokens: number
+	private filledAt = 0
 
 	constructor(
 		private readonly box: BoxName,
 		private readonly tls: PeerTls | undefined,
 		private readonly metrics: Metrics,
-	) {}
+		/** Frames a second that may go out at once; above, messages are gathered. */
+		private readonly framesPerSecond = DEFAULT_FRAMES_PER_SECOND,
+	) {
+		this.tokens = framesPerSecond * BURST_SECONDS
+	}
 
 	send(address: string, message: PeerMessage): void {
 		if (address === '') return
@@ -66,6 +77,7 @@
 	}
 
 	close(): void {
+		if (this.timer) clearTimeout(this.timer)
 		for (const link of this.links.values()) link.queue?.end()
 		this.links.clear()
 	}
@@ -82,8 +94,15 @@
 
 	private flush(): void {
 		this.flushing = false
+		this.refill()
 		for (const link of this.links.values()) {
 			if (link.gathered.length === 0) continue
+			if (this.tokens < 1) {
+				this.flushLater()
+				return
+			}
+			this.tokens--
+			this.metrics.count('stallwing_peer_frames_sent_total')
 			const queue = link.queue ?? this.open(link)
 			if (queue.size < MOST_WAITING)
 				queue.push(create(FrameSchema, { from: this.box, messages: link.gathered }))
@@ -91,6 +110,19 @@
 		}
 	}
 
+	private refill(): void {
+		const now = performance.now()
+		const fresh = ((now - this.filledAt) * this.framesPerSecond) / 1_000
+		this.filledAt = now
+		this.tokens = Math.min(this.framesPerSecond * BURST_SECONDS, this.tokens + fresh)
+	}
+
+	/** A frame costs far more processor time than a message in it, so frames are rationed. */
+	private flushLater(): void {
+		this.timer = setTimeout(() => this.flush(), 1_000 / this.framesPerSecond)
+		this.flushing = true
+	}
+
 	private open(link: Link): AsyncQueue<Frame> {
 		const queue = new AsyncQueue<Frame>()
 		link.queue = queue
--- a/packages/router/src/lib/RouterDaemon.ts
+++ b/packages/router/src/lib/RouterDaemon.ts
@@ -90,7 +90,12 @@
 		this.platform = new PlatformClient(platform)
 		this.log = new LogWriter(box, zone, options.writeLog)
 		this.tls = readPeerTls(settings)
-		this.links = new PeerLinks(brandId<BoxName>(box), this.tls, this.metrics)
+		this.links = new PeerLinks(
+			brandId<BoxName>(box),
+			this.tls,
+			this.metrics,
+			settings.peerFramesPerSecond,
+		)
 		this.fetcher = new BundleFetcher(this.platform, this.links, settings.operators)
 		this.attempts = new AttemptRunner(limits, (runId, attempt, outcome) => {
 			this.take({ kind: 'attempt-ended', runId, attempt, outcome })
--- a/packages/router/src/lib/readCall.ts
+++ b/packages/router/src/lib/readCall.ts
@@ -33,6 +33,8 @@
 }
 
 const CHAT_PATH = '/v1/chat/completions'
+/** 128 bits of the hash of a body: enough to tell two bodies of one key apart. */
+const BODY_HASH_CHARACTERS = 22
 const SERVICE_PATH = /^\/services\/([a-z0-9][a-z0-9-]{0,39})(\/.*)?$/
 
 /** Turns a raw call into a request for the core and the call that goes to a target. */
@@ -60,7 +62,7 @@
 		...(raw.account === undefined ? {} : { account: brandId<AccountName>(raw.account) }),
 		...(raw.idempotencyKey === undefined ? {} : { idempotencyKey: raw.idempotencyKey }),
 		...(raw.budget === undefined ? {} : { budget: brandId<BudgetName>(raw.budget) }),
-		bodyHash: hash.digest('base64url'),
+		bodyHash: hash.digest('base64url').slice(0, BODY_HASH_CHARACTERS),
 		work,
 		priority,
 		repeatable: raw.repeat !== 'never',
--- a/packages/router/src/lib/settings.ts
+++ b/packages/router/src/lib/settings.ts
@@ -56,6 +56,13 @@
 		})
 		.optional()
 		.describe('mTLS between boxes; plain HTTP/2 where absent'),
+	peerFramesPerSecond: z
+		.number()
+		.min(5)
+		.default(400)
+		.describe(
+			'Frames a second to other boxes; above it messages are gathered, which saves processor time and adds delay',
+		),
 	seed: z.number().int().optional().describe('Seed of the random numbers; for tests'),
 })
 
