--- a/internal/soak/src/lib/Callers.ts
+++ b/internal/soak/src/lib/Callers.ts
@@ -7,7 +7,7 @@
 	type RequestId,
 	type RunState,
 } from '@stallwing/core'
-import { INPUT_TOKENS, MAX_OUTPUT_TOKENS } from './FakeTarget.js'
+import { INPUT_TOKENS, MAX_OUTPUT_TOKENS, outputTokens } from './FakeTarget.js'
 import type { SimBox } from './SimBox.js'
 import type { World } from './World.js'
 
@@ -32,6 +32,8 @@
 }
 
 const FIRST_BYTE_MS = 6_000
+/** Price of a plain-service call in the worlds' bundle. */
+export const SERVICE_CHARGE = 7
 const MOST_TRIES = 6
 
 /** Callers in virtual time: they send, lose patience, and come back with the same key anywhere. */
@@ -49,10 +51,30 @@
 
 	constructor(private readonly world: World) {}
 
+	/** Charge of a request that ran to its end: the same wherever it ran. */
+	chargeOf(id: RequestId): number {
+		return this.isService.has(id) ? SERVICE_CHARGE : INPUT_TOKENS + 2 * outputTokens(id)
+	}
+
+	/** Value that an all-knowing oracle would have run of these arrivals, and that was answered. */
+	value(prepaid: number): { oracle: number; ours: number } {
+		const demand = new Map<BudgetName, number>()
+		let ours = 0
+		for (const [id, budget] of this.budgetOf) {
+			demand.set(budget, (demand.get(budget) ?? 0) + this.chargeOf(id))
+			if (this.answered.has(id)) ours += this.chargeOf(id)
+		}
+		let oracle = 0
+		for (const wanted of demand.values()) oracle += Math.min(prepaid, wanted)
+		return { oracle, ours }
+	}
+
 	/** Sends a new request to some box. */
 	sendNew(): void {
 		const { random, queue } = this.world
-		const account = random.pick(this.world.accounts)
+		// A few large accounts and many small ones.
+		const rank = Math.floor(random.next() ** 2 * this.world.accounts.length)
+		const account = this.world.accounts[rank] as string
 		const model = random.chance(0.7)
 		const zone = random.pick(this.world.zones)
 		const stamp = Math.floor(queue.now).toString(36).padStart(6, '0')
--- a/internal/soak/src/lib/Faults.ts
+++ b/internal/soak/src/lib/Faults.ts
@@ -31,6 +31,16 @@
 		}
 	}
 
+	/** Cuts a zone or box off until {@link heal}. */
+	cut(name: string): void {
+		this.cuts.add(name)
+	}
+
+	/** Takes the platform down until {@link heal}. */
+	platformDown(): void {
+		this.outage = true
+	}
+
 	isCutFromPlatform(box: SimBox): boolean {
 		return this.outage || this.cuts.has(box.zone) || this.cuts.has(box.name)
 	}
--- a/internal/soak/src/lib/World.ts
+++ b/internal/soak/src/lib/World.ts
@@ -13,7 +13,7 @@
 	type ZoneName,
 } from '@stallwing/core'
 import { KvStore } from '@stallwing/standins'
-import { Callers } from './Callers.js'
+import { Callers, SERVICE_CHARGE } from './Callers.js'
 import { checkEnd } from './checkEnd.js'
 import { EventQueue } from './EventQueue.js'
 import { FakeTarget } from './FakeTarget.js'
@@ -297,7 +297,7 @@
 			version,
 			zones: this.zones.map((name) => ({ name })),
 			models: [{ name: 'm', ...MODEL_PRICE, maxOutputTokens: 1_000 }],
-			services: [{ name: 's', callCost: 7 }],
+			services: [{ name: 's', callCost: SERVICE_CHARGE }],
 			targets: this.zones.flatMap((zone) => [
 				...['e0', 'e1'].map((name) => ({
 					name: brandId<TargetName>(`${zone}${name}`),
--- a/internal/soak/src/lib/checkEnd.ts
+++ b/internal/soak/src/lib/checkEnd.ts
@@ -6,28 +6,20 @@
 	shardKey,
 	zoneKeys,
 	type BudgetShardValue,
-	type RequestId,
 	type ZoneLedgerValue,
 } from '@stallwing/core'
-import { INPUT_TOKENS, outputTokens } from './FakeTarget.js'
 import type { World } from './World.js'
 
-interface BudgetSums {
+/** What one budget has paid, billed and in doubt. */
+export interface BudgetSums {
 	billed: number
 	inDoubt: number
 	prepaid: number
 }
 
-const SERVICE_CHARGE = 7
-
-/** Charge of a model request that ran to its end: the same wherever it ran. */
-function fullCharge(id: RequestId): number {
-	return INPUT_TOKENS + 2 * outputTokens(id)
-}
-
 /** Checks the promises once everything has healed and come to rest. */
 export function checkEnd(world: World): void {
-	const sums = collect(world)
+	const sums = collectSums(world)
 	for (const [budget, sum] of sums) {
 		if (sum.billed > sum.prepaid) world.fail('overspent', { budget, ...sum })
 		if (sum.billed + sum.inDoubt > sum.prepaid) world.fail('over-allotted', { budget, ...sum })
@@ -36,7 +28,8 @@
 	checkBills(world, sums)
 }
 
-function collect(world: World): Map<string, BudgetSums> {
+/** Adds up ledgers, shards and the bills that running boxes have not reported yet. */
+export function collectSums(world: World): Map<string, BudgetSums> {
 	const sums = new Map<string, BudgetSums>()
 	const shard = read<BudgetShardValue>(world, shardKey(0))
 	for (const [name, row] of Object.entries(shard?.budgets ?? {})) {
@@ -89,7 +82,7 @@
 	const least = new Map<string, number>()
 	const most = new Map<string, number>()
 	for (const [id, budget] of world.callers.budgetOf) {
-		const charge = world.callers.isService.has(id) ? SERVICE_CHARGE : fullCharge(id)
+		const charge = world.callers.chargeOf(id)
 		if (world.callers.answered.has(id)) add(least, budget, charge)
 		const bills = world.billed.get(id)
 		if (bills) add(most, budget, Math.max(charge, ...bills))
--- a/packages/core/src/lib/controllers/MoneyController.ts
+++ b/packages/core/src/lib/controllers/MoneyController.ts
@@ -16,6 +16,8 @@
 	readonly watermark: boolean
 	/** Move money between boxes of the zone directly. */
 	readonly transfers: boolean
+	/** Give idle money back when the keeper asks for it. */
+	readonly recall: boolean
 	/** Report only bills that the witness has acknowledged. */
 	readonly witnessedBills: boolean
 }
@@ -188,6 +190,7 @@
 
 	/** The keeper asks for idle money of some budgets. */
 	onRecall(rows: readonly RecallRow[]): void {
+		if (!this.protections.recall) return
 		for (const { budget, amount } of rows) {
 			const idle = this.section.ledger.available(budget)
 			const keep = Math.max(idle - amount, this.demandOver(budget, DONOR_KEEPS_MS))
--- a/packages/core/src/lib/router/RouterCore.ts
+++ b/packages/core/src/lib/router/RouterCore.ts
@@ -32,6 +32,7 @@
 	...ALL_REQUEST_PROTECTIONS,
 	watermark: true,
 	transfers: true,
+	recall: true,
 	witnessedBills: true,
 	fencing: true,
 }
