--- a/packages/core/src/lib/controllers/IdentityController.ts
+++ b/packages/core/src/lib/controllers/IdentityController.ts
@@ -12,6 +12,7 @@
 import type { BoxName, RequestId } from '../ids.js'
 import {
 	hasIncarnation,
+	lastMembersBefore,
 	membersAt,
 	ownerOf,
 	owningBoxes,
@@ -121,7 +122,7 @@
 		const { box, incarnation } = this.context.self
 		this.log.follow(after.number, after.members)
 		for (let number = Math.max(1, this.applied + 1); number <= after.number; number++) {
-			const old = membersAt(after, number - 1)
+			const old = lastMembersBefore(after, number)
 			const members = membersAt(after, number)
 			if (!members) continue
 			this.applied = number
--- a/packages/core/src/lib/membership/ZoneView.ts
+++ b/packages/core/src/lib/membership/ZoneView.ts
@@ -127,6 +127,17 @@
 	return view.past.find((entry) => entry.number === number)?.members
 }
 
+/**
+ * Members of the last view before a number that had any. A zone whose boxes have all stopped has an
+ * empty view; what its last members knew is lost to those that come next.
+ * @public
+ */
+export function lastMembersBefore(view: ZoneView, number: number): readonly Member[] | undefined {
+	const earlier = view.past.filter((entry) => entry.number < number)
+	const last = earlier.find((entry) => entry.members.length > 0) ?? earlier[0]
+	return last?.members
+}
+
 /** Platform keys of a zone. @public */
 export const zoneKeys = {
 	view: (zone: ZoneName) => `zones/${zone}/view`,
