--- a/internal/bench/src/routing.ts
+++ b/internal/bench/src/routing.ts
@@ -5,6 +5,7 @@
 import {
 	DEFAULT_PICK_OPTIONS,
 	brandId,
+	newTargetState,
 	pickTarget,
 	type PickOptions,
 	type TargetName,
@@ -136,25 +137,14 @@
 }
 
 function newState(i: number): TargetState {
-	return {
-		record: {
-			name: brandId<TargetName>(String(i)),
-			zone: brandId<ZoneName>('zone-a'),
-			kind: 'engine',
-			url: '',
-			serves: [],
-			concurrency: 64,
-			leaving: false,
-		},
-		inFlight: 0,
-		since: -60_000,
-		reported: 0,
-		reportedAt: 0,
-		startedSinceReport: 0,
-		failures: 0,
-		ejectedUntil: 0,
-		probing: false,
+	const record = {
+		name: brandId<TargetName>(String(i)),
+		zone: brandId<ZoneName>('zone-a'),
+		kind: 'engine' as const,
+		url: '',
+		serves: [],
+		concurrency: 64,
 		leaving: false,
-		failureShare: 0,
 	}
+	return newTargetState(record, -SPAN_MS)
 }
--- a/internal/soak/src/lib/World.test.ts
+++ b/internal/soak/src/lib/World.test.ts
@@ -1,5 +1,6 @@
-import { ALL_PROTECTIONS, type Protections } from '@stallwing/core'
+import { ALL_PROTECTIONS } from '@stallwing/core'
 import { describe, expect, it } from 'vitest'
+import { SAFETY_PROTECTIONS } from './safetyProtections.js'
 import { World, type WorldOptions } from './World.js'
 
 function runSeeds(first: number, count: number, options: Partial<WorldOptions> = {}): void {
@@ -19,16 +20,6 @@
 	13171, 14158, 15127, 24042, 120130, 210300, 230284, 310046, 320399,
 ]
 
-const SAFETY: readonly (keyof Protections)[] = [
-	'claims',
-	'billBeforeAnswer',
-	'forgotten',
-	'attemptNumbers',
-	'watermark',
-	'witnessedBills',
-	'fencing',
-]
-
 describe('promises under seeded faults', () => {
 	it('hold over kills, pauses, cuts, outages, lost answers and stops', () => {
 		runSeeds(100, 30)
@@ -62,7 +53,7 @@
 })
 
 describe('each protection is needed', () => {
-	it.each(SAFETY)('without %s a promise breaks', (name) => {
+	it.each(SAFETY_PROTECTIONS)('without %s a promise breaks', (name) => {
 		const protections = { ...ALL_PROTECTIONS, [name]: false }
 		expect(() => runSeeds(1, 80, { protections })).toThrow()
 	})
--- a/internal/soak/src/mutations.ts
+++ b/internal/soak/src/mutations.ts
@@ -4,28 +4,20 @@
  */
 import { parseArgs } from 'node:util'
 import { ALL_PROTECTIONS, type Protections } from '@stallwing/core'
+import { SAFETY_PROTECTIONS } from './lib/safetyProtections.js'
 import { World } from './lib/World.js'
 
 const { values } = parseArgs({ options: { most: { type: 'string', default: '400' } } })
 
-/** Transfers serve availability, not safety: without them nothing breaks, more is refused. */
-const SAFETY: readonly (keyof Protections)[] = [
-	'claims',
-	'billBeforeAnswer',
-	'forgotten',
-	'attemptNumbers',
-	'watermark',
-	'witnessedBills',
-	'fencing',
-]
-
 let unnoticed = 0
-for (const name of SAFETY) {
+for (const name of SAFETY_PROTECTIONS) {
 	const found = firstFailure({ ...ALL_PROTECTIONS, [name]: false })
 	if (!found) unnoticed++
 	process.stdout.write(`without ${name}: ${found ?? `not noticed in ${values.most} seeds`}\n`)
 }
-process.stdout.write(`${SAFETY.length - unnoticed} of ${SAFETY.length} noticed\n`)
+process.stdout.write(
+	`${SAFETY_PROTECTIONS.length - unnoticed} of ${SAFETY_PROTECTIONS.length} noticed\n`,
+)
 process.exitCode = unnoticed > 0 ? 1 : 0
 
 function firstFailure(protections: Protections): string | undefined {
--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -155,7 +155,7 @@
 	type RouterCoreOptions,
 } from './lib/router/RouterCore.js'
 export { LOG_EVENTS } from './lib/router/logEvents.js'
-export { type TargetState } from './lib/routing/TargetState.js'
+export { newTargetState, type TargetState } from './lib/routing/TargetState.js'
 export {
 	DEFAULT_PICK_OPTIONS,
 	pickTarget,
--- a/packages/core/src/lib/controllers/KeeperController.ts
+++ b/packages/core/src/lib/controllers/KeeperController.ts
@@ -1,6 +1,7 @@
 import type { BoxName, BudgetName, Incarnation } from '../ids.js'
 import { RateBudget } from '../money/RateBudget.js'
-import { ShardKeeper, pollPeriodFor, type KeeperAsk } from '../money/ShardKeeper.js'
+import type { KeeperAsk } from '../money/LedgerSteps.js'
+import { ShardKeeper, pollPeriodFor } from '../money/ShardKeeper.js'
 import type { Member } from '../membership/ZoneView.js'
 import type { CoreContext } from '../router/CoreContext.js'
 import type { GrantRow, PeerMessage } from '../router/PeerMessage.js'
--- a/packages/core/src/lib/controllers/TargetController.ts
+++ b/packages/core/src/lib/controllers/TargetController.ts
@@ -1,7 +1,7 @@
 import type { TargetRecord } from '../bundle/Bundle.js'
 import type { RequestId, TargetName } from '../ids.js'
 import { pickTarget, DEFAULT_PICK_OPTIONS, type PickOptions } from '../routing/pickTarget.js'
-import type { TargetState } from '../routing/TargetState.js'
+import { newTargetState, type TargetState } from '../routing/TargetState.js'
 import type { TargetsSection } from '../router/Blackboard.js'
 import type { CoreContext } from '../router/CoreContext.js'
 import type { LoadReport, Work } from '../router/CoreEvent.js'
@@ -147,7 +147,7 @@
 		for (const record of records) {
 			const known = states.get(record.name)
 			if (known) known.record = record
-			else states.set(record.name, newState(record, this.context.now))
+			else states.set(record.name, newTargetState(record, this.context.now))
 		}
 		for (const state of states.values()) this.markLeaving(state)
 	}
@@ -160,22 +160,6 @@
 	}
 }
 
-function newState(record: TargetRecord, now: Millis): TargetState {
-	return {
-		record,
-		inFlight: 0,
-		since: now,
-		reported: 0,
-		reportedAt: 0,
-		startedSinceReport: 0,
-		failures: 0,
-		ejectedUntil: 0,
-		probing: false,
-		leaving: false,
-		failureShare: 0,
-	}
-}
-
 function doesServe(record: TargetRecord, work: Work): boolean {
 	const served = work.kind === 'model' ? work.model : work.service
 	const kind = work.kind === 'model' ? 'engine' : 'service'
--- a/packages/core/src/lib/money/ShardKeeper.ts
+++ b/packages/core/src/lib/money/ShardKeeper.ts
@@ -1,60 +1,35 @@
 import type { BoxName, BudgetName, Incarnation } from '../ids.js'
-import { hadWitness, shardKey, zoneKeys } from '../membership/ZoneView.js'
+import { shardKey, zoneKeys } from '../membership/ZoneView.js'
 import type { PlatformResult } from '../platform/PlatformOp.js'
 import type { CoreContext } from '../router/CoreContext.js'
 import type { GrantRow } from '../router/PeerMessage.js'
 import { SECOND_MS, type Amount, type Millis } from '../units.js'
 import {
-	allotToZone,
 	emptyShard,
 	freeInShard,
-	noteZoneCounters,
 	setPrepaid,
-	unspentInShard,
 	wantedInShard,
-	zoneAllotment,
 	type BudgetShardValue,
-	type ShardBudget,
 } from './BudgetShard.js'
 import { LedgerDraft } from './LedgerDraft.js'
-import { EMPTY_COUNTERS, type SliceCounters } from './SliceLedger.js'
 import {
-	billedInZone,
-	doubtEntry,
+	LedgerSteps,
+	type KeeperAsk,
+	type KeeperConfession,
+	type KeeperTestimony,
+} from './LedgerSteps.js'
+import { ShardDraft } from './ShardDraft.js'
+import { EMPTY_COUNTERS } from './SliceLedger.js'
+import {
 	emptyZoneLedger,
 	entryKey,
 	freeInZone,
 	giveUpToShard,
-	grantToBox,
-	inDoubtInZone,
-	noteAllotment,
-	noteCounters,
-	releaseEntry,
-	sealEntry,
 	splitEntryKey,
 	type LedgerBudget,
-	type Testimony,
 	type ZoneLedgerValue,
 } from './ZoneLedger.js'
 
-/** A box's ask, as the keeper gathers it. */
-export interface KeeperAsk {
-	readonly box: BoxName
-	readonly incarnation: Incarnation
-	readonly budget: BudgetName
-	readonly want: Amount
-	readonly need: Amount
-	readonly counters: SliceCounters
-}
-
-/** A witness's word on one budget of an incarnation that is gone. */
-export interface KeeperTestimony {
-	readonly box: BoxName
-	readonly incarnation: Incarnation
-	readonly budget: BudgetName
-	readonly testimony: Testimony
-}
-
 /** What a shard keeper needs of its controller. */
 export interface ShardKeeperHooks {
 	onGrants(ask: KeeperAsk, row: GrantRow): void
@@ -77,15 +52,9 @@
 	since: Millis
 }
 
-type Confession = Omit<KeeperAsk, 'want' | 'need'>
-
 const SHARD_REPORT_MS: Millis = 5_000
 /** Least time between two writes that no request waits for. */
 const ROUTINE_PERIOD_MS: Millis = SECOND_MS
-/** Beyond its need, a box or zone holds at most this part of an even share of what is unspent. */
-const SOFT_PART = 0.8
-/** A zone that lacks money asks for this part of its share more, so as not to ask at once again. */
-const SPARE_PART = 0.1
 /** Polls of the shard that a recall from other zones may take. */
 const RECALL_POLLS = 2
 
@@ -95,6 +64,7 @@
  * not confirmed is read again.
  */
 export class ShardKeeper {
+	private readonly steps: LedgerSteps
 	private ledger: Loaded<ZoneLedgerValue> | undefined
 	private shard: Loaded<BudgetShardValue> | undefined
 	private busy = false
@@ -106,7 +76,7 @@
 	private bundleSeen = 0
 	private readonly asks = new Map<string, KeeperAsk>()
 	private readonly testimonies = new Map<string, KeeperTestimony>()
-	private readonly confessions = new Map<string, Confession>()
+	private readonly confessions = new Map<string, KeeperConfession>()
 	private readonly releases = new Set<string>()
 	private readonly shortfalls = new Map<BudgetName, Shortfall>()
 	/** Budgets of which another zone lacks money. */
@@ -118,7 +88,9 @@
 		private readonly context: CoreContext,
 		readonly number: number,
 		private readonly hooks: ShardKeeperHooks,
-	) {}
+	) {
+		this.steps = new LedgerSteps(context)
+	}
 
 	ask(ask: KeeperAsk): void {
 		this.asks.set(`${entryKey(ask.box, ask.incarnation)}/${ask.budget}`, ask)
@@ -128,7 +100,7 @@
 		this.testimonies.set(`${entryKey(row.box, row.incarnation)}/${row.budget}`, row)
 	}
 
-	confess(row: Confession): void {
+	confess(row: KeeperConfession): void {
 		this.confessions.set(`${entryKey(row.box, row.incarnation)}/${row.budget}`, row)
 	}
 
@@ -317,11 +289,15 @@
 		const confessions = [...this.confessions.entries()]
 		const releases = [...this.releases]
 		const urgent = this.isUrgent()
-		this.noteAllotments(draft)
-		this.applyTestimonies(draft, testimonies)
-		for (const [, row] of confessions) this.applyConfession(draft, row)
-		for (const key of releases) this.applyRelease(draft, key)
-		const viewSeen = this.doubtLost(draft)
+		const viewSeen = this.context.board.members.view.number
+		this.steps.noteAllotments(draft, this.shard.value)
+		this.steps.testify(
+			draft,
+			testimonies.map(([, row]) => row),
+		)
+		for (const [, row] of confessions) this.steps.confess(draft, row)
+		for (const key of releases) this.steps.release(draft, key)
+		if (viewSeen !== this.viewSeen) this.steps.doubtLost(draft)
 		const rows = asks.map((ask) => this.applyAsk(draft, ask))
 		this.giveToOtherZones(draft)
 		const done = (): void => {
@@ -349,120 +325,16 @@
 		return true
 	}
 
-	private noteAllotments(draft: LedgerDraft): void {
-		const zone = this.context.self.zone
-		for (const [name, budget] of Object.entries(this.shard?.value.budgets ?? {})) {
-			const allotted = budget.zones[zone]?.allotted ?? 0
-			const known = draft.peek(name as BudgetName)?.allotted ?? 0
-			if (allotted > known) noteAllotment(draft.budget(name as BudgetName), allotted)
-		}
-	}
-
-	/**
-	 * Seals every incarnation that a witness has testified of. An incarnation may hold money without
-	 * an entry here, if all of it came from neighbours; so a missing entry is opened.
-	 */
-	private applyTestimonies(
-		draft: LedgerDraft,
-		testimonies: readonly [string, KeeperTestimony][],
-	): void {
-		const fresh = new Set<string>()
-		for (const [, row] of testimonies) {
-			const key = entryKey(row.box, row.incarnation)
-			if (draft.isSealed(key)) continue
-			fresh.add(key)
-			const budget = draft.budget(row.budget)
-			sealEntry(budget, key, row.testimony)
-			const inDoubt = budget.entries[key]?.inDoubt ?? 0
-			const { billed } = row.testimony
-			const fields = { budget: row.budget, entry: key, inDoubt, billed }
-			draft.lines.push({ name: 'slice-in-doubt', fields })
-		}
-		for (const key of fresh) draft.seal(key)
-	}
-
-	/** A fenced incarnation drew no more than its bills. Waits until its witness has testified. */
-	private applyConfession(draft: LedgerDraft, row: Confession): void {
-		const key = entryKey(row.box, row.incarnation)
-		const known = draft.peek(row.budget)?.entries[key]
-		if (!known?.unwitnessed && !known?.sealed) return
-		const budget = draft.budget(row.budget)
-		const entry = budget.entries[key]
-		if (entry?.unwitnessed) entry.billed = Math.max(entry.billed, row.counters.billed)
-		releaseEntry(budget, key)
-		const fields = { budget: row.budget, entry: key, by: 'incarnation' }
-		draft.lines.push({ name: 'doubt-released', fields })
-	}
-
 	/** Keeps a confession until its entry is closed. */
-	private endConfession(key: string, row: Confession): void {
+	private endConfession(key: string, row: KeeperConfession): void {
 		const entries = this.ledger?.value.budgets[row.budget]?.entries ?? {}
 		if (!entries[entryKey(row.box, row.incarnation)]) dropSame(this.confessions, key, row)
 	}
 
-	private applyRelease(draft: LedgerDraft, key: string): void {
-		draft.seal(key)
-		for (const name of draft.names()) {
-			if (!draft.peek(name)?.entries[key]) continue
-			const budget = draft.budget(name)
-			doubtEntry(budget, key)
-			const amount = releaseEntry(budget, key)
-			const fields = { budget: name, entry: key, amount, by: 'operator' }
-			draft.lines.push({ name: 'doubt-released', fields })
-		}
-	}
-
-	/** Shows the slices of incarnations that are no members as in doubt. Returns the view. */
-	private doubtLost(draft: LedgerDraft): number {
-		const { view } = this.context.board.members
-		if (view.number === this.viewSeen) return view.number
-		const alive = new Set(view.members.map((entry) => entryKey(entry.box, entry.incarnation)))
-		for (const name of draft.names()) {
-			for (const key of Object.keys(draft.peek(name)?.entries ?? {})) {
-				if (!alive.has(key)) this.doubtEntry(draft.budget(name), key)
-			}
-		}
-		return view.number
-	}
-
-	private doubtEntry(budget: LedgerBudget, key: string): void {
-		doubtEntry(budget, key)
-		const entry = budget.entries[key]
-		const { box, incarnation } = splitEntryKey(key)
-		const { view } = this.context.board.members
-		if (entry && !entry.sealed && !hadWitness(view, box, incarnation)) entry.unwitnessed = true
-	}
-
 	private applyAsk(draft: LedgerDraft, ask: KeeperAsk): GrantRow {
-		const key = entryKey(ask.box, ask.incarnation)
-		const known = draft.peek(ask.budget)?.entries[key]
-		if (known?.inDoubt !== undefined || !this.isMember(ask)) {
-			return { budget: ask.budget, granted: 0, returned: 0, billed: 0, dry: true }
-		}
-		const row = draft.budget(ask.budget)
-		noteCounters(row, key, ask.counters)
-		const given = ask.want > 0 ? grantToBox(row, key, this.fairWant(ask, row)) : 0
+		const { row, given } = this.steps.ask(draft, ask)
 		if (given < ask.want) this.noteShortfall(ask, given)
-		const entry = row.entries[key]
-		const { granted, returned, billed } = entry ?? { granted: 0, returned: 0, billed: 0 }
-		return { budget: ask.budget, granted, returned, billed, dry: false }
-	}
-
-	/** What waiting requests lack in full, and of the rest no more than an even share. */
-	private fairWant(ask: KeeperAsk, row: LedgerBudget): Amount {
-		const boxes = Math.max(1, this.context.board.members.view.members.length)
-		const unspent = row.allotted - row.returned - billedInZone(row)
-		const entry = row.entries[entryKey(ask.box, ask.incarnation)]
-		const holds = entry ? entry.granted - entry.returned - entry.billed : 0
-		return ask.need + softShare(ask.want - ask.need, unspent / boxes, holds + ask.need)
-	}
-
-	private isMember(ask: KeeperAsk): boolean {
-		const { members } = this.context.board.members.view
-		const own = { box: this.context.self.box, incarnation: this.context.self.incarnation }
-		return [...members, own].some((member) => {
-			return member.box === ask.box && member.incarnation === ask.incarnation
-		})
+		return row
 	}
 
 	private noteShortfall(ask: KeeperAsk, given: Amount): void {
@@ -487,17 +359,15 @@
 		const report = this.reportDue && this.context.now - this.reportedAt >= SHARD_REPORT_MS
 		const owes = this.owesReturns()
 		if (this.shortfalls.size === 0 && !report && !owes) return false
-		const next = new Map<string, ShardBudget>()
+		const draft = new ShardDraft(this.shard.value, this.context.self.zone)
 		for (const [name, row] of Object.entries(this.ledger.value.budgets))
-			this.reportBudget(next, name, row)
-		const served = [...this.shortfalls].filter(([name, short]) => this.allot(next, name, short))
-		const changed = [...next].filter(([name, budget]) => {
-			return JSON.stringify(budget) !== JSON.stringify(this.shard?.value.budgets[name])
-		})
-		if (changed.length === 0) return false
+			draft.report(name as BudgetName, row, this.shortfalls.has(name as BudgetName))
+		const zones = this.context.board.config.index?.zones.length ?? 1
+		const served = [...this.shortfalls].filter(([name, short]) => draft.allot(name, short, zones))
+		const value = draft.finish()
+		if (!value) return false
 		if (!this.hooks.mayWrite(this.isUrgent() || owes)) return true
-		const budgets = { ...this.shard.value.budgets, ...Object.fromEntries(changed) }
-		this.writeShard({ budgets }, () => {
+		this.writeShard(value, () => {
 			this.reportedAt = this.context.now
 			this.reportDue = false
 			for (const [name, short] of served) dropSame(this.shortfalls, name, short)
@@ -506,46 +376,6 @@
 		return true
 	}
 
-	private copyOf(next: Map<string, ShardBudget>, name: string): ShardBudget | undefined {
-		const known = next.get(name)
-		const old = this.shard?.value.budgets[name]
-		if (known || !old) return known
-		const copy = structuredClone(old)
-		next.set(name, copy)
-		return copy
-	}
-
-	/** Brings the zone's counters of a budget into the shard, and takes back a want that is over. */
-	private reportBudget(next: Map<string, ShardBudget>, name: string, row: LedgerBudget): void {
-		const zone = this.context.self.zone
-		const old = this.shard?.value.budgets[name]?.zones[zone]
-		const billed = billedInZone(row)
-		const inDoubt = inDoubtInZone(row)
-		const { returned } = row
-		const wantIsOver = (old?.wanted ?? 0) > 0 && !this.shortfalls.has(name as BudgetName)
-		const same = old?.billed === billed && old.returned === returned && old.inDoubt === inDoubt
-		if (same && !wantIsOver) return
-		const budget = this.copyOf(next, name)
-		if (!budget) return
-		noteZoneCounters(budget, zone, { returned, billed, inDoubt })
-		if (wantIsOver) zoneAllotment(budget, zone).wanted = 0
-	}
-
-	/** Allots what a shortfall needs and a share of the rest. True where the need is met. */
-	private allot(next: Map<string, ShardBudget>, name: BudgetName, short: Shortfall): boolean {
-		const budget = this.copyOf(next, name)
-		if (!budget) return false
-		const zones = this.context.board.config.index?.zones.length ?? 1
-		const row = zoneAllotment(budget, this.context.self.zone)
-		const share = unspentInShard(budget) / zones
-		const holds = row.allotted - row.returned - row.billed
-		const soft = softShare(short.want - short.need, share, holds + short.need)
-		const given = allotToZone(budget, this.context.self.zone, short.need + soft)
-		const spare = softShare(short.want - short.need, share * SPARE_PART, 0)
-		row.wanted = given < short.need ? short.need - given + spare : 0
-		return given >= short.need
-	}
-
 	private owesReturns(): boolean {
 		const zone = this.context.self.zone
 		return Object.entries(this.ledger?.value.budgets ?? {}).some(([name, row]) => {
@@ -604,8 +434,3 @@
 function dropSame<K, T>(map: Map<K, T>, key: K, row: T): void {
 	if (map.get(key) === row) map.delete(key)
 }
-
-/** The part of a want without a waiting request that may be taken beside what is held already. */
-function softShare(want: Amount, share: Amount, holds: Amount): Amount {
-	return Math.max(0, Math.min(want, Math.floor(share * SOFT_PART) - holds))
-}
--- a/packages/core/src/lib/routing/TargetState.ts
+++ b/packages/core/src/lib/routing/TargetState.ts
@@ -23,3 +23,20 @@
 	/** Smoothed share of failed attempts, 0 to 1. */
 	failureShare: number
 }
+
+/** State of a target that this box has just heard of. @public */
+export function newTargetState(record: TargetRecord, now: Millis): TargetState {
+	return {
+		record,
+		inFlight: 0,
+		since: now,
+		reported: 0,
+		reportedAt: 0,
+		startedSinceReport: 0,
+		failures: 0,
+		ejectedUntil: 0,
+		probing: false,
+		leaving: false,
+		failureShare: 0,
+	}
+}
