--- a/internal/demo/src/lib/DemoFleet.ts
+++ b/internal/demo/src/lib/DemoFleet.ts
@@ -110,6 +110,23 @@
 		return this.group.run([CLI, '--operator-config', this.file(`${operator}.jsonc`), ...args])
 	}
 
+	/**
+	 * Proposes and approves a version of the first bundle, with a change. Returns its hash, to be
+	 * accepted.
+	 */
+	async approveVersion(
+		version: number,
+		change: (bundle: DemoBundle) => void = noChange,
+	): Promise<string> {
+		const bundle = structuredClone(this.bundle) as DemoBundle
+		change(bundle)
+		const file = this.file(`bundle-${version}-${Math.floor(performance.now())}.jsonc`)
+		writeFileSync(file, JSON.stringify({ ...bundle, version }))
+		const hash = (await this.must('author', 'bundle', 'propose', file)).trim()
+		await this.must('approver', 'bundle', 'sign', hash)
+		return hash
+	}
+
 	/** Runs a stallwing command as the author. */
 	cli(...args: string[]): Promise<{ code: number | null; out: string; err: string }> {
 		return this.group.run([CLI, '--operator-config', this.operatorFile, ...args])
@@ -226,6 +243,16 @@
 	}
 }
 
+/** Parts of the demo's bundle that tests change. */
+export interface DemoBundle {
+	targets: { name: string; leaving?: boolean }[]
+	budgets: { name: string; prepaid: number }[]
+}
+
+function noChange(): void {
+	return undefined
+}
+
 /** Engines of the demo answer fast, so that it ends soon. */
 const DEFAULT_DEMO_MODEL: EngineModel = {
 	batchLimit: 32,
--- a/internal/demo/src/lib/operations.test.ts
+++ b/internal/demo/src/lib/operations.test.ts
@@ -1,6 +1,6 @@
 import { writeFileSync } from 'node:fs'
 import { afterAll, beforeAll, describe, expect, it } from 'vitest'
-import { DemoFleet, type FleetRouter } from './DemoFleet.js'
+import { DemoFleet, type DemoBundle, type FleetRouter } from './DemoFleet.js'
 import { budgets, isWhole, runsOf, send, sleep, statusOf, type Reply } from './testFleet.js'
 
 /** Configuration, leaving targets and rolling restarts on real processes. */
@@ -10,20 +10,9 @@
 beforeAll(() => fleet.start())
 afterAll(() => fleet.stop())
 
-/** Proposes a version with one change and gives its hash. */
-async function propose(version: number, change: (bundle: Bundle) => void): Promise<string> {
-	const bundle = structuredClone(fleet.bundle) as Bundle
-	change(bundle)
-	const file = fleet.file(`bundle-${version}-${Math.floor(performance.now())}.jsonc`)
-	writeFileSync(file, JSON.stringify({ ...bundle, version }))
-	const hash = (await fleet.as('author', 'bundle', 'propose', file)).out.trim()
-	await fleet.as('approver', 'bundle', 'sign', hash)
-	return hash
-}
-
-interface Bundle {
-	targets: { name: string; leaving?: boolean }[]
-	budgets: { name: string; prepaid: number }[]
+function raise(bundle: DemoBundle, i: number): void {
+	const budget = bundle.budgets[i]
+	if (budget) budget.prepaid++
 }
 
 async function inForce(version: number): Promise<number> {
@@ -38,8 +27,8 @@
 
 describe('configuration', () => {
 	it('of two racing operators one gets a conflict, and one version is in force', async () => {
-		const one = await propose(2, (bundle) => (bundle.budgets[0] as { prepaid: number }).prepaid++)
-		const two = await propose(2, (bundle) => (bundle.budgets[1] as { prepaid: number }).prepaid++)
+		const one = await fleet.approveVersion(2, (bundle) => raise(bundle, 0))
+		const two = await fleet.approveVersion(2, (bundle) => raise(bundle, 1))
 		const results = await Promise.all([
 			fleet.as('author', 'bundle', 'accept', one),
 			fleet.as('approver', 'bundle', 'accept', two),
@@ -68,7 +57,7 @@
 
 	it('gives a leaving target no new work once the version is in force', async () => {
 		const engine = fleet.targets.find((target) => target.kind === 'engine')
-		const hash = await propose(3, (bundle) => {
+		const hash = await fleet.approveVersion(3, (bundle) => {
 			const target = bundle.targets.find((row) => row.name === engine?.name)
 			if (target) target.leaving = true
 		})
--- a/internal/demo/src/lib/requests.test.ts
+++ b/internal/demo/src/lib/requests.test.ts
@@ -10,7 +10,6 @@
 	runsOf,
 	send,
 	setTargetFaults,
-	sleep,
 } from './testFleet.js'
 
 /** Bad input, bad targets and impatient callers, on real processes. */
@@ -138,10 +137,10 @@
 	it('finish their streams in a planned stop, which exits with 0', async () => {
 		const router = fleet.routers[1]
 		if (!router) throw new Error('no second router')
-		const streaming = send(router.url)
-		await sleep(60)
-		router.process.child.kill('SIGTERM')
-		const reply = await streaming
+		// The stop comes once the first bytes have: a timer would race with a busy machine.
+		const reply = await send(router.url, {
+			onText: () => router.process.child.kill('SIGTERM'),
+		})
 		expect(isWhole(reply)).toBe(true)
 		expect(await router.process.exited).toBe(0)
 	})
--- a/internal/soak/src/lib/SimBox.ts
+++ b/internal/soak/src/lib/SimBox.ts
@@ -53,7 +53,7 @@
 			zone: this.zone,
 			incarnation: this.incarnationName(),
 			address: this.address,
-			timing: DEFAULT_TIMING,
+			timing: { ...DEFAULT_TIMING, ...this.world.options.timing },
 		}
 		this.core = new RouterCore(self, () => this.world.random.next(), {
 			protections: this.protections,
--- a/internal/soak/src/lib/World.test.ts
+++ b/internal/soak/src/lib/World.test.ts
@@ -1,6 +1,5 @@
-import { ALL_PROTECTIONS } from '@stallwing/core'
 import { describe, expect, it } from 'vitest'
-import { SAFETY_PROTECTIONS } from './safetyProtections.js'
+import { SAFETY_PROTECTIONS, worldWithout } from './safetyProtections.js'
 import { World, type WorldOptions } from './World.js'
 
 function runSeeds(first: number, count: number, options: Partial<WorldOptions> = {}): void {
@@ -54,7 +53,6 @@
 
 describe('each protection is needed', () => {
 	it.each(SAFETY_PROTECTIONS)('without %s a promise breaks', (name) => {
-		const protections = { ...ALL_PROTECTIONS, [name]: false }
-		expect(() => runSeeds(1, 80, { protections })).toThrow()
+		expect(() => runSeeds(1, 80, worldWithout(name))).toThrow()
 	})
 })
--- a/internal/soak/src/lib/World.ts
+++ b/internal/soak/src/lib/World.ts
@@ -10,6 +10,7 @@
 	type Protections,
 	type RequestId,
 	type TargetName,
+	type Timing,
 	type ZoneName,
 } from '@stallwing/core'
 import { KvStore } from '@stallwing/standins'
@@ -35,6 +36,8 @@
 	/** Prepaid amount of each budget. */
 	readonly prepaid: number
 	readonly policy: Partial<Bundle['policy']>
+	/** Periods that differ from the default ones. */
+	readonly timing: Partial<Timing>
 	/** Client accounts, each with a budget of its own. */
 	readonly accounts: number
 }
@@ -50,6 +53,7 @@
 	faults: true,
 	prepaid: 20_000,
 	policy: {},
+	timing: {},
 	accounts: 2,
 }
 
--- a/internal/soak/src/lib/safetyProtections.ts
+++ b/internal/soak/src/lib/safetyProtections.ts
@@ -1,4 +1,5 @@
-import type { Protections } from '@stallwing/core'
+import { ALL_PROTECTIONS, type Protections } from '@stallwing/core'
+import type { WorldOptions } from './World.js'
 
 /**
  * Protections whose absence must be noticed. Transfers and recall are not among them: they serve
@@ -13,3 +14,13 @@
 	'witnessedBills',
 	'fencing',
 ]
+
+/** Counters reach the ledger sooner, so that a bill may get there before the witness has it. */
+const QUICK_COUNTERS_MS = 1_000
+
+/** A world without one protection. */
+export function worldWithout(name: keyof Protections): Partial<WorldOptions> {
+	const protections = { ...ALL_PROTECTIONS, [name]: false }
+	const timing = name === 'witnessedBills' ? { counters: QUICK_COUNTERS_MS } : {}
+	return { protections, timing }
+}
--- a/internal/soak/src/mutations.ts
+++ b/internal/soak/src/mutations.ts
@@ -3,15 +3,14 @@
  * `npm run mutations -- [--most N]`. Exits with 1 where one goes unnoticed.
  */
 import { parseArgs } from 'node:util'
-import { ALL_PROTECTIONS, type Protections } from '@stallwing/core'
-import { SAFETY_PROTECTIONS } from './lib/safetyProtections.js'
-import { World } from './lib/World.js'
+import { SAFETY_PROTECTIONS, worldWithout } from './lib/safetyProtections.js'
+import { World, type WorldOptions } from './lib/World.js'
 
 const { values } = parseArgs({ options: { most: { type: 'string', default: '400' } } })
 
 let unnoticed = 0
 for (const name of SAFETY_PROTECTIONS) {
-	const found = firstFailure({ ...ALL_PROTECTIONS, [name]: false })
+	const found = firstFailure(worldWithout(name))
 	if (!found) unnoticed++
 	process.stdout.write(`without ${name}: ${found ?? `not noticed in ${values.most} seeds`}\n`)
 }
@@ -20,10 +19,10 @@
 )
 process.exitCode = unnoticed > 0 ? 1 : 0
 
-function firstFailure(protections: Protections): string | undefined {
+function firstFailure(options: Partial<WorldOptions>): string | undefined {
 	for (let seed = 1; seed <= Number(values.most); seed++) {
 		try {
-			new World({ seed, protections }).run()
+			new World({ seed, ...options }).run()
 		} catch (error) {
 			return error instanceof Error ? error.message : String(error)
 		}
--- a/packages/core/src/lib/controllers/MoneyController.ts
+++ b/packages/core/src/lib/controllers/MoneyController.ts
@@ -5,6 +5,8 @@
 import { DEFAULT_POLICY, type PolicyRecord } from '../bundle/Bundle.js'
 import { assertInvariant } from '../InvariantBreach.js'
 import type { SliceCounters } from '../money/SliceLedger.js'
+import { TransferRounds } from '../money/TransferRounds.js'
+import type { Member } from '../membership/ZoneView.js'
 import type { MoneySection } from '../router/Blackboard.js'
 import type { CoreContext } from '../router/CoreContext.js'
 import type { AskRow, GrantRow, PeerMessage, RecallRow } from '../router/PeerMessage.js'
@@ -28,7 +30,6 @@
 const ASK_PERIOD_MS: Millis = 200
 /** An ask for the horizon that was not met is not repeated sooner. */
 const SOFT_ASK_PERIOD_MS: Millis = 2 * SECOND_MS
-const TRANSFER_TIMEOUT_MS: Millis = 300
 /** A slice below this share of its horizon is filled up. */
 const LOW_WATER_SHARE = 0.5
 /** Requests of the same size that a watermark covers beyond the one that asks. */
@@ -41,12 +42,6 @@
 	since: Millis
 }
 
-interface TransferRound {
-	waitingFor: BoxName | undefined
-	askedAt: Millis
-	left: BoxName[]
-}
-
 interface OwedTransfer {
 	readonly to: BoxName
 	readonly incarnation: Incarnation
@@ -58,7 +53,7 @@
 /** This box's slices: reserving and billing, asking the keeper, moving money to neighbours. */
 export class MoneyController {
 	private readonly shortages = new Map<BudgetName, Shortage>()
-	private readonly rounds = new Map<BudgetName, TransferRound>()
+	private readonly rounds: TransferRounds
 	private readonly exhaustedUntil = new Map<BudgetName, Millis>()
 	/** Bills that the witness knows of: only these may go into the zone ledger. */
 	private readonly safeBilled = new Map<BudgetName, Amount>()
@@ -80,7 +75,9 @@
 		private readonly context: CoreContext,
 		private readonly section: MoneySection,
 		private readonly protections: MoneyProtections,
-	) {}
+	) {
+		this.rounds = new TransferRounds(context)
+	}
 
 	/** Takes the worst case of a request out of the slice. False where it is too small. */
 	reserve(budget: BudgetName, amount: Amount): boolean {
@@ -225,8 +222,7 @@
 			this.log.touch(budget)
 			this.context.log('transfer-received', { budget, from, amount: fresh })
 		}
-		const round = this.rounds.get(budget)
-		if (round && round.waitingFor === from) round.waitingFor = undefined
+		this.rounds.onAnswer(budget, from)
 	}
 
 	private noteDry(budget: BudgetName, dry: boolean): void {
@@ -328,7 +324,7 @@
 
 	private clearShortage(budget: BudgetName): void {
 		this.shortages.delete(budget)
-		this.rounds.delete(budget)
+		this.rounds.end(budget)
 	}
 
 	private sendOwed(): void {
@@ -355,10 +351,22 @@
 		for (const [budget, short] of this.shortages) {
 			if (this.section.ledger.available(budget) >= short.amount) continue
 			if (this.isExhausted(budget) || this.keeperMayHelp(budget, short)) continue
-			this.transferRound(budget, short)
+			const amount = short.amount - this.section.ledger.available(budget)
+			if (!this.rounds.step(budget, amount, this.neighbours())) this.callExhausted(budget)
 		}
 	}
 
+	private neighbours(): readonly Member[] {
+		if (!this.protections.transfers) return []
+		const { members } = this.context.board.members.view
+		return members.filter((member) => member.box !== this.context.self.box)
+	}
+
+	private callExhausted(budget: BudgetName): void {
+		this.exhaustedUntil.set(budget, this.context.now + DRY_FOR_MS)
+		this.rounds.end(budget)
+	}
+
 	private keeperMayHelp(budget: BudgetName, short: Shortage): boolean {
 		const { platformUp } = this.context.board.members
 		const dry = (this.section.dryUntil.get(budget) ?? 0) > this.context.now
@@ -366,36 +374,6 @@
 		return platformUp && !dry && patient
 	}
 
-	private transferRound(budget: BudgetName, short: Shortage): void {
-		const round = this.rounds.get(budget) ?? this.beginRound(budget)
-		const waiting = round.waitingFor !== undefined
-		if (waiting && this.context.now - round.askedAt < TRANSFER_TIMEOUT_MS) return
-		const next = round.left.shift()
-		round.waitingFor = next
-		if (next === undefined) {
-			this.exhaustedUntil.set(budget, this.context.now + DRY_FOR_MS)
-			this.rounds.delete(budget)
-			return
-		}
-		round.askedAt = this.context.now
-		const to = this.context.board.members.view.members.find((member) => member.box === next)
-		const amount = short.amount - this.section.ledger.available(budget)
-		const { incarnation } = this.context.self
-		if (to) this.context.send(to, { kind: 'transfer-ask', incarnation, budget, amount })
-	}
-
-	private beginRound(budget: BudgetName): TransferRound {
-		const members = this.protections.transfers ? this.context.board.members.view.members : []
-		const others = members
-			.map((member) => member.box)
-			.filter((box) => box !== this.context.self.box)
-		const start = Math.floor(this.context.random() * Math.max(1, others.length))
-		const left = [...others.slice(start), ...others.slice(0, start)]
-		const round: TransferRound = { waitingFor: undefined, askedAt: 0, left }
-		this.rounds.set(budget, round)
-		return round
-	}
-
 	private covers(budget: BudgetName, committed: Amount): boolean {
 		if (!this.protections.watermark || this.log.isAlone()) return true
 		const { ledger } = this.section
