--- a/internal/soak/src/lib/World.test.ts
+++ b/internal/soak/src/lib/World.test.ts
@@ -53,6 +53,6 @@
 
 describe('each protection is needed', () => {
 	it.each(SAFETY_PROTECTIONS)('without %s a promise breaks', (name) => {
-		expect(() => runSeeds(1, 80, worldWithout(name))).toThrow()
+		expect(() => runSeeds(1, 200, worldWithout(name))).toThrow()
 	})
 })
--- a/internal/soak/src/lib/safetyProtections.ts
+++ b/internal/soak/src/lib/safetyProtections.ts
@@ -18,9 +18,11 @@
 /** Counters reach the ledger sooner, so that a bill may get there before the witness has it. */
 const QUICK_COUNTERS_MS = 1_000
 
-/** A world without one protection. */
+/** A world without one protection, of a shape in which its fault comes up often. */
 export function worldWithout(name: keyof Protections): Partial<WorldOptions> {
 	const protections = { ...ALL_PROTECTIONS, [name]: false }
-	const timing = name === 'witnessedBills' ? { counters: QUICK_COUNTERS_MS } : {}
-	return { protections, timing }
+	if (name === 'witnessedBills') return { protections, timing: { counters: QUICK_COUNTERS_MS } }
+	// A box without a witness takes all records with it.
+	if (name === 'forgotten') return { protections, boxesPerZone: 1 }
+	return { protections }
 }
--- a/packages/core/src/lib/Refusal.ts
+++ b/packages/core/src/lib/Refusal.ts
@@ -21,10 +21,8 @@
 	| 'witness-unreachable'
 	| 'outcome-unknown'
 	| 'target-failed'
-	| 'target-timeout'
 	| 'caller-gone'
 	| 'box-fenced'
-	| 'held-unavailable'
 	| 'internal'
 
 /** A final answer other than the target's own. @public */
@@ -54,10 +52,8 @@
 	'witness-unreachable': 503,
 	'outcome-unknown': 502,
 	'target-failed': 502,
-	'target-timeout': 504,
 	'caller-gone': 499,
 	'box-fenced': 503,
-	'held-unavailable': 503,
 	internal: 500,
 }
 
--- a/packages/core/src/lib/controllers/MembershipController.ts
+++ b/packages/core/src/lib/controllers/MembershipController.ts
@@ -72,6 +72,11 @@
 		this.heartbeatAt = -Infinity
 	}
 
+	/** Tells the zone at the next tick, not at the next heartbeat, what is new here. */
+	announce(): void {
+		this.heartbeatAt = -Infinity
+	}
+
 	/** Gives the lease up, so that another box takes over at once. */
 	resign(): void {
 		if (!this.lease) return
--- a/packages/core/src/lib/router/RouterCore.ts
+++ b/packages/core/src/lib/router/RouterCore.ts
@@ -10,6 +10,7 @@
 import type { WitnessCopy } from '../identity/WitnessCopy.js'
 import { InvariantBreach } from '../InvariantBreach.js'
 import type { ZoneView } from '../membership/ZoneView.js'
+import { maybeRun } from '../Refusal.js'
 import { ALL_REQUEST_PROTECTIONS, type RequestProtections } from '../requests/RunAdvancer.js'
 import { RunStore } from '../requests/RunStore.js'
 import { DEFAULT_PICK_OPTIONS, type PickOptions } from '../routing/pickTarget.js'
@@ -131,10 +132,19 @@
 		} catch (error) {
 			if (!(error instanceof InvariantBreach) || this.options.throwOnBreach) throw error
 			this.context.log('invariant-breach', { ...error.facts, invariant: error.invariant })
+			this.refuseBroken(event)
 		}
 		return this.context.drain()
 	}
 
+	/** A request whose handling would have broken an invariant is answered, and not called not run. */
+	private refuseBroken(event: CoreEvent): void {
+		if (event.kind !== 'request') return
+		const { callId } = event.request
+		const refusal = maybeRun('internal', 'an invariant would have been broken')
+		this.context.emit({ kind: 'refuse', callId, refusal })
+	}
+
 	private makeMembership(board: Blackboard): MembershipController {
 		return new MembershipController(this.context, board.members, board.roles, {
 			onView: (before, after) => this.onView(before, after),
@@ -152,7 +162,9 @@
 				this.tick()
 				return
 			case 'bundle':
-				if (this.config.take(event.bundle)) this.targets.tick()
+				if (!this.config.take(event.bundle)) return
+				this.targets.tick()
+				this.membership.announce()
 				return
 			case 'request':
 				this.requests.onRequest(event.request)
