Targets that the platform's list calls leaving get no new work

Cause: the event for it was there and nobody sent it. Change: the keeper reads the list each second and tells its zone with the digests; a test on real processes.

--- a/internal/demo/src/lib/operations.test.ts
+++ b/internal/demo/src/lib/operations.test.ts
@@ -1,7 +1,16 @@
 import { writeFileSync } from 'node:fs'
 import { afterAll, beforeAll, describe, expect, it } from 'vitest'
 import { DemoFleet, type DemoBundle, type FleetRouter } from './DemoFleet.js'
-import { budgets, isWhole, runsOf, send, sleep, statusOf, type Reply } from './testFleet.js'
+import {
+	budgets,
+	eventually,
+	isWhole,
+	runsOf,
+	send,
+	sleep,
+	statusOf,
+	type Reply,
+} from './testFleet.js'
 
 /** Configuration, leaving targets and rolling restarts on real processes. */
 
@@ -70,6 +79,32 @@
 	})
 })
 
+describe('the list of the platform', () => {
+	it('gives a target that it calls leaving no new work', async () => {
+		const engine = fleet.targets.findLast((target) => target.kind === 'engine')
+		const { name, zone, url } = engine ?? { name: '', zone: '', url: '' }
+		const list = (leaving: boolean) =>
+			fetch(`${fleet.platform.url}/standin/boxes`, {
+				method: 'POST',
+				body: JSON.stringify([{ name, zone, leaving }]),
+			})
+		const isLeaving = async (): Promise<boolean> => {
+			const statuses = await Promise.all(fleet.routers.map(statusOf))
+			return statuses.every((status) => {
+				const targets = status.targets as { target: string; leaving: boolean }[]
+				return targets.some((row) => row.target === name && row.leaving)
+			})
+		}
+		await list(true)
+		await eventually('every router knows', isLeaving)
+		const before = await runsAt(url)
+		for (let i = 0; i < 6; i++) await send(fleet.routers[i % 2]?.url ?? '')
+		expect(await runsAt(url)).toBe(before)
+		await list(false)
+		await eventually('it is back', async () => !(await isLeaving()))
+	})
+})
+
 async function runsAt(url: string): Promise<number> {
 	const runs = (await (await fetch(`${url}/standin/runs`)).json()) as Record<string, number>
 	return Object.keys(runs).length
--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -137,7 +137,6 @@
 	type AttemptOutcome,
 	type LoadReport,
 	type CoreEvent,
-	type Charge,
 } from './lib/router/CoreEvent.js'
 export { type LogEventName, type LogEvent, type LogValue } from './lib/router/LogEvent.js'
 export {
--- a/packages/core/src/lib/controllers/KeeperController.ts
+++ b/packages/core/src/lib/controllers/KeeperController.ts
@@ -85,11 +85,6 @@
 		if (!open && to) this.context.send(to, { kind: 'confess-ack', incarnation })
 	}
 
-	/** An operator states that the machine of an incarnation is gone. */
-	release(box: BoxName, incarnation: Incarnation): void {
-		for (const shard of this.shards.values()) shard.release(box, incarnation)
-	}
-
 	private shardOf(budget: BudgetName): ShardKeeper | undefined {
 		const index = this.context.board.config.index
 		if (!this.context.board.roles.keeper || !index?.budget(budget)) return undefined
--- a/packages/core/src/lib/money/LedgerSteps.ts
+++ b/packages/core/src/lib/money/LedgerSteps.ts
@@ -96,19 +96,6 @@
 		draft.lines.push({ name: 'doubt-released', fields })
 	}
 
-	/** An operator stated that the machine of an incarnation is gone. */
-	release(draft: LedgerDraft, key: string): void {
-		draft.seal(key)
-		for (const name of draft.names()) {
-			if (!draft.peek(name)?.entries[key]) continue
-			const budget = draft.budget(name)
-			doubtEntry(budget, key)
-			const amount = releaseEntry(budget, key)
-			const fields = { budget: name, entry: key, amount, by: 'operator' }
-			draft.lines.push({ name: 'doubt-released', fields })
-		}
-	}
-
 	/** Shows the slices of incarnations that are no members as in doubt. */
 	doubtLost(draft: LedgerDraft): void {
 		const { members } = this.context.board.members.view
--- a/packages/core/src/lib/money/ShardKeeper.ts
+++ b/packages/core/src/lib/money/ShardKeeper.ts
@@ -77,7 +77,6 @@
 	private readonly asks = new Map<string, KeeperAsk>()
 	private readonly testimonies = new Map<string, KeeperTestimony>()
 	private readonly confessions = new Map<string, KeeperConfession>()
-	private readonly releases = new Set<string>()
 	private readonly shortfalls = new Map<BudgetName, Shortfall>()
 	/** Budgets of which another zone lacks money. */
 	private lacking: BudgetName[] = []
@@ -104,10 +103,6 @@
 		this.confessions.set(`${entryKey(row.box, row.incarnation)}/${row.budget}`, row)
 	}
 
-	release(box: BoxName, incarnation: Incarnation): void {
-		this.releases.add(entryKey(box, incarnation))
-	}
-
 	hasTestimony(): boolean {
 		return this.testimonies.size > 0
 	}
@@ -127,7 +122,7 @@
 
 	private hasWork(): boolean {
 		if (this.asks.size + this.testimonies.size + this.confessions.size > 0) return true
-		if (this.releases.size + this.shortfalls.size + this.lacking.length > 0) return true
+		if (this.shortfalls.size + this.lacking.length > 0) return true
 		if (!this.ledger || !this.shard) return this.context.now - this.polledAt >= SHARD_REPORT_MS
 		if (this.pollIsDue() || this.bundleIsNew()) return true
 		if (this.context.board.members.view.number !== this.viewSeen) return true
@@ -158,7 +153,7 @@
 
 	/** True where a request, a testimony or a stopping box waits for the next write. */
 	private isUrgent(): boolean {
-		if (this.testimonies.size + this.confessions.size + this.releases.size > 0) return true
+		if (this.testimonies.size + this.confessions.size > 0) return true
 		for (const ask of this.asks.values()) if (ask.need > 0 || this.isLeaving(ask)) return true
 		for (const short of this.shortfalls.values()) if (short.need > 0) return true
 		return this.lacking.length > 0
@@ -287,7 +282,6 @@
 		const asks = [...this.asks.values()]
 		const testimonies = [...this.testimonies.entries()]
 		const confessions = [...this.confessions.entries()]
-		const releases = [...this.releases]
 		const urgent = this.isUrgent()
 		const viewSeen = this.context.board.members.view.number
 		this.steps.noteAllotments(draft, this.shard.value)
@@ -296,7 +290,6 @@
 			testimonies.map(([, row]) => row),
 		)
 		for (const [, row] of confessions) this.steps.confess(draft, row)
-		for (const key of releases) this.steps.release(draft, key)
 		if (viewSeen !== this.viewSeen) this.steps.doubtLost(draft)
 		const rows = asks.map((ask) => this.applyAsk(draft, ask))
 		this.giveToOtherZones(draft)
@@ -305,7 +298,6 @@
 			for (const { name, fields } of draft.lines) this.context.log(name, fields)
 			for (const [key, row] of testimonies) dropSame(this.testimonies, key, row)
 			for (const [key, row] of confessions) this.endConfession(key, row)
-			for (const key of releases) this.releases.delete(key)
 			asks.forEach((ask, i) => this.answer(ask, rows[i]))
 		}
 		const value = draft.finish(this.context.board.members.view.number)
--- a/packages/core/src/lib/router/CoreEvent.ts
+++ b/packages/core/src/lib/router/CoreEvent.ts
@@ -1,7 +1,7 @@
 import type { Bundle, Priority } from '../bundle/Bundle.js'
 import type { AccountName, BoxName, BudgetName, CallId, RequestId, TargetName } from '../ids.js'
 import type { OpId, PlatformResult } from '../platform/PlatformOp.js'
-import type { Amount, Millis } from '../units.js'
+import type { Millis } from '../units.js'
 import type { PeerMessage } from './PeerMessage.js'
 
 /** A caller's request, read and hashed by the shell. @public */
@@ -91,14 +91,3 @@
 	| { readonly kind: 'load'; readonly reports: readonly LoadReport[] }
 	| { readonly kind: 'leaving-targets'; readonly targets: readonly TargetName[] }
 	| { readonly kind: 'stop' }
-	| {
-			readonly kind: 'operator-release'
-			readonly box: BoxName
-			readonly incarnation: string
-	  }
-
-/** A request's charge, worst case or true. @public */
-export interface Charge {
-	readonly budget: BudgetName
-	readonly amount: Amount
-}
--- a/packages/core/src/lib/router/RouterCore.ts
+++ b/packages/core/src/lib/router/RouterCore.ts
@@ -6,7 +6,7 @@
 import { RequestController } from '../controllers/RequestController.js'
 import { TargetController } from '../controllers/TargetController.js'
 import { exhaustive } from '../exhaustive.js'
-import type { BoxName, Incarnation } from '../ids.js'
+import type { BoxName } from '../ids.js'
 import type { WitnessCopy } from '../identity/WitnessCopy.js'
 import { InvariantBreach } from '../InvariantBreach.js'
 import type { ZoneView } from '../membership/ZoneView.js'
@@ -197,9 +197,6 @@
 				this.membership.stop()
 				this.context.log('stop-begun', {})
 				return
-			case 'operator-release':
-				this.keeper.release(event.box, event.incarnation as Incarnation)
-				return
 			default:
 				exhaustive(event)
 		}
--- a/packages/platform/src/lib/PlatformClient.ts
+++ b/packages/platform/src/lib/PlatformClient.ts
@@ -47,6 +47,18 @@
 		throw new PlatformUnavailable(key)
 	}
 
+	/** Names that the platform's lagging list calls leaving; undefined without an answer. */
+	async leavingNames(): Promise<string[] | undefined> {
+		try {
+			const { status, body } = await this.send('GET', '/v1/boxes')
+			if (status !== 200) return undefined
+			const rows = body.boxes as readonly { name: string; leaving: boolean }[]
+			return rows.filter((row) => row.leaving).map((row) => row.name)
+		} catch {
+			return undefined
+		}
+	}
+
 	async close(): Promise<void> {
 		await this.agent.destroy()
 	}
--- a/packages/router/src/lib/RouterDaemon.ts
+++ b/packages/router/src/lib/RouterDaemon.ts
@@ -4,6 +4,7 @@
 	brandId,
 	exhaustive,
 	type BoxConfig,
+	type BundleIndex,
 	type BoxName,
 	type CallId,
 	type Confession,
@@ -11,6 +12,7 @@
 	type CoreEvent,
 	type Incarnation,
 	type RequestId,
+	type TargetName,
 	type ZoneName,
 } from '@stallwing/core'
 import { PlatformClient } from '@stallwing/platform'
@@ -370,6 +372,16 @@
 		const index = this.core?.board.config.index
 		if (!index || !this.core?.board.roles.keeper) return
 		void this.poller.poll(index.targetsOf(brandId<ZoneName>(this.settings.zone)))
+		void this.readList(index)
+	}
+
+	/** Tells the core which targets the platform's list calls leaving. */
+	private async readList(index: BundleIndex): Promise<void> {
+		const names = await this.platform.leavingNames()
+		if (!names) return
+		const targets = names.map((name) => brandId<TargetName>(name))
+		const known = targets.filter((name) => index.target(name) !== undefined)
+		this.take({ kind: 'leaving-targets', targets: known })
 	}
 
 	private gauges(): Record<string, number> {
