--- a/internal/soak/src/lib/Faults.ts
+++ b/internal/soak/src/lib/Faults.ts
@@ -85,7 +85,8 @@
 	}
 
 	private show(): void {
-		const { random, queue, world } = { ...this.world, world: this.world }
+		const { world } = this
+		const { random, queue } = world
 		const span = random.chance(0.3) ? random.between(5_000, 25_000) : random.between(100, 4_000)
 		const box = random.pick(world.boxes)
 		switch (random.between(0, 8)) {
--- a/packages/core/src/lib/controllers/IdentityController.ts
+++ b/packages/core/src/lib/controllers/IdentityController.ts
@@ -11,6 +11,7 @@
 import { WitnessCopy } from '../identity/WitnessCopy.js'
 import type { BoxName, RequestId } from '../ids.js'
 import {
+	findMember,
 	hasIncarnation,
 	lastMembersBefore,
 	membersAt,
@@ -137,7 +138,7 @@
 	onLog(from: BoxName, message: Extract<PeerMessage, { kind: 'log' }>): void {
 		const { batch } = message
 		const view = this.context.board.members.view
-		const sender = view.members.find((member) => member.box === from)
+		const sender = findMember(view.members, from)
 		const isMember = hasIncarnation(view.members, batch.box, batch.incarnation)
 		if (!isMember && batch.view < view.number) {
 			const address = sender?.address ?? ''
@@ -191,8 +192,8 @@
 		const { members } = this.context.board.members.view
 		while (this.owedAcks[0] && this.log.isSafe(this.owedAcks[0].ticket)) {
 			const owed = this.owedAcks.shift()
-			const to = members.find((member) => member.box === owed?.to)
-			if (!owed || !to) continue
+			const to = owed && findMember(members, owed.to)
+			if (!to) continue
 			this.context.send(to, { kind: 'handoff-ack', view: owed.view, source: owed.source })
 		}
 	}
--- a/packages/core/src/lib/controllers/KeeperController.ts
+++ b/packages/core/src/lib/controllers/KeeperController.ts
@@ -2,7 +2,7 @@
 import { RateBudget } from '../money/RateBudget.js'
 import type { KeeperAsk } from '../money/LedgerSteps.js'
 import { ShardKeeper, pollPeriodFor } from '../money/ShardKeeper.js'
-import type { Member } from '../membership/ZoneView.js'
+import { findMember, type Member } from '../membership/ZoneView.js'
 import type { CoreContext } from '../router/CoreContext.js'
 import type { GrantRow, PeerMessage } from '../router/PeerMessage.js'
 import { SECOND_MS, type Amount, type Millis } from '../units.js'
@@ -151,6 +151,6 @@
 	}
 
 	private memberOf(box: BoxName): Member | undefined {
-		return this.context.board.members.view.members.find((member) => member.box === box)
+		return findMember(this.context.board.members.view.members, box)
 	}
 }
--- a/packages/core/src/lib/controllers/MoneyController.ts
+++ b/packages/core/src/lib/controllers/MoneyController.ts
@@ -6,7 +6,7 @@
 import { assertInvariant } from '../InvariantBreach.js'
 import type { SliceCounters } from '../money/SliceLedger.js'
 import { TransferRounds } from '../money/TransferRounds.js'
-import type { Member } from '../membership/ZoneView.js'
+import { findMember, type Member } from '../membership/ZoneView.js'
 import type { MoneySection } from '../router/Blackboard.js'
 import type { CoreContext } from '../router/CoreContext.js'
 import type { AskRow, GrantRow, PeerMessage, RecallRow } from '../router/PeerMessage.js'
@@ -118,12 +118,12 @@
 		return this.log.raiseWatermark(budget, ledger.drawn(budget) + room)
 	}
 
-	/** Ends a reservation with its true charge. Returns the log ticket of the new counters. */
-	settle(budget: BudgetName, reserved: Amount, charge: Amount, committed: boolean): Ticket {
+	/** Ends a reservation with its true charge. */
+	settle(budget: BudgetName, reserved: Amount, charge: Amount, committed: boolean): void {
 		if (committed) this.committed.set(budget, (this.committed.get(budget) ?? 0) - reserved)
 		this.section.ledger.settle(budget, reserved, charge)
 		this.dirty.add(budget)
-		return this.log.touch(budget)
+		this.log.touch(budget)
 	}
 
 	/** True where neither keeper nor neighbours have money for a request of this size. */
@@ -331,8 +331,8 @@
 		const { members } = this.context.board.members.view
 		while (this.owed[0] && this.log.isSafe(this.owed[0].ticket)) {
 			const owed = this.owed.shift()
-			const to = members.find((member) => member.box === owed?.to)
-			if (!owed || !to) continue
+			const to = owed && findMember(members, owed.to)
+			if (!to) continue
 			const { budget, cumulative } = owed
 			const { incarnation } = this.context.self
 			this.context.send(to, {
--- a/packages/core/src/lib/controllers/RequestController.ts
+++ b/packages/core/src/lib/controllers/RequestController.ts
@@ -10,6 +10,7 @@
 import { RunAdvancer, type RunParts } from '../requests/RunAdvancer.js'
 import { RunFinisher } from '../requests/RunFinisher.js'
 import type { RunStore } from '../requests/RunStore.js'
+import { isSettled } from '../router/Blackboard.js'
 import type { CoreContext } from '../router/CoreContext.js'
 import type { AttemptOutcome, CallerRequest, CoreEvent } from '../router/CoreEvent.js'
 import { SECOND_MS, type Millis } from '../units.js'
@@ -141,11 +142,8 @@
 
 	/** True while records of keys of this zone may still be on their way to this box. */
 	private isUnsettled(key: string, priced: PricedRequest): boolean {
-		const { members, identity } = this.context.board
-		if (this.homeZone(key, priced) !== this.context.self.zone) return false
-		const { box, incarnation } = this.context.self
-		const member = hasIncarnation(members.view.members, box, incarnation)
-		return !member || !identity.settled
+		const { board, self } = this.context
+		return this.homeZone(key, priced) === self.zone && !isSettled(board, self)
 	}
 
 	private placeParked(): void {
--- a/packages/core/src/lib/identity/LogSender.ts
+++ b/packages/core/src/lib/identity/LogSender.ts
@@ -103,13 +103,13 @@
 		return this.issued
 	}
 
-	/** Says whether a change is safe: acknowledged, or not in need of it. */
+	/** Says whether a change is safe: acknowledged by the witness, or confirmed by the platform. */
 	isSafe(ticket: Ticket): boolean {
 		if (this.view === 0) return false
 		return ticket <= this.acked
 	}
 
-	/** True where the witness holds a snapshot of this view. */
+	/** True where this view has been acknowledged once, and so its snapshot. */
 	isSynced(): boolean {
 		return this.synced
 	}
--- a/packages/core/src/lib/requests/RunAdvancer.ts
+++ b/packages/core/src/lib/requests/RunAdvancer.ts
@@ -5,7 +5,7 @@
 import type { IdentityState } from '../identity/IdentityRecord.js'
 import { assertInvariant } from '../InvariantBreach.js'
 import { maybeRun, notRun, type RefusalType } from '../Refusal.js'
-import { isMember } from '../router/Blackboard.js'
+import { isSettled } from '../router/Blackboard.js'
 import type { CoreContext } from '../router/CoreContext.js'
 import { SECOND_MS, type Amount, type Millis } from '../units.js'
 import type { Run, WaitReason } from './Run.js'
@@ -86,12 +86,17 @@
 		this.parts.store.fail(run, refusal(type, message, retryAfterMs))
 	}
 
-	/** Frees what a run holds: its reservation and its slot at a target. */
-	release(run: Run): void {
-		const { money, targets } = this.parts
-		if (run.reserved) money.settle(run.budget, run.worst, 0, run.committed)
+	/** Ends the reservation of a run with its charge; the rest is free at once. */
+	settle(run: Run, charge: Amount): void {
+		this.parts.money.settle(run.budget, run.worst, charge, run.committed)
 		run.reserved = false
 		run.committed = false
+	}
+
+	/** Frees what a run holds: its reservation and its slot at a target. */
+	release(run: Run): void {
+		const { targets } = this.parts
+		if (run.reserved) this.settle(run, 0)
 		if (run.target !== undefined && run.stage === 'admitting') {
 			if (!run.mayHaveRun && run.ticket > 0) this.record(run, 'void', run.priorBilled)
 			targets.ended(run.target, false)
@@ -116,9 +121,7 @@
 
 	private hasView(run: Run): boolean {
 		const { context } = this.parts
-		const { box, incarnation } = context.self
-		const { identity } = context.board
-		if (identity.settled && isMember(context.board, box, incarnation)) return true
+		if (isSettled(context.board, context.self)) return true
 		this.wait(run, 'view')
 		if (this.waited(run) > context.self.timing.securityWait)
 			this.refuse(run, 'not-ready', 'the zone is changing its members', COME_BACK_MS)
@@ -244,7 +247,7 @@
 	/** The largest request of each budget that waits for money. */
 	private shortages(): Map<BudgetName, Amount> {
 		const needs = new Map<BudgetName, Amount>()
-		for (const run of this.parts.store.queue.ordered(this.parts.store.running)) {
+		for (const run of this.parts.store.queue.runs()) {
 			if (run.waitingFor !== 'money' || run.reserved) continue
 			needs.set(run.budget, Math.max(run.worst, needs.get(run.budget) ?? 0))
 		}
--- a/packages/core/src/lib/requests/RunFinisher.ts
+++ b/packages/core/src/lib/requests/RunFinisher.ts
@@ -2,7 +2,7 @@
 import { assertInvariant } from '../InvariantBreach.js'
 import { maybeRun, notRun, type Refusal } from '../Refusal.js'
 import type { AttemptOutcome } from '../router/CoreEvent.js'
-import { SECOND_MS, type Amount, type Millis } from '../units.js'
+import { SECOND_MS, type Millis } from '../units.js'
 import { chargeOf } from './readRequest.js'
 import type { Run } from './Run.js'
 import type { RunAdvancer, RunParts } from './RunAdvancer.js'
@@ -78,7 +78,7 @@
 	}
 
 	private bill(run: Run, inputTokens: number, outputTokens: number): void {
-		const { context, money, identity } = this.parts
+		const { context, identity } = this.parts
 		const tokens = { input: inputTokens, output: outputTokens }
 		const full = chargeOf(context.board.config.index, run.work, tokens, run.worst)
 		const charge = Math.max(0, full - run.priorBilled)
@@ -88,9 +88,7 @@
 			billedBefore,
 		})
 		run.charge = charge
-		money.settle(run.budget, run.worst, charge, run.committed)
-		run.reserved = false
-		run.committed = false
+		this.advancer.settle(run, charge)
 		run.ticket = this.advancer.record(run, 'billed', run.priorBilled + charge)
 		context.log('request-billed', { request: run.id, budget: run.budget, amount: charge })
 	}
@@ -147,13 +145,7 @@
 	}
 
 	private giveUp(run: Run, refusal: Refusal): void {
-		if (run.reserved) this.freeMoney(run, 0)
+		if (run.reserved) this.advancer.settle(run, 0)
 		this.parts.store.fail(run, refusal)
 	}
-
-	private freeMoney(run: Run, charge: Amount): void {
-		this.parts.money.settle(run.budget, run.worst, charge, run.committed)
-		run.reserved = false
-		run.committed = false
-	}
 }
--- a/packages/core/src/lib/requests/RunQueue.ts
+++ b/packages/core/src/lib/requests/RunQueue.ts
@@ -41,6 +41,11 @@
 		return this.waiting.size === 0
 	}
 
+	/** Waiting runs in no particular order. */
+	runs(): Iterable<Run> {
+		return this.waiting.values()
+	}
+
 	/** Waiting runs in the order in which they may go on. */
 	ordered(running: ReadonlyMap<AccountName, number>): Run[] {
 		const runs = [...this.waiting.values()]
--- a/packages/core/src/lib/router/Blackboard.ts
+++ b/packages/core/src/lib/router/Blackboard.ts
@@ -6,6 +6,7 @@
 import type { TargetState } from '../routing/TargetState.js'
 import type { Amount, Millis } from '../units.js'
 import type { Run } from '../requests/Run.js'
+import type { BoxConfig } from './BoxConfig.js'
 import type { ZoneAddresses } from './PeerMessage.js'
 
 /** Configuration in force. Written by `ConfigController`. @public */
@@ -110,6 +111,11 @@
 	}
 }
 
+/** True where this box is a member and holds the records of all its keys. @public */
+export function isSettled(board: BlackboardView, self: BoxConfig): boolean {
+	return board.identity.settled && isMember(board, self.box, self.incarnation)
+}
+
 /** Says whether this box is a member of its zone's view. @public */
 export function isMember(board: BlackboardView, box: BoxName, incarnation: string): boolean {
 	return board.members.view.members.some(
--- a/packages/core/src/lib/router/RouterCore.ts
+++ b/packages/core/src/lib/router/RouterCore.ts
@@ -15,7 +15,7 @@
 import { RunStore } from '../requests/RunStore.js'
 import { DEFAULT_PICK_OPTIONS, type PickOptions } from '../routing/pickTarget.js'
 import type { Millis } from '../units.js'
-import { emptyBlackboard, isMember, type Blackboard, type BlackboardView } from './Blackboard.js'
+import { emptyBlackboard, isSettled, type Blackboard, type BlackboardView } from './Blackboard.js'
 import type { BoxConfig } from './BoxConfig.js'
 import type { CoreAction } from './CoreAction.js'
 import { CoreContext, type RandomSource } from './CoreContext.js'
@@ -115,10 +115,9 @@
 
 	/** True where callers may be sent here. */
 	isReady(): boolean {
-		const { box, incarnation } = this.context.self
-		const { config, members, identity } = this.board
-		const member = isMember(this.board, box, incarnation)
-		return config.index !== undefined && member && identity.settled && !members.stopping
+		const { config, members } = this.board
+		const settled = isSettled(this.board, this.context.self)
+		return config.index !== undefined && settled && !members.stopping
 	}
 
 	/** Takes one event; returns what the shell has to do. */
