--- a/apps/stallwing/src/lib/OperatorConfig.ts
+++ b/apps/stallwing/src/lib/OperatorConfig.ts
@@ -1,6 +1,6 @@
 import { existsSync, readFileSync } from 'node:fs'
 import { dirname, resolve } from 'node:path'
-import { describeFileFault, locateFault, parseJsonc, PlatformClient } from '@stallwing/platform'
+import { describeFileFault, locateFault, parseJsonc, PlatformClient } from '@stallwing/store'
 import * as E from 'fp-ts/lib/Either.js'
 import { z } from 'zod'
 import { CommandError, EXIT } from './CommandError.js'
--- a/apps/stallwing/src/lib/commands/budgetCommands.ts
+++ b/apps/stallwing/src/lib/commands/budgetCommands.ts
@@ -13,7 +13,7 @@
 	type Incarnation,
 	type ZoneLedgerValue,
 } from '@stallwing/core'
-import { BundleStore, checkAccepted, signHash, type PlatformClient } from '@stallwing/platform'
+import { BundleStore, checkAccepted, signHash, type PlatformClient } from '@stallwing/store'
 import type { Command } from 'commander'
 import * as E from 'fp-ts/lib/Either.js'
 import { CommandError, EXIT } from '../CommandError.js'
--- a/apps/stallwing/src/lib/commands/bundleCommands.ts
+++ b/apps/stallwing/src/lib/commands/bundleCommands.ts
@@ -11,8 +11,8 @@
 	signHash,
 	type BundleDocument,
 	type DocumentFault,
-	type StoreFault,
-} from '@stallwing/platform'
+	type BundleStoreFault,
+} from '@stallwing/store'
 import type { Command } from 'commander'
 import * as E from 'fp-ts/lib/Either.js'
 import { CommandError, EXIT } from '../CommandError.js'
@@ -151,14 +151,14 @@
 	throw new CommandError(EXIT.invalid, result.left.map((fault) => JSON.stringify(fault)).join('\n'))
 }
 
-function done<T>(result: E.Either<StoreFault, T>): T {
+function done<T>(result: E.Either<BundleStoreFault, T>): T {
 	if (E.isRight(result)) return result.right
 	const fault = result.left
 	const code = fault.kind === 'no-answer' ? EXIT.unavailable : EXIT.conflict
 	throw new CommandError(code, describeStoreFault(fault))
 }
 
-function describeStoreFault(fault: StoreFault): string {
+function describeStoreFault(fault: BundleStoreFault): string {
 	switch (fault.kind) {
 		case 'conflict':
 			return `conflict: version ${fault.head?.version ?? 0} is in force already`
--- a/apps/stallwing/src/lib/commands/operatorCommands.ts
+++ b/apps/stallwing/src/lib/commands/operatorCommands.ts
@@ -1,5 +1,5 @@
 import { existsSync, writeFileSync } from 'node:fs'
-import { makeOperatorKey } from '@stallwing/platform'
+import { makeOperatorKey } from '@stallwing/store'
 import type { Command } from 'commander'
 import { CommandError, EXIT } from '../CommandError.js'
 import { print } from '../print.js'
--- a/apps/stallwing/src/main.ts
+++ b/apps/stallwing/src/main.ts
@@ -1,5 +1,5 @@
 /** The `stallwing` command. */
-import { PlatformUnavailable } from '@stallwing/platform'
+import { PlatformUnavailable } from '@stallwing/store'
 import { Command, CommanderError } from 'commander'
 import { CommandError, EXIT } from './lib/CommandError.js'
 import { addBudgetCommands } from './lib/commands/budgetCommands.js'
--- a/eslint.config.js
+++ b/eslint.config.js
@@ -1,10 +1,10 @@
 import tseslint from 'typescript-eslint'
 
 export default tseslint.config(
-	{ ignores: ['**/dist/**', '**/gen/**', 'node_modules/**', 'apps/stallwing/bin/**'] },
+	{ ignores: ['**/dist/**', '**/gen/**', 'node_modules/**', 'apps/stallwing/bin/**', 'target/**'] },
 	...tseslint.configs.recommended,
 	{
-		files: ['packages/**/*.ts', 'apps/**/*.ts', 'internal/**/*.ts'],
+		files: ['packages/**/*.ts', 'apps/**/*.ts', 'internal/**/*.ts', 'platform/**/*.ts'],
 		languageOptions: { parserOptions: { projectService: true } },
 		rules: {
 			'@typescript-eslint/no-floating-promises': 'error',
--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -47,6 +47,8 @@
 	type BudgetName,
 	type TargetName,
 	type RequestId,
+	type RouteName,
+	type ServiceName,
 	type CallId,
 } from './lib/ids.js'
 export {
@@ -163,3 +165,49 @@
 	type PickResult,
 } from './lib/routing/pickTarget.js'
 export { SECOND_MS, type Amount, type Millis } from './lib/units.js'
+export { type AllowanceView, AllowanceBook } from './lib/allowance/AllowanceBook.js'
+export {
+	EMPTY_ALLOWANCE_ROW,
+	drawnByOthers,
+	surelySpent,
+	type AllowanceRow,
+} from './lib/allowance/AllowanceRow.js'
+export { DemandMeter } from './lib/allowance/DemandMeter.js'
+export {
+	HOLD_SECONDS,
+	budgetsInForce,
+	planClaim,
+	planDraw,
+	wantedTokens,
+	type Budgets,
+	type DrawRequest,
+} from './lib/allowance/planDraw.js'
+export {
+	TargetBoard,
+	type AttemptHandle,
+	type Place,
+	type PlaceQuery,
+	type TargetChanges,
+} from './lib/placement/TargetBoard.js'
+export { type TargetEntry, type TargetLoad } from './lib/placement/TargetEntry.js'
+export { type AttemptVerdict } from './lib/placement/TargetState.js'
+export { RepeatBudget, type RepeatLimits } from './lib/retry/RepeatBudget.js'
+export {
+	decideAfterAttempt,
+	type AttemptFacts,
+	type AttemptResult,
+	type GiveUpReason,
+	type NextStep,
+} from './lib/retry/decideAfterAttempt.js'
+export { EventSplitter, type StreamEvent } from './lib/stream/EventSplitter.js'
+export { worstCaseTokens, type PromptPart, type StatedWork } from './lib/traffic/StatedWork.js'
+export {
+	type Account,
+	type RequestLimits,
+	type Route,
+	type RouteKind,
+	type Service,
+	type ServiceShare,
+	type TrafficConfig,
+} from './lib/traffic/TrafficConfig.js'
+export { TrafficIndex } from './lib/traffic/TrafficIndex.js'
--- /dev/null
+++ b/packages/core/src/lib/allowance/AllowanceBook.ts
@@ -0,0 +1,123 @@
+import { assertInvariant } from '../InvariantBreach.js'
+import type { AccountName } from '../ids.js'
+import type { Millis } from '../units.js'
+import { DemandMeter } from './DemandMeter.js'
+
+/** Tokens of one account at one box. */
+interface AccountAllowance {
+	/** Cumulative draw of the box that the store is known to hold. */
+	drawn: number
+	/** Draws of earlier incarnations: taken as spent, since nobody can tell. */
+	readonly spentBefore: number
+	/** Tokens reserved by open requests and charged by ended ones, of this incarnation. */
+	used: number
+	/** Nothing may be reserved until a draw under the configuration of this revision: the budget fell. */
+	frozenUntil: number
+	readonly demand: DemandMeter
+}
+
+/** What a box holds of an account, for logs, metrics and the next draw. @public */
+export interface AllowanceView {
+	readonly account: AccountName
+	readonly drawn: number
+	/** Tokens that are surely spent or may be: draws below this must not be given back. */
+	readonly floor: number
+	readonly free: number
+	readonly tokensPerSecond: number
+	readonly frozen: boolean
+}
+
+/**
+ * What this box may spend of each account. It is drawn from the store before it is used, so that no
+ * cut, pause or restart lets the boxes together spend more than a budget.
+ * @public
+ */
+export class AllowanceBook {
+	private readonly accounts = new Map<AccountName, AccountAllowance>()
+	private closed = false
+
+	/** Takes the draws of earlier incarnations as spent; nothing is free until the first draw. */
+	constructor(private readonly before: Readonly<Record<AccountName, number>>) {}
+
+	/** Notes what a request asks for, whether or not it gets it. */
+	noteDemand(account: AccountName, tokens: number, now: Millis): void {
+		this.allowance(account).demand.add(tokens, now)
+	}
+
+	/** Sets aside the worst case of a request. False: this box holds too little. */
+	reserve(account: AccountName, tokens: number): boolean {
+		const allowance = this.allowance(account)
+		if (this.closed || allowance.frozenUntil > 0) return false
+		if (freeOf(allowance) < tokens) return false
+		allowance.used += tokens
+		return true
+	}
+
+	/** Ends a reservation: keeps what was charged and frees the rest. */
+	settle(account: AccountName, reserved: number, charged: number): void {
+		assertInvariant(charged <= reserved, 'slice-not-overdrawn', { account, reserved, charged })
+		this.allowance(account).used -= reserved - charged
+	}
+
+	/**
+	 * Gives up what lies above a draw, before a write that says so is sent: from then on the write may
+	 * land at any moment.
+	 */
+	lower(account: AccountName, drawn: number): void {
+		const allowance = this.allowance(account)
+		allowance.drawn = Math.min(allowance.drawn, drawn)
+	}
+
+	/**
+	 * A write with this draw succeeded, made under the configuration of a revision. Reading the draw is
+	 * not enough: an older write may still land.
+	 */
+	confirm(account: AccountName, drawn: number, budgetsAt: number): void {
+		const allowance = this.allowance(account)
+		const floor = allowance.spentBefore + allowance.used
+		assertInvariant(drawn >= floor, 'slice-not-overdrawn', { account, drawn, floor })
+		allowance.drawn = drawn
+		if (budgetsAt >= allowance.frozenUntil) allowance.frozenUntil = 0
+	}
+
+	/** The budget has been lowered: stops reservations until a draw under that configuration. */
+	freeze(account: AccountName, budgetsAt: number): void {
+		this.allowance(account).frozenUntil = budgetsAt
+	}
+
+	/** Stops reservations for good: the box is about to give back what it holds. */
+	close(): void {
+		this.closed = true
+	}
+
+	view(account: AccountName, now: Millis): AllowanceView {
+		const allowance = this.allowance(account)
+		return {
+			account,
+			drawn: allowance.drawn,
+			floor: allowance.spentBefore + allowance.used,
+			free: freeOf(allowance),
+			tokensPerSecond: allowance.demand.perSecond(now),
+			frozen: allowance.frozenUntil > 0,
+		}
+	}
+
+	private allowance(account: AccountName): AccountAllowance {
+		const known = this.accounts.get(account)
+		if (known) return known
+		const spentBefore = this.before[account] ?? 0
+		const fresh: AccountAllowance = {
+			drawn: spentBefore,
+			spentBefore,
+			used: 0,
+			frozenUntil: 0,
+			demand: new DemandMeter(),
+		}
+		this.accounts.set(account, fresh)
+		return fresh
+	}
+}
+
+function freeOf(allowance: AccountAllowance): number {
+	return allowance.drawn - allowance.spentBefore - allowance.used
+}
--- /dev/null
+++ b/packages/core/src/lib/allowance/AllowanceRow.ts
@@ -0,0 +1,43 @@
+import type { AccountName, BoxName, Incarnation } from '../ids.js'
+
+/** What one box has drawn, over all its incarnations. */
+export interface BoxDraws {
+	/** The incarnation that may draw for this box; an older one has lost the right. */
+	readonly holder: Incarnation
+	/** Tokens drawn so far by account: cumulative, lowered only by giving back what was not spent. */
+	readonly drawn: Readonly<Record<AccountName, number>>
+	/** Tokens spent or reserved when this was written: at least so much is gone. */
+	readonly spent: Readonly<Record<AccountName, number>>
+}
+
+/**
+ * The shared record of all draws, kept as one item of the store and written under a condition only.
+ * The sum of the draws of an account never passes its budget when a draw is written.
+ * @public
+ */
+export interface AllowanceRow {
+	/** Store revision of the newest configuration that a writer of this row knew. */
+	readonly budgetsAt: number
+	/** Token budgets by account under that configuration. */
+	readonly budgets: Readonly<Record<AccountName, number>>
+	readonly boxes: Readonly<Record<BoxName, BoxDraws>>
+}
+
+/** The record before anybody has drawn. @public */
+export const EMPTY_ALLOWANCE_ROW: AllowanceRow = { budgetsAt: 0, budgets: {}, boxes: {} }
+
+/** Tokens of an account drawn by all boxes other than `except`. @public */
+export function drawnByOthers(row: AllowanceRow, account: AccountName, except: BoxName): number {
+	let sum = 0
+	for (const [box, draws] of Object.entries<BoxDraws>(row.boxes)) {
+		if (box !== except) sum += draws.drawn[account] ?? 0
+	}
+	return sum
+}
+
+/** Tokens of an account that are surely spent or reserved, by all boxes. @public */
+export function surelySpent(row: AllowanceRow, account: AccountName): number {
+	let sum = 0
+	for (const draws of Object.values<BoxDraws>(row.boxes)) sum += draws.spent[account] ?? 0
+	return sum
+}
--- /dev/null
+++ b/packages/core/src/lib/allowance/planDraw.ts
@@ -0,0 +1,91 @@
+import type { AccountName, BoxName, Incarnation } from '../ids.js'
+import type { AllowanceView } from './AllowanceBook.js'
+import { drawnByOthers, type AllowanceRow } from './AllowanceRow.js'
+
+/** Budgets under the configuration that a box has in force. @public */
+export interface Budgets {
+	/** Store revision of that configuration. */
+	readonly at: number
+	readonly tokens: Readonly<Record<AccountName, number>>
+}
+
+/** Who draws, and what it holds and wants. @public */
+export interface DrawRequest {
+	readonly box: BoxName
+	readonly holder: Incarnation
+	readonly budgets: Budgets
+	readonly views: readonly AllowanceView[]
+	/** Tokens that requests wait for right now, by account. */
+	readonly waiting: Readonly<Record<AccountName, number>>
+	/** Give back all that is free: the box is stopping. */
+	readonly giveBack: boolean
+}
+
+/** Demand that a box holds in advance, in seconds: a cut from the store has to be lived through. */
+export const HOLD_SECONDS = 12
+/** Part of what nobody has drawn that all boxes together hold beyond their demand. */
+const SPECULATIVE_PART = 0.5
+/** Part of what nobody has drawn that one draw may take beyond what requests wait for. */
+const LARGEST_PART = 0.4
+/** Boxes that are assumed at least: at the start none has drawn yet. */
+const LEAST_BOXES = 4
+
+/** The budgets that hold: those of the newest configuration that the row or this box knows. */
+export function budgetsInForce(row: AllowanceRow, own: Budgets): Budgets {
+	if (row.budgetsAt > own.at) return { at: row.budgetsAt, tokens: row.budgets }
+	return own
+}
+
+/**
+ * Tokens that a box would like to hold free of an account: its demand for some seconds, and a small
+ * part of what nobody has drawn, for accounts that come to this box first during a cut.
+ */
+export function wantedTokens(view: AllowanceView, undrawn: number, boxes: number): number {
+	const demand = view.tokensPerSecond * HOLD_SECONDS
+	const speculative = (SPECULATIVE_PART * undrawn) / Math.max(LEAST_BOXES, boxes)
+	return Math.max(demand, speculative)
+}
+
+/** The row after a draw by one box, for all its accounts at once. @public */
+export function planDraw(row: AllowanceRow, request: DrawRequest): AllowanceRow {
+	const budgets = budgetsInForce(row, request.budgets)
+	const drawn: Record<AccountName, number> = { ...row.boxes[request.box]?.drawn }
+	const spent: Record<AccountName, number> = { ...row.boxes[request.box]?.spent }
+	for (const view of request.views) {
+		drawn[view.account] = nextDrawn(row, request, view, budgets.tokens[view.account] ?? 0)
+		spent[view.account] = view.floor
+	}
+	return {
+		budgetsAt: budgets.at,
+		budgets: budgets.tokens,
+		boxes: { ...row.boxes, [request.box]: { holder: request.holder, drawn, spent } },
+	}
+}
+
+function nextDrawn(
+	row: AllowanceRow,
+	request: DrawRequest,
+	view: AllowanceView,
+	budget: number,
+): number {
+	if (request.giveBack) return view.floor
+	const others = drawnByOthers(row, view.account, request.box)
+	const highest = Math.max(view.floor, budget - others)
+	const own = Math.max(view.drawn, row.boxes[request.box]?.drawn[view.account] ?? 0)
+	const undrawn = Math.max(0, budget - others - own)
+	const waiting = request.waiting[view.account] ?? 0
+	const boxes = Object.keys(row.boxes).length
+	const wanted = wantedTokens(view, undrawn + view.free, boxes)
+	const gentle = Math.min(wanted, Math.max(view.free, 0) + undrawn * LARGEST_PART)
+	return Math.min(highest, view.floor + Math.ceil(Math.max(gentle, waiting)))
+}
+
+/**
+ * What a box claims when it starts: the right to draw, with all draws of its earlier incarnations
+ * taken as spent. The same name starts twice only when the first process is gone.
+ * @public
+ */
+export function planClaim(row: AllowanceRow, box: BoxName, holder: Incarnation): AllowanceRow {
+	const drawn = row.boxes[box]?.drawn ?? {}
+	return { ...row, boxes: { ...row.boxes, [box]: { holder, drawn, spent: drawn } } }
+}
--- a/packages/core/src/lib/ids.ts
+++ b/packages/core/src/lib/ids.ts
@@ -27,3 +27,8 @@
 export function brandId<T extends Branded<string>>(text: string): T {
 	return text as T
 }
+
+/** Name of a service: a pool of targets that answer alike. @public */
+export type ServiceName = Branded<'ServiceName'>
+/** Name of a route of the traffic configuration. @public */
+export type RouteName = Branded<'RouteName'>
--- /dev/null
+++ b/packages/core/src/lib/placement/TargetBoard.ts
@@ -0,0 +1,201 @@
+import { rendezvousFirst } from '../identity/rendezvous.js'
+import type { ServiceName, TargetName, ZoneName } from '../ids.js'
+import { worstCaseTokens, type StatedWork } from '../traffic/StatedWork.js'
+import type { Millis } from '../units.js'
+import { placementCost, type PlacementCost, type PlacementRequest } from './placementCost.js'
+import { promptChains } from './PromptIndex.js'
+import type { TargetEntry, TargetLoad } from './TargetEntry.js'
+import { TargetState, type AttemptVerdict, type OpenAttempt } from './TargetState.js'
+
+/** A request that needs a target. @public */
+export interface PlaceQuery {
+	readonly service: ServiceName
+	readonly zone: ZoneName
+	readonly work: StatedWork | undefined
+	/** Targets that this request was sent to before. */
+	readonly tried: ReadonlySet<TargetName>
+	/** Targets that can't take another connection from this box. */
+	readonly isFull: (target: TargetName) => boolean
+}
+
+/** The place chosen, with what decided it. @public */
+export interface Place {
+	readonly target: TargetEntry
+	readonly cost: PlacementCost
+	/** Targets that could have been chosen. */
+	readonly candidates: number
+	/** Age of the load that the target told, in ms; -1 where it told none. */
+	readonly loadAgeMs: Millis
+}
+
+/** An attempt under way: what the board is told about it. @public */
+export interface AttemptHandle {
+	readonly target: TargetName
+	readonly expectedMs: Millis
+	/** Bytes of the answer came. */
+	noteByte(now: Millis): void
+	noteLoad(load: TargetLoad, now: Millis): void
+	end(verdict: AttemptVerdict, now: Millis): void
+}
+
+/** A change of the list of targets. @public */
+export interface TargetChanges {
+	readonly joined: readonly TargetEntry[]
+	readonly leaving: readonly TargetEntry[]
+	readonly gone: readonly TargetEntry[]
+}
+
+const PLAIN_MS_START = 20
+const PLAIN_MS_WEIGHT = 0.05
+const MOST_COUNTED_PLAIN_MS = 500
+/** Times are compared only up to here: a long prompt tells more about a target than a short one. */
+const LEAST_EXPECTED_MS = 10
+
+/** What this box believes about all targets, and the choice among them. @public */
+export class TargetBoard {
+	private readonly targets = new Map<TargetName, TargetState>()
+	private readonly byService = new Map<ServiceName, TargetState[]>()
+	private readonly plainMs = new Map<ServiceName, Millis>()
+
+	/** Takes the newest list. Targets that are not in it get no new work. */
+	replace(entries: readonly TargetEntry[], now: Millis): TargetChanges {
+		const joined: TargetEntry[] = []
+		const leaving: TargetEntry[] = []
+		const listed = new Set<TargetName>()
+		for (const entry of entries) {
+			listed.add(entry.name)
+			const known = this.targets.get(entry.name)
+			if (!known) {
+				this.targets.set(entry.name, new TargetState(entry, now))
+				joined.push(entry)
+				continue
+			}
+			if (entry.leaving && !known.entry.leaving) leaving.push(entry)
+			known.entry = entry
+		}
+		const gone = [...this.targets.values()].filter((state) => !listed.has(state.entry.name))
+		for (const state of gone) this.targets.delete(state.entry.name)
+		this.group()
+		return { joined, leaving, gone: gone.map((state) => state.entry) }
+	}
+
+	get size(): number {
+		return this.targets.size
+	}
+
+	entries(): TargetEntry[] {
+		return [...this.targets.values()].map((state) => state.entry)
+	}
+
+	serviceOf(target: TargetName): ServiceName | undefined {
+		return this.targets.get(target)?.entry.service
+	}
+
+	/** The cheapest place that takes new work, or undefined. */
+	choose(query: PlaceQuery, now: Millis): Place | undefined {
+		const listed = this.byService.get(query.service) ?? []
+		const open = listed.filter((state) => isOpen(state, query))
+		const sound = open.filter((state) => state.ejectedUntil <= now)
+		const candidates = sound.length > 0 ? sound : open
+		const request = this.placementRequest(query, listed, candidates, now)
+		let best: { state: TargetState; cost: PlacementCost } | undefined
+		for (const state of candidates) {
+			const cost = placementCost(state, request, now)
+			if (!best || cost.ms < best.cost.ms) best = { state, cost }
+		}
+		if (!best) return undefined
+		return {
+			target: best.state.entry,
+			cost: best.cost,
+			candidates: candidates.length,
+			loadAgeMs: best.state.load ? Math.round(now - best.state.loadAt) : -1,
+		}
+	}
+
+	/** A request goes to this place now. */
+	begin(place: Place, work: StatedWork | undefined, now: Millis): AttemptHandle {
+		const state = this.targets.get(place.target.name)
+		const attempt: OpenAttempt = {
+			sentAt: now,
+			expectedMs: place.cost.expectedMs,
+			unreadTokens: place.cost.unreadTokens,
+			answered: false,
+		}
+		state?.open.add(attempt)
+		if (work) state?.prompts.note(promptChains(work.parts))
+		return this.handle(place, attempt, state)
+	}
+
+	private handle(
+		place: Place,
+		attempt: OpenAttempt,
+		state: TargetState | undefined,
+	): AttemptHandle {
+		const service = place.target.service
+		return {
+			target: place.target.name,
+			expectedMs: attempt.expectedMs,
+			noteByte: (now) => {
+				if (!state) return
+				state.lastByteAt = now
+				if (attempt.answered) return
+				attempt.answered = true
+				this.noteFirstByte(service, attempt, state, now)
+			},
+			noteLoad: (load, now) => state?.noteLoad(load, now),
+			end: (verdict, now) => {
+				if (!state?.open.delete(attempt)) return
+				state.noteVerdict(verdict, now)
+			},
+		}
+	}
+
+	private noteFirstByte(
+		service: ServiceName,
+		attempt: OpenAttempt,
+		state: TargetState,
+		now: Millis,
+	): void {
+		const took = now - attempt.sentAt
+		state.noteSpeed(Math.max(LEAST_EXPECTED_MS, attempt.expectedMs), took)
+		if (attempt.unreadTokens > 0) return
+		const before = this.plainMs.get(service) ?? PLAIN_MS_START
+		const counted = Math.min(MOST_COUNTED_PLAIN_MS, took)
+		this.plainMs.set(service, before + PLAIN_MS_WEIGHT * (counted - before))
+	}
+
+	private placementRequest(
+		query: PlaceQuery,
+		listed: readonly TargetState[],
+		candidates: readonly TargetState[],
+		now: Millis,
+	): PlacementRequest {
+		const parts = query.work?.parts ?? []
+		const chains = promptChains(parts)
+		const shared = chains.at(-2) ?? chains.at(-1)
+		const names = listed.filter((state) => !state.entry.leaving).map((state) => state.entry.name)
+		return {
+			zone: query.zone,
+			parts,
+			chains,
+			inputTokens: query.work && worstCaseTokens(query.work) > 0 ? query.work.inputTokens : 0,
+			plainMs: this.plainMs.get(query.service) ?? PLAIN_MS_START,
+			home: shared === undefined ? undefined : rendezvousFirst(shared, names),
+			usualFailures: Math.min(...candidates.map((state) => state.failures(now))),
+		}
+	}
+
+	private group(): void {
+		this.byService.clear()
+		for (const state of this.targets.values()) {
+			const group = this.byService.get(state.entry.service)
+			if (group) group.push(state)
+			else this.byService.set(state.entry.service, [state])
+		}
+	}
+}
+
+function isOpen(state: TargetState, query: PlaceQuery): boolean {
+	const { name, leaving } = state.entry
+	return !leaving && !query.tried.has(name) && !query.isFull(name)
+}
--- /dev/null
+++ b/packages/core/src/lib/placement/TargetEntry.ts
@@ -0,0 +1,24 @@
+import type { ServiceName, TargetName, ZoneName } from '../ids.js'
+import type { Millis } from '../units.js'
+
+/** A target as the list of targets tells it. One start of a target has one name. @public */
+export interface TargetEntry {
+	readonly name: TargetName
+	readonly service: ServiceName
+	/** IP number and port. Another target may get it once this one is gone. */
+	readonly address: string
+	readonly zone: ZoneName
+	/** Requests that it works on at the same time. */
+	readonly slots: number
+	/** It ends soon and takes no new work. */
+	readonly leaving: boolean
+	/** How much longer it stays slow after its start, when the entry was read. */
+	readonly coldMs: Millis
+}
+
+/** Load that a target told of itself. @public */
+export interface TargetLoad {
+	readonly running: number
+	readonly waiting: number
+	readonly slots: number
+}
--- /dev/null
+++ b/packages/core/src/lib/placement/TargetState.ts
@@ -0,0 +1,98 @@
+import type { Millis } from '../units.js'
+import { PromptIndex } from './PromptIndex.js'
+import type { TargetEntry, TargetLoad } from './TargetEntry.js'
+
+/** A request that was sent to a target and has not ended. */
+export interface OpenAttempt {
+	readonly sentAt: Millis
+	readonly expectedMs: Millis
+	/** Prompt tokens that the target has to read before it answers. */
+	readonly unreadTokens: number
+	/** The first byte of the answer has come. */
+	answered: boolean
+}
+
+/** How an attempt at a target ended, for the belief in that target. @public */
+export type AttemptVerdict = 'good' | 'failed' | 'unreachable' | 'full' | 'cancelled'
+
+/** Half-life of the memory of failures, in ms. */
+const FAILURE_HALF_LIFE_MS = 4_000
+/** Weight of the newest result in the share of failures. */
+const FAILURE_WEIGHT = 0.2
+/** First time-out of a target that could not be reached, in ms; doubled at each further one. */
+const FIRST_EJECTION_MS = 250
+const LONGEST_EJECTION_MS = 3_000
+const SLOWNESS_WEIGHT = 0.15
+const LEAST_SLOWNESS = 0.5
+const MOST_SLOWNESS = 20
+
+/** What this box believes about one target, from its own requests and the target's words. */
+export class TargetState {
+	readonly prompts = new PromptIndex()
+	readonly open = new Set<OpenAttempt>()
+	load: TargetLoad | undefined
+	loadAt: Millis = Number.NEGATIVE_INFINITY
+	lastByteAt: Millis = Number.NEGATIVE_INFINITY
+	ejectedUntil: Millis = Number.NEGATIVE_INFINITY
+	/** Time that answers take, as a multiple of what was expected. */
+	slowness = 1
+	readonly coldUntil: Millis
+	private failureShare = 0
+	private failureAt: Millis = 0
+	private unreachableInRow = 0
+
+	constructor(
+		public entry: TargetEntry,
+		now: Millis,
+	) {
+		this.coldUntil = now + entry.coldMs
+	}
+
+	/** Share of recent attempts that failed, fading with time. */
+	failures(now: Millis): number {
+		return this.failureShare * 2 ** (-(now - this.failureAt) / FAILURE_HALF_LIFE_MS)
+	}
+
+	noteVerdict(verdict: AttemptVerdict, now: Millis): void {
+		switch (verdict) {
+			case 'good':
+				this.unreachableInRow = 0
+				this.weighFailure(0, now)
+				return
+			case 'failed':
+				this.weighFailure(1, now)
+				return
+			case 'unreachable':
+				this.weighFailure(1, now)
+				this.eject(now)
+				return
+			case 'full':
+			case 'cancelled':
+				return
+		}
+	}
+
+	noteLoad(load: TargetLoad, now: Millis): void {
+		this.load = load
+		this.loadAt = now
+	}
+
+	/** Notes the time to the first byte against what was expected. */
+	noteSpeed(expectedMs: Millis, tookMs: Millis): void {
+		const ratio = tookMs / Math.max(1, expectedMs)
+		const next = this.slowness + SLOWNESS_WEIGHT * (ratio - this.slowness)
+		this.slowness = Math.min(MOST_SLOWNESS, Math.max(LEAST_SLOWNESS, next))
+	}
+
+	private weighFailure(result: number, now: Millis): void {
+		const before = this.failures(now)
+		this.failureShare = before + FAILURE_WEIGHT * (result - before)
+		this.failureAt = now
+	}
+
+	private eject(now: Millis): void {
+		const pause = Math.min(LONGEST_EJECTION_MS, FIRST_EJECTION_MS * 2 ** this.unreachableInRow)
+		this.unreachableInRow++
+		this.ejectedUntil = now + pause
+	}
+}
--- /dev/null
+++ b/packages/gateway/src/lib/AllowanceClient.ts
@@ -0,0 +1,347 @@
+import {
+	AllowanceBook,
+	EMPTY_ALLOWANCE_ROW,
+	drawnByOthers,
+	planClaim,
+	planDraw,
+	surelySpent,
+	wantedTokens,
+	type AccountName,
+	type AllowanceRow,
+	type AllowanceView,
+	type BoxName,
+	type Budgets,
+	type Incarnation,
+	type LogEvent,
+} from '@stallwing/core'
+import type { KeyValueStore, StoreFault, StoreItem } from '@stallwing/store'
+import type { Metrics } from '@stallwing/telemetry'
+import * as E from 'fp-ts/lib/Either.js'
+
+/** Whether tokens were set aside: `spent` is certain, `unknown` may change soon. */
+export type ReserveResult = 'reserved' | 'spent' | 'unknown'
+
+/** What an {@link AllowanceClient} works with. */
+export interface AllowanceClientOptions {
+	readonly store: KeyValueStore
+	/** Key of the shared record in the store. */
+	readonly key: string
+	readonly box: BoxName
+	readonly holder: Incarnation
+	readonly metrics: Metrics
+	readonly now: () => number
+	readonly random: () => number
+	readonly sleep: (ms: number) => Promise<void>
+	readonly log: (event: LogEvent) => void
+}
+
+interface Waiter {
+	readonly account: AccountName
+	readonly tokens: number
+	readonly resolve: (result: ReserveResult) => void
+	readonly timer: NodeJS.Timeout
+}
+
+/** Draws are renewed when less than this part of what is wanted is left. */
+const LOW_PART = 0.75
+/** Draws are given back in part above this multiple of what is wanted, and this many tokens. */
+const HIGH_PART = 1.8
+const HIGH_TOKENS = 4_000
+/** Age from which the shared record is read again, in ms. */
+const ROW_AGE_MS = 2_000
+const CONFLICT_TRIES = 8
+const CONFLICT_PAUSE_MS = 12
+const CLAIM_PAUSE_MS = 200
+const GIVE_BACK_TRIES = 4
+const BOXES_BEFORE_CLAIM = 16
+
+/** This box's part of the token budgets: draws from the store, and reservations from the draws. */
+export class AllowanceClient {
+	private book: AllowanceBook | undefined
+	private row: AllowanceRow = EMPTY_ALLOWANCE_ROW
+	private revision = 0
+	private rowAt = Number.NEGATIVE_INFINITY
+	private budgets: Budgets = { at: 0, tokens: {} }
+	private waiters: Waiter[] = []
+	private drawing = false
+	private drawAgain = false
+	private reached = false
+	private closed = false
+
+	constructor(private readonly options: AllowanceClientOptions) {}
+
+	/** True once this incarnation may draw. */
+	get claimed(): boolean {
+		return this.book !== undefined
+	}
+
+	/** Boxes that have ever drawn: what is limited for the fleet is divided by them. */
+	get boxes(): number {
+		if (!this.claimed) return BOXES_BEFORE_CLAIM
+		return Math.max(1, Object.keys(this.row.boxes).length)
+	}
+
+	/** Claims the right to draw, trying until the store grants it. */
+	async claim(): Promise<void> {
+		while (!this.claimed && !this.closed) {
+			if (await this.claimOnce()) return
+			await this.options.sleep(CLAIM_PAUSE_MS)
+		}
+	}
+
+	/** Takes the budgets of a new configuration. A lowered one is frozen until the next draw. */
+	setBudgets(budgets: Budgets): void {
+		for (const [account, tokens] of Object.entries<number>(budgets.tokens)) {
+			const before = this.budgets.tokens[account as AccountName] ?? 0
+			if (tokens >= before) continue
+			this.book?.freeze(account as AccountName, budgets.at)
+			this.options.log({
+				name: 'allowance-frozen',
+				fields: { account, before, after: tokens, revision: budgets.at },
+			})
+		}
+		this.budgets = budgets
+		void this.draw()
+	}
+
+	/** Sets tokens aside; waits for a draw where this box holds too little and the store answers. */
+	async reserve(account: AccountName, tokens: number, patienceMs: number): Promise<ReserveResult> {
+		const { book } = this
+		book?.noteDemand(account, tokens, this.options.now())
+		if (book?.reserve(account, tokens)) return 'reserved'
+		if (this.isSpent(account, tokens)) return 'spent'
+		if (this.closed || patienceMs <= 0) return 'unknown'
+		if (this.claimed && !this.reached) {
+			void this.draw()
+			return 'unknown'
+		}
+		return this.wait(account, tokens, patienceMs)
+	}
+
+	/** Ends a reservation. */
+	settle(account: AccountName, reserved: number, charged: number): void {
+		this.book?.settle(account, reserved, charged)
+	}
+
+	/** Renews draws that run low and gives back what is too much. To be called some times a second. */
+	async maintain(): Promise<void> {
+		if (!this.claimed || this.closed || this.drawing) return
+		if (this.options.now() - this.rowAt > ROW_AGE_MS) await this.refresh()
+		if (this.needsDraw()) await this.draw()
+	}
+
+	/** Stops reservations and gives back what is free. */
+	async giveBack(): Promise<void> {
+		this.book?.close()
+		this.closed = true
+		for (let tries = 0; this.claimed && tries < GIVE_BACK_TRIES; tries++) {
+			const fault = await this.writeDraw(true)
+			if (!fault) return
+			await this.options.sleep(CLAIM_PAUSE_MS)
+		}
+	}
+
+	/** What is held of each account, for metrics. */
+	views(): AllowanceView[] {
+		const { book } = this
+		if (!book) return []
+		const now = this.options.now()
+		return this.accounts().map((account) => book.view(account, now))
+	}
+
+	private wait(account: AccountName, tokens: number, ms: number): Promise<ReserveResult> {
+		return new Promise((resolve) => {
+			const timer = setTimeout(() => {
+				this.waiters = this.waiters.filter((entry) => entry !== waiter)
+				resolve('unknown')
+			}, ms)
+			const waiter: Waiter = { account, tokens, resolve, timer }
+			this.waiters.push(waiter)
+			void this.draw()
+		})
+	}
+
+	private async claimOnce(): Promise<boolean> {
+		const { store, key, box, holder } = this.options
+		const next = planClaim(this.row, box, holder)
+		const result = await store.write(key, encode(next), this.revision)
+		if (E.isLeft(result)) {
+			this.noteFault(result.left)
+			return false
+		}
+		if (result.right.kind === 'conflict') {
+			// A write of ours whose answer was lost may have claimed it; claiming again does no harm.
+			this.adopt(result.right.current)
+			return this.claimOnce()
+		}
+		this.noteWritten(next, result.right.revision)
+		const before = next.boxes[box]?.drawn ?? {}
+		this.book = new AllowanceBook(before)
+		this.options.log({
+			name: 'allowance-claimed',
+			fields: { holder, revision: this.revision, spentBefore: JSON.stringify(before) },
+		})
+		void this.draw()
+		return true
+	}
+
+	private async refresh(): Promise<void> {
+		const result = await this.options.store.readStale(this.options.key)
+		this.rowAt = this.options.now()
+		if (E.isLeft(result)) {
+			this.noteFault(result.left)
+			return
+		}
+		this.reached = true
+		if (result.right && result.right.revision > this.revision) this.adopt(result.right)
+	}
+
+	private needsDraw(): boolean {
+		const boxes = this.boxes
+		return this.views().some((view) => {
+			if (view.frozen) return true
+			const undrawn = this.undrawn(view)
+			const wanted = wantedTokens(view, undrawn + view.free, boxes)
+			if (view.free > wanted * HIGH_PART + HIGH_TOKENS) return true
+			return undrawn > 0 && view.free < wanted * LOW_PART && wanted > 0
+		})
+	}
+
+	private undrawn(view: AllowanceView): number {
+		const others = drawnByOthers(this.row, view.account, this.options.box)
+		return Math.max(0, (this.budgets.tokens[view.account] ?? 0) - others - view.drawn)
+	}
+
+	private isSpent(account: AccountName, tokens: number): boolean {
+		const budget = this.budgets.tokens[account]
+		if (budget === undefined || this.row.budgetsAt > this.budgets.at) return false
+		return surelySpent(this.row, account) + tokens > budget
+	}
+
+	/** Draws for all accounts at once; one draw at a time. */
+	private async draw(): Promise<void> {
+		if (!this.claimed || this.closed) return
+		if (this.drawing) {
+			this.drawAgain = true
+			return
+		}
+		this.drawing = true
+		do {
+			this.drawAgain = false
+			const served = this.waiters.length
+			const fault = await this.writeDraw(false)
+			if (fault) this.answerWaiters(this.waiters.length)
+			else this.answerWaiters(served)
+		} while (this.drawAgain && this.reached)
+		this.drawing = false
+	}
+
+	/** Gives the first `count` waiters their result; those that came later wait for the next draw. */
+	private answerWaiters(count: number): void {
+		const served = this.waiters.slice(0, count)
+		this.waiters = this.waiters.slice(count)
+		for (const waiter of served) {
+			clearTimeout(waiter.timer)
+			if (this.book?.reserve(waiter.account, waiter.tokens)) waiter.resolve('reserved')
+			else if (this.isSpent(waiter.account, waiter.tokens)) waiter.resolve('spent')
+			else waiter.resolve('unknown')
+		}
+	}
+
+	private async writeDraw(giveBack: boolean): Promise<StoreFault | undefined> {
+		for (let tries = 0; tries < CONFLICT_TRIES; tries++) {
+			const next = this.plan(giveBack)
+			this.lower(next)
+			const { store, key } = this.options
+			const result = await store.write(key, encode(next), this.revision)
+			if (E.isLeft(result)) {
+				this.noteFault(result.left)
+				return result.left
+			}
+			if (result.right.kind === 'written') {
+				this.noteWritten(next, result.right.revision)
+				this.confirm(next)
+				return undefined
+			}
+			this.adopt(result.right.current)
+			await this.options.sleep(this.options.random() * CONFLICT_PAUSE_MS * tries)
+		}
+		return { kind: 'refused', status: 412 }
+	}
+
+	private plan(giveBack: boolean): AllowanceRow {
+		const waiting: Record<AccountName, number> = {}
+		for (const { account, tokens } of this.waiters)
+			waiting[account] = (waiting[account] ?? 0) + tokens
+		const { box, holder } = this.options
+		return planDraw(this.row, {
+			box,
+			holder,
+			budgets: this.budgets,
+			views: this.views(),
+			waiting,
+			giveBack,
+		})
+	}
+
+	private lower(next: AllowanceRow): void {
+		for (const [account, drawn] of this.ownDraws(next)) this.book?.lower(account, drawn)
+	}
+
+	private confirm(next: AllowanceRow): void {
+		for (const [account, drawn] of this.ownDraws(next))
+			this.book?.confirm(account, drawn, next.budgetsAt)
+		this.options.metrics.count('stallwing_draws_total')
+		this.options.log({
+			name: 'allowance-drawn',
+			fields: {
+				revision: this.revision,
+				budgetsAt: next.budgetsAt,
+				free: JSON.stringify(
+					Object.fromEntries(this.views().map((view) => [view.account, view.free])),
+				),
+			},
+		})
+	}
+
+	private ownDraws(row: AllowanceRow): [AccountName, number][] {
+		const drawn = row.boxes[this.options.box]?.drawn ?? {}
+		const accounts = this.accounts()
+		return accounts.map((account) => [account, drawn[account] ?? 0])
+	}
+
+	private accounts(): AccountName[] {
+		return Object.keys(this.budgets.tokens) as AccountName[]
+	}
+
+	private noteWritten(row: AllowanceRow, revision: number): void {
+		this.row = row
+		this.revision = revision
+		this.rowAt = this.options.now()
+		this.reached = true
+	}
+
+	private adopt(item: StoreItem | undefined): void {
+		this.row = item ? decode(item.value) : EMPTY_ALLOWANCE_ROW
+		this.revision = item?.revision ?? 0
+		this.rowAt = this.options.now()
+		this.reached = true
+	}
+
+	private noteFault(fault: StoreFault): void {
+		this.reached = false
+		this.options.metrics.count('stallwing_draw_faults_total', `kind="${fault.kind}"`)
+		this.options.log({
+			name: 'allowance-failed',
+			fields: { fault: fault.kind, revision: this.revision },
+		})
+	}
+}
+
+function encode(row: AllowanceRow): Buffer {
+	return Buffer.from(JSON.stringify(row))
+}
+
+function decode(value: Buffer): AllowanceRow {
+	return JSON.parse(value.toString('utf8')) as AllowanceRow
+}
--- /dev/null
+++ b/packages/gateway/src/lib/AnswerWriter.ts
@@ -0,0 +1,85 @@
+import type { ServerResponse } from 'node:http'
+import type { StreamEvent } from '@stallwing/core'
+import { answerHeadersToPassOn } from './CallerRequest.js'
+import type { Refusal } from './Refusal.js'
+import type { AnswerHead } from './sendToTarget.js'
+
+const SECOND_MS = 1_000
+
+/** Writes one answer to a caller. */
+export class AnswerWriter {
+	/** The head of a stream has left: what follows must go on with it, or break off. */
+	begun = false
+	/** Number of the last event that was passed on. */
+	lastEvent: number | undefined
+	/** Events passed on. */
+	events = 0
+
+	constructor(
+		private readonly response: ServerResponse,
+		private readonly stopping: () => boolean,
+	) {}
+
+	/** Passes on a whole answer of a target. */
+	whole(head: AnswerHead, body: Buffer): void {
+		const headers = answerHeadersToPassOn(head.rawHeaders)
+		if (mayHaveBody(head.status)) headers.push('Content-Length', String(body.length))
+		this.writeHead(head.status, headers)
+		this.response.end(body)
+	}
+
+	/** Passes on the head of a stream. */
+	beginStream(head: AnswerHead): void {
+		this.begun = true
+		this.writeHead(head.status, answerHeadersToPassOn(head.rawHeaders))
+		this.response.flushHeaders()
+	}
+
+	/** Passes on one event. False: the caller reads slowly; wait for {@link onDrain}. */
+	event(event: StreamEvent): boolean {
+		this.events++
+		if (event.id !== undefined) this.lastEvent = event.id
+		return this.response.write(event.bytes)
+	}
+
+	/** Calls back once the caller has read what was written. */
+	onDrain(callback: () => void): void {
+		this.response.once('drain', callback)
+	}
+
+	endStream(): void {
+		this.response.end()
+	}
+
+	/** Answers by ourselves. The body names the reason; the status carries the promise. */
+	refuse(status: number, refusal: Refusal, requestRead: boolean): void {
+		if (this.response.headersSent) {
+			this.destroy()
+			return
+		}
+		const body = Buffer.from(
+			JSON.stringify({ error: { type: refusal.kind, message: refusal.detail } }),
+		)
+		const headers = ['Content-Type', 'application/json', 'Content-Length', String(body.length)]
+		if (refusal.retryAfterMs !== undefined)
+			headers.push('Retry-After', (refusal.retryAfterMs / SECOND_MS).toFixed(3))
+		if (!requestRead) headers.push('Connection', 'close')
+		this.writeHead(status, headers)
+		this.response.end(body)
+	}
+
+	/** Breaks off, so that the answer does not look whole. */
+	destroy(): void {
+		this.response.destroy()
+	}
+
+	private writeHead(status: number, headers: string[]): void {
+		this.response.sendDate = false
+		if (this.stopping() && !headers.includes('Connection')) headers.push('Connection', 'close')
+		this.response.writeHead(status, headers)
+	}
+}
+
+function mayHaveBody(status: number): boolean {
+	return status !== 204 && status !== 304
+}
--- /dev/null
+++ b/packages/gateway/src/lib/Attempt.ts
@@ -0,0 +1,229 @@
+import {
+	EventSplitter,
+	type AttemptHandle,
+	type AttemptResult,
+	type AttemptVerdict,
+	type Place,
+} from '@stallwing/core'
+import type { AnswerWriter } from './AnswerWriter.js'
+import type { CallerRequest } from './CallerRequest.js'
+import type { GatewayContext } from './GatewayContext.js'
+import {
+	sendToTarget,
+	type AnswerHead,
+	type AnswerListener,
+	type TargetCall,
+	type TargetFailure,
+	type TargetRequest,
+} from './sendToTarget.js'
+
+/** How an attempt ended, with what may be passed on. */
+export interface AttemptEnd {
+	readonly outcome: AttemptResult
+	readonly cause: string
+	readonly status: number
+	/** A whole answer that has not been passed on yet. */
+	readonly whole: { readonly head: AnswerHead; readonly body: Buffer } | undefined
+}
+
+/** How long an attempt may stay silent before another target is asked. */
+interface Patience {
+	readonly firstByteMs: number
+	readonly gapMs: number
+}
+
+const EVENT_STREAM = 'text/event-stream'
+const MOST_BUFFERED_BYTES = 16 * 1024 * 1024
+const PLAIN_PATIENCE_MS = 150
+const STREAM_PATIENCE_MS = 800
+const STREAM_GAP_MS = 1_000
+/** Multiple of the expected time after which an answer is overdue. */
+const OVERDUE_FACTOR = 6
+
+/** One request at one target. */
+export class Attempt implements AnswerListener {
+	private call: TargetCall | undefined
+	private handle: AttemptHandle | undefined
+	private resolve: ((end: AttemptEnd) => void) | undefined
+	private head: AnswerHead | undefined
+	private splitter: EventSplitter | undefined
+	private chunks: Buffer[] = []
+	private bytes = 0
+	private silence: NodeJS.Timeout | undefined
+	private startedAt = 0
+	private over = false
+
+	constructor(
+		private readonly context: GatewayContext,
+		private readonly request: CallerRequest,
+		private readonly place: Place,
+		private readonly answer: AnswerWriter,
+		/** Another target may be asked when this one stays silent. */
+		private readonly mayMoveOn: boolean,
+	) {}
+
+	/** Sends the request and passes on the events of its answer. Never rejects. */
+	run(message: TargetRequest): Promise<AttemptEnd> {
+		this.startedAt = this.context.now()
+		this.handle = this.context.board.begin(this.place, this.request.work, this.startedAt)
+		return new Promise((resolve) => {
+			this.resolve = resolve
+			this.watchSilence(this.patience().firstByteMs)
+			this.call = sendToTarget(this.context.pool(this.place.target), message, this)
+		})
+	}
+
+	/** Closes the connection: the caller left, or the time is over. `run` stays open. */
+	cancel(): void {
+		if (this.over) return
+		const overdue = this.head === undefined && this.elapsed() > this.patience().firstByteMs
+		this.close(overdue ? 'failed' : 'cancelled')
+		this.call?.abort()
+	}
+
+	onHead(head: AnswerHead): boolean {
+		const { headers, dialect } = { headers: head.headers, dialect: this.context.dialect }
+		const now = this.context.now()
+		if (!this.belongs(head)) return false
+		this.handle?.noteByte(now)
+		this.head = head
+		const load = headers[dialect.headers.load]
+		const told = typeof load === 'string' ? dialect.readLoad(load) : undefined
+		if (told) this.handle?.noteLoad(told, now)
+		if (isSuccess(head) && isEventStream(head)) this.beginStream(head)
+		this.watchSilence(this.patience().gapMs)
+		return true
+	}
+
+	onData(chunk: Buffer): void {
+		this.handle?.noteByte(this.context.now())
+		this.silence?.refresh()
+		if (this.splitter) {
+			this.passEvents(this.splitter, chunk)
+			return
+		}
+		this.bytes += chunk.length
+		if (this.bytes > MOST_BUFFERED_BYTES) this.breakOff('answer too large')
+		else this.chunks.push(chunk)
+	}
+
+	onEnd(): void {
+		const head = this.head
+		if (!head || this.over) return
+		if (this.splitter?.insideEvent) {
+			this.onFailure({ sent: true, cause: 'ended inside an event' })
+			return
+		}
+		if (this.splitter) {
+			this.end('good', { kind: 'answered', failed: false }, 'stream ended', undefined)
+			return
+		}
+		this.endWhole(head, Buffer.concat(this.chunks, this.bytes))
+	}
+
+	onFailure(failure: TargetFailure): void {
+		if (failure.sent) this.end('failed', { kind: 'unknown' }, failure.cause, undefined)
+		else this.end('unreachable', { kind: 'not-sent' }, failure.cause, undefined)
+	}
+
+	private endWhole(head: AnswerHead, body: Buffer): void {
+		const { dialect } = this.context
+		const wrongTarget = head.status === dialect.wrongTargetStatus
+		if (wrongTarget || head.headers[dialect.headers.notRun] !== undefined) {
+			const verdict = wrongTarget ? 'unreachable' : 'full'
+			this.end(verdict, { kind: 'rejected' }, `status ${head.status}`, undefined)
+			return
+		}
+		const failed = head.status >= 500
+		const verdict = failed ? 'failed' : 'good'
+		this.end(verdict, { kind: 'answered', failed }, `status ${head.status}`, { head, body })
+	}
+
+	/** True where the answer is one of this target to this request. */
+	private belongs(head: AnswerHead): boolean {
+		const { requestId, mark } = this.context.dialect.headers
+		const id = head.headers[requestId]
+		if (id !== undefined && id !== this.request.id) return false
+		return !isSuccess(head) || (id !== undefined && head.headers[mark] !== undefined)
+	}
+
+	private beginStream(head: AnswerHead): void {
+		this.splitter = new EventSplitter()
+		if (!this.answer.begun) this.answer.beginStream(head)
+	}
+
+	private passEvents(splitter: EventSplitter, chunk: Buffer): void {
+		let roomy = true
+		for (const event of splitter.push(chunk)) {
+			const last = this.answer.lastEvent
+			if (event.id !== undefined && last !== undefined && event.id <= last) {
+				this.breakOff(`event ${event.id} after ${last}`)
+				return
+			}
+			roomy = this.answer.event(event)
+		}
+		if (roomy) return
+		this.call?.pause()
+		this.answer.onDrain(() => this.call?.resume())
+	}
+
+	private breakOff(cause: string): void {
+		this.call?.abort()
+		this.onFailure({ sent: true, cause })
+	}
+
+	private watchSilence(ms: number): void {
+		clearTimeout(this.silence)
+		if (!this.mayMoveOn) return
+		this.silence = setTimeout(() => this.breakOff('silent'), ms)
+	}
+
+	private patience(): Patience {
+		const overdue = OVERDUE_FACTOR * this.place.cost.expectedMs
+		if (this.request.route.kind !== 'stream')
+			return { firstByteMs: Math.max(PLAIN_PATIENCE_MS, overdue), gapMs: STREAM_GAP_MS }
+		return { firstByteMs: Math.max(STREAM_PATIENCE_MS, overdue), gapMs: STREAM_GAP_MS }
+	}
+
+	private end(
+		verdict: AttemptVerdict,
+		outcome: AttemptResult,
+		cause: string,
+		whole: AttemptEnd['whole'],
+	): void {
+		if (this.over) return
+		this.close(verdict)
+		this.context.metrics.count('stallwing_attempts_total', `outcome="${outcome.kind}"`)
+		this.context.log({
+			name: 'attempt-ended',
+			fields: {
+				request: this.request.id,
+				target: this.place.target.name,
+				outcome: outcome.kind,
+				cause,
+				tookMs: Math.round(this.elapsed()),
+				expectedMs: Math.round(this.place.cost.expectedMs),
+				events: this.answer.events,
+			},
+		})
+		this.resolve?.({ outcome, cause, status: this.head?.status ?? 0, whole })
+	}
+
+	private close(verdict: AttemptVerdict): void {
+		this.over = true
+		clearTimeout(this.silence)
+		this.handle?.end(verdict, this.context.now())
+	}
+
+	private elapsed(): number {
+		return this.context.now() - this.startedAt
+	}
+}
+
+function isSuccess(head: AnswerHead): boolean {
+	return head.status >= 200 && head.status < 300
+}
+
+function isEventStream(head: AnswerHead): boolean {
+	return String(head.headers['content-type'] ?? '').startsWith(EVENT_STREAM)
+}
--- /dev/null
+++ b/packages/gateway/src/lib/CallerRequest.ts
@@ -0,0 +1,163 @@
+import type { IncomingMessage } from 'node:http'
+import {
+	type Account,
+	type Route,
+	type ServiceName,
+	type StatedWork,
+	type TrafficIndex,
+} from '@stallwing/core'
+import * as E from 'fp-ts/lib/Either.js'
+import type { Dialect } from './Dialect.js'
+import type { RefusalKind } from './Refusal.js'
+
+/** A request that may be sent to a target, before its body has been read. */
+export interface CallerRequest {
+	readonly id: string
+	readonly method: string
+	readonly path: string
+	readonly route: Route
+	readonly service: ServiceName
+	readonly account: Account | undefined
+	readonly work: StatedWork | undefined
+	/** Rank for the target; 0 is the most urgent. */
+	readonly rank: number
+	/** How long the caller waits from the arrival of the request; undefined where it does not say. */
+	readonly deadlineMs: number | undefined
+	/** The last event that the caller has of an earlier answer; undefined where it asks for all. */
+	readonly lastEvent: string | undefined
+	/** Headers to pass on: names and values in turn. */
+	readonly headers: readonly string[]
+}
+
+/** Why a request is refused before its body is read. */
+export interface Rejection {
+	readonly kind: RefusalKind
+	readonly detail: string
+}
+
+/** Headers that concern one connection only. */
+const CONNECTION_HEADERS: ReadonlySet<string> = new Set([
+	'connection',
+	'keep-alive',
+	'proxy-connection',
+	'proxy-authenticate',
+	'proxy-authorization',
+	'te',
+	'trailer',
+	'transfer-encoding',
+	'upgrade',
+	'expect',
+])
+
+const MOST_ID_CHARS = 200
+const WHOLE_NUMBER = /^\d{1,12}$/
+
+/** Checks a request against the configuration in force. */
+export function readCallerRequest(
+	message: IncomingMessage,
+	traffic: TrafficIndex,
+	dialect: Dialect,
+): E.Either<Rejection, CallerRequest> {
+	const path = message.url ?? ''
+	if (!path.startsWith('/')) return reject('malformed', 'path')
+	const names = dialect.headers
+	const id = single(message, names.requestId)
+	if (id === undefined || id.length > MOST_ID_CHARS) return reject('malformed', names.requestId)
+	if (countHeader(message, 'host') !== 1) return reject('malformed', 'host')
+	if (headerBytes(message) > traffic.config.limits.headerBytes)
+		return reject('header-too-large', 'headers')
+	const route = traffic.routeOf(hostOf(message), pathOf(path))
+	if (!route) return reject('no-route', `${hostOf(message)} ${pathOf(path)}`)
+	const account = accountOf(message, traffic, dialect)
+	if (traffic.asksForKeys && !route.open && !account) return reject('no-key', route.name)
+	const deadline = message.headers[names.deadline]
+	if (deadline !== undefined && !WHOLE_NUMBER.test(String(deadline)))
+		return reject('malformed', names.deadline)
+	const work = dialect.readWork((name) => single(message, name))
+	if (E.isLeft(work)) return reject('malformed', work.left.what)
+	if (route.statesWork && !work.right) return reject('malformed', 'stated work')
+	return E.right({
+		id,
+		method: message.method ?? 'GET',
+		path,
+		route,
+		service: traffic.serviceOf(route, id),
+		account,
+		work: work.right,
+		rank: Math.min(dialect.lowestRank, traffic.rankOf(route, account)),
+		deadlineMs: deadline === undefined ? undefined : Number(deadline),
+		lastEvent: single(message, names.lastEvent),
+		headers: headersToPassOn(message, dialect),
+	})
+}
+
+function reject(kind: RefusalKind, detail: string): E.Either<Rejection, never> {
+	return E.left({ kind, detail })
+}
+
+function accountOf(
+	message: IncomingMessage,
+	traffic: TrafficIndex,
+	dialect: Dialect,
+): Account | undefined {
+	const key = dialect.readKey((name) => single(message, name))
+	return key === undefined ? undefined : traffic.accountOfKey(key)
+}
+
+/** Value of a header that occurs exactly once and is not empty. */
+function single(message: IncomingMessage, name: string): string | undefined {
+	if (countHeader(message, name) !== 1) return undefined
+	const value = message.headers[name]
+	return typeof value === 'string' && value !== '' ? value : undefined
+}
+
+function countHeader(message: IncomingMessage, name: string): number {
+	let count = 0
+	for (let i = 0; i < message.rawHeaders.length; i += 2) {
+		if (message.rawHeaders[i]?.toLowerCase() === name) count++
+	}
+	return count
+}
+
+function headerBytes(message: IncomingMessage): number {
+	let bytes = message.url?.length ?? 0
+	for (const text of message.rawHeaders) bytes += text.length + 2
+	return bytes
+}
+
+function hostOf(message: IncomingMessage): string {
+	return (message.headers.host ?? '').toLowerCase().replace(/:\d+$/, '')
+}
+
+function pathOf(url: string): string {
+	const query = url.indexOf('?')
+	return query < 0 ? url : url.slice(0, query)
+}
+
+function headersToPassOn(message: IncomingMessage, dialect: Dialect): string[] {
+	const listed = String(message.headers.connection ?? '')
+		.toLowerCase()
+		.split(',')
+		.map((name) => name.trim())
+	const passed: string[] = []
+	for (let i = 0; i + 1 < message.rawHeaders.length; i += 2) {
+		const name = message.rawHeaders[i] ?? ''
+		const lower = name.toLowerCase()
+		if (CONNECTION_HEADERS.has(lower) || lower === 'content-length') continue
+		if (dialect.fleetHeaders.has(lower) || listed.includes(lower)) continue
+		passed.push(name, message.rawHeaders[i + 1] ?? '')
+	}
+	return passed
+}
+
+/** Headers of an answer that may be passed on: names and values in turn. */
+export function answerHeadersToPassOn(rawHeaders: readonly string[]): string[] {
+	const passed: string[] = []
+	for (let i = 0; i + 1 < rawHeaders.length; i += 2) {
+		const name = rawHeaders[i] ?? ''
+		const lower = name.toLowerCase()
+		if (CONNECTION_HEADERS.has(lower) || lower === 'content-length') continue
+		passed.push(name, rawHeaders[i + 1] ?? '')
+	}
+	return passed
+}
--- /dev/null
+++ b/packages/gateway/src/lib/ConnectionPool.ts
@@ -0,0 +1,133 @@
+import { connect, type Socket } from 'node:net'
+
+/** Times of a {@link ConnectionPool}, in ms. */
+export interface PoolTimes {
+	readonly connectMs: number
+	/** Rest of a connection after an answer before it is used again: a late extra answer shows then. */
+	readonly settleMs: number
+	/** Idle time after which a connection is closed where the target told none. */
+	readonly idleMs: number
+	/** Time by which a connection is left before the idle time that the target told. */
+	readonly idleMarginMs: number
+}
+
+interface IdleConnection {
+	readonly socket: Socket
+	readonly since: number
+	readonly until: number
+	readonly drop: () => void
+}
+
+const SECOND_MS = 1_000
+
+/** Connections of this box to one target. A connection serves one request at a time. */
+export class ConnectionPool {
+	private idle: IdleConnection[] = []
+	private open = 0
+	private closed = false
+
+	constructor(
+		private readonly address: string,
+		private readonly times: PoolTimes,
+		private readonly now: () => number,
+		private readonly onOpened: () => void,
+	) {}
+
+	/** Connections in use or idle. */
+	get size(): number {
+		return this.open
+	}
+
+	get idleCount(): number {
+		return this.idle.length
+	}
+
+	/** A connection that has rested long enough, or a new one. Rejects where none can be made. */
+	async acquire(): Promise<Socket> {
+		return this.takeIdle() ?? (await this.connect())
+	}
+
+	/** Takes a connection back after a whole answer. `idleTold` is what the target told, in s. */
+	release(socket: Socket, idleTold: number | undefined): void {
+		const idleMs =
+			idleTold === undefined ? this.times.idleMs : idleTold * SECOND_MS - this.times.idleMarginMs
+		if (this.closed || socket.destroyed || idleMs <= 0) {
+			socket.destroy()
+			return
+		}
+		const drop = (): void => {
+			socket.destroy()
+		}
+		// Bytes on an idle connection belong to no request.
+		socket.on('data', drop)
+		socket.on('end', drop)
+		const now = this.now()
+		this.idle.push({ socket, since: now, until: now + idleMs, drop })
+	}
+
+	/** Closes idle connections whose time is over. */
+	sweep(): void {
+		const now = this.now()
+		const [kept, over] = partition(this.idle, (entry) => entry.until > now)
+		this.idle = kept
+		for (const entry of over) entry.socket.destroy()
+	}
+
+	/** Closes idle connections; those in use close when they are released. */
+	close(): void {
+		this.closed = true
+		for (const entry of this.idle) entry.socket.destroy()
+		this.idle = []
+	}
+
+	private takeIdle(): Socket | undefined {
+		this.sweep()
+		const now = this.now()
+		for (let i = this.idle.length - 1; i >= 0; i--) {
+			const entry = this.idle[i]
+			if (!entry || now - entry.since < this.times.settleMs) continue
+			this.idle.splice(i, 1)
+			entry.socket.off('data', entry.drop)
+			entry.socket.off('end', entry.drop)
+			return entry.socket
+		}
+		return undefined
+	}
+
+	private connect(): Promise<Socket> {
+		const [host, port] = splitAddress(this.address)
+		const socket = connect({ host, port, noDelay: true })
+		this.open++
+		socket.once('close', () => this.forget(socket))
+		return new Promise((resolve, reject) => {
+			const fail = (error: Error): void => {
+				clearTimeout(timer)
+				socket.destroy()
+				reject(error)
+			}
+			const timer = setTimeout(() => fail(new Error('connect timed out')), this.times.connectMs)
+			socket.once('error', fail)
+			socket.once('connect', () => {
+				clearTimeout(timer)
+				socket.off('error', fail)
+				socket.on('error', () => socket.destroy())
+				this.onOpened()
+				resolve(socket)
+			})
+		})
+	}
+
+	private forget(socket: Socket): void {
+		this.open--
+		this.idle = this.idle.filter((entry) => entry.socket !== socket)
+	}
+}
+
+function splitAddress(address: string): [string, number] {
+	const colon = address.lastIndexOf(':')
+	return [address.slice(0, colon), Number(address.slice(colon + 1))]
+}
+
+function partition<T>(list: readonly T[], keep: (item: T) => boolean): [T[], T[]] {
+	return [list.filter(keep), list.filter((item) => !keep(item))]
+}
--- /dev/null
+++ b/packages/gateway/src/lib/Dialect.ts
@@ -0,0 +1,54 @@
+import type { RequestLimits, StatedWork, TargetLoad } from '@stallwing/core'
+import type { Either } from 'fp-ts/lib/Either.js'
+import type { RefusalKind } from './Refusal.js'
+
+/** Why a request can't be understood. */
+export interface MalformedRequest {
+	readonly kind: 'malformed'
+	readonly what: string
+}
+
+/** Names of headers, all in lower case. */
+export interface HeaderNames {
+	/** Identifies one try of a caller; a target sends it back. */
+	readonly requestId: string
+	/** How long the caller, or what is left for a target, will wait, in ms. */
+	readonly deadline: string
+	/** The account that a request is charged to, for the target. */
+	readonly account: string
+	/** The only target that may run the request. */
+	readonly expectedTarget: string
+	/** Rank of the request, for the target; 0 is the most urgent. */
+	readonly rank: string
+	/** The last event that arrived, where a stream is taken up again. */
+	readonly lastEvent: string
+	/** On an answer: the mark of the target; an answer that succeeded without it is none of a target. */
+	readonly mark: string
+	/** On an answer: the target did not run the request. */
+	readonly notRun: string
+	/** On an answer: the load of the target. */
+	readonly load: string
+}
+
+/** How callers and targets spell what the gateway means. @public */
+export interface Dialect {
+	readonly headers: HeaderNames
+	/** Headers that only the fleet may set for a target; a caller's are dropped. Lower case. */
+	readonly fleetHeaders: ReadonlySet<string>
+	/** The least urgent rank that a target knows. */
+	readonly lowestRank: number
+	/** Status by which a target says that it is not the one named. */
+	readonly wrongTargetStatus: number
+	/** Limits until a configuration is in force. */
+	readonly startLimits: RequestLimits
+	/** Reads what a caller states of its work; undefined where it states nothing. */
+	readWork(
+		header: (name: string) => string | undefined,
+	): Either<MalformedRequest, StatedWork | undefined>
+	/** Reads the key of an account; undefined where there is none. */
+	readKey(header: (name: string) => string | undefined): string | undefined
+	/** Reads the load that a target tells; undefined where it can't be read. */
+	readLoad(text: string): TargetLoad | undefined
+	/** Status of an answer of our own. */
+	statusOf(refusal: RefusalKind): number
+}
--- /dev/null
+++ b/packages/gateway/src/lib/Exchange.ts
@@ -0,0 +1,336 @@
+import type { IncomingMessage, ServerResponse } from 'node:http'
+import {
+	decideAfterAttempt,
+	exhaustive,
+	worstCaseTokens,
+	type AttemptFacts,
+	type LogValue,
+	type LogEventName,
+	type Place,
+	type TargetName,
+} from '@stallwing/core'
+import * as E from 'fp-ts/lib/Either.js'
+import { AnswerWriter } from './AnswerWriter.js'
+import { Attempt, type AttemptEnd } from './Attempt.js'
+import { readCallerRequest, type CallerRequest } from './CallerRequest.js'
+import type { GatewayContext, TrafficInForce } from './GatewayContext.js'
+import { messageForTarget } from './messageForTarget.js'
+import { readBody } from './readBody.js'
+import { refusal, type RefusalKind } from './Refusal.js'
+import { TokenReservation } from './TokenReservation.js'
+
+/** Time before a limit at which the answer of our own leaves, in ms. */
+const LIMIT_MARGIN_MS = 5
+/** Least time that is worth handing on to a target, in ms. */
+const LEAST_TIME_MS = 10
+
+/** One request of a caller, from its head to the end of its answer. */
+export class Exchange {
+	private readonly arrivedAt: number
+	private readonly answer: AnswerWriter
+	private readonly tried = new Set<TargetName>()
+	private readonly reservation: TokenReservation
+	private request: CallerRequest | undefined
+	private attempt: Attempt | undefined
+	private limitTimer: NodeJS.Timeout | undefined
+	/** Attempts of which bytes left this box. */
+	private sent = 0
+	/** A target may have run the request, or may be running it. */
+	private mayHaveRun = false
+	private over = false
+
+	constructor(
+		private readonly context: GatewayContext,
+		private readonly message: IncomingMessage,
+		private readonly response: ServerResponse,
+	) {
+		this.arrivedAt = context.now()
+		this.answer = new AnswerWriter(response, () => context.stopping)
+		this.reservation = new TokenReservation(context.allowance)
+		response.on('close', () => this.callerLeft())
+	}
+
+	/** Serves the request. Rejects only on a fault of the program. */
+	async run(): Promise<void> {
+		const { traffic, dialect } = this.context
+		if (!traffic) {
+			this.refuse('not-configured', 'no configuration yet')
+			return
+		}
+		const read = readCallerRequest(this.message, traffic.index, dialect)
+		if (E.isLeft(read)) {
+			this.refuse(read.left.kind, read.left.detail)
+			return
+		}
+		this.request = read.right
+		const body = await this.readBody(traffic)
+		if (!body || this.over) return
+		this.startLimitTimer(read.right)
+		if (!(await this.reserve(read.right))) return
+		await this.tryTargets(read.right, traffic, body)
+	}
+
+	/** Ends the exchange after a fault of the program. */
+	abandon(): void {
+		this.attempt?.cancel()
+		if (!this.over) this.refuse('target-failed', 'internal fault')
+	}
+
+	private async readBody(traffic: TrafficInForce): Promise<Buffer | undefined> {
+		const { bodyBytes, idleMs } = traffic.index.config.limits
+		const read = await readBody(this.message, bodyBytes, idleMs)
+		if (this.over) return undefined
+		switch (read.kind) {
+			case 'whole':
+				return read.body
+			case 'caller-left':
+				this.finish()
+				return undefined
+			case 'too-large':
+				this.refuse('body-too-large', `over ${bodyBytes} bytes`)
+				return undefined
+			case 'late':
+				this.refuse('body-late', `idle for ${idleMs} ms`)
+				return undefined
+			default:
+				return exhaustive(read)
+		}
+	}
+
+	/** Time that is left of the route's and the caller's limits, in ms. */
+	private leftMs(request: CallerRequest): number {
+		const limit = Math.min(request.route.timeoutMs, request.deadlineMs ?? Infinity)
+		return limit - (this.context.now() - this.arrivedAt)
+	}
+
+	private startLimitTimer(request: CallerRequest): void {
+		const wait = Math.max(0, this.leftMs(request) - LIMIT_MARGIN_MS)
+		this.limitTimer = setTimeout(() => this.limitReached(), wait)
+	}
+
+	private limitReached(): void {
+		if (this.over) return
+		this.attempt?.cancel()
+		if (this.answer.begun) this.breakOff('time limit')
+		else this.refuse(this.mayHaveRun ? 'timed-out' : 'too-late', 'time limit')
+	}
+
+	private async reserve(request: CallerRequest): Promise<boolean> {
+		const { account, work } = request
+		if (!account || !work || account.tokenBudget === undefined) return true
+		const tokens = worstCaseTokens(work)
+		const patience = Math.min(this.leftMs(request), request.route.aimMs)
+		const result = await this.reservation.take(account.name, tokens, patience)
+		if (this.over) {
+			this.reservation.settle(0)
+			return false
+		}
+		if (result === 'reserved') return true
+		const kind = result === 'spent' ? 'budget-spent' : 'budget-unknown'
+		this.refuse(kind, `${account.name} needs ${tokens}`)
+		return false
+	}
+
+	private async tryTargets(
+		request: CallerRequest,
+		traffic: TrafficInForce,
+		body: Buffer,
+	): Promise<void> {
+		this.context.repeats(request.service).noteFirst(this.context.now())
+		while (!this.over) {
+			if (this.leftMs(request) < LEAST_TIME_MS) {
+				this.refuse(this.mayHaveRun ? 'timed-out' : 'too-late', 'no time is left')
+				return
+			}
+			const place = this.choose(request)
+			if (!place) {
+				this.giveUp('no target is open')
+				return
+			}
+			this.logChoice(request, traffic, place)
+			const end = await this.runAttempt(request, place, body)
+			if (this.over || !this.goesOn(request, end)) return
+		}
+	}
+
+	private choose(request: CallerRequest): Place | undefined {
+		const { context } = this
+		return context.board.choose(
+			{
+				service: request.service,
+				zone: context.zone,
+				work: request.work,
+				tried: this.tried,
+				isFull: (target) => context.isFull(target),
+			},
+			context.now(),
+		)
+	}
+
+	private async runAttempt(
+		request: CallerRequest,
+		place: Place,
+		body: Buffer,
+	): Promise<AttemptEnd> {
+		this.tried.add(place.target.name)
+		const mayMoveOn = isRepeatable(request) && this.sent + 1 < request.route.maxAttempts
+		this.attempt = new Attempt(this.context, request, place, this.answer, mayMoveOn)
+		const left = Math.floor(this.leftMs(request))
+		const resumeAfter = this.answer.lastEvent
+		const message = messageForTarget(
+			request,
+			this.context.dialect,
+			place.target.name,
+			body,
+			left,
+			resumeAfter,
+		)
+		const before = this.mayHaveRun
+		this.mayHaveRun = true
+		const end = await this.attempt.run(message)
+		const ran = end.outcome.kind === 'unknown' || end.outcome.kind === 'answered'
+		this.mayHaveRun = before || ran
+		if (end.outcome.kind !== 'not-sent') this.sent++
+		return end
+	}
+
+	/** True where another target is to be tried; otherwise the exchange has ended. */
+	private goesOn(request: CallerRequest, end: AttemptEnd): boolean {
+		const step = decideAfterAttempt(end.outcome, this.factsOf(request))
+		switch (step.kind) {
+			case 'try-again':
+				if (this.answer.begun) this.logResume(end)
+				return true
+			case 'pass-on':
+				this.passOn(request, end)
+				return false
+			case 'refuse':
+				this.giveUp(end.cause)
+				return false
+			default:
+				return exhaustive(step)
+		}
+	}
+
+	private factsOf(request: CallerRequest): AttemptFacts {
+		const { context } = this
+		const repeats = context.repeats(request.service)
+		return {
+			repeatable: isRepeatable(request),
+			sent: this.sent,
+			maxAttempts: request.route.maxAttempts,
+			mayHaveRun: this.mayHaveRun,
+			leftMs: this.leftMs(request),
+			takeRepeat: () => repeats.take(context.repeatLimits, context.boxes(), context.now()),
+		}
+	}
+
+	private passOn(request: CallerRequest, end: AttemptEnd): void {
+		if (end.whole && this.answer.begun) {
+			this.breakOff(`status ${end.status} inside a stream`)
+			return
+		}
+		this.reservation.settle(this.chargeOf(request, end))
+		if (end.whole) this.answer.whole(end.whole.head, end.whole.body)
+		else this.answer.endStream()
+		this.noteEnd('request-answered', { status: end.status, events: this.answer.events })
+	}
+
+	/** Tokens that an answered request is charged: what came out where one target made all of it. */
+	private chargeOf(request: CallerRequest, end: AttemptEnd): number {
+		const perEvent = this.context.traffic?.index.service(request.service)?.tokensPerEvent
+		const { work } = request
+		if (!work || perEvent === undefined || this.sent > 1 || end.whole) return Infinity
+		const out = Math.min(work.maxOutputTokens, this.answer.events * perEvent)
+		return work.inputTokens + out
+	}
+
+	private giveUp(cause: string): void {
+		if (this.answer.begun) this.breakOff(cause)
+		else this.refuse(this.mayHaveRun ? 'target-failed' : 'no-target', cause)
+	}
+
+	/** Ends an answer that has begun and can't be completed, so that it does not look whole. */
+	private breakOff(cause: string): void {
+		this.reservation.settle(Infinity)
+		this.answer.destroy()
+		this.noteEnd('request-failed', { cause })
+	}
+
+	private refuse(kind: RefusalKind, detail: string): void {
+		this.reservation.settle(this.mayHaveRun ? Infinity : 0)
+		const answer = refusal(kind, detail, this.context.random())
+		this.answer.refuse(this.context.dialect.statusOf(kind), answer, this.message.complete)
+		this.noteEnd('request-refused', { kind, detail, retryAfterMs: answer.retryAfterMs ?? 0 })
+	}
+
+	private callerLeft(): void {
+		if (this.over) return
+		// Work that may run only once is let finish: nobody may ask for it again.
+		if (this.request?.route.kind !== 'once') this.attempt?.cancel()
+		this.reservation.settle(this.mayHaveRun ? Infinity : 0)
+		this.noteEnd('request-cancelled', {})
+	}
+
+	private noteEnd(name: LogEventName, facts: Readonly<Record<string, LogValue>>): void {
+		this.finish()
+		const { metrics, traffic } = this.context
+		const elapsed = this.context.now() - this.arrivedAt
+		const route = this.request?.route.name ?? ''
+		metrics.count('stallwing_requests_total', `end="${name}",route="${route}"`)
+		if (name === 'request-answered') metrics.time('stallwing_answer_ms', elapsed)
+		this.context.log({
+			name,
+			fields: {
+				request: this.request?.id ?? '',
+				route,
+				account: this.request?.account?.name ?? '',
+				...facts,
+				sent: this.sent,
+				mayHaveRun: this.mayHaveRun,
+				afterMs: Math.round(elapsed),
+				configuration: traffic?.index.config.version ?? -1,
+			},
+		})
+	}
+
+	private logChoice(request: CallerRequest, traffic: TrafficInForce, place: Place): void {
+		this.context.log({
+			name: 'target-chosen',
+			fields: {
+				request: request.id,
+				target: place.target.name,
+				service: request.service,
+				costMs: Math.round(place.cost.ms),
+				expectedMs: Math.round(place.cost.expectedMs),
+				unreadTokens: Math.round(place.cost.unreadTokens),
+				candidates: place.candidates,
+				loadAgeMs: place.loadAgeMs,
+				leftMs: Math.round(this.leftMs(request)),
+				configuration: traffic.index.config.version,
+				configurationAgeMs: Math.round(this.context.now() - traffic.since),
+			},
+		})
+	}
+
+	private logResume(end: AttemptEnd): void {
+		this.context.log({
+			name: 'stream-resumed',
+			fields: {
+				request: this.request?.id ?? '',
+				after: this.answer.lastEvent ?? -1,
+				cause: end.cause,
+			},
+		})
+	}
+
+	private finish(): void {
+		this.over = true
+		clearTimeout(this.limitTimer)
+	}
+}
+
+function isRepeatable(request: CallerRequest): boolean {
+	const { kind, resumable } = request.route
+	return kind === 'repeatable' || (kind === 'stream' && resumable)
+}
--- /dev/null
+++ b/packages/gateway/src/lib/Gateway.ts
@@ -0,0 +1,373 @@
+import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http'
+import {
+	RepeatBudget,
+	TargetBoard,
+	TrafficIndex,
+	brandId,
+	type AccountName,
+	type BoxName,
+	type Incarnation,
+	type LogEvent,
+	type RepeatLimits,
+	type ServiceName,
+	type TargetEntry,
+	type TargetName,
+	type TrafficConfig,
+	type ZoneName,
+} from '@stallwing/core'
+import {
+	PrefixFollower,
+	type KeyValueStore,
+	type StoreContact,
+	type StoreItem,
+} from '@stallwing/store'
+import type { Metrics } from '@stallwing/telemetry'
+import * as E from 'fp-ts/lib/Either.js'
+import { AllowanceClient } from './AllowanceClient.js'
+import { ConnectionPool, type PoolTimes } from './ConnectionPool.js'
+import type { Dialect } from './Dialect.js'
+import { Exchange } from './Exchange.js'
+import type { GatewayContext, TrafficInForce } from './GatewayContext.js'
+import { listenOn, type ListenAddress } from './listenOn.js'
+
+/** Why a document of the operator or a target can't be used. */
+export interface UnreadableDocument {
+	readonly kind: 'unreadable'
+	/** Field and what was expected. */
+	readonly what: string
+}
+
+/** Where the documents lie in the store, and how they are read. */
+export interface Documents {
+	readonly configPrefix: string
+	readonly configKey: string
+	readonly targetsPrefix: string
+	readonly allowanceKey: string
+	readConfig(value: Buffer): E.Either<UnreadableDocument, TrafficConfig>
+	readTarget(item: StoreItem): E.Either<UnreadableDocument, TargetEntry>
+}
+
+/** All that a gateway is made of. @public */
+export interface GatewayOptions {
+	readonly box: BoxName
+	readonly zone: ZoneName
+	/** A new value for each start of the process. */
+	readonly incarnation: Incarnation
+	readonly listen: { readonly callers: ListenAddress; readonly readiness: ListenAddress }
+	readonly store: KeyValueStore
+	readonly documents: Documents
+	readonly dialect: Dialect
+	readonly repeatLimits: RepeatLimits
+	/** Time between the order to stop and the kill, in ms. */
+	readonly graceMs: number
+	readonly metrics: Metrics
+	readonly log: (event: LogEvent) => void
+	readonly now: () => number
+	readonly random: () => number
+}
+
+const POOL_TIMES: PoolTimes = { connectMs: 300, settleMs: 20, idleMs: 1_500, idleMarginMs: 1_000 }
+const FOLLOWER_RETRY_MS = 150
+const WATCH_MS = 2_000
+const MAINTAIN_MS = 400
+const SWEEP_MS = 250
+/** Time that the balancer needs to notice that a box is not ready, in ms. */
+const NOTICE_MS = 2_600
+const STOP_MARGIN_MS = 600
+const STOP_POLL_MS = 50
+const KEEP_ALIVE_MARGIN_MS = 1_000
+
+/** Serves callers: follows configuration, targets and budgets, and sends each request to a target. @public */
+export class Gateway {
+	private readonly board = new TargetBoard()
+	private readonly pools = new Map<TargetName, ConnectionPool>()
+	private readonly repeatBudgets = new Map<ServiceName, RepeatBudget>()
+	private readonly allowance: AllowanceClient
+	private readonly context: GatewayContext
+	private readonly callers: Server
+	private readonly readiness: Server
+	private readonly followers: PrefixFollower[]
+	private readonly timers: NodeJS.Timeout[] = []
+	private open = 0
+	private targetsListed = false
+	private wasReady = false
+
+	constructor(private readonly options: GatewayOptions) {
+		this.allowance = new AllowanceClient({
+			store: options.store,
+			key: options.documents.allowanceKey,
+			box: options.box,
+			holder: options.incarnation,
+			metrics: options.metrics,
+			now: options.now,
+			random: options.random,
+			sleep,
+			log: options.log,
+		})
+		this.context = this.makeContext()
+		this.callers = createServer({ keepAlive: true, noDelay: true, maxHeaderSize: 65_536 })
+		this.callers.on('request', (message, response) => this.serve(message, response))
+		this.applyLimits()
+		this.readiness = createServer((message, response) => this.answerReadiness(message, response))
+		this.followers = [this.followConfig(), this.followTargets()]
+	}
+
+	/** True where this box can serve callers. */
+	get ready(): boolean {
+		const { traffic, stopping } = this.context
+		return traffic !== undefined && this.targetsListed && this.allowance.claimed && !stopping
+	}
+
+	/** Starts to listen and to follow the store. @throws where an address can't be listened on. */
+	async start(): Promise<void> {
+		await listenOn(this.callers, this.options.listen.callers)
+		await listenOn(this.readiness, this.options.listen.readiness)
+		for (const follower of this.followers) void follower.run()
+		void this.allowance.claim()
+		this.timers.push(setInterval(() => void this.allowance.maintain(), MAINTAIN_MS))
+		this.timers.push(setInterval(() => this.sweep(), SWEEP_MS))
+	}
+
+	/** Stops as planned: no new callers, all answers whole as far as the grace allows. */
+	async stop(): Promise<void> {
+		if (this.context.stopping) return
+		const began = this.options.now()
+		this.context.stopping = true
+		this.options.log({ name: 'stop-begun', fields: { open: this.open } })
+		const last = began + this.options.graceMs - STOP_MARGIN_MS
+		while (this.options.now() < last) {
+			if (this.open === 0 && this.options.now() - began >= NOTICE_MS) break
+			await sleep(STOP_POLL_MS)
+		}
+		this.callers.close()
+		this.callers.closeIdleConnections()
+		for (const follower of this.followers) follower.stop()
+		for (const timer of this.timers) clearInterval(timer)
+		await this.allowance.giveBack()
+		this.options.log({ name: 'stop-done', fields: { open: this.open } })
+	}
+
+	/** Takes limits that the settings may change while the process runs. */
+	setRepeatLimits(limits: RepeatLimits): void {
+		this.context.repeatLimits = limits
+	}
+
+	/** Figures that are read rather than counted. */
+	gauges(): Record<string, number> {
+		const now = this.options.now()
+		const { traffic } = this.context
+		const gauges: Record<string, number> = {
+			stallwing_open_requests: this.open,
+			stallwing_targets: this.board.size,
+			stallwing_configuration_version: traffic?.index.config.version ?? -1,
+			stallwing_configuration_age_ms: traffic ? Math.round(now - traffic.since) : -1,
+			stallwing_ready: this.ready ? 1 : 0,
+		}
+		for (const view of this.allowance.views()) {
+			const label = `{account="${view.account}"}`
+			gauges[`stallwing_allowance_drawn_tokens${label}`] = view.drawn
+			gauges[`stallwing_allowance_free_tokens${label}`] = view.free
+		}
+		return gauges
+	}
+
+	private makeContext(): GatewayContext {
+		const { options } = this
+		return {
+			box: options.box,
+			zone: options.zone,
+			dialect: options.dialect,
+			board: this.board,
+			allowance: this.allowance,
+			metrics: options.metrics,
+			traffic: undefined,
+			repeatLimits: options.repeatLimits,
+			stopping: false,
+			now: options.now,
+			random: options.random,
+			log: options.log,
+			pool: (target) => this.pool(target),
+			isFull: (target) => this.isFull(target),
+			repeats: (service) => this.repeats(service),
+			boxes: () => this.allowance.boxes,
+		}
+	}
+
+	private serve(message: IncomingMessage, response: ServerResponse): void {
+		this.open++
+		response.once('close', () => this.open--)
+		const exchange = new Exchange(this.context, message, response)
+		exchange.run().catch((error: unknown) => {
+			this.options.log({ name: 'unexpected-error', fields: { error: describe(error) } })
+			exchange.abandon()
+		})
+	}
+
+	private answerReadiness(_message: IncomingMessage, response: ServerResponse): void {
+		const { ready } = this
+		if (ready !== this.wasReady) {
+			this.wasReady = ready
+			this.options.log({ name: 'ready-changed', fields: { ready } })
+		}
+		response.writeHead(ready ? 200 : 503, { 'Content-Length': 0 })
+		response.end()
+	}
+
+	private applyLimits(): void {
+		const limits = this.context.traffic?.index.config.limits ?? this.options.dialect.startLimits
+		this.callers.keepAliveTimeout = limits.idleMs + KEEP_ALIVE_MARGIN_MS
+		this.callers.headersTimeout = limits.headerMs
+		this.callers.requestTimeout = 0
+	}
+
+	private followConfig(): PrefixFollower {
+		const { configPrefix, configKey } = this.options.documents
+		return this.follower(configPrefix, (items) => {
+			const item = items.get(configKey)
+			if (item) this.takeConfig(item)
+		})
+	}
+
+	private takeConfig(item: StoreItem): void {
+		const { traffic } = this.context
+		if (traffic && item.revision <= traffic.revision) return
+		const read = this.options.documents.readConfig(item.value)
+		if (E.isLeft(read)) {
+			this.options.log({
+				name: 'traffic-refused',
+				fields: { revision: item.revision, what: read.left.what },
+			})
+			return
+		}
+		this.putInForce({
+			index: new TrafficIndex(read.right),
+			revision: item.revision,
+			since: this.options.now(),
+		})
+	}
+
+	private putInForce(traffic: TrafficInForce): void {
+		this.context.traffic = traffic
+		this.applyLimits()
+		const { config } = traffic.index
+		const tokens: Record<AccountName, number> = {}
+		for (const account of config.accounts ?? []) {
+			if (account.tokenBudget !== undefined) tokens[account.name] = account.tokenBudget
+		}
+		this.allowance.setBudgets({ at: traffic.revision, tokens })
+		this.options.log({
+			name: 'traffic-in-force',
+			fields: {
+				version: config.version,
+				revision: traffic.revision,
+				routes: config.routes.length,
+				accounts: config.accounts?.length ?? 0,
+			},
+		})
+	}
+
+	private followTargets(): PrefixFollower {
+		return this.follower(this.options.documents.targetsPrefix, (items) => {
+			this.takeTargets([...items.values()])
+			this.targetsListed = true
+		})
+	}
+
+	private takeTargets(items: readonly StoreItem[]): void {
+		const entries: TargetEntry[] = []
+		for (const item of items) {
+			const read = this.options.documents.readTarget(item)
+			if (E.isRight(read)) entries.push(read.right)
+			else
+				this.options.log({
+					name: 'target-unreadable',
+					fields: { key: item.key, what: read.left.what },
+				})
+		}
+		const changes = this.board.replace(entries, this.options.now())
+		this.logTargets('target-joined', changes.joined)
+		this.logTargets('target-leaving', changes.leaving)
+		this.logTargets('target-gone', changes.gone)
+		for (const entry of [...changes.gone, ...changes.leaving]) this.dropPool(entry)
+	}
+
+	private logTargets(
+		name: 'target-joined' | 'target-leaving' | 'target-gone',
+		entries: readonly TargetEntry[],
+	): void {
+		for (const { name: target, service, address } of entries)
+			this.options.log({ name, fields: { target, service, address } })
+	}
+
+	private follower(
+		prefix: string,
+		onItems: (items: ReadonlyMap<string, StoreItem>) => void,
+	): PrefixFollower {
+		return new PrefixFollower(this.options.store, {
+			prefix,
+			waitMs: WATCH_MS,
+			retryMs: FOLLOWER_RETRY_MS,
+			onItems,
+			onContact: (contact) => this.logContact(prefix, contact),
+			sleep,
+		})
+	}
+
+	private logContact(prefix: string, contact: StoreContact): void {
+		if (contact.kind === 'reached') this.options.log({ name: 'store-reached', fields: { prefix } })
+		else
+			this.options.log({
+				name: 'store-lost',
+				fields: { prefix, fault: JSON.stringify(contact.fault) },
+			})
+	}
+
+	private pool(target: TargetEntry): ConnectionPool {
+		const known = this.pools.get(target.name)
+		if (known) return known
+		const pool = new ConnectionPool(target.address, POOL_TIMES, this.options.now, () =>
+			this.options.metrics.count('stallwing_connections_opened_total'),
+		)
+		this.pools.set(target.name, pool)
+		return pool
+	}
+
+	private dropPool(target: TargetEntry): void {
+		this.pools.get(target.name)?.close()
+		this.pools.delete(target.name)
+	}
+
+	private isFull(target: TargetName): boolean {
+		const pool = this.pools.get(target)
+		const service = this.board.serviceOf(target)
+		if (!pool || !service) return false
+		const most = this.context.traffic?.index.service(service)?.maxConnections ?? Infinity
+		const share = Math.max(1, Math.floor(most / this.allowance.boxes))
+		return pool.size - pool.idleCount >= share
+	}
+
+	private repeats(service: ServiceName): RepeatBudget {
+		const known = this.repeatBudgets.get(service)
+		if (known) return known
+		const budget = new RepeatBudget()
+		this.repeatBudgets.set(service, budget)
+		return budget
+	}
+
+	private sweep(): void {
+		for (const pool of this.pools.values()) pool.sweep()
+	}
+}
+
+/** A start of a process, told apart from all others by chance. @public */
+export function newGatewayIncarnation(random: () => number): Incarnation {
+	return brandId<Incarnation>(Math.floor(random() * Number.MAX_SAFE_INTEGER).toString(36))
+}
+
+function sleep(ms: number): Promise<void> {
+	return new Promise((resolve) => setTimeout(resolve, ms))
+}
+
+function describe(error: unknown): string {
+	return error instanceof Error ? (error.stack ?? error.message) : String(error)
+}
--- /dev/null
+++ b/packages/gateway/src/lib/GatewayContext.ts
@@ -0,0 +1,49 @@
+import type {
+	BoxName,
+	LogEvent,
+	RepeatBudget,
+	RepeatLimits,
+	ServiceName,
+	TargetBoard,
+	TargetEntry,
+	TargetName,
+	TrafficIndex,
+	ZoneName,
+} from '@stallwing/core'
+import type { Metrics } from '@stallwing/telemetry'
+import type { AllowanceClient } from './AllowanceClient.js'
+import type { ConnectionPool } from './ConnectionPool.js'
+import type { Dialect } from './Dialect.js'
+
+/** The configuration in force, with the revision of the store that brought it. */
+export interface TrafficInForce {
+	readonly index: TrafficIndex
+	readonly revision: number
+	/** When this box took it, on the steady clock. */
+	readonly since: number
+}
+
+/** What every request needs of its box: the blackboard of the gateway. */
+export interface GatewayContext {
+	readonly box: BoxName
+	readonly zone: ZoneName
+	readonly dialect: Dialect
+	readonly board: TargetBoard
+	readonly allowance: AllowanceClient
+	readonly metrics: Metrics
+	/** Undefined until the first configuration came. Written by the configuration controller only. */
+	traffic: TrafficInForce | undefined
+	repeatLimits: RepeatLimits
+	/** True once the process was told to stop. */
+	stopping: boolean
+	/** Steady clock, in ms. */
+	now(): number
+	random(): number
+	log(event: LogEvent): void
+	pool(target: TargetEntry): ConnectionPool
+	/** True where the target takes no further connection from this box. */
+	isFull(target: TargetName): boolean
+	repeats(service: ServiceName): RepeatBudget
+	/** Boxes that share what is limited for the fleet; an estimate, never 0. */
+	boxes(): number
+}
--- /dev/null
+++ b/packages/gateway/src/lib/Refusal.ts
@@ -0,0 +1,58 @@
+/**
+ * Answers that the gateway gives by itself.
+ *
+ * It has not run, and will not:
+ * - `malformed`, `header-too-large`, `body-too-large`, `no-route`, `no-key`: the request is at fault.
+ * - `body-late`: the body did not come in time.
+ * - `not-configured`: this box knows no configuration yet.
+ * - `budget-spent`: what is left of the budget can't hold the request.
+ * - `budget-unknown`: this box holds too little of the budget and can't draw more now.
+ * - `no-target`: no target could take it.
+ * - `too-late`: too little time is left to begin.
+ *
+ * It may have run:
+ * - `target-failed`: a target was asked, and no whole answer came.
+ * - `timed-out`: the time of the route or of the caller is over.
+ */
+export type RefusalKind =
+	| 'malformed'
+	| 'header-too-large'
+	| 'body-too-large'
+	| 'no-route'
+	| 'no-key'
+	| 'body-late'
+	| 'not-configured'
+	| 'budget-spent'
+	| 'budget-unknown'
+	| 'no-target'
+	| 'too-late'
+	| 'target-failed'
+	| 'timed-out'
+
+/** An answer of our own, with what a log reader needs to know. */
+export interface Refusal {
+	readonly kind: RefusalKind
+	readonly detail: string
+	/** When to come back; undefined where coming back does not help. */
+	readonly retryAfterMs: number | undefined
+}
+
+/** Refusals after which a caller may come back with the same request. */
+const WORTH_RETRYING: ReadonlySet<RefusalKind> = new Set([
+	'not-configured',
+	'budget-unknown',
+	'no-target',
+	'too-late',
+])
+
+/** Pause that a caller is asked for at least, and the spread that keeps callers apart. */
+const RETRY_AFTER_MS = 100
+const RETRY_SPREAD_MS = 200
+
+/** Makes a refusal; `random` in [0, 1) spreads the callers that come back. */
+export function refusal(kind: RefusalKind, detail: string, random: number): Refusal {
+	const retryAfterMs = WORTH_RETRYING.has(kind)
+		? Math.round(RETRY_AFTER_MS + random * RETRY_SPREAD_MS)
+		: undefined
+	return { kind, detail, retryAfterMs }
+}
--- /dev/null
+++ b/packages/gateway/src/lib/sendToTarget.ts
@@ -0,0 +1,199 @@
+import { request, type ClientRequest, type IncomingMessage } from 'node:http'
+import type { Socket } from 'node:net'
+import type { ConnectionPool } from './ConnectionPool.js'
+
+/** What is sent to a target. */
+export interface TargetRequest {
+	readonly method: string
+	readonly path: string
+	/** Names and values in turn, as they go on the wire. */
+	readonly headers: readonly string[]
+	readonly body: Buffer
+}
+
+/** Head of an answer of a target. */
+export interface AnswerHead {
+	readonly status: number
+	/** Names and values in turn, as they came. */
+	readonly rawHeaders: readonly string[]
+	/** By lower-case name. */
+	readonly headers: Readonly<Record<string, string | string[] | undefined>>
+}
+
+/**
+ * Why no whole answer came. `sent` is false only where no byte of the request left this box.
+ */
+export interface TargetFailure {
+	readonly sent: boolean
+	readonly cause: string
+}
+
+/** What a target answers, as it comes. After `onEnd` or `onFailure` nothing else is called. */
+export interface AnswerListener {
+	/** False: this is not the answer to our request; the connection is dropped. */
+	onHead(head: AnswerHead): boolean
+	onData(chunk: Buffer): void
+	/** The answer is whole. */
+	onEnd(): void
+	onFailure(failure: TargetFailure): void
+}
+
+/** A request under way at a target. */
+export interface TargetCall {
+	pause(): void
+	resume(): void
+	/** Closes the connection, so that the target stops. No listener is called any more. */
+	abort(): void
+}
+
+/** Sends a request on a connection of the pool. Never throws; failures go to the listener. */
+export function sendToTarget(
+	pool: ConnectionPool,
+	message: TargetRequest,
+	listener: AnswerListener,
+): TargetCall {
+	const call = new PooledCall(pool, message, listener)
+	void call.start()
+	return call
+}
+
+class PooledCall implements TargetCall {
+	private socket: Socket | undefined
+	private request: ClientRequest | undefined
+	private answer: IncomingMessage | undefined
+	private over = false
+	private broken = false
+
+	constructor(
+		private readonly pool: ConnectionPool,
+		private readonly message: TargetRequest,
+		private readonly listener: AnswerListener,
+	) {}
+
+	async start(): Promise<void> {
+		try {
+			this.socket = await this.pool.acquire()
+		} catch (error) {
+			this.fail(false, describe(error))
+			return
+		}
+		if (this.over) {
+			this.pool.release(this.socket, undefined)
+			return
+		}
+		if (this.socket.destroyed) {
+			this.fail(false, 'connection closed before use')
+			return
+		}
+		this.send(this.socket)
+	}
+
+	pause(): void {
+		this.answer?.pause()
+	}
+
+	resume(): void {
+		this.answer?.resume()
+	}
+
+	abort(): void {
+		if (this.over) return
+		this.over = true
+		this.request?.destroy()
+		if (this.request) this.socket?.destroy()
+	}
+
+	private send(socket: Socket): void {
+		// A reset ends an answer without a length just as a close does; only the error tells.
+		socket.prependOnceListener('error', () => {
+			this.broken = true
+		})
+		const outgoing = request({
+			createConnection: () => socket,
+			method: this.message.method,
+			path: this.message.path,
+			headers: this.message.headers as string[],
+		})
+		// A request without an agent is taken as the last one of its connection; ours goes on.
+		outgoing.shouldKeepAlive = true
+		this.request = outgoing
+		outgoing.on('error', (error) => this.fail(true, describe(error)))
+		outgoing.on('close', () => this.fail(true, 'connection closed'))
+		outgoing.on('response', (answer) => this.receive(answer))
+		outgoing.end(this.message.body)
+	}
+
+	private receive(answer: IncomingMessage): void {
+		if (this.over) return
+		this.answer = answer
+		const accepted = this.listener.onHead({
+			status: answer.statusCode ?? 0,
+			rawHeaders: answer.rawHeaders,
+			headers: answer.headers,
+		})
+		if (!accepted) {
+			this.fail(true, 'answer of another request')
+			return
+		}
+		answer.on('data', (chunk: Buffer) => {
+			if (!this.over) this.listener.onData(chunk)
+		})
+		answer.on('error', (error) => this.fail(true, describe(error)))
+		answer.on('aborted', () => this.fail(true, 'answer broken off'))
+		answer.on('end', () => this.finish(answer))
+	}
+
+	private finish(answer: IncomingMessage): void {
+		if (this.over) return
+		if (!answer.complete || this.broken) {
+			this.fail(true, 'answer broken off')
+			return
+		}
+		this.over = true
+		this.recycle(answer)
+		this.listener.onEnd()
+	}
+
+	private recycle(answer: IncomingMessage): void {
+		const socket = this.socket
+		if (!socket) return
+		if (!mayBeReused(answer) || !this.request?.writableFinished) {
+			socket.destroy()
+			return
+		}
+		// The parser lets go of the connection in a later turn.
+		socket.once('free', () => {
+			socket.removeAllListeners('error')
+			socket.on('error', () => socket.destroy())
+			this.pool.release(socket, idleSeconds(answer))
+		})
+	}
+
+	private fail(sent: boolean, cause: string): void {
+		if (this.over) return
+		this.over = true
+		this.request?.destroy()
+		this.socket?.destroy()
+		this.listener.onFailure({ sent, cause })
+	}
+}
+
+function mayBeReused(answer: IncomingMessage): boolean {
+	const connection = String(answer.headers.connection ?? '').toLowerCase()
+	if (connection.includes('close')) return false
+	if (answer.httpVersion === '1.0') return false
+	const framed =
+		answer.headers['content-length'] !== undefined ||
+		answer.headers['transfer-encoding'] !== undefined
+	return framed || answer.statusCode === 204 || answer.statusCode === 304
+}
+
+function idleSeconds(answer: IncomingMessage): number | undefined {
+	const match = /timeout=(\d+)/.exec(String(answer.headers['keep-alive'] ?? ''))
+	return match ? Number(match[1]) : undefined
+}
+
+function describe(error: unknown): string {
+	if (!(error instanceof Error)) return String(error)
+	return 'code' in error ? String(error.code) : error.message
+}
--- a/packages/router/src/index.ts
+++ b/packages/router/src/index.ts
@@ -8,7 +8,7 @@
 	type RouterSettings,
 } from './lib/settings.js'
 export { hashKey } from './lib/readCall.js'
-export { Metrics } from './lib/Metrics.js'
+export { Metrics } from '@stallwing/telemetry'
 export { LogWriter, type LogLine } from './lib/LogWriter.js'
 /** For measurements of the talk between boxes only. */
 export { PeerLinks } from './lib/PeerLinks.js'
--- a/packages/router/src/lib/BundleFetcher.ts
+++ b/packages/router/src/lib/BundleFetcher.ts
@@ -5,7 +5,7 @@
 	type BundleDocument,
 	type OperatorKey,
 	type PlatformClient,
-} from '@stallwing/platform'
+} from '@stallwing/store'
 import * as E from 'fp-ts/lib/Either.js'
 import type { PeerLinks } from './PeerLinks.js'
 
--- a/packages/router/src/lib/CallerServer.ts
+++ b/packages/router/src/lib/CallerServer.ts
@@ -3,7 +3,7 @@
 import { brandId, notRun, type CallId, type Refusal } from '@stallwing/core'
 import * as E from 'fp-ts/lib/Either.js'
 import { HttpSink } from './HttpSink.js'
-import type { Metrics } from './Metrics.js'
+import type { Metrics } from '@stallwing/telemetry'
 import type { OpenCall } from './OpenCall.js'
 import { readCall, type RawCall } from './readCall.js'
 
--- a/packages/router/src/lib/PeerLinks.ts
+++ b/packages/router/src/lib/PeerLinks.ts
@@ -4,7 +4,7 @@
 import { FrameSchema, encodeMessage, type Frame, type PeerService } from '@stallwing/wire'
 import createDebug from 'debug'
 import { AsyncQueue } from './AsyncQueue.js'
-import type { Metrics } from './Metrics.js'
+import type { Metrics } from '@stallwing/telemetry'
 import { openPeer, type PeerTls } from './peerTransport.js'
 
 const debug = createDebug('stallwing:peer')
--- a/packages/router/src/lib/PeerServer.ts
+++ b/packages/router/src/lib/PeerServer.ts
@@ -21,7 +21,7 @@
 	type RelayRequest,
 } from '@stallwing/wire'
 import createDebug from 'debug'
-import type { Metrics } from './Metrics.js'
+import type { Metrics } from '@stallwing/telemetry'
 import type { PeerTls } from './peerTransport.js'
 
 const debug = createDebug('stallwing:peer')
--- a/packages/router/src/lib/RouterDaemon.ts
+++ b/packages/router/src/lib/RouterDaemon.ts
@@ -15,7 +15,7 @@
 	type TargetName,
 	type ZoneName,
 } from '@stallwing/core'
-import { PlatformClient } from '@stallwing/platform'
+import { PlatformClient } from '@stallwing/store'
 import type { RelayChunk, RelayRequest } from '@stallwing/wire'
 import * as E from 'fp-ts/lib/Either.js'
 import { AdminServer } from './AdminServer.js'
@@ -25,7 +25,7 @@
 import { newIncarnation } from './newIncarnation.js'
 import { LoadPoller } from './LoadPoller.js'
 import { LogWriter } from './LogWriter.js'
-import { Metrics } from './Metrics.js'
+import { Metrics } from '@stallwing/telemetry'
 import type { OpenCall } from './OpenCall.js'
 import { PeerLinks } from './PeerLinks.js'
 import { PeerServer } from './PeerServer.js'
--- a/packages/router/src/lib/settings.ts
+++ b/packages/router/src/lib/settings.ts
@@ -1,5 +1,5 @@
 import { readFileSync } from 'node:fs'
-import { describeFileFault, locateFault, parseJsonc, type FileFault } from '@stallwing/platform'
+import { describeFileFault, locateFault, parseJsonc, type FileFault } from '@stallwing/store'
 import * as E from 'fp-ts/lib/Either.js'
 import { z } from 'zod'
 
--- a/packages/platform/src/index.ts
+++ b/packages/store/src/index.ts
@@ -16,5 +16,14 @@
 	type DocumentFault,
 	type OperatorKey,
 } from './lib/BundleDocument.js'
-export { BundleStore, type BundleHead, type StoreFault } from './lib/BundleStore.js'
+export { BundleStore, type BundleHead, type BundleStoreFault } from './lib/BundleStore.js'
 export { describeFileFault, locateFault, parseJsonc, type FileFault } from './lib/jsonc.js'
+export {
+	type KeyValueStore,
+	type StoreChange,
+	type StoreFault,
+	type StoreItem,
+	type StoreListing,
+	type WriteResult,
+} from './lib/KeyValueStore.js'
+export { PrefixFollower, type FollowerOptions, type StoreContact } from './lib/PrefixFollower.js'
--- a/packages/platform/src/lib/BundleStore.ts
+++ b/packages/store/src/lib/BundleStore.ts
@@ -21,7 +21,7 @@
 }
 
 /** Why a step of the bundle's life failed. @public */
-export type StoreFault =
+export type BundleStoreFault =
 	| { readonly kind: 'conflict'; readonly head: BundleHead | undefined }
 	| { readonly kind: 'no-answer'; readonly step: string }
 	| { readonly kind: 'unknown-version'; readonly version: number }
@@ -55,7 +55,7 @@
 	}
 
 	/** Writes a proposal under its hash. Writing it twice changes nothing. */
-	async propose(document: BundleDocument): Promise<E.Either<StoreFault, void>> {
+	async propose(document: BundleDocument): Promise<E.Either<BundleStoreFault, void>> {
 		const chunks = Math.ceil(document.text.length / CHUNK_CHARACTERS)
 		for (let i = 0; i < chunks; i++) {
 			const text = document.text.slice(i * CHUNK_CHARACTERS, (i + 1) * CHUNK_CHARACTERS)
@@ -73,7 +73,7 @@
 	async approve(
 		hash: string,
 		approval: NonNullable<BundleDocument['approval']>,
-	): Promise<E.Either<StoreFault, void>> {
+	): Promise<E.Either<BundleStoreFault, void>> {
 		const found = await this.platform.read(manifestKey(hash))
 		if (!found) return E.left({ kind: 'unknown-version', version: 0 })
 		const manifest = { ...(found.value as Manifest), approval }
@@ -106,7 +106,7 @@
 	 * Accepts a version by one compare-and-swap of the head. Of two racing operators one gets a
 	 * conflict; a lost answer is settled by reading the head again.
 	 */
-	async accept(bundle: Bundle, hash: string): Promise<E.Either<StoreFault, BundleHead>> {
+	async accept(bundle: Bundle, hash: string): Promise<E.Either<BundleStoreFault, BundleHead>> {
 		const { head, revision } = await this.head()
 		if (head?.hash === hash) return E.right(head)
 		const next = (head?.version ?? 0) + 1
@@ -129,7 +129,7 @@
 	}
 
 	/** Takes lower prepaid amounts into the shards first: nothing more is allotted from then on. */
-	private async lowerPrepaid(bundle: Bundle): Promise<E.Either<StoreFault, void>> {
+	private async lowerPrepaid(bundle: Bundle): Promise<E.Either<BundleStoreFault, void>> {
 		const shards = new Set(
 			bundle.budgets.map((budget) => shardOf(budget.name, bundle.policy.shardCount)),
 		)
@@ -140,7 +140,10 @@
 		return E.right(undefined)
 	}
 
-	private async lowerShard(bundle: Bundle, shard: number): Promise<E.Either<StoreFault, void>> {
+	private async lowerShard(
+		bundle: Bundle,
+		shard: number,
+	): Promise<E.Either<BundleStoreFault, void>> {
 		for (let i = 0; i < CAS_TRIES; i++) {
 			const found = await this.platform.read(shardKey(shard))
 			const value = (found?.value as BudgetShardValue | undefined) ?? emptyShard()
@@ -170,7 +173,7 @@
 	}
 }
 
-function failure(result: PlatformResult, step: string): StoreFault {
+function failure(result: PlatformResult, step: string): BundleStoreFault {
 	return result.kind === 'conflict'
 		? { kind: 'conflict', head: undefined }
 		: { kind: 'no-answer', step }
--- /dev/null
+++ b/packages/store/src/lib/KeyValueStore.ts
@@ -0,0 +1,59 @@
+import type { Either } from 'fp-ts/lib/Either.js'
+
+/** One item of the store. */
+export interface StoreItem {
+	readonly key: string
+	readonly value: Buffer
+	/** Revision of the store at the last change of this item. */
+	readonly revision: number
+}
+
+/** All items below a prefix. Several pages are not one snapshot: `at` is the revision of the first. */
+export interface StoreListing {
+	readonly items: readonly StoreItem[]
+	/** Revision to watch from. */
+	readonly at: number
+}
+
+/** A change that a watch told: an item as written, or a key that is gone. */
+export type StoreChange =
+	| { readonly kind: 'written'; readonly item: StoreItem }
+	| { readonly kind: 'gone'; readonly key: string; readonly revision: number }
+
+/**
+ * Why a call brought nothing.
+ * - `refused`: the store says that it did nothing (too many calls, not serving).
+ * - `no-answer`: a write may have been done, or may be done later while its condition holds.
+ * - `history-gone`: the changes asked for are no longer kept; list anew.
+ * - `unreadable`: the answer is none of this protocol.
+ */
+export type StoreFault =
+	| { readonly kind: 'refused'; readonly status: number }
+	| { readonly kind: 'no-answer'; readonly cause: string }
+	| { readonly kind: 'history-gone' }
+	| { readonly kind: 'unreadable'; readonly cause: string }
+
+/** How a conditional write ended, where the store answered. */
+export type WriteResult =
+	| { readonly kind: 'written'; readonly revision: number }
+	| { readonly kind: 'conflict'; readonly current: StoreItem | undefined }
+
+/** The part of a small key-value service that a box uses. Calls never throw. @public */
+export interface KeyValueStore {
+	/** Reads all items below a prefix, linearizably. */
+	list(prefix: string): Promise<Either<StoreFault, StoreListing>>
+	/** Waits for changes after a revision; answers none when the time is over. */
+	watch(
+		prefix: string,
+		after: number,
+		waitMs: number,
+	): Promise<Either<StoreFault, readonly StoreChange[]>>
+	/** Writes an item if its revision is still the one stated; 0: if the key is absent. */
+	write(
+		key: string,
+		value: Buffer,
+		expectedRevision: number,
+	): Promise<Either<StoreFault, WriteResult>>
+	/** Reads one item that may be seconds old, which is cheap; undefined where the key is absent. */
+	readStale(key: string): Promise<Either<StoreFault, StoreItem | undefined>>
+}
--- /dev/null
+++ b/packages/store/src/lib/PrefixFollower.ts
@@ -0,0 +1,97 @@
+import * as E from 'fp-ts/lib/Either.js'
+import type { KeyValueStore, StoreChange, StoreFault, StoreItem } from './KeyValueStore.js'
+
+/** Listeners and times of a {@link PrefixFollower}. @public */
+export interface FollowerOptions {
+	readonly prefix: string
+	/** Longest wait of one watch, in ms: a watch that went silent is noticed after it. */
+	readonly waitMs: number
+	/** Pause after a failed call, in ms. */
+	readonly retryMs: number
+	/** All items, after each change. */
+	readonly onItems: (items: ReadonlyMap<string, StoreItem>) => void
+	/** The store answers again, or does not; told once for each change. */
+	readonly onContact: (contact: StoreContact) => void
+	readonly sleep: (ms: number) => Promise<void>
+}
+
+/** Whether the store answers, seen by one follower. */
+export type StoreContact =
+	{ readonly kind: 'reached' } | { readonly kind: 'lost'; readonly fault: StoreFault }
+
+/**
+ * Keeps a copy of all items below a prefix: lists them, watches from there, and lists anew when the
+ * history is gone. A watch that heard nothing goes on from the last change that it did hear, not from
+ * the revision that the store names: a store that lost changes on the way then says so by
+ * `history-gone`, instead of leaving them out.
+ * @public
+ */
+export class PrefixFollower {
+	private items = new Map<string, StoreItem>()
+	private after = 0
+	private listed = false
+	private stopped = false
+	private reached: boolean | undefined
+
+	constructor(
+		private readonly store: KeyValueStore,
+		private readonly options: FollowerOptions,
+	) {}
+
+	/** Follows until {@link stop}. */
+	async run(): Promise<void> {
+		while (!this.stopped) {
+			const fault = this.listed ? await this.watchOnce() : await this.listOnce()
+			if (fault === undefined) {
+				this.noteContact({ kind: 'reached' })
+				continue
+			}
+			if (fault.kind === 'history-gone') {
+				this.listed = false
+				continue
+			}
+			this.noteContact({ kind: 'lost', fault })
+			await this.options.sleep(this.options.retryMs)
+		}
+	}
+
+	stop(): void {
+		this.stopped = true
+	}
+
+	private async listOnce(): Promise<StoreFault | undefined> {
+		const result = await this.store.list(this.options.prefix)
+		if (E.isLeft(result)) return result.left
+		this.items = new Map(result.right.items.map((item) => [item.key, item]))
+		this.after = result.right.at
+		this.listed = true
+		if (!this.stopped) this.options.onItems(this.items)
+		return undefined
+	}
+
+	private async watchOnce(): Promise<StoreFault | undefined> {
+		const { prefix, waitMs } = this.options
+		const result = await this.store.watch(prefix, this.after, waitMs)
+		if (E.isLeft(result)) return result.left
+		for (const change of result.right) this.apply(change)
+		if (result.right.length > 0 && !this.stopped) this.options.onItems(this.items)
+		return undefined
+	}
+
+	private apply(change: StoreChange): void {
+		if (change.kind === 'written') {
+			this.items.set(change.item.key, change.item)
+			this.after = Math.max(this.after, change.item.revision)
+			return
+		}
+		this.items.delete(change.key)
+		this.after = Math.max(this.after, change.revision)
+	}
+
+	private noteContact(contact: StoreContact): void {
+		const reached = contact.kind === 'reached'
+		if (reached === this.reached) return
+		this.reached = reached
+		this.options.onContact(contact)
+	}
+}
--- /dev/null
+++ b/packages/telemetry/src/index.ts
@@ -0,0 +1,3 @@
+/** What a process tells about itself: metrics and log lines. */
+export { BoundedLog, type BoundedLogOptions } from './lib/BoundedLog.js'
+export { Metrics } from './lib/Metrics.js'
--- /dev/null
+++ b/rolldown.config.js
@@ -0,0 +1,23 @@
+import { defineConfig } from 'rolldown'
+
+const packages = ['core', 'store', 'telemetry', 'gateway']
+
+/** One file per program, so that a start reads one file only. */
+const config = defineConfig({
+	input: 'platform/src/main.ts',
+	platform: 'node',
+	tsconfig: false,
+	output: { file: 'target/stallwing.js', format: 'esm', codeSplitting: false },
+	resolve: {
+		mainFields: ['module', 'main'],
+		extensionAlias: { '.js': ['.ts', '.js'] },
+		alias: Object.fromEntries(
+			packages.map((name) => [
+				`@stallwing/${name}`,
+				new URL(`./packages/${name}/src/index.ts`, import.meta.url).pathname,
+			]),
+		),
+	},
+})
+
+export { config as default }
--- a/vitest.config.ts
+++ b/vitest.config.ts
@@ -1,6 +1,6 @@
 import { defineConfig } from 'vitest/config'
 
-const packages = ['core', 'wire', 'platform', 'standins', 'router']
+const packages = ['core', 'wire', 'telemetry', 'store', 'standins', 'router', 'gateway']
 
 const config = defineConfig({
 	test: {
