Boxes lend each other tokens; fewer draws and longer watches

Ruled out: larger slices alone (seven boxes share 150,000 tokens of a small account; requests ask 9,000). Change: a box that can't draw asks others; what is lent counts as spent at the lender, so its draw in the store goes on covering it. Draws only below 0.4 of what is wanted; watches wait 3.5 s.

--- a/packages/core/src/lib/allowance/AllowanceBook.ts
+++ b/packages/core/src/lib/allowance/AllowanceBook.ts
@@ -59,6 +59,23 @@
 		this.allowance(account).used -= reserved - charged
 	}
 
+	/**
+	 * Hands tokens to another box, as many of those asked for as are free. They count as spent here, so
+	 * the draw in the store goes on covering them wherever they are spent.
+	 */
+	lend(account: AccountName, tokens: number): number {
+		const allowance = this.allowance(account)
+		if (this.closed || allowance.frozenUntil > 0) return 0
+		const lent = Math.min(tokens, Math.max(0, freeOf(allowance)))
+		allowance.used += lent
+		return lent
+	}
+
+	/** Takes tokens that another box has handed over: covered by the draw of that box. */
+	borrow(account: AccountName, tokens: number): void {
+		this.allowance(account).used -= tokens
+	}
+
 	/**
 	 * Gives up what lies above a draw, before a write that says so is sent: from then on the write may
 	 * land at any moment.
--- a/packages/core/src/lib/allowance/AllowanceRow.ts
+++ b/packages/core/src/lib/allowance/AllowanceRow.ts
@@ -4,6 +4,8 @@
 export interface BoxDraws {
 	/** The incarnation that may draw for this box; an older one has lost the right. */
 	readonly holder: Incarnation
+	/** Where other boxes reach this box: IP number and port. */
+	readonly address: string
 	/** Tokens drawn so far by account: cumulative, lowered only by giving back what was not spent. */
 	readonly drawn: Readonly<Record<AccountName, number>>
 	/** Tokens spent or reserved when this was written: at least so much is gone. */
--- a/packages/core/src/lib/allowance/planDraw.ts
+++ b/packages/core/src/lib/allowance/planDraw.ts
@@ -13,6 +13,7 @@
 export interface DrawRequest {
 	readonly box: BoxName
 	readonly holder: Incarnation
+	readonly address: string
 	readonly budgets: Budgets
 	readonly views: readonly AllowanceView[]
 	/** Tokens that requests wait for right now, by account. */
@@ -22,7 +23,7 @@
 }
 
 /** Demand that a box holds in advance, in seconds: a cut from the store has to be lived through. */
-export const HOLD_SECONDS = 12
+export const HOLD_SECONDS = 9
 /** Part of what nobody has drawn that all boxes together hold beyond their demand. */
 const SPECULATIVE_PART = 0.5
 /** Part of what nobody has drawn that one draw may take beyond what requests wait for. */
@@ -58,7 +59,10 @@
 	return {
 		budgetsAt: budgets.at,
 		budgets: budgets.tokens,
-		boxes: { ...row.boxes, [request.box]: { holder: request.holder, drawn, spent } },
+		boxes: {
+			...row.boxes,
+			[request.box]: { holder: request.holder, address: request.address, drawn, spent },
+		},
 	}
 }
 
@@ -85,7 +89,12 @@
  * taken as spent. The same name starts twice only when the first process is gone.
  * @public
  */
-export function planClaim(row: AllowanceRow, box: BoxName, holder: Incarnation): AllowanceRow {
+export function planClaim(
+	row: AllowanceRow,
+	box: BoxName,
+	holder: Incarnation,
+	address: string,
+): AllowanceRow {
 	const drawn = row.boxes[box]?.drawn ?? {}
-	return { ...row, boxes: { ...row.boxes, [box]: { holder, drawn, spent: drawn } } }
+	return { ...row, boxes: { ...row.boxes, [box]: { holder, address, drawn, spent: drawn } } }
 }
--- a/packages/gateway/src/lib/AllowanceClient.ts
+++ b/packages/gateway/src/lib/AllowanceClient.ts
@@ -28,6 +28,9 @@
 	readonly key: string
 	readonly box: BoxName
 	readonly holder: Incarnation
+	/** Where other boxes reach this one. */
+	readonly address: string
+	readonly lenders: Lenders
 	readonly metrics: Metrics
 	readonly now: () => number
 	readonly random: () => number
@@ -35,6 +38,12 @@
 	readonly log: (event: LogEvent) => void
 }
 
+/** Asks other boxes for tokens. */
+export interface Lenders {
+	/** Tokens that one box hands over; 0 where it has none or does not answer. */
+	ask(address: string, account: AccountName, tokens: number): Promise<number>
+}
+
 interface Waiter {
 	readonly account: AccountName
 	readonly tokens: number
@@ -43,12 +52,16 @@
 }
 
 /** Draws are renewed when less than this part of what is wanted is left. */
-const LOW_PART = 0.75
+const LOW_PART = 0.4
 /** Draws are given back in part above this multiple of what is wanted, and this many tokens. */
 const HIGH_PART = 1.8
 const HIGH_TOKENS = 4_000
 /** Age from which the shared record is read again, in ms. */
 const ROW_AGE_MS = 2_000
+/** Boxes that are asked for tokens for one request. */
+const MOST_LENDERS = 6
+/** Pause of the maintenance after a failed call, in ms. */
+const FAULT_PAUSE_MS = 900
 const CONFLICT_TRIES = 8
 const CONFLICT_PAUSE_MS = 12
 const CLAIM_PAUSE_MS = 200
@@ -66,6 +79,7 @@
 	private drawing = false
 	private drawAgain = false
 	private reached = false
+	private faultAt = Number.NEGATIVE_INFINITY
 	private closed = false
 
 	constructor(private readonly options: AllowanceClientOptions) {}
@@ -111,11 +125,16 @@
 		if (book?.reserve(account, tokens)) return 'reserved'
 		if (this.isSpent(account, tokens)) return 'spent'
 		if (this.closed || patienceMs <= 0) return 'unknown'
-		if (this.claimed && !this.reached) {
-			void this.draw()
-			return 'unknown'
+		if (!this.claimed || this.reached) {
+			const result = await this.wait(account, tokens, patienceMs)
+			if (result !== 'unknown' || !this.claimed) return result
 		}
-		return this.wait(account, tokens, patienceMs)
+		return this.borrow(account, tokens)
+	}
+
+	/** Hands tokens to another box. */
+	lend(account: AccountName, tokens: number): number {
+		return this.book?.lend(account, tokens) ?? 0
 	}
 
 	/** Ends a reservation. */
@@ -126,8 +145,9 @@
 	/** Renews draws that run low and gives back what is too much. To be called some times a second. */
 	async maintain(): Promise<void> {
 		if (!this.claimed || this.closed || this.drawing) return
-		if (this.options.now() - this.rowAt > ROW_AGE_MS) await this.refresh()
-		if (this.needsDraw()) await this.draw()
+		if (!this.reached && this.options.now() - this.faultAt < FAULT_PAUSE_MS) return
+		if (!this.reached || this.options.now() - this.rowAt > ROW_AGE_MS) await this.refresh()
+		if (this.reached && this.needsDraw()) await this.draw()
 	}
 
 	/** Stops reservations and gives back what is free. */
@@ -161,9 +181,35 @@
 		})
 	}
 
+	/** Gathers what is missing from other boxes, the richest first, and reserves. */
+	private async borrow(account: AccountName, tokens: number): Promise<ReserveResult> {
+		const { book } = this
+		if (!book) return 'unknown'
+		for (const address of this.lendersOf(account)) {
+			const missing = tokens - Math.max(0, book.view(account, this.options.now()).free)
+			if (missing > 0) book.borrow(account, await this.options.lenders.ask(address, account, missing))
+			if (book.reserve(account, tokens)) return 'reserved'
+			if (this.closed) return 'unknown'
+		}
+		return this.isSpent(account, tokens) ? 'spent' : 'unknown'
+	}
+
+	/** Addresses of other boxes, by the tokens that they seemed to hold when they last wrote. */
+	private lendersOf(account: AccountName): string[] {
+		return Object.entries(this.row.boxes)
+			.filter(([box]) => box !== this.options.box)
+			.map(([, draws]) => ({
+				address: draws.address,
+				held: (draws.drawn[account] ?? 0) - (draws.spent[account] ?? 0),
+			}))
+			.sort((a, b) => b.held - a.held)
+			.slice(0, MOST_LENDERS)
+			.map((entry) => entry.address)
+	}
+
 	private async claimOnce(): Promise<boolean> {
-		const { store, key, box, holder } = this.options
-		const next = planClaim(this.row, box, holder)
+		const { store, key, box, holder, address } = this.options
+		const next = planClaim(this.row, box, holder, address)
 		const result = await store.write(key, encode(next), this.revision)
 		if (E.isLeft(result)) {
 			this.noteFault(result.left)
@@ -273,10 +319,11 @@
 		const waiting: Record<AccountName, number> = {}
 		for (const { account, tokens } of this.waiters)
 			waiting[account] = (waiting[account] ?? 0) + tokens
-		const { box, holder } = this.options
+		const { box, holder, address } = this.options
 		return planDraw(this.row, {
 			box,
 			holder,
+			address,
 			budgets: this.budgets,
 			views: this.views(),
 			waiting,
@@ -330,6 +377,7 @@
 
 	private noteFault(fault: StoreFault): void {
 		this.reached = false
+		this.faultAt = this.options.now()
 		this.options.metrics.count('stallwing_draw_faults_total', `kind="${fault.kind}"`)
 		this.options.log({
 			name: 'allowance-failed',
--- a/packages/gateway/src/lib/Attempt.ts
+++ b/packages/gateway/src/lib/Attempt.ts
@@ -51,6 +51,7 @@
 	private bytes = 0
 	private silence: NodeJS.Timeout | undefined
 	private startedAt = 0
+	private firstByteMs = -1
 	private over = false
 
 	constructor(
@@ -86,6 +87,7 @@
 		const now = this.context.now()
 		if (!this.belongs(head)) return false
 		this.handle?.noteByte(now)
+		this.firstByteMs = now - this.startedAt
 		this.head = head
 		const load = headers[dialect.headers.load]
 		const told = typeof load === 'string' ? dialect.readLoad(load) : undefined
@@ -202,6 +204,7 @@
 				outcome: outcome.kind,
 				cause,
 				tookMs: Math.round(this.elapsed()),
+				firstByteMs: Math.round(this.firstByteMs),
 				expectedMs: Math.round(this.place.cost.expectedMs),
 				events: this.answer.events,
 			},
--- a/packages/gateway/src/lib/Gateway.ts
+++ b/packages/gateway/src/lib/Gateway.ts
@@ -28,6 +28,8 @@
 import type { Dialect } from './Dialect.js'
 import { Exchange } from './Exchange.js'
 import type { GatewayContext, TrafficInForce } from './GatewayContext.js'
+import { PeerClient } from './PeerClient.js'
+import { PeerServer } from './PeerServer.js'
 import { listenOn, type ListenAddress } from './listenOn.js'
 
 /** Why a document of the operator or a target can't be used. */
@@ -53,7 +55,12 @@
 	readonly zone: ZoneName
 	/** A new value for each start of the process. */
 	readonly incarnation: Incarnation
-	readonly listen: { readonly callers: ListenAddress; readonly readiness: ListenAddress }
+	readonly listen: {
+		readonly callers: ListenAddress
+		readonly readiness: ListenAddress
+		/** For other boxes only. */
+		readonly peers: ListenAddress
+	}
 	readonly store: KeyValueStore
 	readonly documents: Documents
 	readonly dialect: Dialect
@@ -68,7 +75,7 @@
 
 const POOL_TIMES: PoolTimes = { connectMs: 300, settleMs: 20, idleMs: 1_500, idleMarginMs: 1_000 }
 const FOLLOWER_RETRY_MS = 150
-const WATCH_MS = 2_000
+const WATCH_MS = 3_500
 const MAINTAIN_MS = 400
 const SWEEP_MS = 250
 /** Time that the balancer needs to notice that a box is not ready, in ms. */
@@ -86,6 +93,7 @@
 	private readonly context: GatewayContext
 	private readonly callers: Server
 	private readonly readiness: Server
+	private readonly peers: PeerServer
 	private readonly followers: PrefixFollower[]
 	private readonly timers: NodeJS.Timeout[] = []
 	private open = 0
@@ -98,6 +106,8 @@
 			key: options.documents.allowanceKey,
 			box: options.box,
 			holder: options.incarnation,
+			address: `${options.listen.peers.host}:${options.listen.peers.port}`,
+			lenders: new PeerClient(options.now),
 			metrics: options.metrics,
 			now: options.now,
 			random: options.random,
@@ -109,6 +119,7 @@
 		this.callers.on('request', (message, response) => this.serve(message, response))
 		this.applyLimits()
 		this.readiness = createServer((message, response) => this.answerReadiness(message, response))
+		this.peers = new PeerServer({ lend: (account, tokens) => this.allowance.lend(account, tokens) })
 		this.followers = [this.followConfig(), this.followTargets()]
 	}
 
@@ -122,6 +133,7 @@
 	async start(): Promise<void> {
 		await listenOn(this.callers, this.options.listen.callers)
 		await listenOn(this.readiness, this.options.listen.readiness)
+		await this.peers.listen(this.options.listen.peers)
 		for (const follower of this.followers) void follower.run()
 		void this.allowance.claim()
 		this.timers.push(setInterval(() => void this.allowance.maintain(), MAINTAIN_MS))
