--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -188,6 +188,7 @@
 	type Place,
 	type PlaceQuery,
 	type TargetChanges,
+	type TargetWork,
 } from './lib/placement/TargetBoard.js'
 export { type TargetEntry, type TargetLoad } from './lib/placement/TargetEntry.js'
 export { type AttemptVerdict } from './lib/placement/TargetState.js'
--- a/packages/core/src/lib/placement/TargetBoard.ts
+++ b/packages/core/src/lib/placement/TargetBoard.ts
@@ -1,5 +1,5 @@
 import { rendezvousFirst } from '../identity/rendezvous.js'
-import type { ServiceName, TargetName, ZoneName } from '../ids.js'
+import type { BoxName, ServiceName, TargetName, ZoneName } from '../ids.js'
 import { worstCaseTokens, type StatedWork } from '../traffic/StatedWork.js'
 import type { Millis } from '../units.js'
 import { placementCost, type PlacementCost, type PlacementRequest } from './placementCost.js'
@@ -38,6 +38,15 @@
 	end(verdict: AttemptVerdict, now: Millis): void
 }
 
+/** Work under way at one target. @public */
+export interface TargetWork {
+	readonly target: TargetName
+	/** Prompt tokens sent and not answered yet. */
+	readonly unreadTokens: number
+	/** Requests under way. */
+	readonly open: number
+}
+
 /** A change of the list of targets. @public */
 export interface TargetChanges {
 	readonly joined: readonly TargetEntry[]
@@ -87,6 +96,25 @@
 		return [...this.targets.values()].map((state) => state.entry)
 	}
 
+	/** Work that this box has under way, by target: what it tells other boxes. */
+	ownWork(): TargetWork[] {
+		const rows: TargetWork[] = []
+		for (const state of this.targets.values()) {
+			if (state.open.size === 0) continue
+			let unreadTokens = 0
+			for (const attempt of state.open) if (!attempt.answered) unreadTokens += attempt.unreadTokens
+			rows.push({ target: state.entry.name, unreadTokens, open: state.open.size })
+		}
+		return rows
+	}
+
+	/** Another box told its work: all of it, so that a target left out has none. */
+	notePeerWork(box: BoxName, rows: readonly TargetWork[], now: Millis): void {
+		for (const state of this.targets.values()) state.peerWork.delete(box)
+		for (const { target, unreadTokens, open } of rows)
+			this.targets.get(target)?.peerWork.set(box, { unreadTokens, open, at: now })
+	}
+
 	serviceOf(target: TargetName): ServiceName | undefined {
 		return this.targets.get(target)?.entry.service
 	}
--- a/packages/core/src/lib/placement/TargetState.ts
+++ b/packages/core/src/lib/placement/TargetState.ts
@@ -1,3 +1,4 @@
+import type { BoxName } from '../ids.js'
 import type { Millis } from '../units.js'
 import { PromptIndex } from './PromptIndex.js'
 import type { TargetEntry, TargetLoad } from './TargetEntry.js'
@@ -12,6 +13,15 @@
 	answered: boolean
 }
 
+/** Work of another box at a target, as it said. */
+export interface PeerWork {
+	/** Prompt tokens sent and not answered yet. */
+	readonly unreadTokens: number
+	/** Requests under way. */
+	readonly open: number
+	readonly at: Millis
+}
+
 /** How an attempt at a target ended, for the belief in that target. @public */
 export type AttemptVerdict = 'good' | 'failed' | 'unreachable' | 'full' | 'cancelled'
 
@@ -22,9 +32,11 @@
 /** First time-out of a target that could not be reached, in ms; doubled at each further one. */
 const FIRST_EJECTION_MS = 250
 const LONGEST_EJECTION_MS = 3_000
-const SLOWNESS_WEIGHT = 0.15
+const SLOWNESS_WEIGHT = 0.04
+/** One late answer among long prompts of others says little about the target. */
+const MOST_COUNTED_RATIO = 4
 const LEAST_SLOWNESS = 0.5
-const MOST_SLOWNESS = 20
+const MOST_SLOWNESS = 6
 
 /** What this box believes about one target, from its own requests and the target's words. */
 export class TargetState {
@@ -34,6 +46,8 @@
 	loadAt: Millis = Number.NEGATIVE_INFINITY
 	lastByteAt: Millis = Number.NEGATIVE_INFINITY
 	ejectedUntil: Millis = Number.NEGATIVE_INFINITY
+	/** Work that other boxes said they have under way there, by box. */
+	readonly peerWork = new Map<BoxName, PeerWork>()
 	/** Time that answers take, as a multiple of what was expected. */
 	slowness = 1
 	readonly coldUntil: Millis
@@ -79,7 +93,7 @@
 
 	/** Notes the time to the first byte against what was expected. */
 	noteSpeed(expectedMs: Millis, tookMs: Millis): void {
-		const ratio = tookMs / Math.max(1, expectedMs)
+		const ratio = Math.min(MOST_COUNTED_RATIO, tookMs / Math.max(1, expectedMs))
 		const next = this.slowness + SLOWNESS_WEIGHT * (ratio - this.slowness)
 		this.slowness = Math.min(MOST_SLOWNESS, Math.max(LEAST_SLOWNESS, next))
 	}
--- a/packages/core/src/lib/placement/placementCost.ts
+++ b/packages/core/src/lib/placement/placementCost.ts
@@ -1,7 +1,7 @@
 import type { TargetName, ZoneName } from '../ids.js'
 import type { PromptPart } from '../traffic/StatedWork.js'
 import type { Millis } from '../units.js'
-import type { TargetState } from './TargetState.js'
+import type { PeerWork, TargetState } from './TargetState.js'
 
 /** What is known of a request when a place for it is sought. */
 export interface PlacementRequest {
@@ -29,18 +29,20 @@
 /** Prompt tokens that an engine reads in a ms, until it shows otherwise through its slowness. */
 const TOKENS_READ_PER_MS = 35
 /** Delay that a prompt token read again is worth beyond the time it takes. */
-const REREAD_WEIGHT = 1
+const REREAD_WEIGHT = 3
 /** Part of a shared prompt that the home is believed to keep although this box never saw it. */
-const HOME_BELIEF = 0.6
+const HOME_BELIEF = 0.95
 /** Tokens to be read that stand for one waiting request of other boxes. */
 const TOKENS_OF_A_WAITING_REQUEST = 1_500
 const LOAD_HALF_LIFE_MS = 300
+/** Age from which the word of another box no longer counts. */
+const PEER_WORK_MS = 600
 const ENGINE_STEP_MS = 8
 const SLOWER_FOR_EACH_RUNNING = 0.004
 const FAILURE_PRICE_MS = 600
 const CROSS_ZONE_MS = 4
-const SILENCE_GRACE_MS = 120
-const SILENCE_FACTOR = 2.5
+const SILENCE_GRACE_MS = 350
+const SILENCE_FACTOR = 4
 const COLD_FACTOR = 1.5
 
 /** The price of a target for a request. */
@@ -97,7 +99,7 @@
 
 function engineMs(target: TargetState, unreadTokens: number, now: Millis): Millis {
 	const ahead = ownTokensAhead(target) + othersTokensAhead(target, now)
-	const running = Math.max(target.load?.running ?? 0, target.open.size)
+	const running = Math.max(target.load?.running ?? 0, target.open.size + othersOpen(target, now))
 	const reading = (unreadTokens + ahead) / TOKENS_READ_PER_MS
 	return reading * (1 + SLOWER_FOR_EACH_RUNNING * running) + ENGINE_STEP_MS
 }
@@ -108,14 +110,28 @@
 	return tokens
 }
 
+/** What other boxes said they sent there; where they say nothing, what the target told of its queue. */
 function othersTokensAhead(target: TargetState, now: Millis): number {
-	return fresh(target.load?.waiting ?? 0, target, now) * TOKENS_OF_A_WAITING_REQUEST
+	let tokens = 0
+	for (const work of freshPeerWork(target, now)) tokens += work.unreadTokens
+	const told = fresh(target.load?.waiting ?? 0, target, now) * TOKENS_OF_A_WAITING_REQUEST
+	return Math.max(tokens, told)
+}
+
+function othersOpen(target: TargetState, now: Millis): number {
+	let open = 0
+	for (const work of freshPeerWork(target, now)) open += work.open
+	return open
+}
+
+function freshPeerWork(target: TargetState, now: Millis): PeerWork[] {
+	return [...target.peerWork.values()].filter((work) => now - work.at < PEER_WORK_MS)
 }
 
 function plainServiceMs(target: TargetState, plainMs: Millis, now: Millis): Millis {
 	const slots = Math.max(1, target.load?.slots ?? target.entry.slots)
 	const told = fresh((target.load?.running ?? 0) + (target.load?.waiting ?? 0), target, now)
-	const ahead = Math.max(told, target.open.size)
+	const ahead = Math.max(told, target.open.size + othersOpen(target, now))
 	// A place that is nearly full is dearer than its queue alone says: other boxes send there too.
 	return plainMs * (1 + ahead / slots)
 }
--- a/packages/gateway/src/lib/AllowanceClient.ts
+++ b/packages/gateway/src/lib/AllowanceClient.ts
@@ -95,6 +95,13 @@
 		return Math.max(1, Object.keys(this.row.boxes).length)
 	}
 
+	/** Addresses of the other boxes that have ever drawn. */
+	peerAddresses(): string[] {
+		return Object.entries(this.row.boxes)
+			.filter(([box]) => box !== this.options.box)
+			.map(([, draws]) => draws.address)
+	}
+
 	/** Claims the right to draw, trying until the store grants it. */
 	async claim(): Promise<void> {
 		while (!this.claimed && !this.closed) {
@@ -187,7 +194,8 @@
 		if (!book) return 'unknown'
 		for (const address of this.lendersOf(account)) {
 			const missing = tokens - Math.max(0, book.view(account, this.options.now()).free)
-			if (missing > 0) book.borrow(account, await this.options.lenders.ask(address, account, missing))
+			if (missing > 0)
+				book.borrow(account, await this.options.lenders.ask(address, account, missing))
 			if (book.reserve(account, tokens)) return 'reserved'
 			if (this.closed) return 'unknown'
 		}
--- a/packages/gateway/src/lib/Gateway.ts
+++ b/packages/gateway/src/lib/Gateway.ts
@@ -30,6 +30,7 @@
 import type { GatewayContext, TrafficInForce } from './GatewayContext.js'
 import { PeerClient } from './PeerClient.js'
 import { PeerServer } from './PeerServer.js'
+import { WorkSharing } from './WorkSharing.js'
 import { listenOn, type ListenAddress } from './listenOn.js'
 
 /** Why a document of the operator or a target can't be used. */
@@ -94,6 +95,7 @@
 	private readonly callers: Server
 	private readonly readiness: Server
 	private readonly peers: PeerServer
+	private readonly workSharing: WorkSharing
 	private readonly followers: PrefixFollower[]
 	private readonly timers: NodeJS.Timeout[] = []
 	private open = 0
@@ -120,6 +122,12 @@
 		this.applyLimits()
 		this.readiness = createServer((message, response) => this.answerReadiness(message, response))
 		this.peers = new PeerServer({ lend: (account, tokens) => this.allowance.lend(account, tokens) })
+		this.workSharing = new WorkSharing({
+			box: options.box,
+			board: this.board,
+			peers: () => this.allowance.peerAddresses(),
+			now: options.now,
+		})
 		this.followers = [this.followConfig(), this.followTargets()]
 	}
 
@@ -134,6 +142,7 @@
 		await listenOn(this.callers, this.options.listen.callers)
 		await listenOn(this.readiness, this.options.listen.readiness)
 		await this.peers.listen(this.options.listen.peers)
+		await this.workSharing.start(this.options.listen.peers)
 		for (const follower of this.followers) void follower.run()
 		void this.allowance.claim()
 		this.timers.push(setInterval(() => void this.allowance.maintain(), MAINTAIN_MS))
@@ -155,6 +164,7 @@
 		this.callers.closeIdleConnections()
 		for (const follower of this.followers) follower.stop()
 		for (const timer of this.timers) clearInterval(timer)
+		this.workSharing.stop()
 		await this.allowance.giveBack()
 		this.options.log({ name: 'stop-done', fields: { open: this.open } })
 	}
