--- a/packages/gateway/src/lib/AllowanceClient.ts
+++ b/packages/gateway/src/lib/AllowanceClient.ts
@@ -352,13 +352,19 @@
 			fields: {
 				revision: this.revision,
 				budgetsAt: next.budgetsAt,
-				free: JSON.stringify(
-					Object.fromEntries(this.views().map((view) => [view.account, view.free])),
-				),
+				free: this.describe((view) => view.free),
+				undrawn: this.describe((view) => this.undrawn(view)),
 			},
 		})
 	}
 
+	/** Figures by account, for a log line. */
+	private describe(figure: (view: AllowanceView) => number): string {
+		return this.views()
+			.map((view) => `${view.account}:${Math.round(figure(view))}`)
+			.join(' ')
+	}
+
 	private ownDraws(row: AllowanceRow): [AccountName, number][] {
 		const drawn = row.boxes[this.options.box]?.drawn ?? {}
 		const accounts = this.accounts()
--- a/packages/gateway/src/lib/Exchange.ts
+++ b/packages/gateway/src/lib/Exchange.ts
@@ -288,6 +288,7 @@
 				...facts,
 				sent: this.sent,
 				mayHaveRun: this.mayHaveRun,
+				charged: this.reservation.charged,
 				afterMs: Math.round(elapsed),
 				configuration: traffic?.index.config.version ?? -1,
 			},
--- a/packages/gateway/src/lib/Gateway.ts
+++ b/packages/gateway/src/lib/Gateway.ts
@@ -284,6 +284,9 @@
 				revision: traffic.revision,
 				routes: config.routes.length,
 				accounts: config.accounts?.length ?? 0,
+				budgets: Object.entries<number>(tokens)
+					.map(([account, budget]) => `${account}:${budget}`)
+					.join(' '),
 			},
 		})
 	}
--- a/packages/gateway/src/lib/TokenReservation.ts
+++ b/packages/gateway/src/lib/TokenReservation.ts
@@ -14,11 +14,15 @@
 		return result
 	}
 
+	/** Tokens charged so far. */
+	charged = 0
+
 	/** Charges up to what is held, and frees the rest. `Infinity` charges all of it. */
 	settle(charged: number): void {
 		const { held } = this
 		if (!held) return
 		this.held = undefined
-		this.allowance.settle(held.account, held.tokens, Math.min(charged, held.tokens))
+		this.charged = Math.min(charged, held.tokens)
+		this.allowance.settle(held.account, held.tokens, this.charged)
 	}
 }
