Spending ceilings under a short lease; unframed answers stay unframed

Cause 1: a box that lost its process or power counted all it had drawn as spent; near the end of a budget that is most of what is left, and every later request was refused although the tokens were there. Ruled out: time alone (a paused holder), renewed leases (a late renewal lengthens them), the machine's steady clock (kept over a kill, not over a loss of power). Change: a box promises a ceiling for 3.5 s in a record under a lease that is never renewed, only replaced; a new process that finds the record takes only the ceiling as spent. The time of day must agree, because leases may stand still while the store is down.

--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -172,6 +172,13 @@
 	surelySpent,
 	type AllowanceRow,
 } from './lib/allowance/AllowanceRow.js'
+export {
+	PROMISE_MS,
+	isMarkLow,
+	nextMark,
+	spentAtMost,
+	type SpendingMark,
+} from './lib/allowance/SpendingMark.js'
 export { DemandMeter } from './lib/allowance/DemandMeter.js'
 export {
 	HOLD_SECONDS,
--- a/packages/core/src/lib/allowance/AllowanceBook.ts
+++ b/packages/core/src/lib/allowance/AllowanceBook.ts
@@ -9,6 +9,8 @@
 	drawn: number
 	/** Draws of earlier incarnations: taken as spent, since nobody can tell. */
 	readonly spentBefore: number
+	/** Spending ceiling while the promise to the store holds; counted like `drawn`. */
+	mark: number
 	/** Tokens reserved by open requests and charged by ended ones, of this incarnation. */
 	used: number
 	/** Nothing may be reserved until a draw under the configuration of this revision: the budget fell. */
@@ -22,7 +24,12 @@
 	readonly drawn: number
 	/** Tokens that are surely spent or may be: draws below this must not be given back. */
 	readonly floor: number
+	/** What may be reserved right now. */
 	readonly free: number
+	/** What is drawn and not spent, the promise aside. */
+	readonly held: number
+	/** Spending ceiling that the store knows of. */
+	readonly mark: number
 	readonly tokensPerSecond: number
 	readonly frozen: boolean
 }
@@ -35,6 +42,8 @@
 export class AllowanceBook {
 	private readonly accounts = new Map<AccountName, AccountAllowance>()
 	private closed = false
+	/** The promise to the store is over: the ceiling of an account is its draw. */
+	private promiseOver = false
 
 	/** Takes the draws of earlier incarnations as spent; nothing is free until the first draw. */
 	constructor(private readonly before: Readonly<Record<AccountName, number>>) {}
@@ -48,7 +57,7 @@
 	reserve(account: AccountName, tokens: number): boolean {
 		const allowance = this.allowance(account)
 		if (this.closed || allowance.frozenUntil > 0) return false
-		if (freeOf(allowance) < tokens) return false
+		if (this.freeOf(allowance) < tokens) return false
 		allowance.used += tokens
 		return true
 	}
@@ -66,7 +75,7 @@
 	lend(account: AccountName, tokens: number): number {
 		const allowance = this.allowance(account)
 		if (this.closed || allowance.frozenUntil > 0) return 0
-		const lent = Math.min(tokens, Math.max(0, freeOf(allowance)))
+		const lent = Math.min(tokens, Math.max(0, this.freeOf(allowance)))
 		allowance.used += lent
 		return lent
 	}
@@ -102,6 +111,20 @@
 		this.allowance(account).frozenUntil = budgetsAt
 	}
 
+	/** The store knows this ceiling now: a new process of the box may rely on it. */
+	confirmMark(account: AccountName, mark: number): void {
+		const allowance = this.allowance(account)
+		allowance.mark = Math.max(allowance.mark, mark)
+	}
+
+	/**
+	 * Whether the ceilings hold. They end some time after the store was last told of them; a new process
+	 * of the box then no longer relies on them.
+	 */
+	setPromiseOver(over: boolean): void {
+		this.promiseOver = over
+	}
+
 	/** Stops reservations for good: the box is about to give back what it holds. */
 	close(): void {
 		this.closed = true
@@ -113,12 +136,19 @@
 			account,
 			drawn: allowance.drawn,
 			floor: allowance.spentBefore + allowance.used,
-			free: freeOf(allowance),
+			free: this.freeOf(allowance),
+			held: allowance.drawn - allowance.spentBefore - allowance.used,
+			mark: allowance.mark,
 			tokensPerSecond: allowance.demand.perSecond(now),
 			frozen: allowance.frozenUntil > 0,
 		}
 	}
 
+	private freeOf(allowance: AccountAllowance): number {
+		const ceiling = this.promiseOver ? allowance.drawn : Math.min(allowance.drawn, allowance.mark)
+		return ceiling - allowance.spentBefore - allowance.used
+	}
+
 	private allowance(account: AccountName): AccountAllowance {
 		const known = this.accounts.get(account)
 		if (known) return known
@@ -126,6 +156,7 @@
 		const fresh: AccountAllowance = {
 			drawn: spentBefore,
 			spentBefore,
+			mark: spentBefore,
 			used: 0,
 			frozenUntil: 0,
 			demand: new DemandMeter(),
@@ -134,7 +165,3 @@
 		return fresh
 	}
 }
-
-function freeOf(allowance: AccountAllowance): number {
-	return allowance.drawn - allowance.spentBefore - allowance.used
-}
--- /dev/null
+++ b/packages/core/src/lib/allowance/SpendingMark.ts
@@ -0,0 +1,71 @@
+import type { AccountName, Incarnation } from '../ids.js'
+import type { Millis } from '../units.js'
+import type { AllowanceView } from './AllowanceBook.js'
+import type { BoxDraws } from './AllowanceRow.js'
+
+/**
+ * A box's promise not to spend beyond a ceiling for {@link PROMISE_MS}. It lies in the store under a
+ * lease of that length which is never renewed, only replaced: where the record is still there, the
+ * box had reached the store a short time before, and has spent no more than this.
+ * @public
+ */
+export interface SpendingMark {
+	readonly holder: Incarnation
+	/** Time of day of the writer, in ms: while the store is down its leases may stand still. */
+	readonly wallTime: Millis
+	/** Ceilings by account, counted like the draws. */
+	readonly marks: Readonly<Record<AccountName, number>>
+}
+
+/** How long a promise holds, from the answer to the lease that bounds it. */
+export const PROMISE_MS: Millis = 3_500
+/** Difference of the time of day above the promise that is still taken as a sign of its age. */
+const WALL_SLACK_MS: Millis = 500
+/** Demand in advance that a ceiling allows while the budget is far from its end, in seconds. */
+const AHEAD_SECONDS = 4
+/** Part of what is held that a ceiling allows then at least: for accounts that come to a box anew. */
+const AHEAD_PART = 0.5
+/** The same near the end of a budget: what is promised and not spent is lost with the process. */
+const AHEAD_SECONDS_NEAR_END = 0.5
+/** A budget is near its end below this many seconds of demand. */
+const NEAR_END_SECONDS = 10
+
+/** A ceiling is raised when less than this part of what it should allow is left. */
+const LOW_PART = 0.5
+
+/** The ceiling of an account: what is spent, and some demand in advance. */
+export function nextMark(view: AllowanceView, undrawn: number, boxes: number): number {
+	const rate = view.tokensPerSecond
+	const left = view.held + undrawn / Math.max(1, boxes)
+	const nearEnd = left < rate * NEAR_END_SECONDS
+	const ahead = nearEnd
+		? rate * AHEAD_SECONDS_NEAR_END
+		: Math.max(rate * AHEAD_SECONDS, view.held * AHEAD_PART)
+	const wanted = Math.max(view.mark, view.floor + Math.ceil(ahead))
+	return Math.min(wanted, Math.max(view.drawn, view.mark))
+}
+
+/** True where so little is left below the ceiling that the next one should be written. */
+export function isMarkLow(view: AllowanceView, next: number): boolean {
+	return view.mark - view.floor < LOW_PART * (next - view.floor)
+}
+
+/**
+ * What the earlier incarnation of a box has spent at most: up to its ceilings where its promise
+ * certainly still held when it ended, otherwise all that it drew.
+ * @public
+ */
+export function spentAtMost(
+	draws: BoxDraws | undefined,
+	mark: SpendingMark | undefined,
+	wallTime: Millis,
+): Readonly<Record<AccountName, number>> {
+	const drawn = draws?.drawn ?? {}
+	if (!draws || !mark || mark.holder !== draws.holder) return drawn
+	const age = wallTime - mark.wallTime
+	if (age < -WALL_SLACK_MS || age > PROMISE_MS + WALL_SLACK_MS) return drawn
+	const spent: Record<AccountName, number> = {}
+	for (const [account, tokens] of Object.entries<number>(drawn))
+		spent[account as AccountName] = Math.min(tokens, mark.marks[account as AccountName] ?? tokens)
+	return spent
+}
--- a/packages/core/src/lib/allowance/planDraw.ts
+++ b/packages/core/src/lib/allowance/planDraw.ts
@@ -79,22 +79,26 @@
 	const undrawn = Math.max(0, budget - others - own)
 	const waiting = request.waiting[view.account] ?? 0
 	const boxes = Object.keys(row.boxes).length
-	const wanted = wantedTokens(view, undrawn + view.free, boxes)
-	const gentle = Math.min(wanted, Math.max(view.free, 0) + undrawn * LARGEST_PART)
+	const wanted = wantedTokens(view, undrawn + view.held, boxes)
+	const gentle = Math.min(wanted, Math.max(view.held, 0) + undrawn * LARGEST_PART)
 	return Math.min(highest, view.floor + Math.ceil(Math.max(gentle, waiting)))
 }
 
 /**
- * What a box claims when it starts: the right to draw, with all draws of its earlier incarnations
- * taken as spent. The same name starts twice only when the first process is gone.
+ * What a box claims when it starts: the right to draw. `spent` is what its earlier incarnations have
+ * spent at most; what they drew beyond is free again. The same name starts twice only when the first
+ * process is gone.
  * @public
  */
 export function planClaim(
 	row: AllowanceRow,
-	box: BoxName,
-	holder: Incarnation,
-	address: string,
+	claim: {
+		readonly box: BoxName
+		readonly holder: Incarnation
+		readonly address: string
+		readonly spent: Readonly<Record<AccountName, number>>
+	},
 ): AllowanceRow {
-	const drawn = row.boxes[box]?.drawn ?? {}
-	return { ...row, boxes: { ...row.boxes, [box]: { holder, address, drawn, spent: drawn } } }
+	const { box, holder, address, spent } = claim
+	return { ...row, boxes: { ...row.boxes, [box]: { holder, address, drawn: spent, spent } } }
 }
--- a/packages/gateway/src/lib/AllowanceClient.ts
+++ b/packages/gateway/src/lib/AllowanceClient.ts
@@ -2,8 +2,11 @@
 	AllowanceBook,
 	EMPTY_ALLOWANCE_ROW,
 	drawnByOthers,
+	isMarkLow,
 	planClaim,
+	nextMark,
 	planDraw,
+	spentAtMost,
 	surelySpent,
 	wantedTokens,
 	type AccountName,
@@ -17,6 +20,7 @@
 import type { KeyValueStore, StoreFault, StoreItem } from '@stallwing/store'
 import type { Metrics } from '@stallwing/telemetry'
 import * as E from 'fp-ts/lib/Either.js'
+import { SpendingPromise } from './SpendingPromise.js'
 
 /** Whether tokens were set aside: `spent` is certain, `unknown` may change soon. */
 export type ReserveResult = 'reserved' | 'spent' | 'unknown'
@@ -26,13 +30,18 @@
 	readonly store: KeyValueStore
 	/** Key of the shared record in the store. */
 	readonly key: string
+	/** Key of the record of this box's spending ceilings. */
+	readonly markKey: string
 	readonly box: BoxName
 	readonly holder: Incarnation
 	/** Where other boxes reach this one. */
 	readonly address: string
 	readonly lenders: Lenders
 	readonly metrics: Metrics
+	/** Steady clock, in ms. */
 	readonly now: () => number
+	/** Time of day, in ms. */
+	readonly wallTime: () => number
 	readonly random: () => number
 	readonly sleep: (ms: number) => Promise<void>
 	readonly log: (event: LogEvent) => void
@@ -82,7 +91,11 @@
 	private faultAt = Number.NEGATIVE_INFINITY
 	private closed = false
 
-	constructor(private readonly options: AllowanceClientOptions) {}
+	private readonly promise: SpendingPromise
+
+	constructor(private readonly options: AllowanceClientOptions) {
+		this.promise = new SpendingPromise({ ...options, key: options.markKey })
+	}
 
 	/** True once this incarnation may draw. */
 	get claimed(): boolean {
@@ -129,6 +142,7 @@
 	async reserve(account: AccountName, tokens: number, patienceMs: number): Promise<ReserveResult> {
 		const { book } = this
 		book?.noteDemand(account, tokens, this.options.now())
+		book?.setPromiseOver(this.promise.isOver)
 		if (book?.reserve(account, tokens)) return 'reserved'
 		if (this.isSpent(account, tokens)) return 'spent'
 		if (this.closed || patienceMs <= 0) return 'unknown'
@@ -141,6 +155,7 @@
 
 	/** Hands tokens to another box. */
 	lend(account: AccountName, tokens: number): number {
+		this.book?.setPromiseOver(this.promise.isOver)
 		return this.book?.lend(account, tokens) ?? 0
 	}
 
@@ -154,7 +169,7 @@
 		if (!this.claimed || this.closed || this.drawing) return
 		if (!this.reached && this.options.now() - this.faultAt < FAULT_PAUSE_MS) return
 		if (!this.reached || this.options.now() - this.rowAt > ROW_AGE_MS) await this.refresh()
-		if (this.reached && this.needsDraw()) await this.draw()
+		if (this.reached && (this.needsDraw() || this.needsMark())) await this.draw()
 	}
 
 	/** Stops reservations and gives back what is free. */
@@ -217,28 +232,40 @@
 
 	private async claimOnce(): Promise<boolean> {
 		const { store, key, box, holder, address } = this.options
-		const next = planClaim(this.row, box, holder, address)
+		const promised = await this.promise.readPrevious()
+		if (E.isLeft(promised)) return this.claimFailed(promised.left)
+		const row = await store.read(key)
+		if (E.isLeft(row)) return this.claimFailed(row.left)
+		this.adopt(row.right)
+		const drawnBefore = this.row.boxes[box]
+		const spent = spentAtMost(drawnBefore, promised.right, this.options.wallTime())
+		const next = planClaim(this.row, { box, holder, address, spent })
 		const result = await store.write(key, encode(next), this.revision)
-		if (E.isLeft(result)) {
-			this.noteFault(result.left)
-			return false
-		}
-		if (result.right.kind === 'conflict') {
-			// A write of ours whose answer was lost may have claimed it; claiming again does no harm.
-			this.adopt(result.right.current)
-			return this.claimOnce()
-		}
+		if (E.isLeft(result)) return this.claimFailed(result.left)
+		// A write of ours whose answer was lost may have claimed it; claiming again does no harm.
+		if (result.right.kind === 'conflict') return false
 		this.noteWritten(next, result.right.revision)
-		const before = next.boxes[box]?.drawn ?? {}
-		this.book = new AllowanceBook(before)
+		this.book = new AllowanceBook(spent)
 		this.options.log({
 			name: 'allowance-claimed',
-			fields: { holder, revision: this.revision, spentBefore: JSON.stringify(before) },
+			fields: {
+				holder,
+				revision: this.revision,
+				promise: promised.right?.holder ?? '',
+				promiseAgeMs: Math.round(this.options.wallTime() - (promised.right?.wallTime ?? 0)),
+				drawnBefore: sum(drawnBefore?.drawn),
+				spentBefore: sum(spent),
+			},
 		})
 		void this.draw()
 		return true
 	}
 
+	private claimFailed(fault: StoreFault): false {
+		this.noteFault(fault)
+		return false
+	}
+
 	private async refresh(): Promise<void> {
 		const result = await this.options.store.readStale(this.options.key)
 		this.rowAt = this.options.now()
@@ -255,12 +282,20 @@
 		return this.views().some((view) => {
 			if (view.frozen) return true
 			const undrawn = this.undrawn(view)
-			const wanted = wantedTokens(view, undrawn + view.free, boxes)
-			if (view.free > wanted * HIGH_PART + HIGH_TOKENS) return true
-			return undrawn > 0 && view.free < wanted * LOW_PART && wanted > 0
+			const wanted = wantedTokens(view, undrawn + view.held, boxes)
+			if (view.held > wanted * HIGH_PART + HIGH_TOKENS) return true
+			return undrawn > 0 && view.held < wanted * LOW_PART && wanted > 0
 		})
 	}
 
+	private needsMark(): boolean {
+		return this.promise.isOld || this.views().some((view) => isMarkLow(view, this.markOf(view)))
+	}
+
+	private markOf(view: AllowanceView): number {
+		return nextMark(view, this.undrawn(view), this.boxes)
+	}
+
 	private undrawn(view: AllowanceView): number {
 		const others = drawnByOthers(this.row, view.account, this.options.box)
 		return Math.max(0, (this.budgets.tokens[view.account] ?? 0) - others - view.drawn)
@@ -283,13 +318,53 @@
 		do {
 			this.drawAgain = false
 			const served = this.waiters.length
-			const fault = await this.writeDraw(false)
+			const fault = await this.replenish()
 			if (fault) this.answerWaiters(this.waiters.length)
 			else this.answerWaiters(served)
 		} while (this.drawAgain && this.reached)
 		this.drawing = false
 	}
 
+	/** Draws where that is needed, then raises the ceilings. */
+	private async replenish(): Promise<StoreFault | undefined> {
+		if (this.needsDraw() || this.waitersLackDraws()) {
+			const fault = await this.writeDraw(false)
+			if (fault) return fault
+		}
+		return this.writeMarks()
+	}
+
+	private waitersLackDraws(): boolean {
+		const waiting = this.waitingTokens()
+		return this.views().some((view) => (waiting[view.account] ?? 0) > view.held)
+	}
+
+	private waitingTokens(): Record<AccountName, number> {
+		const waiting: Record<AccountName, number> = {}
+		for (const { account, tokens } of this.waiters)
+			waiting[account] = (waiting[account] ?? 0) + tokens
+		return waiting
+	}
+
+	private async writeMarks(): Promise<StoreFault | undefined> {
+		const waiting = this.waitingTokens()
+		const marks: Record<AccountName, number> = {}
+		for (const view of this.views()) {
+			const needed = view.floor + (waiting[view.account] ?? 0)
+			marks[view.account] = Math.max(this.markOf(view), Math.min(needed, view.drawn), view.floor)
+		}
+		const result = await this.promise.write(marks)
+		this.book?.setPromiseOver(this.promise.isOver)
+		if (E.isLeft(result)) {
+			this.noteFault(result.left)
+			return result.left
+		}
+		for (const [account, mark] of Object.entries<number>(marks))
+			this.book?.confirmMark(account as AccountName, mark)
+		this.reached = true
+		return undefined
+	}
+
 	/** Gives the first `count` waiters their result; those that came later wait for the next draw. */
 	private answerWaiters(count: number): void {
 		const served = this.waiters.slice(0, count)
@@ -324,9 +399,6 @@
 	}
 
 	private plan(giveBack: boolean): AllowanceRow {
-		const waiting: Record<AccountName, number> = {}
-		for (const { account, tokens } of this.waiters)
-			waiting[account] = (waiting[account] ?? 0) + tokens
 		const { box, holder, address } = this.options
 		return planDraw(this.row, {
 			box,
@@ -334,7 +406,7 @@
 			address,
 			budgets: this.budgets,
 			views: this.views(),
-			waiting,
+			waiting: this.waitingTokens(),
 			giveBack,
 		})
 	}
@@ -400,6 +472,10 @@
 	}
 }
 
+function sum(tokens: Readonly<Record<AccountName, number>> | undefined): number {
+	return Object.values<number>(tokens ?? {}).reduce((total, amount) => total + amount, 0)
+}
+
 function encode(row: AllowanceRow): Buffer {
 	return Buffer.from(JSON.stringify(row))
 }
--- a/packages/gateway/src/lib/AnswerWriter.ts
+++ b/packages/gateway/src/lib/AnswerWriter.ts
@@ -12,6 +12,8 @@
 	begun = false
 	/** Number of the last event that was passed on. */
 	lastEvent: number | undefined
+	/** The end of the stream will be told apart from a broken connection. */
+	framed = true
 	/** Events passed on. */
 	events = 0
 
@@ -23,7 +25,8 @@
 	/** Passes on a whole answer of a target. */
 	whole(head: AnswerHead, body: Buffer): void {
 		const headers = answerHeadersToPassOn(head.rawHeaders)
-		if (mayHaveBody(head.status)) headers.push('Content-Length', String(body.length))
+		if (!isFramed(head)) this.leaveUnframed(headers)
+		else if (mayHaveBody(head.status)) headers.push('Content-Length', String(body.length))
 		this.writeHead(head.status, headers)
 		this.response.end(body)
 	}
@@ -31,7 +34,10 @@
 	/** Passes on the head of a stream. */
 	beginStream(head: AnswerHead): void {
 		this.begun = true
-		this.writeHead(head.status, answerHeadersToPassOn(head.rawHeaders))
+		this.framed = isFramed(head)
+		const headers = answerHeadersToPassOn(head.rawHeaders)
+		if (!this.framed) this.leaveUnframed(headers)
+		this.writeHead(head.status, headers)
 		this.response.flushHeaders()
 	}
 
@@ -73,6 +79,15 @@
 		this.response.destroy()
 	}
 
+	/**
+	 * An answer without a length ends with its connection: nobody can tell whether it is whole. It must
+	 * not get a frame here that says it is.
+	 */
+	private leaveUnframed(headers: string[]): void {
+		this.response.useChunkedEncodingByDefault = false
+		headers.push('Connection', 'close')
+	}
+
 	private writeHead(status: number, headers: string[]): void {
 		this.response.sendDate = false
 		if (this.stopping() && !headers.includes('Connection')) headers.push('Connection', 'close')
@@ -80,6 +95,13 @@
 	}
 }
 
+/** True where the target tells the end of its answer otherwise than by closing the connection. */
+export function isFramed(head: AnswerHead): boolean {
+	if (!mayHaveBody(head.status)) return true
+	const { headers } = head
+	return headers['content-length'] !== undefined || headers['transfer-encoding'] !== undefined
+}
+
 function mayHaveBody(status: number): boolean {
 	return status !== 204 && status !== 304
 }
--- a/packages/gateway/src/lib/Attempt.ts
+++ b/packages/gateway/src/lib/Attempt.ts
@@ -5,7 +5,7 @@
 	type AttemptVerdict,
 	type Place,
 } from '@stallwing/core'
-import type { AnswerWriter } from './AnswerWriter.js'
+import { isFramed, type AnswerWriter } from './AnswerWriter.js'
 import type { CallerRequest } from './CallerRequest.js'
 import type { GatewayContext } from './GatewayContext.js'
 import {
@@ -116,6 +116,10 @@
 			this.onFailure({ sent: true, cause: 'ended inside an event' })
 			return
 		}
+		if (this.splitter && this.answer.framed && !isFramed(head)) {
+			this.onFailure({ sent: true, cause: 'unframed end of a framed stream' })
+			return
+		}
 		if (this.splitter) {
 			this.end('good', { kind: 'answered', failed: false }, 'stream ended', undefined)
 			return
--- a/packages/gateway/src/lib/Gateway.ts
+++ b/packages/gateway/src/lib/Gateway.ts
@@ -46,6 +46,8 @@
 	readonly configKey: string
 	readonly targetsPrefix: string
 	readonly allowanceKey: string
+	/** Below it lies one record for each box. */
+	readonly markPrefix: string
 	readConfig(value: Buffer): E.Either<UnreadableDocument, TrafficConfig>
 	readTarget(item: StoreItem): E.Either<UnreadableDocument, TargetEntry>
 }
@@ -70,7 +72,10 @@
 	readonly graceMs: number
 	readonly metrics: Metrics
 	readonly log: (event: LogEvent) => void
+	/** Steady clock, in ms. */
 	readonly now: () => number
+	/** Time of day, in ms; it may jump. */
+	readonly wallTime: () => number
 	readonly random: () => number
 }
 
@@ -106,12 +111,14 @@
 		this.allowance = new AllowanceClient({
 			store: options.store,
 			key: options.documents.allowanceKey,
+			markKey: `${options.documents.markPrefix}${options.box}`,
 			box: options.box,
 			holder: options.incarnation,
 			address: `${options.listen.peers.host}:${options.listen.peers.port}`,
 			lenders: new PeerClient(options.now),
 			metrics: options.metrics,
 			now: options.now,
+			wallTime: options.wallTime,
 			random: options.random,
 			sleep,
 			log: options.log,
--- a/packages/store/src/index.ts
+++ b/packages/store/src/index.ts
@@ -23,6 +23,7 @@
 	type StoreChange,
 	type StoreFault,
 	type StoreItem,
+	type StoreLease,
 	type StoreListing,
 	type WriteResult,
 } from './lib/KeyValueStore.js'
--- a/packages/store/src/lib/KeyValueStore.ts
+++ b/packages/store/src/lib/KeyValueStore.ts
@@ -38,6 +38,11 @@
 	| { readonly kind: 'written'; readonly revision: number }
 	| { readonly kind: 'conflict'; readonly current: StoreItem | undefined }
 
+/** A lease of the store: items that carry it go when it ends. @public */
+export interface StoreLease {
+	readonly id: number
+}
+
 /** The part of a small key-value service that a box uses. Calls never throw. @public */
 export interface KeyValueStore {
 	/** Reads all items below a prefix, linearizably. */
@@ -53,7 +58,13 @@
 		key: string,
 		value: Buffer,
 		expectedRevision: number,
+		/** The item goes when this lease ends. */
+		lease?: StoreLease,
 	): Promise<Either<StoreFault, WriteResult>>
+	/** Makes a lease; it runs from the arrival of the call and is never renewed. */
+	lease(ttlMs: number): Promise<Either<StoreFault, StoreLease>>
+	/** Reads one item, linearizably; undefined where the key is absent. */
+	read(key: string): Promise<Either<StoreFault, StoreItem | undefined>>
 	/** Reads one item that may be seconds old, which is cheap; undefined where the key is absent. */
 	readStale(key: string): Promise<Either<StoreFault, StoreItem | undefined>>
 }
