Ceilings may fall; smaller first draws; a start loads one small file

Change: ceilings are lowered locally first, then in the store; 12 boxes assumed; Node's own client for store and box calls; the bundle is minified (0.34 MB).

--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -174,7 +174,7 @@
 } from './lib/allowance/AllowanceRow.js'
 export {
 	PROMISE_MS,
-	isMarkLow,
+	isMarkOff,
 	nextMark,
 	spentAtMost,
 	type SpendingMark,
--- a/packages/core/src/lib/allowance/AllowanceBook.ts
+++ b/packages/core/src/lib/allowance/AllowanceBook.ts
@@ -111,10 +111,15 @@
 		this.allowance(account).frozenUntil = budgetsAt
 	}
 
+	/** Keeps to a lower ceiling, before the store is told of it. */
+	lowerMark(account: AccountName, mark: number): void {
+		const allowance = this.allowance(account)
+		allowance.mark = Math.min(allowance.mark, mark)
+	}
+
 	/** The store knows this ceiling now: a new process of the box may rely on it. */
 	confirmMark(account: AccountName, mark: number): void {
-		const allowance = this.allowance(account)
-		allowance.mark = Math.max(allowance.mark, mark)
+		this.allowance(account).mark = mark
 	}
 
 	/**
--- a/packages/core/src/lib/allowance/SpendingMark.ts
+++ b/packages/core/src/lib/allowance/SpendingMark.ts
@@ -18,20 +18,23 @@
 }
 
 /** How long a promise holds, from the answer to the lease that bounds it. */
-export const PROMISE_MS: Millis = 3_500
+export const PROMISE_MS: Millis = 3_000
 /** Difference of the time of day above the promise that is still taken as a sign of its age. */
 const WALL_SLACK_MS: Millis = 500
 /** Demand in advance that a ceiling allows while the budget is far from its end, in seconds. */
-const AHEAD_SECONDS = 4
+const AHEAD_SECONDS = 3.5
 /** Part of what is held that a ceiling allows then at least: for accounts that come to a box anew. */
-const AHEAD_PART = 0.5
+const AHEAD_PART = 0.2
 /** The same near the end of a budget: what is promised and not spent is lost with the process. */
 const AHEAD_SECONDS_NEAR_END = 0.5
 /** A budget is near its end below this many seconds of demand. */
-const NEAR_END_SECONDS = 10
+const NEAR_END_SECONDS = 14
 
 /** A ceiling is raised when less than this part of what it should allow is left. */
 const LOW_PART = 0.5
+/** It is lowered above this multiple, and this many tokens more. */
+const HIGH_PART = 2
+const HIGH_TOKENS = 2_000
 
 /** The ceiling of an account: what is spent, and some demand in advance. */
 export function nextMark(view: AllowanceView, undrawn: number, boxes: number): number {
@@ -41,13 +44,14 @@
 	const ahead = nearEnd
 		? rate * AHEAD_SECONDS_NEAR_END
 		: Math.max(rate * AHEAD_SECONDS, view.held * AHEAD_PART)
-	const wanted = Math.max(view.mark, view.floor + Math.ceil(ahead))
-	return Math.min(wanted, Math.max(view.drawn, view.mark))
+	return Math.max(view.floor, Math.min(view.drawn, view.floor + Math.ceil(ahead)))
 }
 
-/** True where so little is left below the ceiling that the next one should be written. */
-export function isMarkLow(view: AllowanceView, next: number): boolean {
-	return view.mark - view.floor < LOW_PART * (next - view.floor)
+/** True where the ceiling allows so much less or more than it should that it is to be written anew. */
+export function isMarkOff(view: AllowanceView, next: number): boolean {
+	const allowed = view.mark - view.floor
+	const wanted = next - view.floor
+	return allowed < LOW_PART * wanted || allowed > HIGH_PART * wanted + HIGH_TOKENS
 }
 
 /**
--- a/packages/core/src/lib/allowance/planDraw.ts
+++ b/packages/core/src/lib/allowance/planDraw.ts
@@ -25,11 +25,11 @@
 /** Demand that a box holds in advance, in seconds: a cut from the store has to be lived through. */
 export const HOLD_SECONDS = 9
 /** Part of what nobody has drawn that all boxes together hold beyond their demand. */
-const SPECULATIVE_PART = 0.5
+const SPECULATIVE_PART = 0.2
 /** Part of what nobody has drawn that one draw may take beyond what requests wait for. */
 const LARGEST_PART = 0.4
 /** Boxes that are assumed at least: at the start none has drawn yet. */
-const LEAST_BOXES = 4
+const LEAST_BOXES = 12
 
 /** The budgets that hold: those of the newest configuration that the row or this box knows. */
 export function budgetsInForce(row: AllowanceRow, own: Budgets): Budgets {
--- a/packages/gateway/src/lib/AllowanceClient.ts
+++ b/packages/gateway/src/lib/AllowanceClient.ts
@@ -2,7 +2,7 @@
 	AllowanceBook,
 	EMPTY_ALLOWANCE_ROW,
 	drawnByOthers,
-	isMarkLow,
+	isMarkOff,
 	planClaim,
 	nextMark,
 	planDraw,
@@ -289,7 +289,7 @@
 	}
 
 	private needsMark(): boolean {
-		return this.promise.isOld || this.views().some((view) => isMarkLow(view, this.markOf(view)))
+		return this.promise.isOld || this.views().some((view) => isMarkOff(view, this.markOf(view)))
 	}
 
 	private markOf(view: AllowanceView): number {
@@ -353,6 +353,8 @@
 			const needed = view.floor + (waiting[view.account] ?? 0)
 			marks[view.account] = Math.max(this.markOf(view), Math.min(needed, view.drawn), view.floor)
 		}
+		for (const [account, mark] of Object.entries<number>(marks))
+			this.book?.lowerMark(account as AccountName, mark)
 		const result = await this.promise.write(marks)
 		this.book?.setPromiseOver(this.promise.isOver)
 		if (E.isLeft(result)) {
--- a/packages/gateway/src/lib/SpendingPromise.ts
+++ b/packages/gateway/src/lib/SpendingPromise.ts
@@ -15,7 +15,7 @@
 }
 
 /** Age from which a lease is replaced, in ms. */
-const LEASE_AGE_MS = 1_300
+const LEASE_AGE_MS = 1_000
 const TRIES = 3
 
 /** Keeps the record of this box's spending ceilings in the store. See {@link SpendingMark}. */
--- a/packages/store/src/index.ts
+++ b/packages/store/src/index.ts
@@ -28,3 +28,9 @@
 	type WriteResult,
 } from './lib/KeyValueStore.js'
 export { PrefixFollower, type FollowerOptions, type StoreContact } from './lib/PrefixFollower.js'
+export {
+	HttpCaller,
+	type HttpCall,
+	type HttpCallerOptions,
+	type HttpReply,
+} from './lib/HttpCaller.js'
--- /dev/null
+++ b/packages/store/src/lib/HttpCaller.ts
@@ -0,0 +1,86 @@
+import { Agent, request } from 'node:http'
+
+/** Where and how often calls go. @public */
+export interface HttpCallerOptions {
+	/** IP number. */
+	readonly host: string
+	readonly port: number
+	/** Connections at most. */
+	readonly connections: number
+}
+
+/** One call. */
+export interface HttpCall {
+	readonly method: 'GET' | 'POST'
+	readonly path: string
+	/** Sent as JSON. */
+	readonly body?: unknown
+	/** Time until the whole answer must be there, in ms. */
+	readonly timeoutMs: number
+}
+
+/** A whole answer. */
+export interface HttpReply {
+	readonly status: number
+	readonly text: string
+}
+
+/**
+ * Calls one address over kept connections, with Node's own client: a start of the process then loads no
+ * other. A connection whose call ran out of time is closed, since its answer may still come.
+ * @public
+ */
+export class HttpCaller {
+	private readonly agent: Agent
+
+	constructor(private readonly options: HttpCallerOptions) {
+		this.agent = new Agent({ keepAlive: true, maxSockets: options.connections, noDelay: true })
+	}
+
+	/** Rejects where no whole answer came in time: the call may have been done. */
+	send(call: HttpCall): Promise<HttpReply> {
+		const { host, port } = this.options
+		const body = call.body === undefined ? undefined : Buffer.from(JSON.stringify(call.body))
+		const headers: Record<string, string | number> = body
+			? { 'Content-Type': 'application/json', 'Content-Length': body.length }
+			: {}
+		return new Promise((resolve, reject) => {
+			const outgoing = request({
+				host,
+				port,
+				method: call.method,
+				path: call.path,
+				headers,
+				agent: this.agent,
+			})
+			const timer = setTimeout(
+				() => outgoing.destroy(new Error(`no answer in ${call.timeoutMs} ms`)),
+				call.timeoutMs,
+			)
+			const fail = (error: Error): void => {
+				clearTimeout(timer)
+				reject(error)
+			}
+			outgoing.on('error', fail)
+			outgoing.on('response', (answer) => {
+				const chunks: Buffer[] = []
+				answer.on('data', (chunk: Buffer) => chunks.push(chunk))
+				answer.on('error', fail)
+				answer.on('end', () => {
+					clearTimeout(timer)
+					if (!answer.complete) reject(new Error('answer broken off'))
+					else
+						resolve({
+							status: answer.statusCode ?? 0,
+							text: Buffer.concat(chunks).toString('utf8'),
+						})
+				})
+			})
+			outgoing.end(body)
+		})
+	}
+
+	close(): void {
+		this.agent.destroy()
+	}
+}
--- a/rolldown.config.js
+++ b/rolldown.config.js
@@ -7,7 +7,7 @@
 	input: 'platform/src/main.ts',
 	platform: 'node',
 	tsconfig: false,
-	output: { file: 'target/stallwing.js', format: 'esm', codeSplitting: false },
+	output: { file: 'target/stallwing.js', format: 'esm', codeSplitting: false, minify: true },
 	resolve: {
 		mainFields: ['module', 'main'],
 		extensionAlias: { '.js': ['.ts', '.js'] },
