A stopping box hands its tokens over when the store can't be told

Change: what may be spent is given to the first box that answers; tokens of a lost answer stay lost.

--- a/packages/core/src/lib/allowance/AllowanceBook.ts
+++ b/packages/core/src/lib/allowance/AllowanceBook.ts
@@ -80,6 +80,14 @@
 		return lent
 	}
 
+	/** All that may be handed to another box when this one stops. Nothing is reserved afterwards. */
+	handOver(account: AccountName): number {
+		const allowance = this.allowance(account)
+		const tokens = Math.max(0, this.freeOf(allowance))
+		allowance.used += tokens
+		return tokens
+	}
+
 	/** Takes tokens that another box has handed over: covered by the draw of that box. */
 	borrow(account: AccountName, tokens: number): void {
 		this.allowance(account).used -= tokens
--- a/packages/gateway/src/lib/AllowanceClient.ts
+++ b/packages/gateway/src/lib/AllowanceClient.ts
@@ -51,6 +51,10 @@
 export interface Lenders {
 	/** Tokens that one box hands over; 0 where it has none or does not answer. */
 	ask(address: string, account: AccountName, tokens: number): Promise<number>
+	/** Whether a box answers at all. */
+	isOpen(address: string): Promise<boolean>
+	/** Gives tokens to one box. False: it may not have got them, and nobody else may get them. */
+	give(address: string, account: AccountName, tokens: number): Promise<boolean>
 }
 
 interface Waiter {
@@ -74,7 +78,7 @@
 const CONFLICT_TRIES = 8
 const CONFLICT_PAUSE_MS = 12
 const CLAIM_PAUSE_MS = 200
-const GIVE_BACK_TRIES = 4
+const GIVE_BACK_TRIES = 2
 const BOXES_BEFORE_CLAIM = 16
 
 /** This box's part of the token budgets: draws from the store, and reservations from the draws. */
@@ -156,7 +160,9 @@
 	/** Hands tokens to another box. */
 	lend(account: AccountName, tokens: number): number {
 		this.book?.setPromiseOver(this.promise.isOver)
-		return this.book?.lend(account, tokens) ?? 0
+		const lent = this.book?.lend(account, tokens) ?? 0
+		this.options.log({ name: 'allowance-lent', fields: { account, asked: tokens, lent } })
+		return lent
 	}
 
 	/** Ends a reservation. */
@@ -181,6 +187,36 @@
 			if (!fault) return
 			await this.options.sleep(CLAIM_PAUSE_MS)
 		}
+		await this.handOver()
+	}
+
+	/** Takes over tokens of a box that stops while the store can't be reached. */
+	accept(account: AccountName, tokens: number): boolean {
+		if (!this.book || this.closed) return false
+		this.book.borrow(account, tokens)
+		return true
+	}
+
+	/** Gives what is free to a box that answers: the store could not be told. */
+	private async handOver(): Promise<void> {
+		const { book } = this
+		if (!book) return
+		book.setPromiseOver(this.promise.isOver)
+		for (const account of this.accounts()) {
+			const tokens = book.handOver(account)
+			if (tokens === 0) continue
+			const to = await this.giveToFirst(account, tokens)
+			this.options.log({ name: 'allowance-handed-over', fields: { account, tokens, to } })
+		}
+	}
+
+	/** The box that took the tokens, or an empty text. A box that did not answer may have them. */
+	private async giveToFirst(account: AccountName, tokens: number): Promise<string> {
+		for (const address of this.lendersOf(account)) {
+			if (await this.options.lenders.isOpen(address))
+				return (await this.options.lenders.give(address, account, tokens)) ? address : ''
+		}
+		return ''
 	}
 
 	/** What is held of each account, for metrics. */
@@ -209,14 +245,27 @@
 		if (!book) return 'unknown'
 		for (const address of this.lendersOf(account)) {
 			const missing = tokens - Math.max(0, book.view(account, this.options.now()).free)
-			if (missing > 0)
-				book.borrow(account, await this.options.lenders.ask(address, account, missing))
+			if (missing > 0) await this.borrowFrom(book, address, account, missing)
 			if (book.reserve(account, tokens)) return 'reserved'
 			if (this.closed) return 'unknown'
 		}
 		return this.isSpent(account, tokens) ? 'spent' : 'unknown'
 	}
 
+	private async borrowFrom(
+		book: AllowanceBook,
+		address: string,
+		account: AccountName,
+		missing: number,
+	): Promise<void> {
+		const lent = await this.options.lenders.ask(address, account, missing)
+		book.borrow(account, lent)
+		this.options.log({
+			name: 'allowance-borrowed',
+			fields: { account, lender: address, asked: missing, lent },
+		})
+	}
+
 	/** Addresses of other boxes, by the tokens that they seemed to hold when they last wrote. */
 	private lendersOf(account: AccountName): string[] {
 		return Object.entries(this.row.boxes)
--- a/packages/gateway/src/lib/Gateway.ts
+++ b/packages/gateway/src/lib/Gateway.ts
@@ -128,7 +128,11 @@
 		this.callers.on('request', (message, response) => this.serve(message, response))
 		this.applyLimits()
 		this.readiness = createServer((message, response) => this.answerReadiness(message, response))
-		this.peers = new PeerServer({ lend: (account, tokens) => this.allowance.lend(account, tokens) })
+		this.peers = new PeerServer({
+			lend: (account, tokens) => this.allowance.lend(account, tokens),
+			accept: (account, tokens) => this.allowance.accept(account, tokens),
+			isOpen: () => !this.context.stopping,
+		})
 		this.workSharing = new WorkSharing({
 			box: options.box,
 			board: this.board,
--- a/packages/gateway/src/lib/PeerClient.ts
+++ b/packages/gateway/src/lib/PeerClient.ts
@@ -1,7 +1,7 @@
 import type { AccountName } from '@stallwing/core'
 import { HttpCaller } from '@stallwing/store'
 import type { Lenders } from './AllowanceClient.js'
-import { LEND_PATH } from './PeerServer.js'
+import { ACCEPT_PATH, LEND_PATH, OPEN_PATH } from './PeerServer.js'
 
 const ASK_MS = 120
 const CONNECTIONS = 4
@@ -30,6 +30,28 @@
 		}
 	}
 
+	async isOpen(address: string): Promise<boolean> {
+		return (await this.statusOf(address, 'GET', OPEN_PATH)) === 200
+	}
+
+	async give(address: string, account: AccountName, tokens: number): Promise<boolean> {
+		const query = new URLSearchParams({ account, tokens: String(tokens) })
+		return (await this.statusOf(address, 'POST', `${ACCEPT_PATH}?${query}`)) === 200
+	}
+
+	/** Status of the answer; undefined without one. */
+	private async statusOf(
+		address: string,
+		method: 'GET' | 'POST',
+		path: string,
+	): Promise<number | undefined> {
+		try {
+			return (await this.caller(address).send({ method, path, timeoutMs: ASK_MS })).status
+		} catch {
+			return undefined
+		}
+	}
+
 	private caller(address: string): HttpCaller {
 		const known = this.callers.get(address)
 		if (known) return known
--- a/packages/gateway/src/lib/PeerServer.ts
+++ b/packages/gateway/src/lib/PeerServer.ts
@@ -4,11 +4,19 @@
 
 /** Path on which a box asks another for tokens. */
 export const LEND_PATH = '/lend'
+/** Path on which a stopping box gives tokens to another. */
+export const ACCEPT_PATH = '/accept'
+/** Path that tells whether a box takes tokens. */
+export const OPEN_PATH = '/open'
 
 /** What other boxes may ask of this one. */
 export interface PeerHandlers {
 	/** Hands over tokens of an account; says how many. */
 	lend(account: AccountName, tokens: number): number
+	/** Takes tokens over; false where this box can't. */
+	accept(account: AccountName, tokens: number): boolean
+	/** Whether this box would take tokens over. */
+	isOpen(): boolean
 }
 
 /** Serves the other boxes. Callers do not reach it. */
@@ -32,18 +40,24 @@
 
 	private handle(message: IncomingMessage, response: ServerResponse): void {
 		const url = new URL(message.url ?? '/', 'http://box')
-		if (message.method !== 'POST' || url.pathname !== LEND_PATH) {
-			response.writeHead(404).end()
+		if (url.pathname === OPEN_PATH) {
+			response.writeHead(this.handlers.isOpen() ? 200 : 503).end()
 			return
 		}
-		const account = url.searchParams.get('account') ?? ''
+		const account = brandId<AccountName>(url.searchParams.get('account') ?? '')
 		const tokens = Number(url.searchParams.get('tokens'))
 		if (account === '' || !Number.isSafeInteger(tokens) || tokens <= 0) {
 			response.writeHead(400).end()
 			return
 		}
-		const lent = this.handlers.lend(brandId<AccountName>(account), tokens)
-		const body = JSON.stringify({ lent })
-		response.writeHead(200, { 'Content-Type': 'application/json' }).end(body)
+		if (message.method === 'POST' && url.pathname === LEND_PATH)
+			sendJson(response, 200, { lent: this.handlers.lend(account, tokens) })
+		else if (message.method === 'POST' && url.pathname === ACCEPT_PATH)
+			sendJson(response, this.handlers.accept(account, tokens) ? 200 : 503, {})
+		else response.writeHead(404).end()
 	}
 }
+
+function sendJson(response: ServerResponse, status: number, body: unknown): void {
+	response.writeHead(status, { 'Content-Type': 'application/json' }).end(JSON.stringify(body))
+}
