--- a/packages/gateway/src/index.ts
+++ b/packages/gateway/src/index.ts
@@ -5,6 +5,7 @@
 	newGatewayIncarnation,
 	type Documents,
 	type GatewayOptions,
+	type GatewayPorts,
 	type UnreadableDocument,
 } from './lib/Gateway.js'
 export { listenOn, type ListenAddress } from './lib/listenOn.js'
--- /dev/null
+++ b/packages/gateway/src/lib/Gateway.test.ts
@@ -0,0 +1,431 @@
+import { createServer, request, type IncomingMessage, type ServerResponse } from 'node:http'
+import type { AddressInfo, Server } from 'node:net'
+import {
+	brandId,
+	type BoxName,
+	type Incarnation,
+	type RouteName,
+	type ServiceName,
+	type TargetEntry,
+	type TargetName,
+	type TrafficConfig,
+	type ZoneName,
+	type AccountName,
+} from '@stallwing/core'
+import { MemoryStore } from '@stallwing/standins'
+import { Metrics } from '@stallwing/telemetry'
+import * as E from 'fp-ts/lib/Either.js'
+import { afterEach, describe, expect, it } from 'vitest'
+import type { Dialect } from './Dialect.js'
+import { Gateway } from './Gateway.js'
+
+const DIALECT: Dialect = {
+	headers: {
+		requestId: 'request-id',
+		deadline: 'deadline-ms',
+		account: 'account',
+		expectedTarget: 'expected-target',
+		rank: 'rank',
+		lastEvent: 'last-event-id',
+		mark: 'target-mark',
+		notRun: 'not-run',
+		load: 'load',
+	},
+	fleetHeaders: new Set([
+		'authorization',
+		'account',
+		'expected-target',
+		'deadline-ms',
+		'rank',
+		'last-event-id',
+	]),
+	lowestRank: 9,
+	wrongTargetStatus: 421,
+	startLimits: { headerBytes: 16_384, bodyBytes: 1_000, headerMs: 5_000, idleMs: 5_000 },
+	readWork: (header) => {
+		const tokens = Number(header('tokens') ?? 0)
+		return E.right({ inputTokens: tokens, maxOutputTokens: 0, parts: [] })
+	},
+	readKey: (header) => header('authorization'),
+	readLoad: () => undefined,
+	statusOf: (kind) => STATUS[kind],
+}
+
+const STATUS = {
+	malformed: 400,
+	'header-too-large': 431,
+	'body-too-large': 413,
+	'no-route': 404,
+	'no-key': 401,
+	'body-late': 408,
+	'not-configured': 503,
+	'budget-spent': 402,
+	'budget-unknown': 503,
+	'no-target': 503,
+	'too-late': 503,
+	'target-failed': 502,
+	'timed-out': 504,
+} as const
+
+const SERVICE = brandId<ServiceName>('service')
+
+function configOf(version: number): TrafficConfig {
+	const route = {
+		host: 'a.example',
+		timeoutMs: 20_000,
+		aimMs: 1_000,
+		rank: 0,
+		shares: [{ service: SERVICE, weight: 1 }],
+		maxAttempts: 2,
+		open: false,
+		statesWork: false,
+	}
+	return {
+		version,
+		routes: [
+			{ ...route, name: name('once'), pathPrefix: '/once/', kind: 'once', resumable: false },
+			{
+				...route,
+				name: name('again'),
+				pathPrefix: '/again/',
+				kind: 'repeatable',
+				resumable: false,
+			},
+			{ ...route, name: name('stream'), pathPrefix: '/stream/', kind: 'stream', resumable: false },
+			{ ...route, name: name('resume'), pathPrefix: '/resume/', kind: 'stream', resumable: true },
+		],
+		services: [{ name: SERVICE, maxConnections: 100, tokensPerEvent: undefined }],
+		accounts: [{ name: brandId<AccountName>('acme'), keys: ['key'], rank: 0, tokenBudget: 100 }],
+		limits: { headerBytes: 16_384, bodyBytes: 1_000, headerMs: 5_000, idleMs: 5_000 },
+	}
+}
+
+function name(text: string): RouteName {
+	return brandId<RouteName>(text)
+}
+
+/** A caller's view of an answer. */
+interface Answer {
+	readonly status: number
+	readonly headers: IncomingMessage['headers']
+	readonly body: string
+	readonly whole: boolean
+}
+
+type TargetHandler = (message: IncomingMessage, response: ServerResponse, body: string) => void
+
+/** One gateway in this process, a store in memory, and targets on loopback. */
+class TestBox {
+	readonly store = new MemoryStore({ now: () => performance.now(), sleep })
+	readonly seen: { target: string; headers: IncomingMessage['headers']; body: string }[] = []
+	private readonly servers: Server[] = []
+	private port = 0
+	private readinessPort = 0
+	readonly gateway = new Gateway({
+		box: brandId<BoxName>('box'),
+		zone: brandId<ZoneName>('z1'),
+		incarnation: brandId<Incarnation>('first'),
+		listen: { callers: LOOPBACK, readiness: LOOPBACK, peers: LOOPBACK },
+		store: this.store.connect('box'),
+		documents: {
+			configPrefix: 'config/',
+			configKey: 'config/now',
+			targetsPrefix: 'targets/',
+			allowanceKey: 'allowance',
+			markPrefix: 'mark/',
+			readConfig: (value) => E.right(JSON.parse(value.toString()) as TrafficConfig),
+			readTarget: (item) => E.right(JSON.parse(item.value.toString()) as TargetEntry),
+		},
+		dialect: DIALECT,
+		repeatLimits: { ratio: 0.2, slack: 1_000, windowMs: 10_000 },
+		graceMs: 8_000,
+		metrics: new Metrics(),
+		log: () => undefined,
+		now: () => performance.now(),
+		wallTime: () => Date.now(),
+		random: () => 0.5,
+	})
+
+	async start(): Promise<void> {
+		const ports = await this.gateway.start()
+		this.port = ports.callers
+		this.readinessPort = ports.readiness
+	}
+
+	configure(version = 1): void {
+		this.store.put('config/now', JSON.stringify(configOf(version)))
+	}
+
+	/** Starts a target; the store lists it. */
+	async target(id: string, handler: TargetHandler, leaving = false): Promise<void> {
+		const server = createServer((message, response) => {
+			let body = ''
+			message.on('data', (chunk: Buffer) => (body += chunk.toString()))
+			message.on('end', () => {
+				this.seen.push({ target: id, headers: message.headers, body })
+				response.setHeader('request-id', message.headers['request-id'] ?? '')
+				response.setHeader('target-mark', id)
+				handler(message, response, body)
+			})
+		})
+		this.servers.push(server)
+		await new Promise<void>((resolve) => server.listen(0, '127.0.0.1', resolve))
+		this.list(id, `127.0.0.1:${(server.address() as AddressInfo).port}`, leaving)
+	}
+
+	list(id: string, address: string, leaving: boolean): void {
+		const entry: TargetEntry = {
+			name: brandId<TargetName>(id),
+			service: SERVICE,
+			address,
+			zone: brandId<ZoneName>('z1'),
+			slots: 8,
+			leaving,
+			coldMs: 0,
+		}
+		this.store.put(`targets/${id}`, JSON.stringify(entry))
+	}
+
+	/** Waits until the box says that it is ready. */
+	async ready(): Promise<void> {
+		while ((await this.readiness()) !== 200) await sleep(10)
+	}
+
+	readiness(): Promise<number> {
+		return new Promise((resolve) => {
+			const outgoing = request({ port: this.readinessPort, path: '/' }, (answer) => {
+				answer.resume()
+				answer.on('end', () => resolve(answer.statusCode ?? 0))
+			})
+			outgoing.on('error', () => resolve(0))
+			outgoing.end()
+		})
+	}
+
+	/** Asks as a caller. `onEvent` is called for each piece of the answer. */
+	ask(path: string, options: AskOptions = {}): Promise<Answer> {
+		return new Promise((resolve) => {
+			const outgoing = request({
+				port: this.port,
+				path,
+				method: 'POST',
+				headers: {
+					host: 'a.example',
+					'request-id': options.id ?? 'r-1',
+					authorization: 'key',
+					...options.headers,
+				},
+			})
+			outgoing.on('error', () => resolve({ status: 0, headers: {}, body: '', whole: false }))
+			outgoing.on('response', (answer) => {
+				let body = ''
+				const done = (whole: boolean) =>
+					resolve({ status: answer.statusCode ?? 0, headers: answer.headers, body, whole })
+				answer.on('data', (chunk: Buffer) => {
+					body += chunk.toString()
+					options.onEvent?.(() => outgoing.destroy())
+				})
+				answer.on('error', () => done(false))
+				answer.on('end', () => done(answer.complete))
+			})
+			outgoing.end(options.body ?? '')
+		})
+	}
+
+	async stop(): Promise<void> {
+		await this.gateway.stop()
+		for (const server of this.servers) server.close()
+	}
+}
+
+interface AskOptions {
+	readonly id?: string
+	readonly headers?: Record<string, string>
+	readonly body?: string
+	readonly onEvent?: (hangUp: () => void) => void
+}
+
+const LOOPBACK = { host: '127.0.0.1', port: 0 }
+
+function sleep(ms: number): Promise<void> {
+	return new Promise((resolve) => setTimeout(resolve, ms))
+}
+
+const ok: TargetHandler = (_message, response) => response.end('ok')
+
+function event(id: number): string {
+	return `id: ${id}\ndata: piece ${id}\n\n`
+}
+
+function beginStream(response: ServerResponse): void {
+	response.writeHead(200, { 'Content-Type': 'text/event-stream' })
+}
+
+describe('Gateway', () => {
+	let box: TestBox
+	afterEach(async () => box.stop())
+
+	async function running(...targets: [string, TargetHandler][]): Promise<void> {
+		box = new TestBox()
+		await box.start()
+		box.configure()
+		for (const [id, handler] of targets) await box.target(id, handler)
+		await box.ready()
+	}
+
+	it('is not ready and refuses as not run before it knows a configuration', async () => {
+		box = new TestBox()
+		await box.start()
+		expect(await box.readiness()).toBe(503)
+		const answer = await box.ask('/once/x')
+		expect(answer.status).toBe(503)
+		expect(Number(answer.headers['retry-after'])).toBeGreaterThan(0)
+	})
+
+	it('passes a request on as it came, with the headers of the fleet', async () => {
+		await running(['t1', ok])
+		const forged = { account: 'other', 'expected-target': 't9', rank: '0', extra: 'kept' }
+		const answer = await box.ask('/once/x?q=1', {
+			body: 'hello',
+			headers: { ...forged, 'deadline-ms': '5000' },
+		})
+		expect(answer).toMatchObject({ status: 200, body: 'ok', whole: true })
+		expect(answer.headers['target-mark']).toBe('t1')
+		const [seen] = box.seen
+		expect(seen?.body).toBe('hello')
+		expect(seen?.headers).toMatchObject({ account: 'acme', 'expected-target': 't1', extra: 'kept' })
+		expect(seen?.headers.authorization).toBeUndefined()
+		expect(Number(seen?.headers['deadline-ms'])).toBeLessThanOrEqual(5_000)
+	})
+
+	it('refuses what is at fault, and no target hears of it', async () => {
+		await running(['t1', ok])
+		expect((await box.ask('/nowhere/')).status).toBe(404)
+		expect((await box.ask('/once/x', { headers: { authorization: 'wrong' } })).status).toBe(401)
+		expect((await box.ask('/once/x', { headers: { 'request-id': '' } })).status).toBe(400)
+		expect((await box.ask('/once/x', { headers: { 'deadline-ms': 'soon' } })).status).toBe(400)
+		expect((await box.ask('/once/x', { body: 'x'.repeat(2_000) })).status).toBe(413)
+		expect(box.seen).toEqual([])
+	})
+
+	it('gives a target that leaves no new work once the store says so', async () => {
+		await running(['t1', ok], ['t2', ok])
+		const entry = JSON.parse(box.store.text('targets/t1') ?? '') as TargetEntry
+		box.list('t1', entry.address, true)
+		await sleep(100)
+		for (let i = 0; i < 10; i++) await box.ask('/once/x', { id: `r-${i}` })
+		expect(new Set(box.seen.map((seen) => seen.target))).toEqual(new Set(['t2']))
+	})
+
+	it('lets an account have its tokens and no more', async () => {
+		await running(['t1', ok])
+		const statuses: number[] = []
+		for (let i = 0; i < 14; i++)
+			statuses.push((await box.ask('/once/x', { id: `r-${i}`, headers: { tokens: '10' } })).status)
+		expect(statuses.filter((status) => status === 200)).toHaveLength(10)
+		expect(statuses.slice(10)).toEqual([402, 402, 402, 402])
+	})
+
+	it('runs a request once at most that may not be repeated, and says that it may have run', async () => {
+		await running(
+			['t1', (_message, response) => response.socket?.destroy()],
+			['t2', (_message, response) => response.socket?.destroy()],
+		)
+		const answer = await box.ask('/once/x')
+		expect(answer.status).toBe(502)
+		expect(box.seen).toHaveLength(1)
+	})
+
+	it('asks another target where a repeatable request failed', async () => {
+		await running(['t1', (_message, response) => response.socket?.destroy()], ['t2', ok])
+		for (let i = 0; i < 6; i++)
+			expect((await box.ask('/again/x', { id: `r-${i}` })).status).toBe(200)
+	})
+
+	it('breaks off a stream whose target broke off inside an event', async () => {
+		await running([
+			't1',
+			(_message, response) => {
+				beginStream(response)
+				response.write(`${event(1)}id: 2\ndata: ha`, () => setTimeout(() => response.destroy(), 20))
+			},
+		])
+		const answer = await box.ask('/stream/x')
+		expect(answer).toMatchObject({ status: 200, body: event(1), whole: false })
+	})
+
+	it('takes a broken stream up at another target where the route allows it', async () => {
+		const broken: TargetHandler = (message, response) => {
+			beginStream(response)
+			const after = Number(message.headers['last-event-id'] ?? 0)
+			if (after > 0) {
+				response.end(event(after + 1) + event(after + 2))
+				return
+			}
+			response.write(`${event(1)}${event(2)}id: 3\nda`, () =>
+				setTimeout(() => response.destroy(), 20),
+			)
+		}
+		await running(['t1', broken], ['t2', broken])
+		const answer = await box.ask('/resume/x')
+		expect(answer.whole).toBe(true)
+		expect(answer.body).toBe([1, 2, 3, 4].map(event).join(''))
+		expect(box.seen.map((seen) => seen.headers['last-event-id'])).toEqual([undefined, '2'])
+	})
+
+	it('does not give a frame to an answer that had none', async () => {
+		await running([
+			't1',
+			(_message, response) => {
+				response.useChunkedEncodingByDefault = false
+				response.setHeader('Connection', 'close')
+				response.end('all or not')
+			},
+		])
+		const answer = await box.ask('/once/x')
+		expect(answer.body).toBe('all or not')
+		expect(answer.headers['content-length']).toBeUndefined()
+		expect(answer.headers['transfer-encoding']).toBeUndefined()
+	})
+
+	it('passes on no answer of another request', async () => {
+		await running([
+			't1',
+			(_message, response) => {
+				response.setHeader('request-id', 'somebody-else')
+				response.end('not yours')
+			},
+		])
+		const answer = await box.ask('/once/x')
+		expect(answer.status).toBe(502)
+		expect(answer.body).not.toContain('not yours')
+	})
+
+	it('stops the target when the caller leaves', async () => {
+		let stopped: () => void = () => undefined
+		const targetStopped = new Promise<void>((resolve) => (stopped = resolve))
+		await running([
+			't1',
+			(_message, response) => {
+				beginStream(response)
+				response.write(event(1))
+				response.on('close', stopped)
+			},
+		])
+		void box.ask('/stream/x', { onEvent: (hangUp) => hangUp() })
+		await targetStopped
+	})
+
+	it('ends what runs before it stops, and is not ready meanwhile', async () => {
+		let finish: () => void = () => undefined
+		await running(['t1', (_message, response) => (finish = () => response.end('late'))])
+		const answer = box.ask('/once/x')
+		while (box.seen.length === 0) await sleep(5)
+		const stopped = box.gateway.stop()
+		expect(await box.readiness()).toBe(503)
+		finish()
+		expect(await answer).toMatchObject({ status: 200, body: 'late', whole: true })
+		expect((await answer).headers.connection).toBe('close')
+		await stopped
+	})
+})
--- a/packages/gateway/src/lib/Gateway.ts
+++ b/packages/gateway/src/lib/Gateway.ts
@@ -79,6 +79,12 @@
 	readonly random: () => number
 }
 
+/** Ports that a gateway listens on. */
+export interface GatewayPorts {
+	readonly callers: number
+	readonly readiness: number
+}
+
 const POOL_TIMES: PoolTimes = { connectMs: 300, settleMs: 20, idleMs: 1_500, idleMarginMs: 1_000 }
 const FOLLOWER_RETRY_MS = 150
 const WATCH_MS = 3_500
@@ -151,15 +157,16 @@
 	}
 
 	/** Starts to listen and to follow the store. @throws where an address can't be listened on. */
-	async start(): Promise<void> {
-		await listenOn(this.callers, this.options.listen.callers)
-		await listenOn(this.readiness, this.options.listen.readiness)
+	async start(): Promise<GatewayPorts> {
+		const callers = await listenOn(this.callers, this.options.listen.callers)
+		const readiness = await listenOn(this.readiness, this.options.listen.readiness)
 		await this.peers.listen(this.options.listen.peers)
 		await this.workSharing.start(this.options.listen.peers)
 		for (const follower of this.followers) void follower.run()
 		void this.allowance.claim()
 		this.timers.push(setInterval(() => void this.allowance.maintain(), MAINTAIN_MS))
 		this.timers.push(setInterval(() => this.sweep(), SWEEP_MS))
+		return { callers, readiness }
 	}
 
 	/** Stops as planned: no new callers, all answers whole as far as the grace allows. */
@@ -175,6 +182,9 @@
 		await this.untilIdle(0, end - STOP_MARGIN_MS)
 		this.callers.close()
 		this.callers.closeIdleConnections()
+		this.readiness.close()
+		this.peers.close()
+		for (const pool of this.pools.values()) pool.close()
 		for (const follower of this.followers) follower.stop()
 		for (const timer of this.timers) clearInterval(timer)
 		this.workSharing.stop()
--- a/vitest.config.ts
+++ b/vitest.config.ts
@@ -8,6 +8,7 @@
 			'packages/**/src/**/*.test.ts',
 			'apps/**/src/**/*.test.ts',
 			'internal/**/src/**/*.test.ts',
+			'platform/src/**/*.test.ts',
 		],
 		testTimeout: 120_000,
 		hookTimeout: 120_000,
