A start looks for its promise once; no draws for crumbs

Cause: after a loss of power of all boxes they claim at the same moment; one met five conflicts, a pause of 200 ms after each, and by then its promise had expired: 245,000 of 964,000 tokens of an account lost. Change: the promise is read once, before the first claim; conflicts are tried again at once; draws are renewed only where more than 5 % of what is wanted can be had.

--- a/packages/core/src/lib/allowance/SpendingMark.ts
+++ b/packages/core/src/lib/allowance/SpendingMark.ts
@@ -18,7 +18,7 @@
 }
 
 /** How long a promise holds, from the answer to the lease that bounds it. */
-export const PROMISE_MS: Millis = 3_000
+export const PROMISE_MS: Millis = 3_200
 /** Difference of the time of day above the promise that is still taken as a sign of its age. */
 const WALL_SLACK_MS: Millis = 500
 /** Demand in advance that a ceiling allows while the budget is far from its end, in seconds. */
--- a/packages/gateway/src/lib/AllowanceClient.ts
+++ b/packages/gateway/src/lib/AllowanceClient.ts
@@ -16,6 +16,7 @@
 	type Budgets,
 	type Incarnation,
 	type LogEvent,
+	type SpendingMark,
 } from '@stallwing/core'
 import type { KeyValueStore, StoreFault, StoreItem } from '@stallwing/store'
 import type { Metrics } from '@stallwing/telemetry'
@@ -57,6 +58,13 @@
 	give(address: string, account: AccountName, tokens: number): Promise<boolean>
 }
 
+/** What the earlier incarnation had promised when this one looked. */
+interface FoundPromise {
+	readonly mark: SpendingMark | undefined
+	/** Time of day of that look, in ms. */
+	readonly readAt: number
+}
+
 interface Waiter {
 	readonly account: AccountName
 	readonly tokens: number
@@ -66,6 +74,8 @@
 
 /** Draws are renewed when less than this part of what is wanted is left. */
 const LOW_PART = 0.4
+/** Less than this part of what is wanted is not worth a draw before a request asks for it. */
+const CRUMB_PART = 0.05
 /** Draws are given back in part above this multiple of what is wanted, and this many tokens. */
 const HIGH_PART = 1.8
 const HIGH_TOKENS = 4_000
@@ -78,6 +88,7 @@
 const CONFLICT_TRIES = 8
 const CONFLICT_PAUSE_MS = 12
 const CLAIM_PAUSE_MS = 200
+const CLAIM_CONFLICT_PAUSE_MS = 40
 const GIVE_BACK_TRIES = 2
 const BOXES_BEFORE_CLAIM = 16
 
@@ -96,6 +107,7 @@
 	private closed = false
 
 	private readonly promise: SpendingPromise
+	private found: FoundPromise | undefined
 
 	constructor(private readonly options: AllowanceClientOptions) {
 		this.promise = new SpendingPromise({ ...options, key: options.markKey })
@@ -285,18 +297,22 @@
 
 	private async claimOnce(): Promise<boolean> {
 		const { store, key, box, holder, address } = this.options
-		const promised = await this.promise.readPrevious()
-		if (E.isLeft(promised)) return this.claimFailed(promised.left)
+		const found = await this.findPromise()
+		if (E.isLeft(found)) return this.claimFailed(found.left)
 		const row = await store.read(key)
 		if (E.isLeft(row)) return this.claimFailed(row.left)
 		this.adopt(row.right)
 		const drawnBefore = this.row.boxes[box]
-		const spent = spentAtMost(drawnBefore, promised.right, this.options.wallTime())
+		const { mark, readAt } = found.right
+		const spent = spentAtMost(drawnBefore, mark, readAt)
 		const next = planClaim(this.row, { box, holder, address, spent })
 		const result = await store.write(key, encode(next), this.revision)
 		if (E.isLeft(result)) return this.claimFailed(result.left)
-		// A write of ours whose answer was lost may have claimed it; claiming again does no harm.
-		if (result.right.kind === 'conflict') return false
+		// Another box wrote first, or a write of ours whose answer was lost: claiming again does no harm.
+		if (result.right.kind === 'conflict') {
+			await this.options.sleep(this.options.random() * CLAIM_CONFLICT_PAUSE_MS)
+			return this.claimOnce()
+		}
 		this.noteWritten(next, result.right.revision)
 		this.book = new AllowanceBook(spent)
 		this.options.log({
@@ -304,8 +320,8 @@
 			fields: {
 				holder,
 				revision: this.revision,
-				promise: promised.right?.holder ?? '',
-				promiseAgeMs: Math.round(this.options.wallTime() - (promised.right?.wallTime ?? 0)),
+				promise: mark?.holder ?? '',
+				promiseAgeMs: Math.round(readAt - (mark?.wallTime ?? 0)),
 				drawnBefore: sum(drawnBefore?.drawn),
 				spentBefore: sum(spent),
 			},
@@ -314,6 +330,15 @@
 		return true
 	}
 
+	/** The promise of the earlier incarnation, read once: a later look would find its lease over. */
+	private async findPromise(): Promise<E.Either<StoreFault, FoundPromise>> {
+		if (this.found) return E.right(this.found)
+		const read = await this.promise.readPrevious()
+		if (E.isLeft(read)) return read
+		this.found = { mark: read.right, readAt: this.options.wallTime() }
+		return E.right(this.found)
+	}
+
 	private claimFailed(fault: StoreFault): false {
 		this.noteFault(fault)
 		return false
@@ -337,7 +362,7 @@
 			const undrawn = this.undrawn(view)
 			const wanted = wantedTokens(view, undrawn + view.held, boxes)
 			if (view.held > wanted * HIGH_PART + HIGH_TOKENS) return true
-			return undrawn > 0 && view.held < wanted * LOW_PART && wanted > 0
+			return undrawn > wanted * CRUMB_PART && view.held < wanted * LOW_PART
 		})
 	}
 
