Allowance in parts: record, lending, client; two faults that reading them showed

Cause 2: a record that could not be read, or a breach of an invariant, left the drawing flag set: the box never drew again. Change: the last budget of each account is kept; the flag is cleared in any case; an unreadable record is a fault.

--- a/packages/core/src/lib/allowance/AllowanceBook.ts
+++ b/packages/core/src/lib/allowance/AllowanceBook.ts
@@ -68,6 +68,16 @@
 		this.allowance(account).used -= reserved - charged
 	}
 
+	/** True once nothing is reserved any more. */
+	get isClosed(): boolean {
+		return this.closed
+	}
+
+	/** What may be reserved right now. */
+	free(account: AccountName): number {
+		return this.freeOf(this.allowance(account))
+	}
+
 	/**
 	 * Hands tokens to another box, as many of those asked for as are free. They count as spent here, so
 	 * the draw in the store goes on covering them wherever they are spent.
--- a/packages/gateway/src/lib/AllowanceClient.test.ts
+++ b/packages/gateway/src/lib/AllowanceClient.test.ts
@@ -4,7 +4,8 @@
 import { Metrics } from '@stallwing/telemetry'
 import fc from 'fast-check'
 import { afterEach, beforeEach, describe, expect, it, vi } from 'vitest'
-import { AllowanceClient, type Lenders } from './AllowanceClient.js'
+import { AllowanceClient } from './AllowanceClient.js'
+import type { Lenders } from './TokenLending.js'
 
 const ACCOUNT = brandId<AccountName>('acme')
 const BUDGET = 10_000
@@ -106,6 +107,11 @@
 		this.kill(box)
 	}
 
+	setBudgets(at: number, tokens: Readonly<Record<string, number>>): void {
+		for (const { client, dead } of this.clients.values())
+			if (!dead) client.setBudgets({ at, tokens })
+	}
+
 	setCut(box: string, cut: boolean): void {
 		if (cut) this.cut.add(box)
 		else this.cut.delete(box)
@@ -294,6 +300,34 @@
 		}
 	})
 
+	it('keeps to a lowered budget, also for an account that was away in between', async () => {
+		for (const between of [undefined, {}]) {
+			const fleet = new Fleet(BUDGET, 0)
+			await pass(fleet, 400)
+			for (let i = 0; i < 10; i++) await asks(fleet, BOXES[i % BOXES.length] ?? BOXES[0], 100)
+			if (between) fleet.setBudgets(2, between)
+			fleet.setBudgets(3, { [ACCOUNT]: 1_500 })
+			for (let i = 0; i < 60; i++) await asks(fleet, BOXES[i % BOXES.length] ?? BOXES[0], 100)
+			expect(fleet.spent).toBeLessThanOrEqual(1_500)
+			fleet.setBudgets(4, { [ACCOUNT]: 3_000 })
+			for (let i = 0; i < 60; i++) await asks(fleet, BOXES[i % BOXES.length] ?? BOXES[0], 100)
+			expect(fleet.spent).toBeGreaterThan(2_800)
+			expect(fleet.spent).toBeLessThanOrEqual(3_000)
+		}
+	})
+
+	it('goes on drawing after a record that it could not read', async () => {
+		const fleet = new Fleet(BUDGET, 0)
+		await pass(fleet, 400)
+		const good = fleet.store.text('allowance') ?? ''
+		fleet.store.put('allowance', 'not a record')
+		await pass(fleet, 3_000)
+		expect(await asks(fleet, 'box-1', 9_000)).toBe(false)
+		fleet.store.put('allowance', good)
+		await pass(fleet, 3_000)
+		expect(await asks(fleet, 'box-1', 2_000)).toBe(true)
+	})
+
 	it('answers at once when the store and the other boxes have nothing', async () => {
 		const fleet = new Fleet(100, 0)
 		await pass(fleet, 400)
--- a/packages/gateway/src/lib/AllowanceClient.ts
+++ b/packages/gateway/src/lib/AllowanceClient.ts
@@ -1,6 +1,5 @@
 import {
 	AllowanceBook,
-	EMPTY_ALLOWANCE_ROW,
 	drawnByOthers,
 	isMarkOff,
 	planClaim,
@@ -18,10 +17,12 @@
 	type LogEvent,
 	type SpendingMark,
 } from '@stallwing/core'
-import type { KeyValueStore, StoreFault, StoreItem } from '@stallwing/store'
+import type { KeyValueStore, StoreFault } from '@stallwing/store'
 import type { Metrics } from '@stallwing/telemetry'
 import * as E from 'fp-ts/lib/Either.js'
+import { AllowanceRecord } from './AllowanceRecord.js'
 import { SpendingPromise } from './SpendingPromise.js'
+import { TokenLending, type Lenders } from './TokenLending.js'
 
 /** Whether tokens were set aside: `spent` is certain, `unknown` may change soon. */
 export type ReserveResult = 'reserved' | 'spent' | 'unknown'
@@ -48,16 +49,6 @@
 	readonly log: (event: LogEvent) => void
 }
 
-/** Asks other boxes for tokens. */
-export interface Lenders {
-	/** Tokens that one box hands over; 0 where it has none or does not answer. */
-	ask(address: string, account: AccountName, tokens: number): Promise<number>
-	/** Whether a box answers at all. */
-	isOpen(address: string): Promise<boolean>
-	/** Gives tokens to one box. False: it may not have got them, and nobody else may get them. */
-	give(address: string, account: AccountName, tokens: number): Promise<boolean>
-}
-
 /** What the earlier incarnation had promised when this one looked. */
 interface FoundPromise {
 	readonly mark: SpendingMark | undefined
@@ -81,8 +72,6 @@
 const HIGH_TOKENS = 4_000
 /** Age from which the shared record is read again, in ms. */
 const ROW_AGE_MS = 2_000
-/** Boxes that are asked for tokens for one request. */
-const MOST_LENDERS = 6
 /** Pause of the maintenance after a failed call, in ms. */
 const FAULT_PAUSE_MS = 900
 const CONFLICT_TRIES = 8
@@ -95,21 +84,21 @@
 /** This box's part of the token budgets: draws from the store, and reservations from the draws. */
 export class AllowanceClient {
 	private book: AllowanceBook | undefined
-	private row: AllowanceRow = EMPTY_ALLOWANCE_ROW
-	private revision = 0
-	private rowAt = Number.NEGATIVE_INFINITY
 	private budgets: Budgets = { at: 0, tokens: {} }
+	/** The last budget of each account that ever had one. */
+	private readonly lastBudgets = new Map<AccountName, number>()
 	private waiters: Waiter[] = []
 	private drawing = false
 	private drawAgain = false
-	private reached = false
-	private faultAt = Number.NEGATIVE_INFINITY
 	private closed = false
-
+	private readonly record: AllowanceRecord
+	private readonly lending: TokenLending
 	private readonly promise: SpendingPromise
 	private found: FoundPromise | undefined
 
 	constructor(private readonly options: AllowanceClientOptions) {
+		this.record = new AllowanceRecord(options)
+		this.lending = new TokenLending({ ...options, row: () => this.record.row })
 		this.promise = new SpendingPromise({ ...options, key: options.markKey })
 	}
 
@@ -121,14 +110,12 @@
 	/** Boxes that have ever drawn: what is limited for the fleet is divided by them. */
 	get boxes(): number {
 		if (!this.claimed) return BOXES_BEFORE_CLAIM
-		return Math.max(1, Object.keys(this.row.boxes).length)
+		return Math.max(1, Object.keys(this.record.row.boxes).length)
 	}
 
 	/** Addresses of the other boxes that have ever drawn. */
 	peerAddresses(): string[] {
-		return Object.entries(this.row.boxes)
-			.filter(([box]) => box !== this.options.box)
-			.map(([, draws]) => draws.address)
+		return this.lending.peerAddresses()
 	}
 
 	/** Claims the right to draw, trying until the store grants it. */
@@ -141,10 +128,12 @@
 
 	/** Takes the budgets of a new configuration. A lowered one is frozen until the next draw. */
 	setBudgets(budgets: Budgets): void {
-		for (const [account, tokens] of Object.entries<number>(budgets.tokens)) {
-			const before = this.budgets.tokens[account as AccountName] ?? 0
+		for (const [name, tokens] of Object.entries<number>(budgets.tokens)) {
+			const account = name as AccountName
+			const before = this.lastBudgets.get(account) ?? 0
+			this.lastBudgets.set(account, tokens)
 			if (tokens >= before) continue
-			this.book?.freeze(account as AccountName, budgets.at)
+			this.book?.freeze(account, budgets.at)
 			this.options.log({
 				name: 'allowance-frozen',
 				fields: { account, before, after: tokens, revision: budgets.at },
@@ -162,11 +151,12 @@
 		if (book?.reserve(account, tokens)) return 'reserved'
 		if (this.isSpent(account, tokens)) return 'spent'
 		if (this.closed || patienceMs <= 0) return 'unknown'
-		if (!this.claimed || this.reached) {
+		if (!book || this.record.reached) {
 			const result = await this.wait(account, tokens, patienceMs)
-			if (result !== 'unknown' || !this.claimed) return result
+			if (result !== 'unknown' || !book) return result
 		}
-		return this.borrow(account, tokens)
+		if (await this.lending.borrow(book, account, tokens)) return 'reserved'
+		return this.isSpent(account, tokens) ? 'spent' : 'unknown'
 	}
 
 	/** Hands tokens to another box. */
@@ -185,9 +175,10 @@
 	/** Renews draws that run low and gives back what is too much. To be called some times a second. */
 	async maintain(): Promise<void> {
 		if (!this.claimed || this.closed || this.drawing) return
-		if (!this.reached && this.options.now() - this.faultAt < FAULT_PAUSE_MS) return
-		if (!this.reached || this.options.now() - this.rowAt > ROW_AGE_MS) await this.refresh()
-		if (this.reached && (this.needsDraw() || this.needsMark())) await this.draw()
+		const { record } = this
+		if (!record.reached && record.sinceFaultMs < FAULT_PAUSE_MS) return
+		if (!record.reached || record.ageMs > ROW_AGE_MS) await record.refresh()
+		if (record.reached && (this.needsDraw() || this.needsMark())) await this.draw()
 	}
 
 	/** Stops reservations and gives back what is free. */
@@ -195,8 +186,7 @@
 		this.book?.close()
 		this.closed = true
 		// A write without an answer may still be done: after one, nothing may go to another box.
-		await this.refresh()
-		if (!this.reached) {
+		if (await this.record.refresh()) {
 			await this.handOver()
 			return
 		}
@@ -218,21 +208,7 @@
 		const { book } = this
 		if (!book) return
 		book.setPromiseOver(this.promise.isOver)
-		for (const account of this.accounts()) {
-			const tokens = book.handOver(account)
-			if (tokens === 0) continue
-			const to = await this.giveToFirst(account, tokens)
-			this.options.log({ name: 'allowance-handed-over', fields: { account, tokens, to } })
-		}
-	}
-
-	/** The box that took the tokens, or an empty text. A box that did not answer may have them. */
-	private async giveToFirst(account: AccountName, tokens: number): Promise<string> {
-		for (const address of this.lendersOf(account)) {
-			if (await this.options.lenders.isOpen(address))
-				return (await this.options.lenders.give(address, account, tokens)) ? address : ''
-		}
-		return ''
+		for (const account of this.accounts()) await this.lending.handOver(book, account)
 	}
 
 	/** What is held of each account, for metrics. */
@@ -255,106 +231,50 @@
 		})
 	}
 
-	/** Gathers what is missing from other boxes, the richest first, and reserves. */
-	private async borrow(account: AccountName, tokens: number): Promise<ReserveResult> {
-		const { book } = this
-		if (!book) return 'unknown'
-		for (const address of this.lendersOf(account)) {
-			const missing = tokens - Math.max(0, book.view(account, this.options.now()).free)
-			if (missing > 0) await this.borrowFrom(book, address, account, missing)
-			if (book.reserve(account, tokens)) return 'reserved'
-			if (this.closed) return 'unknown'
-		}
-		return this.isSpent(account, tokens) ? 'spent' : 'unknown'
-	}
-
-	private async borrowFrom(
-		book: AllowanceBook,
-		address: string,
-		account: AccountName,
-		missing: number,
-	): Promise<void> {
-		const lent = await this.options.lenders.ask(address, account, missing)
-		book.borrow(account, lent)
-		this.options.log({
-			name: 'allowance-borrowed',
-			fields: { account, lender: address, asked: missing, lent },
-		})
-	}
-
-	/** Addresses of other boxes, by the tokens that they seemed to hold when they last wrote. */
-	private lendersOf(account: AccountName): string[] {
-		return Object.entries(this.row.boxes)
-			.filter(([box]) => box !== this.options.box)
-			.map(([, draws]) => ({
-				address: draws.address,
-				held: (draws.drawn[account] ?? 0) - (draws.spent[account] ?? 0),
-			}))
-			.sort((a, b) => b.held - a.held)
-			.slice(0, MOST_LENDERS)
-			.map((entry) => entry.address)
-	}
-
 	private async claimOnce(): Promise<boolean> {
-		const { store, key, box, holder, address } = this.options
+		const { box, holder, address } = this.options
 		const found = await this.findPromise()
-		if (E.isLeft(found)) return this.claimFailed(found.left)
-		const row = await store.read(key)
-		if (E.isLeft(row)) return this.claimFailed(row.left)
-		this.adopt(row.right)
-		const drawnBefore = this.row.boxes[box]
-		const { mark, readAt } = found.right
-		const spent = spentAtMost(drawnBefore, mark, readAt)
-		const next = planClaim(this.row, { box, holder, address, spent })
-		const result = await store.write(key, encode(next), this.revision)
-		if (E.isLeft(result)) return this.claimFailed(result.left)
+		if (E.isLeft(found)) return false
+		if (await this.record.read()) return false
+		const before = this.record.row.boxes[box]
+		const spent = spentAtMost(before, found.right.mark, found.right.readAt)
+		const next = planClaim(this.record.row, { box, holder, address, spent })
+		const result = await this.record.write(next)
+		if (E.isLeft(result)) return false
 		// Another box wrote first, or a write of ours whose answer was lost: claiming again does no harm.
-		if (result.right.kind === 'conflict') {
+		if (result.right === 'conflict') {
 			await this.options.sleep(this.options.random() * CLAIM_CONFLICT_PAUSE_MS)
 			return this.claimOnce()
 		}
-		this.noteWritten(next, result.right.revision)
 		this.book = new AllowanceBook(spent)
+		this.logClaim(found.right, sum(before?.drawn), sum(spent))
+		void this.draw()
+		return true
+	}
+
+	private logClaim(found: FoundPromise, drawnBefore: number, spentBefore: number): void {
 		this.options.log({
 			name: 'allowance-claimed',
 			fields: {
-				holder,
-				revision: this.revision,
-				promise: mark?.holder ?? '',
-				promiseAgeMs: Math.round(readAt - (mark?.wallTime ?? 0)),
-				drawnBefore: sum(drawnBefore?.drawn),
-				spentBefore: sum(spent),
+				holder: this.options.holder,
+				revision: this.record.revision,
+				promise: found.mark?.holder ?? '',
+				promiseAgeMs: Math.round(found.readAt - (found.mark?.wallTime ?? 0)),
+				drawnBefore,
+				spentBefore,
 			},
 		})
-		void this.draw()
-		return true
 	}
 
 	/** The promise of the earlier incarnation, read once: a later look would find its lease over. */
 	private async findPromise(): Promise<E.Either<StoreFault, FoundPromise>> {
 		if (this.found) return E.right(this.found)
 		const read = await this.promise.readPrevious()
-		if (E.isLeft(read)) return read
+		if (E.isLeft(read)) return E.left(this.record.noteFault(read.left))
 		this.found = { mark: read.right, readAt: this.options.wallTime() }
 		return E.right(this.found)
 	}
 
-	private claimFailed(fault: StoreFault): false {
-		this.noteFault(fault)
-		return false
-	}
-
-	private async refresh(): Promise<void> {
-		const result = await this.options.store.readStale(this.options.key)
-		this.rowAt = this.options.now()
-		if (E.isLeft(result)) {
-			this.noteFault(result.left)
-			return
-		}
-		this.reached = true
-		if (result.right && result.right.revision > this.revision) this.adopt(result.right)
-	}
-
 	private needsDraw(): boolean {
 		const boxes = this.boxes
 		return this.views().some((view) => {
@@ -375,14 +295,14 @@
 	}
 
 	private undrawn(view: AllowanceView): number {
-		const others = drawnByOthers(this.row, view.account, this.options.box)
+		const others = drawnByOthers(this.record.row, view.account, this.options.box)
 		return Math.max(0, (this.budgets.tokens[view.account] ?? 0) - others - view.drawn)
 	}
 
 	private isSpent(account: AccountName, tokens: number): boolean {
 		const budget = this.budgets.tokens[account]
-		if (budget === undefined || this.row.budgetsAt > this.budgets.at) return false
-		return surelySpent(this.row, account) + tokens > budget
+		if (budget === undefined || this.record.row.budgetsAt > this.budgets.at) return false
+		return surelySpent(this.record.row, account) + tokens > budget
 	}
 
 	/** Draws for all accounts at once; one draw at a time. */
@@ -393,14 +313,21 @@
 			return
 		}
 		this.drawing = true
+		try {
+			await this.drawForWaiters()
+		} finally {
+			this.drawing = false
+		}
+	}
+
+	private async drawForWaiters(): Promise<void> {
 		do {
 			this.drawAgain = false
 			const served = this.waiters.length
 			const fault = await this.replenish()
 			if (fault) this.answerWaiters(this.waiters.length)
 			else this.answerWaiters(served)
-		} while (this.drawAgain && this.reached)
-		this.drawing = false
+		} while (this.drawAgain && this.record.reached)
 	}
 
 	/** Draws where that is needed, then raises the ceilings. */
@@ -435,13 +362,9 @@
 			this.book?.lowerMark(account as AccountName, mark)
 		const result = await this.promise.write(marks)
 		this.book?.setPromiseOver(this.promise.isOver)
-		if (E.isLeft(result)) {
-			this.noteFault(result.left)
-			return result.left
-		}
+		if (E.isLeft(result)) return this.record.noteFault(result.left)
 		for (const [account, mark] of Object.entries<number>(marks))
 			this.book?.confirmMark(account as AccountName, mark)
-		this.reached = true
 		return undefined
 	}
 
@@ -461,18 +384,12 @@
 		for (let tries = 0; tries < CONFLICT_TRIES; tries++) {
 			const next = this.plan(giveBack)
 			this.lower(next)
-			const { store, key } = this.options
-			const result = await store.write(key, encode(next), this.revision)
-			if (E.isLeft(result)) {
-				this.noteFault(result.left)
-				return result.left
-			}
-			if (result.right.kind === 'written') {
-				this.noteWritten(next, result.right.revision)
+			const result = await this.record.write(next)
+			if (E.isLeft(result)) return result.left
+			if (result.right === 'written') {
 				this.confirm(next)
 				return undefined
 			}
-			this.adopt(result.right.current)
 			await this.options.sleep(this.options.random() * CONFLICT_PAUSE_MS * tries)
 		}
 		return { kind: 'refused', status: 412 }
@@ -480,7 +397,7 @@
 
 	private plan(giveBack: boolean): AllowanceRow {
 		const { box, holder, address } = this.options
-		return planDraw(this.row, {
+		return planDraw(this.record.row, {
 			box,
 			holder,
 			address,
@@ -502,7 +419,7 @@
 		this.options.log({
 			name: 'allowance-drawn',
 			fields: {
-				revision: this.revision,
+				revision: this.record.revision,
 				budgetsAt: next.budgetsAt,
 				free: this.describe((view) => view.free),
 				undrawn: this.describe((view) => this.undrawn(view)),
@@ -526,40 +443,8 @@
 	private accounts(): AccountName[] {
 		return Object.keys(this.budgets.tokens) as AccountName[]
 	}
-
-	private noteWritten(row: AllowanceRow, revision: number): void {
-		this.row = row
-		this.revision = revision
-		this.rowAt = this.options.now()
-		this.reached = true
-	}
-
-	private adopt(item: StoreItem | undefined): void {
-		this.row = item ? decode(item.value) : EMPTY_ALLOWANCE_ROW
-		this.revision = item?.revision ?? 0
-		this.rowAt = this.options.now()
-		this.reached = true
-	}
-
-	private noteFault(fault: StoreFault): void {
-		this.reached = false
-		this.faultAt = this.options.now()
-		this.options.metrics.count('stallwing_draw_faults_total', `kind="${fault.kind}"`)
-		this.options.log({
-			name: 'allowance-failed',
-			fields: { fault: fault.kind, revision: this.revision },
-		})
-	}
 }
 
 function sum(tokens: Readonly<Record<AccountName, number>> | undefined): number {
 	return Object.values<number>(tokens ?? {}).reduce((total, amount) => total + amount, 0)
 }
-
-function encode(row: AllowanceRow): Buffer {
-	return Buffer.from(JSON.stringify(row))
-}
-
-function decode(value: Buffer): AllowanceRow {
-	return JSON.parse(value.toString('utf8')) as AllowanceRow
-}
--- /dev/null
+++ b/packages/gateway/src/lib/AllowanceRecord.ts
@@ -0,0 +1,97 @@
+import { EMPTY_ALLOWANCE_ROW, type AllowanceRow, type LogEvent } from '@stallwing/core'
+import type { KeyValueStore, StoreFault, StoreItem } from '@stallwing/store'
+import type { Metrics } from '@stallwing/telemetry'
+import * as E from 'fp-ts/lib/Either.js'
+
+/** What an {@link AllowanceRecord} works with. */
+export interface AllowanceRecordOptions {
+	readonly store: KeyValueStore
+	readonly key: string
+	readonly metrics: Metrics
+	/** Steady clock, in ms. */
+	readonly now: () => number
+	readonly log: (event: LogEvent) => void
+}
+
+/** The shared record of all draws in the store, as this box last saw it. */
+export class AllowanceRecord {
+	row: AllowanceRow = EMPTY_ALLOWANCE_ROW
+	revision = 0
+	/** The last call of this box was answered. */
+	reached = false
+	private seenAt = Number.NEGATIVE_INFINITY
+	private faultAt = Number.NEGATIVE_INFINITY
+
+	constructor(private readonly options: AllowanceRecordOptions) {}
+
+	/** Age of what is known, in ms. */
+	get ageMs(): number {
+		return this.options.now() - this.seenAt
+	}
+
+	/** Time since the last call that failed, in ms. */
+	get sinceFaultMs(): number {
+		return this.options.now() - this.faultAt
+	}
+
+	/** Reads the newest state. */
+	async read(): Promise<StoreFault | undefined> {
+		const result = await this.options.store.read(this.options.key)
+		if (E.isLeft(result)) return this.noteFault(result.left)
+		return this.adopt(result.right)
+	}
+
+	/** Reads a state that may be seconds old, and is cheap. */
+	async refresh(): Promise<StoreFault | undefined> {
+		const result = await this.options.store.readStale(this.options.key)
+		if (E.isLeft(result)) return this.noteFault(result.left)
+		if (result.right && result.right.revision > this.revision) return this.adopt(result.right)
+		this.noteSeen()
+		return undefined
+	}
+
+	/** Writes the next state where nobody wrote since; otherwise takes over what is there. */
+	async write(next: AllowanceRow): Promise<E.Either<StoreFault, 'written' | 'conflict'>> {
+		const value = Buffer.from(JSON.stringify(next))
+		const result = await this.options.store.write(this.options.key, value, this.revision)
+		if (E.isLeft(result)) return E.left(this.noteFault(result.left))
+		if (result.right.kind === 'written') {
+			this.row = next
+			this.revision = result.right.revision
+			this.noteSeen()
+			return E.right('written')
+		}
+		const fault = this.adopt(result.right.current)
+		return fault ? E.left(fault) : E.right('conflict')
+	}
+
+	/** A call of this box to the store failed. */
+	noteFault(fault: StoreFault): StoreFault {
+		this.reached = false
+		this.faultAt = this.options.now()
+		this.options.metrics.count('stallwing_draw_faults_total', `kind="${fault.kind}"`)
+		this.options.log({
+			name: 'allowance-failed',
+			fields: { fault: fault.kind, revision: this.revision },
+		})
+		return fault
+	}
+
+	private adopt(item: StoreItem | undefined): StoreFault | undefined {
+		try {
+			this.row = item
+				? (JSON.parse(item.value.toString('utf8')) as AllowanceRow)
+				: EMPTY_ALLOWANCE_ROW
+		} catch (error) {
+			return this.noteFault({ kind: 'unreadable', cause: String(error) })
+		}
+		this.revision = item?.revision ?? 0
+		this.noteSeen()
+		return undefined
+	}
+
+	private noteSeen(): void {
+		this.seenAt = this.options.now()
+		this.reached = true
+	}
+}
--- a/packages/gateway/src/lib/Gateway.test.ts
+++ b/packages/gateway/src/lib/Gateway.test.ts
@@ -17,7 +17,7 @@
 import * as E from 'fp-ts/lib/Either.js'
 import { afterEach, describe, expect, it } from 'vitest'
 import type { Dialect } from './Dialect.js'
-import { Gateway } from './Gateway.js'
+import { Gateway, type UnreadableDocument } from './Gateway.js'
 
 const DIALECT: Dialect = {
 	headers: {
@@ -133,7 +133,7 @@
 			targetsPrefix: 'targets/',
 			allowanceKey: 'allowance',
 			markPrefix: 'mark/',
-			readConfig: (value) => E.right(JSON.parse(value.toString()) as TrafficConfig),
+			readConfig: (value) => readConfig(value.toString()),
 			readTarget: (item) => E.right(JSON.parse(item.value.toString()) as TargetEntry),
 		},
 		dialect: DIALECT,
@@ -245,6 +245,13 @@
 	readonly onEvent?: (hangUp: () => void) => void
 }
 
+function readConfig(text: string): E.Either<UnreadableDocument, TrafficConfig> {
+	return E.tryCatch(
+		() => JSON.parse(text) as TrafficConfig,
+		(error): UnreadableDocument => ({ kind: 'unreadable', what: String(error) }),
+	)
+}
+
 const LOOPBACK = { host: '127.0.0.1', port: 0 }
 
 function sleep(ms: number): Promise<void> {
@@ -308,6 +315,17 @@
 		expect(box.seen).toEqual([])
 	})
 
+	it('keeps the last configuration when the next one can not be read, then takes a newer one', async () => {
+		await running(['t1', ok])
+		box.store.put('config/now', '{')
+		await sleep(100)
+		expect((await box.ask('/once/x')).status).toBe(200)
+		const newer = configOf(3)
+		box.store.put('config/now', JSON.stringify({ ...newer, routes: newer.routes.slice(1) }))
+		await sleep(100)
+		expect((await box.ask('/once/x', { id: 'r-2' })).status).toBe(404)
+	})
+
 	it('gives a target that leaves no new work once the store says so', async () => {
 		await running(['t1', ok], ['t2', ok])
 		const entry = JSON.parse(box.store.text('targets/t1') ?? '') as TargetEntry
--- a/packages/gateway/src/lib/Gateway.ts
+++ b/packages/gateway/src/lib/Gateway.ts
@@ -24,12 +24,12 @@
 import type { Metrics } from '@stallwing/telemetry'
 import * as E from 'fp-ts/lib/Either.js'
 import { AllowanceClient } from './AllowanceClient.js'
-import { ConnectionPool, type PoolTimes } from './ConnectionPool.js'
 import type { Dialect } from './Dialect.js'
 import { Exchange } from './Exchange.js'
 import type { GatewayContext, TrafficInForce } from './GatewayContext.js'
 import { PeerClient } from './PeerClient.js'
 import { PeerServer } from './PeerServer.js'
+import { TargetPools } from './TargetPools.js'
 import { WorkSharing } from './WorkSharing.js'
 import { listenOn, type ListenAddress } from './listenOn.js'
 
@@ -85,7 +85,6 @@
 	readonly readiness: number
 }
 
-const POOL_TIMES: PoolTimes = { connectMs: 300, settleMs: 20, idleMs: 1_500, idleMarginMs: 1_000 }
 const FOLLOWER_RETRY_MS = 150
 const WATCH_MS = 3_500
 const MAINTAIN_MS = 400
@@ -101,7 +100,7 @@
 /** Serves callers: follows configuration, targets and budgets, and sends each request to a target. @public */
 export class Gateway {
 	private readonly board = new TargetBoard()
-	private readonly pools = new Map<TargetName, ConnectionPool>()
+	private readonly pools: TargetPools
 	private readonly repeatBudgets = new Map<ServiceName, RepeatBudget>()
 	private readonly allowance: AllowanceClient
 	private readonly context: GatewayContext
@@ -131,6 +130,9 @@
 			sleep,
 			log: options.log,
 		})
+		this.pools = new TargetPools(options.now, () =>
+			options.metrics.count('stallwing_connections_opened_total'),
+		)
 		this.context = this.makeContext()
 		this.callers = createServer({ keepAlive: true, noDelay: true, maxHeaderSize: 65_536 })
 		this.callers.on('request', (message, response) => this.serve(message, response))
@@ -165,7 +167,7 @@
 		for (const follower of this.followers) void follower.run()
 		void this.allowance.claim()
 		this.timers.push(setInterval(() => void this.allowance.maintain(), MAINTAIN_MS))
-		this.timers.push(setInterval(() => this.sweep(), SWEEP_MS))
+		this.timers.push(setInterval(() => this.pools.sweep(), SWEEP_MS))
 		return { callers, readiness }
 	}
 
@@ -184,7 +186,7 @@
 		this.callers.closeIdleConnections()
 		this.readiness.close()
 		this.peers.close()
-		for (const pool of this.pools.values()) pool.close()
+		this.pools.close()
 		for (const follower of this.followers) follower.stop()
 		for (const timer of this.timers) clearInterval(timer)
 		this.workSharing.stop()
@@ -239,7 +241,7 @@
 			now: options.now,
 			random: options.random,
 			log: options.log,
-			pool: (target) => this.pool(target),
+			pool: (target) => this.pools.of(target),
 			isFull: (target) => this.isFull(target),
 			repeats: (service) => this.repeats(service),
 			boxes: () => this.allowance.boxes,
@@ -344,7 +346,7 @@
 		this.logTargets('target-joined', changes.joined)
 		this.logTargets('target-leaving', changes.leaving)
 		this.logTargets('target-gone', changes.gone)
-		for (const entry of [...changes.gone, ...changes.leaving]) this.dropPool(entry)
+		for (const entry of [...changes.gone, ...changes.leaving]) this.pools.drop(entry.name)
 	}
 
 	private logTargets(
@@ -378,28 +380,12 @@
 			})
 	}
 
-	private pool(target: TargetEntry): ConnectionPool {
-		const known = this.pools.get(target.name)
-		if (known) return known
-		const pool = new ConnectionPool(target.address, POOL_TIMES, this.options.now, () =>
-			this.options.metrics.count('stallwing_connections_opened_total'),
-		)
-		this.pools.set(target.name, pool)
-		return pool
-	}
-
-	private dropPool(target: TargetEntry): void {
-		this.pools.get(target.name)?.close()
-		this.pools.delete(target.name)
-	}
-
 	private isFull(target: TargetName): boolean {
-		const pool = this.pools.get(target)
 		const service = this.board.serviceOf(target)
-		if (!pool || !service) return false
+		if (!service) return false
 		const most = this.context.traffic?.index.service(service)?.maxConnections ?? Infinity
 		const share = Math.max(1, Math.floor(most / this.allowance.boxes))
-		return pool.size - pool.idleCount >= share
+		return this.pools.inUse(target) >= share
 	}
 
 	private repeats(service: ServiceName): RepeatBudget {
@@ -409,10 +395,6 @@
 		this.repeatBudgets.set(service, budget)
 		return budget
 	}
-
-	private sweep(): void {
-		for (const pool of this.pools.values()) pool.sweep()
-	}
 }
 
 /** A start of a process, told apart from all others by chance. @public */
--- a/packages/gateway/src/lib/PeerClient.ts
+++ b/packages/gateway/src/lib/PeerClient.ts
@@ -1,6 +1,6 @@
 import type { AccountName } from '@stallwing/core'
 import { HttpCaller } from '@stallwing/store'
-import type { Lenders } from './AllowanceClient.js'
+import type { Lenders } from './TokenLending.js'
 import { ACCEPT_PATH, LEND_PATH, OPEN_PATH } from './PeerServer.js'
 
 const ASK_MS = 120
