A stopping box refuses what comes late

Ruled out: the balancer alone (kept connections, and zones with less than half of their boxes, go on sending); a shorter run (2 s streams are usual). Change: 2.8 s after the order to stop, new requests get 503 as not run, at once, with when to come back, and idle connections are closed.

--- a/packages/gateway/src/lib/Exchange.ts
+++ b/packages/gateway/src/lib/Exchange.ts
@@ -53,6 +53,10 @@
 	/** Serves the request. Rejects only on a fault of the program. */
 	async run(): Promise<void> {
 		const { traffic, dialect } = this.context
+		if (this.context.refusing) {
+			this.refuse('stopping', 'planned stop')
+			return
+		}
 		if (!traffic) {
 			this.refuse('not-configured', 'no configuration yet')
 			return
--- a/packages/gateway/src/lib/Gateway.test.ts
+++ b/packages/gateway/src/lib/Gateway.test.ts
@@ -62,6 +62,7 @@
 	'budget-spent': 402,
 	'budget-unknown': 503,
 	'no-target': 503,
+	stopping: 503,
 	'too-late': 503,
 	'target-failed': 502,
 	'timed-out': 504,
@@ -434,6 +435,23 @@
 		await targetStopped
 	})
 
+	it('refuses as not run what comes late in a planned stop, and still ends what runs', async () => {
+		const open: ServerResponse[] = []
+		await running(['t1', (_message, response) => open.push(response)])
+		const answer = box.ask('/once/x')
+		while (box.seen.length === 0) await sleep(5)
+		const stopped = box.gateway.stop()
+		let refused = await box.ask('/again/x', { id: 'r-2', headers: { 'deadline-ms': '50' } })
+		while (refused.status !== 503 || refused.body.includes('too-late'))
+			refused = await box.ask('/again/x', { id: 'r-2', headers: { 'deadline-ms': '50' } })
+		expect(refused.body).toContain('stopping')
+		expect(Number(refused.headers['retry-after'])).toBeGreaterThan(0)
+		expect(refused.headers.connection).toBe('close')
+		for (const response of open) response.end('late')
+		expect(await answer).toMatchObject({ status: 200, body: 'late', whole: true })
+		await stopped
+	})
+
 	it('ends what runs before it stops, and is not ready meanwhile', async () => {
 		let finish: () => void = () => undefined
 		await running(['t1', (_message, response) => (finish = () => response.end('late'))])
--- a/packages/gateway/src/lib/Gateway.ts
+++ b/packages/gateway/src/lib/Gateway.ts
@@ -89,8 +89,11 @@
 const WATCH_MS = 3_500
 const MAINTAIN_MS = 400
 const SWEEP_MS = 250
-/** Time that the balancer needs to notice that a box is not ready, in ms. */
-const NOTICE_MS = 2_600
+/**
+ * Time that the balancer needs to notice that a box is not ready, in ms. What comes later is refused:
+ * it might not end within the grace.
+ */
+const NOTICE_MS = 2_800
 /** Time before the end of the grace at which tokens are given back at the latest, in ms. */
 const GIVE_BACK_MS = 2_400
 const STOP_MARGIN_MS = 300
@@ -178,10 +181,13 @@
 		this.context.stopping = true
 		this.options.log({ name: 'stop-begun', fields: { open: this.open } })
 		const end = began + this.options.graceMs
-		await this.untilIdle(began + NOTICE_MS, end - GIVE_BACK_MS)
+		await sleep(NOTICE_MS)
+		this.context.refusing = true
+		this.callers.closeIdleConnections()
+		await this.untilIdle(end - GIVE_BACK_MS)
 		// Tokens go back while the last answers still run: the grace may end before they do.
 		await this.allowance.giveBack()
-		await this.untilIdle(0, end - STOP_MARGIN_MS)
+		await this.untilIdle(end - STOP_MARGIN_MS)
 		this.callers.close()
 		this.callers.closeIdleConnections()
 		this.readiness.close()
@@ -193,11 +199,11 @@
 		this.options.log({ name: 'stop-done', fields: { open: this.open } })
 	}
 
-	/** Waits until no request is open, at least and at most until points in time. */
-	private async untilIdle(earliest: number, latest: number): Promise<void> {
+	/** Waits until no request is open, at most until a point in time. */
+	private async untilIdle(latest: number): Promise<void> {
 		for (;;) {
 			const now = this.options.now()
-			if (now >= latest || (now >= earliest && this.open === 0)) return
+			if (now >= latest || this.open === 0) return
 			await sleep(STOP_POLL_MS)
 		}
 	}
@@ -238,6 +244,7 @@
 			traffic: undefined,
 			repeatLimits: options.repeatLimits,
 			stopping: false,
+			refusing: false,
 			now: options.now,
 			random: options.random,
 			log: options.log,
--- a/packages/gateway/src/lib/GatewayContext.ts
+++ b/packages/gateway/src/lib/GatewayContext.ts
@@ -36,6 +36,8 @@
 	repeatLimits: RepeatLimits
 	/** True once the process was told to stop. */
 	stopping: boolean
+	/** True once a planned stop is so far on that what begins now might be cut off. */
+	refusing: boolean
 	/** Steady clock, in ms. */
 	now(): number
 	random(): number
--- a/packages/gateway/src/lib/Refusal.ts
+++ b/packages/gateway/src/lib/Refusal.ts
@@ -8,6 +8,7 @@
  * - `budget-spent`: what is left of the budget can't hold the request.
  * - `budget-unknown`: this box holds too little of the budget and can't draw more now.
  * - `no-target`: no target could take it.
+ * - `stopping`: this box ends soon; what begins now might be cut off.
  * - `too-late`: too little time is left to begin.
  *
  * It may have run:
@@ -25,6 +26,7 @@
 	| 'budget-spent'
 	| 'budget-unknown'
 	| 'no-target'
+	| 'stopping'
 	| 'too-late'
 	| 'target-failed'
 	| 'timed-out'
@@ -42,6 +44,7 @@
 	'not-configured',
 	'budget-unknown',
 	'no-target',
+	'stopping',
 	'too-late',
 ])
 
