One rule for the headers that are passed on; exports and a method that nothing used are gone

Read again: requests and answers filtered their headers in two loops that differed in one test; the core exported four names that only itself uses.

--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -179,16 +179,7 @@
 	spentAtMost,
 	type SpendingMark,
 } from './lib/allowance/SpendingMark.js'
-export { DemandMeter } from './lib/allowance/DemandMeter.js'
-export {
-	HOLD_SECONDS,
-	budgetsInForce,
-	planClaim,
-	planDraw,
-	wantedTokens,
-	type Budgets,
-	type DrawRequest,
-} from './lib/allowance/planDraw.js'
+export { planClaim, planDraw, wantedTokens, type Budgets } from './lib/allowance/planDraw.js'
 export {
 	TargetBoard,
 	type AttemptHandle,
--- a/packages/core/src/lib/placement/TargetBoard.ts
+++ b/packages/core/src/lib/placement/TargetBoard.ts
@@ -92,10 +92,6 @@
 		return this.targets.size
 	}
 
-	entries(): TargetEntry[] {
-		return [...this.targets.values()].map((state) => state.entry)
-	}
-
 	/** Work that this box has under way, by target: what it tells other boxes. */
 	ownWork(): TargetWork[] {
 		const rows: TargetWork[] = []
--- a/packages/gateway/src/lib/CallerRequest.ts
+++ b/packages/gateway/src/lib/CallerRequest.ts
@@ -139,24 +139,24 @@
 		.toLowerCase()
 		.split(',')
 		.map((name) => name.trim())
-	const passed: string[] = []
-	for (let i = 0; i + 1 < message.rawHeaders.length; i += 2) {
-		const name = message.rawHeaders[i] ?? ''
-		const lower = name.toLowerCase()
-		if (CONNECTION_HEADERS.has(lower) || lower === 'content-length') continue
-		if (dialect.fleetHeaders.has(lower) || listed.includes(lower)) continue
-		passed.push(name, message.rawHeaders[i + 1] ?? '')
-	}
-	return passed
+	return passOn(
+		message.rawHeaders,
+		(name) => !dialect.fleetHeaders.has(name) && !listed.includes(name),
+	)
 }
 
 /** Headers of an answer that may be passed on: names and values in turn. */
 export function answerHeadersToPassOn(rawHeaders: readonly string[]): string[] {
+	return passOn(rawHeaders, () => true)
+}
+
+/** Headers that do not concern one connection or frame a body, and that `keeps` (lower case) lets by. */
+function passOn(rawHeaders: readonly string[], keeps: (name: string) => boolean): string[] {
 	const passed: string[] = []
 	for (let i = 0; i + 1 < rawHeaders.length; i += 2) {
 		const name = rawHeaders[i] ?? ''
 		const lower = name.toLowerCase()
-		if (CONNECTION_HEADERS.has(lower) || lower === 'content-length') continue
+		if (CONNECTION_HEADERS.has(lower) || lower === 'content-length' || !keeps(lower)) continue
 		passed.push(name, rawHeaders[i + 1] ?? '')
 	}
 	return passed
