Targets whose entries ran out while the store was away stay in use for a moment

Cause: the store lets the entries of living targets run out while it is away. The users now say that such entries are back within about two seconds, and that one still missing then is to be taken as gone. Ruled out: keeping every missing entry for two seconds. A target that leaves while the store answers must get no new work at once. Change: LapsedTargets keeps an entry that went missing while the store was away, unless the target was leaving, until 1.7 s after the return: below every drain bound, whichever moment is counted from. Measured: test first (three cases).

--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -188,6 +188,7 @@
 	type TargetChanges,
 	type TargetWork,
 } from './lib/placement/TargetBoard.js'
+export { LapsedTargets } from './lib/placement/LapsedTargets.js'
 export { type TargetEntry, type TargetLoad } from './lib/placement/TargetEntry.js'
 export { type AttemptVerdict } from './lib/placement/TargetState.js'
 export { RepeatBudget, type RepeatLimits } from './lib/retry/RepeatBudget.js'
--- /dev/null
+++ b/packages/core/src/lib/placement/LapsedTargets.test.ts
@@ -0,0 +1,47 @@
+import { describe, expect, it } from 'vitest'
+import { brandId, type ServiceName, type TargetName, type ZoneName } from '../ids.js'
+import { LapsedTargets } from './LapsedTargets.js'
+import type { TargetEntry } from './TargetEntry.js'
+
+const target = (name: string, leaving = false): TargetEntry => ({
+	name: brandId<TargetName>(name),
+	service: brandId<ServiceName>('service'),
+	address: `${name}:1`,
+	zone: brandId<ZoneName>('zone'),
+	slots: 8,
+	leaving,
+	coldMs: 0,
+})
+
+const names = (entries: readonly TargetEntry[]): string[] =>
+	entries.map((entry) => entry.name).sort()
+
+describe('LapsedTargets', () => {
+	it('drops a target at once while the store answers', () => {
+		const lapsed = new LapsedTargets()
+		lapsed.take([target('a'), target('b')], 0)
+		expect(names(lapsed.take([target('a')], 10))).toEqual(['a'])
+	})
+
+	it('keeps a target whose entry ran out while the store was away, for a short time', () => {
+		const lapsed = new LapsedTargets()
+		lapsed.take([target('a'), target('b'), target('c', true)], 0)
+		lapsed.noteContact(false, 1_000)
+		expect(names(lapsed.take([target('a')], 9_000))).toEqual(['a', 'b'])
+		lapsed.noteContact(true, 9_000)
+		expect(names(lapsed.retake(10_000))).toEqual(['a', 'b'])
+		expect(names(lapsed.lapsed)).toEqual(['b'])
+		expect(names(lapsed.retake(11_000))).toEqual(['a'])
+	})
+
+	it('takes the new entry of a target that came back', () => {
+		const lapsed = new LapsedTargets()
+		lapsed.take([target('a'), target('b')], 0)
+		lapsed.noteContact(false, 1_000)
+		lapsed.take([target('a')], 9_000)
+		lapsed.noteContact(true, 9_000)
+		expect(lapsed.take([target('a'), target('b', true)], 9_500)).toHaveLength(2)
+		expect(lapsed.lapsed).toEqual([])
+		expect(names(lapsed.take([target('a')], 9_600))).toEqual(['a'])
+	})
+})
--- a/packages/core/src/lib/router/logEvents.ts
+++ b/packages/core/src/lib/router/logEvents.ts
@@ -64,6 +64,10 @@
 	'target-joined': { number: 503, text: 'A target is in the list for the first time' },
 	'target-gone': { number: 504, text: 'A target is no longer in the list and gets no new work' },
 	'target-unreadable': { number: 505, text: 'An entry of the list of targets was refused' },
+	'target-lapsed': {
+		number: 506,
+		text: 'An entry ran out while the store was away; the target is used for a moment',
+	},
 	'invariant-breach': {
 		number: 900,
 		text: 'An invariant would have been broken; the write was not made',
--- a/packages/gateway/src/index.ts
+++ b/packages/gateway/src/index.ts
@@ -1,12 +1,11 @@
 /** Front end for opaque requests: sockets and timers around the decisions of the core. */
 export { type Dialect, type HeaderNames, type MalformedRequest } from './lib/Dialect.js'
+export { type Documents, type UnreadableDocument } from './lib/Documents.js'
 export {
 	Gateway,
 	newGatewayIncarnation,
-	type Documents,
 	type GatewayOptions,
 	type GatewayPorts,
-	type UnreadableDocument,
 } from './lib/Gateway.js'
 export { listenOn, type ListenAddress } from './lib/listenOn.js'
 export { type RefusalKind } from './lib/Refusal.js'
--- a/packages/gateway/src/lib/Gateway.test.ts
+++ b/packages/gateway/src/lib/Gateway.test.ts
@@ -17,7 +17,8 @@
 import * as E from 'fp-ts/lib/Either.js'
 import { afterEach, describe, expect, it } from 'vitest'
 import type { Dialect } from './Dialect.js'
-import { Gateway, type UnreadableDocument } from './Gateway.js'
+import type { UnreadableDocument } from './Documents.js'
+import { Gateway } from './Gateway.js'
 
 const DIALECT: Dialect = {
 	headers: {
--- a/packages/gateway/src/lib/Gateway.ts
+++ b/packages/gateway/src/lib/Gateway.ts
@@ -10,9 +10,7 @@
 	type LogEvent,
 	type RepeatLimits,
 	type ServiceName,
-	type TargetEntry,
 	type TargetName,
-	type TrafficConfig,
 	type ZoneName,
 } from '@stallwing/core'
 import {
@@ -25,33 +23,16 @@
 import * as E from 'fp-ts/lib/Either.js'
 import { AllowanceClient } from './AllowanceClient.js'
 import type { Dialect } from './Dialect.js'
+import type { Documents } from './Documents.js'
 import { Exchange } from './Exchange.js'
 import type { GatewayContext, TrafficInForce } from './GatewayContext.js'
 import { PeerClient } from './PeerClient.js'
 import { PeerServer } from './PeerServer.js'
+import { TargetDirectory } from './TargetDirectory.js'
 import { TargetPools } from './TargetPools.js'
 import { WorkSharing } from './WorkSharing.js'
 import { listenOn, type ListenAddress } from './listenOn.js'
 
-/** Why a document of the operator or a target can't be used. */
-export interface UnreadableDocument {
-	readonly kind: 'unreadable'
-	/** Field and what was expected. */
-	readonly what: string
-}
-
-/** Where the documents lie in the store, and how they are read. */
-export interface Documents {
-	readonly configPrefix: string
-	readonly configKey: string
-	readonly targetsPrefix: string
-	readonly allowanceKey: string
-	/** Below it lies one record for each box. */
-	readonly markPrefix: string
-	readConfig(value: Buffer): E.Either<UnreadableDocument, TrafficConfig>
-	readTarget(item: StoreItem): E.Either<UnreadableDocument, TargetEntry>
-}
-
 /** All that a gateway is made of. @public */
 export interface GatewayOptions {
 	readonly box: BoxName
@@ -104,6 +85,7 @@
 export class Gateway {
 	private readonly board = new TargetBoard()
 	private readonly pools: TargetPools
+	private readonly targets: TargetDirectory
 	private readonly repeatBudgets = new Map<ServiceName, RepeatBudget>()
 	private readonly allowance: AllowanceClient
 	private readonly context: GatewayContext
@@ -114,7 +96,6 @@
 	private readonly followers: PrefixFollower[]
 	private readonly timers: NodeJS.Timeout[] = []
 	private open = 0
-	private targetsListed = false
 	private wasReady = false
 
 	constructor(private readonly options: GatewayOptions) {
@@ -136,6 +117,13 @@
 		this.pools = new TargetPools(options.now, () =>
 			options.metrics.count('stallwing_connections_opened_total'),
 		)
+		this.targets = new TargetDirectory({
+			board: this.board,
+			readTarget: (item) => options.documents.readTarget(item),
+			onDropped: (target) => this.pools.drop(target.name),
+			now: options.now,
+			log: options.log,
+		})
 		this.context = this.makeContext()
 		this.callers = createServer({ keepAlive: true, noDelay: true, maxHeaderSize: 65_536 })
 		this.callers.on('request', (message, response) => this.serve(message, response))
@@ -158,7 +146,7 @@
 	/** True where this box can serve callers. */
 	get ready(): boolean {
 		const { traffic, stopping } = this.context
-		return traffic !== undefined && this.targetsListed && this.allowance.claimed && !stopping
+		return traffic !== undefined && this.targets.listed && this.allowance.claimed && !stopping
 	}
 
 	/** Starts to listen and to follow the store. @throws where an address can't be listened on. */
@@ -170,7 +158,7 @@
 		for (const follower of this.followers) void follower.run()
 		void this.allowance.claim()
 		this.timers.push(setInterval(() => void this.allowance.maintain(), MAINTAIN_MS))
-		this.timers.push(setInterval(() => this.pools.sweep(), SWEEP_MS))
+		this.timers.push(setInterval(() => this.sweep(), SWEEP_MS))
 		return { callers, readiness }
 	}
 
@@ -199,6 +187,11 @@
 		this.options.log({ name: 'stop-done', fields: { open: this.open } })
 	}
 
+	private sweep(): void {
+		this.pools.sweep()
+		this.targets.maintain()
+	}
+
 	/** Waits until no request is open, at most until a point in time. */
 	private async untilIdle(latest: number): Promise<void> {
 		for (;;) {
@@ -332,48 +325,28 @@
 	}
 
 	private followTargets(): PrefixFollower {
-		return this.follower(this.options.documents.targetsPrefix, (items) => {
-			this.takeTargets([...items.values()])
-			this.targetsListed = true
-		})
-	}
-
-	private takeTargets(items: readonly StoreItem[]): void {
-		const entries: TargetEntry[] = []
-		for (const item of items) {
-			const read = this.options.documents.readTarget(item)
-			if (E.isRight(read)) entries.push(read.right)
-			else
-				this.options.log({
-					name: 'target-unreadable',
-					fields: { key: item.key, what: read.left.what },
-				})
-		}
-		const changes = this.board.replace(entries, this.options.now())
-		this.logTargets('target-joined', changes.joined)
-		this.logTargets('target-leaving', changes.leaving)
-		this.logTargets('target-gone', changes.gone)
-		for (const entry of [...changes.gone, ...changes.leaving]) this.pools.drop(entry.name)
-	}
-
-	private logTargets(
-		name: 'target-joined' | 'target-leaving' | 'target-gone',
-		entries: readonly TargetEntry[],
-	): void {
-		for (const { name: target, service, address } of entries)
-			this.options.log({ name, fields: { target, service, address } })
+		const { targets } = this
+		return this.follower(
+			this.options.documents.targetsPrefix,
+			(items) => targets.takeItems(items),
+			(contact) => targets.noteContact(contact),
+		)
 	}
 
 	private follower(
 		prefix: string,
 		onItems: (items: ReadonlyMap<string, StoreItem>) => void,
+		onContact: (contact: StoreContact) => void = () => undefined,
 	): PrefixFollower {
 		return new PrefixFollower(this.options.store, {
 			prefix,
 			waitMs: WATCH_MS,
 			retryMs: FOLLOWER_RETRY_MS,
 			onItems,
-			onContact: (contact) => this.logContact(prefix, contact),
+			onContact: (contact) => {
+				onContact(contact)
+				this.logContact(prefix, contact)
+			},
 			sleep,
 		})
 	}
--- /dev/null
+++ b/packages/gateway/src/lib/TargetDirectory.ts
@@ -0,0 +1,75 @@
+import {
+	LapsedTargets,
+	type LogEvent,
+	type LogEventName,
+	type TargetBoard,
+	type TargetEntry,
+} from '@stallwing/core'
+import type { StoreContact, StoreItem } from '@stallwing/store'
+import * as E from 'fp-ts/lib/Either.js'
+import type { Documents } from './Documents.js'
+
+/** What a {@link TargetDirectory} works with. */
+export interface TargetDirectoryOptions {
+	readonly board: TargetBoard
+	readonly readTarget: Documents['readTarget']
+	/** A target gets no new work: its idle connections can go. */
+	readonly onDropped: (target: TargetEntry) => void
+	/** Steady clock, in ms. */
+	readonly now: () => number
+	readonly log: (event: LogEvent) => void
+}
+
+/** Takes the list of targets from the store to the board. */
+export class TargetDirectory {
+	/** True once the targets have been listed. */
+	listed = false
+	private readonly lapsed = new LapsedTargets()
+
+	constructor(private readonly options: TargetDirectoryOptions) {}
+
+	/** Takes all items of the list. */
+	takeItems(items: ReadonlyMap<string, StoreItem>): void {
+		const entries: TargetEntry[] = []
+		for (const item of items.values()) {
+			const entry = this.read(item)
+			if (entry) entries.push(entry)
+		}
+		const lapsedBefore = new Set(this.lapsed.lapsed.map((entry) => entry.name))
+		this.use(this.lapsed.take(entries, this.options.now()))
+		const lapsed = this.lapsed.lapsed.filter((entry) => !lapsedBefore.has(entry.name))
+		this.logAll('target-lapsed', lapsed)
+		this.listed = true
+	}
+
+	/** The store answers again, or does not. */
+	noteContact(contact: StoreContact): void {
+		this.lapsed.noteContact(contact.kind === 'reached', this.options.now())
+	}
+
+	/** Lets go of targets that are still missing. To be called some times a second. */
+	maintain(): void {
+		if (this.lapsed.lapsed.length > 0) this.use(this.lapsed.retake(this.options.now()))
+	}
+
+	private use(entries: readonly TargetEntry[]): void {
+		const changes = this.options.board.replace(entries, this.options.now())
+		this.logAll('target-joined', changes.joined)
+		this.logAll('target-leaving', changes.leaving)
+		this.logAll('target-gone', changes.gone)
+		for (const entry of [...changes.gone, ...changes.leaving]) this.options.onDropped(entry)
+	}
+
+	private read(item: StoreItem): TargetEntry | undefined {
+		const read = this.options.readTarget(item)
+		if (E.isRight(read)) return read.right
+		const fields = { key: item.key, what: read.left.what }
+		this.options.log({ name: 'target-unreadable', fields })
+		return undefined
+	}
+
+	private logAll(name: LogEventName, entries: readonly TargetEntry[]): void {
+		for (const { name: target, service, address } of entries)
+			this.options.log({ name, fields: { target, service, address } })
+	}
+}
