--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -171,6 +171,7 @@
 	drawnByOthers,
 	surelySpent,
 	type AllowanceRow,
+	richestBoxes,
 } from './lib/allowance/AllowanceRow.js'
 export {
 	PROMISE_MS,
@@ -179,6 +180,7 @@
 	spentAtMost,
 	type SpendingMark,
 } from './lib/allowance/SpendingMark.js'
+export { lendersFor, lendersOfZone, type FleetMember } from './lib/allowance/chooseLenders.js'
 export { planClaim, planDraw, wantedTokens, type Budgets } from './lib/allowance/planDraw.js'
 export {
 	TargetBoard,
--- a/packages/core/src/lib/allowance/AllowanceBook.ts
+++ b/packages/core/src/lib/allowance/AllowanceBook.ts
@@ -8,13 +8,17 @@
 	/** Cumulative draw of the box that the store is known to hold. */
 	drawn: number
 	/** Draws of earlier incarnations: taken as spent, since nobody can tell. */
-	readonly spentBefore: number
+	spentBefore: number
 	/** Spending ceiling while the promise to the store holds; counted like `drawn`. */
 	mark: number
 	/** Tokens reserved by open requests and charged by ended ones, of this incarnation. */
 	used: number
 	/** Nothing may be reserved until a draw under the configuration of this revision: the budget fell. */
 	frozenUntil: number
+	/** Revision of the configuration that last lowered the budget; 0: none did. */
+	loweredAt: number
+	/** What reservations free is lost: it may lie above a budget that was lowered meanwhile. */
+	losesRefunds: boolean
 	readonly demand: DemandMeter
 }
 
@@ -35,8 +39,9 @@
 }
 
 /**
- * What this box may spend of each account. It is drawn from the store before it is used, so that no
- * cut, pause or restart lets the boxes together spend more than a budget.
+ * What this box may spend of each account. It is drawn from the store before it is used, by this box
+ * or by the one that lent it, so that no cut, pause or restart lets the boxes together spend more than
+ * a budget.
  * @public
  */
 export class AllowanceBook {
@@ -45,8 +50,24 @@
 	/** The promise to the store is over: the ceiling of an account is its draw. */
 	private promiseOver = false
 
-	/** Takes the draws of earlier incarnations as spent; nothing is free until the first draw. */
-	constructor(private readonly before: Readonly<Record<AccountName, number>>) {}
+	/** What earlier incarnations spent at most; undefined until this one may draw. */
+	private before: Readonly<Record<AccountName, number>> | undefined
+
+	/** True once this incarnation may draw. Until then it spends only what it borrowed. */
+	get claimed(): boolean {
+		return this.before !== undefined
+	}
+
+	/** Takes the draws of earlier incarnations as spent; of them nothing is free until the first draw. */
+	claim(spent: Readonly<Record<AccountName, number>>): void {
+		this.before = spent
+		for (const [account, tokens] of Object.entries<number>(spent)) {
+			const allowance = this.allowance(account as AccountName)
+			allowance.spentBefore = tokens
+			allowance.drawn = tokens
+			allowance.mark = tokens
+		}
+	}
 
 	/** Notes what a request asks for, whether or not it gets it. */
 	noteDemand(account: AccountName, tokens: number, now: Millis): void {
@@ -65,7 +86,8 @@
 	/** Ends a reservation: keeps what was charged and frees the rest. */
 	settle(account: AccountName, reserved: number, charged: number): void {
 		assertInvariant(charged <= reserved, 'slice-not-overdrawn', { account, reserved, charged })
-		this.allowance(account).used -= reserved - charged
+		const allowance = this.allowance(account)
+		if (!allowance.losesRefunds) allowance.used -= reserved - charged
 	}
 
 	/** True once nothing is reserved any more. */
@@ -98,9 +120,13 @@
 		return tokens
 	}
 
-	/** Takes tokens that another box has handed over: covered by the draw of that box. */
-	borrow(account: AccountName, tokens: number): void {
-		this.allowance(account).used -= tokens
+	/**
+	 * Takes tokens that another box has handed over: covered by the draw of that box. They are dropped
+	 * where the budget was lowered since the configuration under which that box held them.
+	 */
+	borrow(account: AccountName, tokens: number, budgetsAt: number): void {
+		const allowance = this.allowance(account)
+		if (budgetsAt >= allowance.loweredAt) allowance.used -= tokens
 	}
 
 	/**
@@ -124,9 +150,19 @@
 		if (budgetsAt >= allowance.frozenUntil) allowance.frozenUntil = 0
 	}
 
-	/** The budget has been lowered: stops reservations until a draw under that configuration. */
+	/**
+	 * The budget has been lowered: stops reservations until a draw under that configuration. A box that
+	 * does not draw gives up what it borrowed, for good: only a lender knows what the new budget bears.
+	 */
 	freeze(account: AccountName, budgetsAt: number): void {
-		this.allowance(account).frozenUntil = budgetsAt
+		const allowance = this.allowance(account)
+		allowance.loweredAt = budgetsAt
+		if (this.claimed) {
+			allowance.frozenUntil = budgetsAt
+			return
+		}
+		allowance.used = Math.max(0, allowance.used)
+		allowance.losesRefunds = true
 	}
 
 	/** Keeps to a lower ceiling, before the store is told of it. */
@@ -175,13 +211,15 @@
 	private allowance(account: AccountName): AccountAllowance {
 		const known = this.accounts.get(account)
 		if (known) return known
-		const spentBefore = this.before[account] ?? 0
+		const spentBefore = this.before?.[account] ?? 0
 		const fresh: AccountAllowance = {
 			drawn: spentBefore,
 			spentBefore,
 			mark: spentBefore,
 			used: 0,
 			frozenUntil: 0,
+			loweredAt: 0,
+			losesRefunds: false,
 			demand: new DemandMeter(),
 		}
 		this.accounts.set(account, fresh)
--- a/packages/core/src/lib/allowance/AllowanceRow.ts
+++ b/packages/core/src/lib/allowance/AllowanceRow.ts
@@ -43,3 +43,12 @@
 	for (const draws of Object.values<BoxDraws>(row.boxes)) sum += draws.spent[account] ?? 0
 	return sum
 }
+
+/** Other boxes that have drawn of an account, by what they seemed to hold when they last wrote. @public */
+export function richestBoxes(row: AllowanceRow, account: AccountName, except: BoxName): BoxDraws[] {
+	const held = (draws: BoxDraws) => (draws.drawn[account] ?? 0) - (draws.spent[account] ?? 0)
+	return Object.entries<BoxDraws>(row.boxes)
+		.filter(([box]) => box !== except)
+		.map(([, draws]) => draws)
+		.sort((a, b) => held(b) - held(a))
+}
--- /dev/null
+++ b/packages/core/src/lib/allowance/chooseLenders.test.ts
@@ -0,0 +1,61 @@
+import fc from 'fast-check'
+import { describe, expect, it } from 'vitest'
+import { brandId, type AccountName, type BoxName, type ZoneName } from '../ids.js'
+import { lendersFor, lendersOfZone, type FleetMember } from './chooseLenders.js'
+
+const ACCOUNT = brandId<AccountName>('acme')
+
+function fleet(zones: number, boxesPerZone: number): FleetMember[] {
+	const members: FleetMember[] = []
+	for (let zone = 0; zone < zones; zone++)
+		for (let box = 0; box < boxesPerZone; box++)
+			members.push({
+				box: brandId<BoxName>(`box-${zone}-${box}`),
+				zone: brandId<ZoneName>(`zone-${zone}`),
+				address: `10.${zone}.0.${box}:1`,
+			})
+	return members
+}
+
+const zoneOf = (zone: number): ZoneName => brandId<ZoneName>(`zone-${zone}`)
+
+describe('chooseLenders', () => {
+	it('lets a few boxes of a zone draw, however many there are', () => {
+		expect(lendersOfZone(fleet(4, 20), zoneOf(1))).toHaveLength(3)
+		expect(lendersOfZone(fleet(4, 2), zoneOf(1))).toHaveLength(2)
+		expect(lendersOfZone(fleet(4, 2), zoneOf(9))).toEqual([])
+	})
+
+	it('gives every box the same order, whatever order it heard of the others in', () => {
+		const members = fleet(3, 9)
+		const property = fc.property(
+			fc.shuffledSubarray(members, { minLength: members.length }),
+			(heard) => {
+				expect(lendersFor(ACCOUNT, heard, zoneOf(0))).toEqual(
+					lendersFor(ACCOUNT, members, zoneOf(0)),
+				)
+			},
+		)
+		fc.assert(property, { seed: 1, numRuns: 50 })
+	})
+
+	it('asks the own zone first, then one box of each other zone', () => {
+		const order = lendersFor(ACCOUNT, fleet(3, 9), zoneOf(0))
+		expect(order.map((member) => member.zone)).toEqual([
+			zoneOf(0),
+			zoneOf(0),
+			zoneOf(0),
+			expect.anything(),
+			expect.anything(),
+		])
+		expect(new Set(order.map((member) => member.zone)).size).toBe(3)
+	})
+
+	it('spreads accounts over the lenders of a zone', () => {
+		const members = fleet(1, 20)
+		const firsts = new Set<string>()
+		for (let i = 0; i < 40; i++)
+			firsts.add(lendersFor(brandId<AccountName>(`account-${i}`), members, zoneOf(0))[0]?.box ?? '')
+		expect(firsts.size).toBe(3)
+	})
+})
--- /dev/null
+++ b/packages/core/src/lib/allowance/chooseLenders.ts
@@ -0,0 +1,47 @@
+import { rendezvous } from '../identity/rendezvous.js'
+import type { AccountName, BoxName, ZoneName } from '../ids.js'
+
+/** A box of the fleet, as it told the others. @public */
+export interface FleetMember {
+	readonly box: BoxName
+	readonly zone: ZoneName
+	/** Where other boxes reach it: IP number and port. */
+	readonly address: string
+}
+
+/**
+ * Boxes of a zone that draw from the store. Draws, records and renewals then grow with zones and not
+ * with boxes, and what is held of an account lies in a few places instead of in crumbs at every box.
+ */
+const LENDERS_PER_ZONE = 3
+/** Boxes of other zones that are asked when none of the own zone has tokens. */
+const MOST_DISTANT_LENDERS = 4
+
+/** The boxes of a zone that draw from the store: the same at every box that knows the same members. @public */
+export function lendersOfZone(members: readonly FleetMember[], zone: ZoneName): FleetMember[] {
+	const ofZone = members.filter((member) => member.zone === zone)
+	return ranked(zone, ofZone).slice(0, LENDERS_PER_ZONE)
+}
+
+/**
+ * Boxes that a box asks for tokens of an account, in order. In a zone all boxes begin with the same
+ * lender of an account, so that its tokens lie together.
+ * @public
+ */
+export function lendersFor(
+	account: AccountName,
+	members: readonly FleetMember[],
+	zone: ZoneName,
+): FleetMember[] {
+	const zones = [...new Set(members.map((member) => member.zone))]
+	const near = ranked(account, lendersOfZone(members, zone))
+	const distant = zones
+		.filter((other) => other !== zone)
+		.flatMap((other) => ranked(account, lendersOfZone(members, other)).slice(0, 1))
+	return [...near, ...ranked(account, distant).slice(0, MOST_DISTANT_LENDERS)]
+}
+
+function ranked(key: string, members: readonly FleetMember[]): FleetMember[] {
+	const byBox = new Map(members.map((member) => [member.box, member]))
+	return rendezvous(key, [...byBox.keys()]).flatMap((box) => byBox.get(box) ?? [])
+}
--- a/packages/core/src/lib/router/logEvents.ts
+++ b/packages/core/src/lib/router/logEvents.ts
@@ -51,6 +51,8 @@
 	'store-reached': { number: 313, text: 'The store answers' },
 	'store-lost': { number: 314, text: 'The store does not answer' },
 	'ready-changed': { number: 315, text: 'The box became ready for callers, or is no longer' },
+	'fleet-changed': { number: 316, text: 'The list of boxes of the fleet has changed' },
+	'fleet-unknown': { number: 317, text: 'The boxes of the fleet could not be read' },
 	'bundle-in-force': { number: 400, text: 'A bundle version is in force on this box' },
 	'bundle-refused': { number: 401, text: 'A bundle was refused' },
 	'traffic-in-force': { number: 402, text: 'A traffic configuration is in force on this box' },
--- a/packages/gateway/src/lib/AllowanceClient.test.ts
+++ b/packages/gateway/src/lib/AllowanceClient.test.ts
@@ -1,24 +1,30 @@
-import { brandId, type AccountName, type BoxName, type Incarnation } from '@stallwing/core'
+import {
+	brandId,
+	type AccountName,
+	type BoxName,
+	type Budgets,
+	type Incarnation,
+} from '@stallwing/core'
 import { MemoryStore, type CallFate } from '@stallwing/standins'
 import type { KeyValueStore } from '@stallwing/store'
 import { Metrics } from '@stallwing/telemetry'
 import fc from 'fast-check'
 import { afterEach, beforeEach, describe, expect, it, vi } from 'vitest'
 import { AllowanceClient } from './AllowanceClient.js'
-import type { Lenders } from './TokenLending.js'
+import { NOTHING_LENT, type Lenders } from './TokenLending.js'
 
 const ACCOUNT = brandId<AccountName>('acme')
 const BUDGET = 10_000
 /** A budget that runs dry within a randomised run: only then does a token too many show. */
 const SMALL_BUDGET = 3_000
+const LOWERED_BUDGET = 1_200
 const BOXES = ['box-1', 'box-2', 'box-3'] as const
 
 /** One thing that happens, after a pause. */
 interface Happening {
 	readonly pauseMs: number
 	readonly box: number
-	readonly kind:
-		'ask' | 'ask' | 'ask' | 'kill' | 'stop' | 'cut' | 'heal' | 'storm' | 'calm' | 'clock-back'
+	readonly kind: 'ask' | 'kill' | 'stop' | 'cut' | 'heal' | 'storm' | 'calm' | 'lower' | 'raise'
 	readonly tokens: number
 	/** Part of the reservation that is charged. */
 	readonly chargedPart: number
@@ -40,6 +46,8 @@
 			'heal',
 			'storm',
 			'calm',
+			'lower',
+			'raise',
 		] as const),
 	),
 	tokens: fc.integer({ min: 1, max: 400 }),
@@ -52,13 +60,20 @@
 	readonly store: MemoryStore
 	private readonly clients = new Map<string, { client: AllowanceClient; dead: boolean }>()
 	private readonly cut = new Set<string>()
+	private readonly calls = new Map<string, number>()
 	private stormy = false
 	private starts = 0
 	private fates = 0
+	private answers = 0
+	private budgets: Budgets
 
 	constructor(
 		private readonly budget: number,
 		private readonly fateSeed: number,
+		/** Boxes that draw; the others borrow all that they spend. */
+		private readonly drawing: readonly string[] = BOXES,
+		/** Every seventh answer of a lender is lost, and its tokens with it. */
+		private readonly losesAnswers = true,
 	) {
 		this.store = new MemoryStore({
 			now: () => Date.now(),
@@ -66,6 +81,7 @@
 			fate: (caller) => this.fateOf(caller),
 			lateMs: () => 700 + (this.fates % 5) * 900,
 		})
+		this.budgets = { at: 1, tokens: { [ACCOUNT]: this.budget } }
 		for (const box of BOXES) this.start(box)
 	}
 
@@ -80,6 +96,9 @@
 			holder: brandId<Incarnation>(`${box}-${this.starts++}`),
 			address,
 			lenders: this.lenders(box),
+			isLender: () => this.drawing.includes(box),
+			lenderAddresses: () =>
+				this.drawing.filter((other) => other !== box).map((other) => `${other}:1`),
 			metrics: new Metrics(),
 			now: () => Date.now(),
 			wallTime: () => Date.now(),
@@ -87,9 +106,9 @@
 			sleep,
 			log: () => undefined,
 		})
-		entry.client.setBudgets({ at: 1, tokens: { [ACCOUNT]: this.budget } })
+		entry.client.setBudgets(this.budgets)
 		this.clients.set(box, entry)
-		void entry.client.claim()
+		if (this.drawing.includes(box)) void entry.client.claim()
 	}
 
 	/** The process of a box is gone; a new one starts a little later. */
@@ -108,6 +127,7 @@
 	}
 
 	setBudgets(at: number, tokens: Readonly<Record<string, number>>): void {
+		this.budgets = { at, tokens }
 		for (const { client, dead } of this.clients.values())
 			if (!dead) client.setBudgets({ at, tokens })
 	}
@@ -142,8 +162,14 @@
 		await vi.advanceTimersByTimeAsync(0)
 	}
 
+	/** Calls of a box that reached the store. */
+	callsOf(box: string): number {
+		return this.calls.get(box) ?? 0
+	}
+
 	private fateOf(caller: string): CallFate {
 		this.fates++
+		this.calls.set(caller, (this.calls.get(caller) ?? 0) + 1)
 		if (this.cut.has(caller)) return 'lost'
 		if (!this.stormy) return 'served'
 		const fates: readonly CallFate[] = ['served', 'answer-lost', 'late', 'refused', 'served']
@@ -158,13 +184,14 @@
 		return {
 			ask: async (address, account, tokens) => {
 				await sleep(2)
-				const lent = other(address)?.lend(account, tokens) ?? 0
+				const answer = (await other(address)?.lend(account, tokens)) ?? NOTHING_LENT
 				await sleep(2)
-				// Every seventh answer is lost.
-				return this.fates % 7 === 0 ? 0 : lent
+				const isLost = this.losesAnswers && this.answers++ % 7 === 6
+				return isLost ? NOTHING_LENT : answer
 			},
 			isOpen: async (address) => other(address) !== undefined && address !== `${self}:1`,
-			give: async (address, account, tokens) => other(address)?.accept(account, tokens) ?? false,
+			give: async (address, account, tokens, budgetsAt) =>
+				other(address)?.accept(account, tokens, budgetsAt) ?? false,
 		}
 	}
 }
@@ -185,6 +212,7 @@
 		lease: guard(store.lease),
 		read: guard(store.read),
 		readStale: guard(store.readStale),
+		listStale: guard(store.listStale),
 	}
 }
 
@@ -213,22 +241,33 @@
 	beforeEach(() => void vi.useFakeTimers())
 	afterEach(() => void vi.useRealTimers())
 
-	it('never lets the boxes together spend more than the budget', async () => {
+	it.each([
+		['each draws', BOXES],
+		['one draws for all', ['box-1']],
+		['two draw for all', ['box-1', 'box-2']],
+	])('never lets the boxes together spend more than the budget: %s', async (_name, drawing) => {
 		const runs = fc.asyncProperty(
 			fc.array(happening, { minLength: 40, maxLength: 120 }),
 			fc.nat({ max: 1_000 }),
 			async (happenings, fateSeed) => {
-				const fleet = new Fleet(SMALL_BUDGET, fateSeed)
+				const fleet = new Fleet(SMALL_BUDGET, fateSeed, drawing)
 				await pass(fleet, 400)
+				// What was spent or set aside when a budget was lowered below it can't be taken back.
+				let bound = SMALL_BUDGET
+				let revision = 1
 				for (const { kind, box, tokens, chargedPart, pauseMs } of happenings) {
 					const name = BOXES[box] ?? BOXES[0]
 					if (kind === 'ask') void fleet.ask(name, tokens, chargedPart)
 					else if (kind === 'kill') fleet.kill(name)
 					else if (kind === 'stop') void fleet.stop(name)
 					else if (kind === 'cut' || kind === 'heal') fleet.setCut(name, kind === 'cut')
-					else fleet.setStormy(kind === 'storm')
+					else if (kind === 'lower' || kind === 'raise') {
+						const budget = kind === 'lower' ? LOWERED_BUDGET : SMALL_BUDGET
+						fleet.setBudgets(++revision, { [ACCOUNT]: budget })
+						bound = Math.max(budget, fleet.spent)
+					} else fleet.setStormy(kind === 'storm')
 					await pass(fleet, pauseMs)
-					expect(fleet.spent).toBeLessThanOrEqual(SMALL_BUDGET)
+					expect(fleet.spent).toBeLessThanOrEqual(bound)
 				}
 				vi.clearAllTimers()
 			},
@@ -236,8 +275,11 @@
 		await fc.assert(runs, { seed: 20261202, numRuns: 300 })
 	})
 
-	it('spends nearly all of a budget, wherever the requests arrive', async () => {
-		const fleet = new Fleet(BUDGET, 0)
+	it.each([
+		['each draws', BOXES],
+		['one draws for all', ['box-1']],
+	])('spends nearly all of a budget, wherever the requests arrive: %s', async (_name, drawing) => {
+		const fleet = new Fleet(BUDGET, 0, drawing, drawing === BOXES)
 		await pass(fleet, 400)
 		for (let i = 0; i < 400; i++) {
 			void fleet.ask(BOXES[i % BOXES.length] ?? BOXES[0], 40, 1)
@@ -316,6 +358,44 @@
 		}
 	})
 
+	it('keeps to a lowered budget where other boxes draw', async () => {
+		const fleet = new Fleet(BUDGET, 0, ['box-1'])
+		await pass(fleet, 400)
+		for (let i = 0; i < 10; i++) void fleet.ask('box-3', 100, 0.2)
+		await pass(fleet, 100)
+		fleet.setBudgets(3, { [ACCOUNT]: 400 })
+		for (let i = 0; i < 20; i++) await asks(fleet, 'box-3', 50)
+		expect(fleet.spent).toBeLessThanOrEqual(400)
+		fleet.setBudgets(4, { [ACCOUNT]: 3_000 })
+		for (let i = 0; i < 60; i++) await asks(fleet, BOXES[i % BOXES.length] ?? BOXES[0], 100)
+		expect(fleet.spent).toBeGreaterThan(1_500)
+		expect(fleet.spent).toBeLessThanOrEqual(3_000)
+	})
+
+	it('serves a box that does not draw through a cut of all boxes from the store', async () => {
+		const fleet = new Fleet(BUDGET, 0, ['box-1'], false)
+		await pass(fleet, 400)
+		for (let i = 0; i < 60; i++) {
+			void fleet.ask('box-3', 20, 1)
+			await pass(fleet, 50)
+		}
+		const before = fleet.spent
+		for (const box of BOXES) fleet.setCut(box, true)
+		for (let i = 0; i < 60; i++) {
+			void fleet.ask('box-3', 20, 1)
+			await pass(fleet, 50)
+		}
+		expect(fleet.spent - before).toBeGreaterThan(0.97 * 60 * 20)
+	})
+
+	it('claims nothing and calls the store for nothing where it does not draw', async () => {
+		const fleet = new Fleet(BUDGET, 0, ['box-1'])
+		await pass(fleet, 400)
+		for (let i = 0; i < 10; i++) await asks(fleet, 'box-3', 50)
+		expect(fleet.spent).toBeGreaterThan(0)
+		expect(fleet.callsOf('box-3')).toBe(0)
+	})
+
 	it('goes on drawing after a record that it could not read', async () => {
 		const fleet = new Fleet(BUDGET, 0)
 		await pass(fleet, 400)
--- a/packages/gateway/src/lib/AllowanceClient.ts
+++ b/packages/gateway/src/lib/AllowanceClient.ts
@@ -5,6 +5,7 @@
 	planClaim,
 	nextMark,
 	planDraw,
+	richestBoxes,
 	spentAtMost,
 	surelySpent,
 	wantedTokens,
@@ -21,11 +22,9 @@
 import type { Metrics } from '@stallwing/telemetry'
 import * as E from 'fp-ts/lib/Either.js'
 import { AllowanceRecord } from './AllowanceRecord.js'
+import { DrawWaiters, type ReserveResult } from './DrawWaiters.js'
 import { SpendingPromise } from './SpendingPromise.js'
-import { TokenLending, type Lenders } from './TokenLending.js'
-
-/** Whether tokens were set aside: `spent` is certain, `unknown` may change soon. */
-export type ReserveResult = 'reserved' | 'spent' | 'unknown'
+import { NOTHING_LENT, TokenLending, type LendAnswer, type Lenders } from './TokenLending.js'
 
 /** What an {@link AllowanceClient} works with. */
 export interface AllowanceClientOptions {
@@ -39,6 +38,10 @@
 	/** Where other boxes reach this one. */
 	readonly address: string
 	readonly lenders: Lenders
+	/** This box draws from the store; others ask such boxes. */
+	readonly isLender: () => boolean
+	/** Addresses of the boxes to be asked for tokens, in order, where this box does not draw. */
+	readonly lenderAddresses: (account: AccountName) => readonly string[]
 	readonly metrics: Metrics
 	/** Steady clock, in ms. */
 	readonly now: () => number
@@ -56,13 +59,6 @@
 	readonly readAt: number
 }
 
-interface Waiter {
-	readonly account: AccountName
-	readonly tokens: number
-	readonly resolve: (result: ReserveResult) => void
-	readonly timer: NodeJS.Timeout
-}
-
 /** Draws are renewed when less than this part of what is wanted is left. */
 const LOW_PART = 0.4
 /** Less than this part of what is wanted is not worth a draw before a request asks for it. */
@@ -79,15 +75,17 @@
 const CLAIM_PAUSE_MS = 200
 const CLAIM_CONFLICT_PAUSE_MS = 40
 const GIVE_BACK_TRIES = 2
-const BOXES_BEFORE_CLAIM = 16
+/** Longest wait of another box for a draw, in ms: shorter than its patience with this box. */
+const LEND_WAIT_MS = 70
 
 /** This box's part of the token budgets: draws from the store, and reservations from the draws. */
 export class AllowanceClient {
-	private book: AllowanceBook | undefined
+	private readonly book = new AllowanceBook()
 	private budgets: Budgets = { at: 0, tokens: {} }
 	/** The last budget of each account that ever had one. */
 	private readonly lastBudgets = new Map<AccountName, number>()
-	private waiters: Waiter[] = []
+	private readonly waiters = new DrawWaiters()
+	private claiming = false
 	private drawing = false
 	private drawAgain = false
 	private closed = false
@@ -98,28 +96,24 @@
 
 	constructor(private readonly options: AllowanceClientOptions) {
 		this.record = new AllowanceRecord(options)
-		this.lending = new TokenLending({ ...options, row: () => this.record.row })
+		this.lending = new TokenLending({ ...options, order: (account) => this.lendersOf(account) })
 		this.promise = new SpendingPromise({ ...options, key: options.markKey })
 	}
 
 	/** True once this incarnation may draw. */
 	get claimed(): boolean {
-		return this.book !== undefined
+		return this.book.claimed
 	}
 
-	/** Boxes that have ever drawn: what is limited for the fleet is divided by them. */
-	get boxes(): number {
-		if (!this.claimed) return BOXES_BEFORE_CLAIM
-		return Math.max(1, Object.keys(this.record.row.boxes).length)
-	}
-
-	/** Addresses of the other boxes that have ever drawn. */
-	peerAddresses(): string[] {
-		return this.lending.peerAddresses()
+	/** True where requests need not wait for the store. */
+	get ready(): boolean {
+		return this.claimed || !this.options.isLender()
 	}
 
 	/** Claims the right to draw, trying until the store grants it. */
 	async claim(): Promise<void> {
+		if (this.claiming) return
+		this.claiming = true
 		while (!this.claimed && !this.closed) {
 			if (await this.claimOnce()) return
 			await this.options.sleep(CLAIM_PAUSE_MS)
@@ -133,7 +127,7 @@
 			const before = this.lastBudgets.get(account) ?? 0
 			this.lastBudgets.set(account, tokens)
 			if (tokens >= before) continue
-			this.book?.freeze(account, budgets.at)
+			this.book.freeze(account, budgets.at)
 			this.options.log({
 				name: 'allowance-frozen',
 				fields: { account, before, after: tokens, revision: budgets.at },
@@ -143,38 +137,56 @@
 		void this.draw()
 	}
 
-	/** Sets tokens aside; waits for a draw where this box holds too little and the store answers. */
+	/**
+	 * Sets tokens aside. Where this box holds too little, it draws from the store if it is a lender and
+	 * the store answers, and asks other boxes otherwise.
+	 */
 	async reserve(account: AccountName, tokens: number, patienceMs: number): Promise<ReserveResult> {
 		const { book } = this
-		book?.noteDemand(account, tokens, this.options.now())
-		book?.setPromiseOver(this.promise.isOver)
-		if (book?.reserve(account, tokens)) return 'reserved'
+		book.noteDemand(account, tokens, this.options.now())
+		book.setPromiseOver(this.promise.isOver)
+		if (book.reserve(account, tokens)) return 'reserved'
 		if (this.isSpent(account, tokens)) return 'spent'
 		if (this.closed || patienceMs <= 0) return 'unknown'
-		if (!book || this.record.reached) {
-			const result = await this.wait(account, tokens, patienceMs)
-			if (result !== 'unknown' || !book) return result
+		if (this.mayDraw) {
+			const result = await this.waitForDraw(account, tokens, patienceMs)
+			if (result !== 'unknown' || !this.claimed) return result
 		}
-		if (await this.lending.borrow(book, account, tokens)) return 'reserved'
-		return this.isSpent(account, tokens) ? 'spent' : 'unknown'
-	}
-
-	/** Hands tokens to another box. */
-	lend(account: AccountName, tokens: number): number {
-		this.book?.setPromiseOver(this.promise.isOver)
-		const lent = this.book?.lend(account, tokens) ?? 0
-		this.options.log({ name: 'allowance-lent', fields: { account, asked: tokens, lent } })
-		return lent
+		const result = await this.lending.borrow(book, account, tokens)
+		if (result === 'reserved') return result
+		// What was gathered in vain is of more use at a lender.
+		if (!this.claimed) void this.lending.handOver(book, account, this.budgets.at)
+		return this.isSpent(account, tokens) ? 'spent' : result
+	}
+
+	/**
+	 * Hands tokens to another box, after a draw where this box holds too little. Undefined once this box
+	 * has given back what it held.
+	 */
+	async lend(account: AccountName, tokens: number): Promise<LendAnswer | undefined> {
+		const { book } = this
+		if (this.closed) return undefined
+		if (!this.mayLend) return NOTHING_LENT
+		book.noteDemand(account, tokens, this.options.now())
+		book.setPromiseOver(this.promise.isOver)
+		const lent = await this.setAside(account, tokens)
+		const spent = lent < tokens && this.isSpent(account, tokens)
+		this.options.log({ name: 'allowance-lent', fields: { account, asked: tokens, lent, spent } })
+		return { lent, spent, budgetsAt: this.budgets.at }
 	}
 
 	/** Ends a reservation. */
 	settle(account: AccountName, reserved: number, charged: number): void {
-		this.book?.settle(account, reserved, charged)
+		this.book.settle(account, reserved, charged)
 	}
 
 	/** Renews draws that run low and gives back what is too much. To be called some times a second. */
 	async maintain(): Promise<void> {
-		if (!this.claimed || this.closed || this.drawing) return
+		if (this.closed || this.drawing) return
+		if (!this.claimed) {
+			if (this.options.isLender()) await this.claim()
+			return
+		}
 		const { record } = this
 		if (!record.reached && record.sinceFaultMs < FAULT_PAUSE_MS) return
 		if (!record.reached || record.ageMs > ROW_AGE_MS) await record.refresh()
@@ -183,10 +195,10 @@
 
 	/** Stops reservations and gives back what is free. */
 	async giveBack(): Promise<void> {
-		this.book?.close()
+		this.book.close()
 		this.closed = true
 		// A write without an answer may still be done: after one, nothing may go to another box.
-		if (await this.record.refresh()) {
+		if (!this.claimed || (await this.record.refresh())) {
 			await this.handOver()
 			return
 		}
@@ -197,38 +209,62 @@
 	}
 
 	/** Takes over tokens of a box that stops while the store can't be reached. */
-	accept(account: AccountName, tokens: number): boolean {
-		if (!this.book || this.closed) return false
-		this.book.borrow(account, tokens)
+	accept(account: AccountName, tokens: number, budgetsAt: number): boolean {
+		if (this.closed) return false
+		this.book.borrow(account, tokens, budgetsAt)
 		return true
 	}
 
 	/** Gives what is free to a box that answers: the store could not be told. */
 	private async handOver(): Promise<void> {
 		const { book } = this
-		if (!book) return
 		book.setPromiseOver(this.promise.isOver)
-		for (const account of this.accounts()) await this.lending.handOver(book, account)
+		for (const account of this.accounts())
+			await this.lending.handOver(book, account, this.budgets.at)
 	}
 
 	/** What is held of each account, for metrics. */
 	views(): AllowanceView[] {
 		const { book } = this
-		if (!book) return []
 		const now = this.options.now()
 		return this.accounts().map((account) => book.view(account, now))
 	}
 
-	private wait(account: AccountName, tokens: number, ms: number): Promise<ReserveResult> {
-		return new Promise((resolve) => {
-			const timer = setTimeout(() => {
-				this.waiters = this.waiters.filter((entry) => entry !== waiter)
-				resolve('unknown')
-			}, ms)
-			const waiter: Waiter = { account, tokens, resolve, timer }
-			this.waiters.push(waiter)
-			void this.draw()
-		})
+	/** This box draws, or would if it had claimed the right to, and the store seems to answer. */
+	private get mayDraw(): boolean {
+		if (!this.claimed) return this.options.isLender()
+		return this.record.reached
+	}
+
+	private get mayLend(): boolean {
+		return this.claimed || this.options.isLender()
+	}
+
+	/** Counts tokens as spent here, as many of those asked for as can be had. */
+	private async setAside(account: AccountName, tokens: number): Promise<number> {
+		const { book } = this
+		const isShort = book.free(account) < tokens && !this.isSpent(account, tokens)
+		if (isShort && this.mayDraw) {
+			const result = await this.waitForDraw(account, tokens, LEND_WAIT_MS)
+			if (result === 'reserved') return tokens
+		}
+		return book.lend(account, tokens)
+	}
+
+	private waitForDraw(account: AccountName, tokens: number, ms: number): Promise<ReserveResult> {
+		const result = this.waiters.wait(account, tokens, ms)
+		void this.draw()
+		return result
+	}
+
+	private lendersOf(account: AccountName): readonly string[] {
+		if (!this.claimed) return this.options.lenderAddresses(account)
+		return richestBoxes(this.record.row, account, this.options.box).map((draws) => draws.address)
+	}
+
+	/** Boxes that have ever drawn. */
+	private get drawers(): number {
+		return Math.max(1, Object.keys(this.record.row.boxes).length)
 	}
 
 	private async claimOnce(): Promise<boolean> {
@@ -246,7 +282,7 @@
 			await this.options.sleep(this.options.random() * CLAIM_CONFLICT_PAUSE_MS)
 			return this.claimOnce()
 		}
-		this.book = new AllowanceBook(spent)
+		this.book.claim(spent)
 		this.logClaim(found.right, sum(before?.drawn), sum(spent))
 		void this.draw()
 		return true
@@ -276,7 +312,7 @@
 	}
 
 	private needsDraw(): boolean {
-		const boxes = this.boxes
+		const boxes = this.drawers
 		return this.views().some((view) => {
 			if (view.frozen) return true
 			const undrawn = this.undrawn(view)
@@ -291,7 +327,7 @@
 	}
 
 	private markOf(view: AllowanceView): number {
-		return nextMark(view, this.undrawn(view), this.boxes)
+		return nextMark(view, this.undrawn(view), this.drawers)
 	}
 
 	private undrawn(view: AllowanceView): number {
@@ -307,7 +343,11 @@
 
 	/** Draws for all accounts at once; one draw at a time. */
 	private async draw(): Promise<void> {
-		if (!this.claimed || this.closed) return
+		if (this.closed) return
+		if (!this.claimed) {
+			if (this.options.isLender()) void this.claim()
+			return
+		}
 		if (this.drawing) {
 			this.drawAgain = true
 			return
@@ -323,10 +363,9 @@
 	private async drawForWaiters(): Promise<void> {
 		do {
 			this.drawAgain = false
-			const served = this.waiters.length
+			const served = this.waiters.count
 			const fault = await this.replenish()
-			if (fault) this.answerWaiters(this.waiters.length)
-			else this.answerWaiters(served)
+			this.answerWaiters(fault ? this.waiters.count : served)
 		} while (this.drawAgain && this.record.reached)
 	}
 
@@ -340,44 +379,32 @@
 	}
 
 	private waitersLackDraws(): boolean {
-		const waiting = this.waitingTokens()
+		const waiting = this.waiters.tokens()
 		return this.views().some((view) => (waiting[view.account] ?? 0) > view.held)
 	}
 
-	private waitingTokens(): Record<AccountName, number> {
-		const waiting: Record<AccountName, number> = {}
-		for (const { account, tokens } of this.waiters)
-			waiting[account] = (waiting[account] ?? 0) + tokens
-		return waiting
-	}
-
 	private async writeMarks(): Promise<StoreFault | undefined> {
-		const waiting = this.waitingTokens()
+		const waiting = this.waiters.tokens()
 		const marks: Record<AccountName, number> = {}
 		for (const view of this.views()) {
 			const needed = view.floor + (waiting[view.account] ?? 0)
 			marks[view.account] = Math.max(this.markOf(view), Math.min(needed, view.drawn), view.floor)
 		}
 		for (const [account, mark] of Object.entries<number>(marks))
-			this.book?.lowerMark(account as AccountName, mark)
+			this.book.lowerMark(account as AccountName, mark)
 		const result = await this.promise.write(marks)
-		this.book?.setPromiseOver(this.promise.isOver)
+		this.book.setPromiseOver(this.promise.isOver)
 		if (E.isLeft(result)) return this.record.noteFault(result.left)
 		for (const [account, mark] of Object.entries<number>(marks))
-			this.book?.confirmMark(account as AccountName, mark)
+			this.book.confirmMark(account as AccountName, mark)
 		return undefined
 	}
 
-	/** Gives the first `count` waiters their result; those that came later wait for the next draw. */
 	private answerWaiters(count: number): void {
-		const served = this.waiters.slice(0, count)
-		this.waiters = this.waiters.slice(count)
-		for (const waiter of served) {
-			clearTimeout(waiter.timer)
-			if (this.book?.reserve(waiter.account, waiter.tokens)) waiter.resolve('reserved')
-			else if (this.isSpent(waiter.account, waiter.tokens)) waiter.resolve('spent')
-			else waiter.resolve('unknown')
-		}
+		this.waiters.answer(count, (account, tokens) => {
+			if (this.book.reserve(account, tokens)) return 'reserved'
+			return this.isSpent(account, tokens) ? 'spent' : 'unknown'
+		})
 	}
 
 	private async writeDraw(giveBack: boolean): Promise<StoreFault | undefined> {
@@ -403,18 +430,18 @@
 			address,
 			budgets: this.budgets,
 			views: this.views(),
-			waiting: this.waitingTokens(),
+			waiting: this.waiters.tokens(),
 			giveBack,
 		})
 	}
 
 	private lower(next: AllowanceRow): void {
-		for (const [account, drawn] of this.ownDraws(next)) this.book?.lower(account, drawn)
+		for (const [account, drawn] of this.ownDraws(next)) this.book.lower(account, drawn)
 	}
 
 	private confirm(next: AllowanceRow): void {
 		for (const [account, drawn] of this.ownDraws(next))
-			this.book?.confirm(account, drawn, next.budgetsAt)
+			this.book.confirm(account, drawn, next.budgetsAt)
 		this.options.metrics.count('stallwing_draws_total')
 		this.options.log({
 			name: 'allowance-drawn',
--- a/packages/gateway/src/lib/Documents.ts
+++ b/packages/gateway/src/lib/Documents.ts
@@ -17,6 +17,8 @@
 	readonly allowanceKey: string
 	/** Below it lies one record for each box. */
 	readonly markPrefix: string
+	/** Below it lies one item for each box of the fleet. */
+	readonly boxPrefix: string
 	readConfig(value: Buffer): E.Either<UnreadableDocument, TrafficConfig>
 	readTarget(item: StoreItem): E.Either<UnreadableDocument, TargetEntry>
 }
--- /dev/null
+++ b/packages/gateway/src/lib/DrawWaiters.ts
@@ -0,0 +1,51 @@
+import type { AccountName } from '@stallwing/core'
+
+/** Whether tokens were set aside: `spent` is certain, `unknown` may change soon. */
+export type ReserveResult = 'reserved' | 'spent' | 'unknown'
+
+/** A request that waits for the next draw. */
+interface Waiter {
+	readonly account: AccountName
+	readonly tokens: number
+	readonly resolve: (result: ReserveResult) => void
+	readonly timer: NodeJS.Timeout
+}
+
+/** Requests that wait for a draw, in order of arrival. */
+export class DrawWaiters {
+	private waiters: Waiter[] = []
+
+	get count(): number {
+		return this.waiters.length
+	}
+
+	/** Waits for {@link answer}, at most for a time. */
+	wait(account: AccountName, tokens: number, ms: number): Promise<ReserveResult> {
+		return new Promise((resolve) => {
+			const timer = setTimeout(() => {
+				this.waiters = this.waiters.filter((entry) => entry !== waiter)
+				resolve('unknown')
+			}, ms)
+			const waiter: Waiter = { account, tokens, resolve, timer }
+			this.waiters.push(waiter)
+		})
+	}
+
+	/** Tokens that are waited for, by account. */
+	tokens(): Record<AccountName, number> {
+		const waiting: Record<AccountName, number> = {}
+		for (const { account, tokens } of this.waiters)
+			waiting[account] = (waiting[account] ?? 0) + tokens
+		return waiting
+	}
+
+	/** Gives the first `count` waiters their result; those that came later wait for the next draw. */
+	answer(count: number, resultFor: (account: AccountName, tokens: number) => ReserveResult): void {
+		const served = this.waiters.slice(0, count)
+		this.waiters = this.waiters.slice(count)
+		for (const waiter of served) {
+			clearTimeout(waiter.timer)
+			waiter.resolve(resultFor(waiter.account, waiter.tokens))
+		}
+	}
+}
--- /dev/null
+++ b/packages/gateway/src/lib/FleetRoster.ts
@@ -0,0 +1,151 @@
+import {
+	brandId,
+	lendersFor,
+	lendersOfZone,
+	type AccountName,
+	type BoxName,
+	type FleetMember,
+	type LogEvent,
+	type ZoneName,
+} from '@stallwing/core'
+import type { KeyValueStore, StoreFault, StoreItem } from '@stallwing/store'
+import * as E from 'fp-ts/lib/Either.js'
+
+/** What a {@link FleetRoster} works with. */
+export interface FleetRosterOptions {
+	readonly store: KeyValueStore
+	/** Below it lies one item for each box. */
+	readonly prefix: string
+	readonly self: FleetMember
+	readonly sleep: (ms: number) => Promise<void>
+	readonly random: () => number
+	readonly log: (event: LogEvent) => void
+}
+
+/** What one box tells the others of itself. */
+interface MemberDocument {
+	readonly zone: string
+	readonly address: string
+}
+
+const RETRY_MS = 250
+/** Time in which the boxes of a fleet that starts as a whole have written their items, in ms. */
+const JOIN_SETTLE_MS = 700
+const POLL_MS = 6_000
+const POLL_SPREAD_MS = 2_000
+/** Boxes that are assumed until the others are known: what is limited for the fleet is divided by them. */
+const BOXES_BEFORE_LISTED = 16
+
+/** The boxes of the fleet. Each writes one item of the store, once; none is removed when a box fails. */
+export class FleetRoster {
+	private members: readonly FleetMember[] = []
+	private stopped = false
+	/** True once the other boxes are known. */
+	listed = false
+	/** This box draws from the store for others. */
+	isLender = false
+	/** Answers of {@link lenderAddresses}, for as long as the members stay the same. */
+	private readonly lenders = new Map<AccountName, readonly string[]>()
+
+	constructor(private readonly options: FleetRosterOptions) {}
+
+	/** Joins, then keeps up with boxes that come later, until {@link stop}. */
+	async run(): Promise<void> {
+		const { sleep, random } = this.options
+		while (!this.stopped && !(await this.join())) await sleep(RETRY_MS)
+		while (!this.stopped) {
+			await sleep(POLL_MS + random() * POLL_SPREAD_MS)
+			const items = await this.options.store.listStale(this.options.prefix)
+			if (E.isRight(items)) this.adopt(items.right)
+		}
+	}
+
+	stop(): void {
+		this.stopped = true
+	}
+
+	/** Boxes of the fleet, also those that are away; never 0. */
+	get size(): number {
+		return this.listed ? Math.max(1, this.members.length) : BOXES_BEFORE_LISTED
+	}
+
+	/** Addresses of the boxes that this one asks for tokens, in order. */
+	lenderAddresses(account: AccountName): readonly string[] {
+		const known = this.lenders.get(account)
+		if (known) return known
+		const addresses = lendersFor(account, this.members, this.options.self.zone)
+			.filter((member) => member.box !== this.options.self.box)
+			.map((member) => member.address)
+		this.lenders.set(account, addresses)
+		return addresses
+	}
+
+	/** The other boxes. */
+	get others(): FleetMember[] {
+		return this.members.filter((member) => member.box !== this.options.self.box)
+	}
+
+	/** True once this box has written its item and knows the others. */
+	private async join(): Promise<boolean> {
+		const wasThere = await this.writeOwn()
+		if (wasThere === undefined) return false
+		if (!wasThere) await this.options.sleep(JOIN_SETTLE_MS)
+		const listing = await this.options.store.list(this.options.prefix)
+		if (E.isLeft(listing)) return this.logFault(listing.left)
+		this.adopt(listing.right.items)
+		this.listed = true
+		return true
+	}
+
+	/** Whether the item of this box was there already; undefined where that could not be found out. */
+	private async writeOwn(): Promise<boolean | undefined> {
+		const { store, prefix, self } = this.options
+		const key = `${prefix}${self.box}`
+		const value = encode(self)
+		const known = await store.read(key)
+		if (E.isLeft(known)) return this.logFault(known.left) || undefined
+		if (known.right?.value.equals(value)) return true
+		const written = await store.write(key, value, known.right?.revision ?? 0)
+		if (E.isLeft(written)) return this.logFault(written.left) || undefined
+		return written.right.kind === 'written' ? false : undefined
+	}
+
+	private adopt(items: readonly StoreItem[]): void {
+		const members = items.flatMap((item) => decode(item, this.options.prefix) ?? [])
+		const isSame = members.length === this.members.length
+		this.members = members
+		this.lenders.clear()
+		const { box, zone } = this.options.self
+		this.isLender = lendersOfZone(members, zone).some((member) => member.box === box)
+		if (isSame) return
+		this.options.log({
+			name: 'fleet-changed',
+			fields: { boxes: members.length, lender: this.isLender },
+		})
+	}
+
+	private logFault(fault: StoreFault): false {
+		this.options.log({ name: 'fleet-unknown', fields: { fault: fault.kind } })
+		return false
+	}
+}
+
+function encode({ zone, address }: FleetMember): Buffer {
+	const document: MemberDocument = { zone, address }
+	return Buffer.from(JSON.stringify(document))
+}
+
+/** Undefined where an item can't be read: that box is left out. */
+function decode(item: StoreItem, prefix: string): FleetMember | undefined {
+	try {
+		const document = JSON.parse(item.value.toString('utf8')) as Partial<MemberDocument>
+		if (typeof document.zone !== 'string' || typeof document.address !== 'string') return undefined
+		return {
+			box: brandId<BoxName>(item.key.slice(prefix.length)),
+			zone: brandId<ZoneName>(document.zone),
+			address: document.address,
+		}
+	} catch {
+		return undefined
+	}
+}
--- a/packages/gateway/src/lib/Gateway.test.ts
+++ b/packages/gateway/src/lib/Gateway.test.ts
@@ -135,6 +135,7 @@
 			targetsPrefix: 'targets/',
 			allowanceKey: 'allowance',
 			markPrefix: 'mark/',
+			boxPrefix: 'box/',
 			readConfig: (value) => readConfig(value.toString()),
 			readTarget: (item) => E.right(JSON.parse(item.value.toString()) as TargetEntry),
 		},
--- a/packages/gateway/src/lib/Gateway.ts
+++ b/packages/gateway/src/lib/Gateway.ts
@@ -26,6 +26,7 @@
 import type { Documents } from './Documents.js'
 import { Exchange } from './Exchange.js'
 import type { GatewayContext, TrafficInForce } from './GatewayContext.js'
+import { FleetRoster } from './FleetRoster.js'
 import { PeerClient } from './PeerClient.js'
 import { PeerServer } from './PeerServer.js'
 import { TargetDirectory } from './TargetDirectory.js'
@@ -87,6 +88,7 @@
 	private readonly pools: TargetPools
 	private readonly targets: TargetDirectory
 	private readonly repeatBudgets = new Map<ServiceName, RepeatBudget>()
+	private readonly roster: FleetRoster
 	private readonly allowance: AllowanceClient
 	private readonly context: GatewayContext
 	private readonly callers: Server
@@ -99,13 +101,24 @@
 	private wasReady = false
 
 	constructor(private readonly options: GatewayOptions) {
+		const address = `${options.listen.peers.host}:${options.listen.peers.port}`
+		this.roster = new FleetRoster({
+			store: options.store,
+			prefix: options.documents.boxPrefix,
+			self: { box: options.box, zone: options.zone, address },
+			sleep,
+			random: options.random,
+			log: options.log,
+		})
 		this.allowance = new AllowanceClient({
 			store: options.store,
 			key: options.documents.allowanceKey,
 			markKey: `${options.documents.markPrefix}${options.box}`,
 			box: options.box,
 			holder: options.incarnation,
-			address: `${options.listen.peers.host}:${options.listen.peers.port}`,
+			address,
+			isLender: () => this.roster.isLender,
+			lenderAddresses: (account) => this.roster.lenderAddresses(account),
 			lenders: new PeerClient(options.now),
 			metrics: options.metrics,
 			now: options.now,
@@ -131,13 +144,13 @@
 		this.readiness = createServer((message, response) => this.answerReadiness(message, response))
 		this.peers = new PeerServer({
 			lend: (account, tokens) => this.allowance.lend(account, tokens),
-			accept: (account, tokens) => this.allowance.accept(account, tokens),
+			accept: (account, tokens, budgetsAt) => this.allowance.accept(account, tokens, budgetsAt),
 			isOpen: () => !this.context.stopping,
 		})
 		this.workSharing = new WorkSharing({
 			box: options.box,
 			board: this.board,
-			peers: () => this.allowance.peerAddresses(),
+			peers: () => this.roster.others.map((member) => member.address),
 			now: options.now,
 		})
 		this.followers = [this.followConfig(), this.followTargets()]
@@ -146,7 +159,8 @@
 	/** True where this box can serve callers. */
 	get ready(): boolean {
 		const { traffic, stopping } = this.context
-		return traffic !== undefined && this.targets.listed && this.allowance.claimed && !stopping
+		const knowsFleet = this.roster.listed && this.allowance.ready
+		return traffic !== undefined && this.targets.listed && knowsFleet && !stopping
 	}
 
 	/** Starts to listen and to follow the store. @throws where an address can't be listened on. */
@@ -156,7 +170,7 @@
 		await this.peers.listen(this.options.listen.peers)
 		await this.workSharing.start(this.options.listen.peers)
 		for (const follower of this.followers) void follower.run()
-		void this.allowance.claim()
+		void this.roster.run()
 		this.timers.push(setInterval(() => void this.allowance.maintain(), MAINTAIN_MS))
 		this.timers.push(setInterval(() => this.sweep(), SWEEP_MS))
 		return { callers, readiness }
@@ -182,6 +196,7 @@
 		this.peers.close()
 		this.pools.close()
 		for (const follower of this.followers) follower.stop()
+		this.roster.stop()
 		for (const timer of this.timers) clearInterval(timer)
 		this.workSharing.stop()
 		this.options.log({ name: 'stop-done', fields: { open: this.open } })
@@ -244,7 +259,7 @@
 			pool: (target) => this.pools.of(target),
 			isFull: (target) => this.isFull(target),
 			repeats: (service) => this.repeats(service),
-			boxes: () => this.allowance.boxes,
+			boxes: () => this.roster.size,
 		}
 	}
 
@@ -364,7 +379,7 @@
 		const service = this.board.serviceOf(target)
 		if (!service) return false
 		const most = this.context.traffic?.index.service(service)?.maxConnections ?? Infinity
-		const share = Math.max(1, Math.floor(most / this.allowance.boxes))
+		const share = Math.max(1, Math.floor(most / this.roster.size))
 		return this.pools.inUse(target) >= share
 	}
 
--- a/packages/gateway/src/lib/PeerClient.ts
+++ b/packages/gateway/src/lib/PeerClient.ts
@@ -1,32 +1,40 @@
 import type { AccountName } from '@stallwing/core'
 import { HttpCaller } from '@stallwing/store'
-import type { Lenders } from './TokenLending.js'
+import { NOTHING_LENT, type LendAnswer, type Lenders } from './TokenLending.js'
 import { ACCEPT_PATH, LEND_PATH, OPEN_PATH } from './PeerServer.js'
 
-const ASK_MS = 120
+const ASK_MS = 160
 const CONNECTIONS = 4
-/** Time for which a box that did not answer is not asked again, in ms. */
-const AVOID_MS = 1_500
+/** Time for which a box that did not answer is not asked again, in ms; doubled at each further one. */
+const FIRST_AVOID_MS = 1_500
+const LONGEST_AVOID_MS = 12_000
+
+/** A box that did not answer. */
+interface Avoided {
+	readonly until: number
+	readonly pauseMs: number
+}
 
 /** Asks other boxes. */
 export class PeerClient implements Lenders {
 	private readonly callers = new Map<string, HttpCaller>()
-	private readonly avoidUntil = new Map<string, number>()
+	private readonly avoided = new Map<string, Avoided>()
 
 	constructor(private readonly now: () => number) {}
 
-	async ask(address: string, account: AccountName, tokens: number): Promise<number> {
-		if ((this.avoidUntil.get(address) ?? 0) > this.now()) return 0
+	async ask(address: string, account: AccountName, tokens: number): Promise<LendAnswer> {
+		if (this.isAvoided(address)) return NOTHING_LENT
 		const query = new URLSearchParams({ account, tokens: String(Math.ceil(tokens)) })
 		try {
 			const path = `${LEND_PATH}?${query}`
 			const reply = await this.caller(address).send({ method: 'POST', path, timeoutMs: ASK_MS })
-			const body = JSON.parse(reply.text) as { lent?: unknown }
-			return typeof body.lent === 'number' && reply.status === 200 ? body.lent : 0
+			if (reply.status !== 200) throw new Error(`status ${reply.status}`)
+			this.avoided.delete(address)
+			return readLendAnswer(reply.text)
 		} catch {
 			// Tokens of a lost answer stay counted as spent at the lender: nobody can spend them.
-			this.avoidUntil.set(address, this.now() + AVOID_MS)
-			return 0
+			this.avoid(address)
+			return NOTHING_LENT
 		}
 	}
 
@@ -34,8 +42,17 @@
 		return (await this.statusOf(address, 'GET', OPEN_PATH)) === 200
 	}
 
-	async give(address: string, account: AccountName, tokens: number): Promise<boolean> {
-		const query = new URLSearchParams({ account, tokens: String(tokens) })
+	async give(
+		address: string,
+		account: AccountName,
+		tokens: number,
+		budgetsAt: number,
+	): Promise<boolean> {
+		const query = new URLSearchParams({
+			account,
+			tokens: String(tokens),
+			budgetsAt: String(budgetsAt),
+		})
 		return (await this.statusOf(address, 'POST', `${ACCEPT_PATH}?${query}`)) === 200
 	}
 
@@ -52,6 +69,17 @@
 		}
 	}
 
+	private isAvoided(address: string): boolean {
+		return (this.avoided.get(address)?.until ?? 0) > this.now()
+	}
+
+	private avoid(address: string): void {
+		if (this.isAvoided(address)) return
+		const before = this.avoided.get(address)?.pauseMs ?? FIRST_AVOID_MS / 2
+		const pauseMs = Math.min(LONGEST_AVOID_MS, before * 2)
+		this.avoided.set(address, { until: this.now() + pauseMs, pauseMs })
+	}
+
 	private caller(address: string): HttpCaller {
 		const known = this.callers.get(address)
 		if (known) return known
@@ -61,3 +89,10 @@
 		return caller
 	}
 }
+
+function readLendAnswer(text: string): LendAnswer {
+	const body = JSON.parse(text) as Partial<Record<keyof LendAnswer, unknown>>
+	const lent = typeof body.lent === 'number' ? body.lent : 0
+	const budgetsAt = typeof body.budgetsAt === 'number' ? body.budgetsAt : 0
+	return { lent, spent: body.spent === true, budgetsAt }
+}
--- a/packages/gateway/src/lib/PeerServer.ts
+++ b/packages/gateway/src/lib/PeerServer.ts
@@ -1,5 +1,6 @@
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http'
 import { brandId, type AccountName } from '@stallwing/core'
+import type { LendAnswer } from './TokenLending.js'
 import { listenOn, type ListenAddress } from './listenOn.js'
 
 /** Path on which a box asks another for tokens. */
@@ -11,10 +12,10 @@
 
 /** What other boxes may ask of this one. */
 export interface PeerHandlers {
-	/** Hands over tokens of an account; says how many. */
-	lend(account: AccountName, tokens: number): number
-	/** Takes tokens over; false where this box can't. */
-	accept(account: AccountName, tokens: number): boolean
+	/** Hands over tokens of an account; undefined where this box has given back all that it held. */
+	lend(account: AccountName, tokens: number): Promise<LendAnswer | undefined>
+	/** Takes tokens over that were held under the configuration of a revision; false where this box can't. */
+	accept(account: AccountName, tokens: number, budgetsAt: number): boolean
 	/** Whether this box would take tokens over. */
 	isOpen(): boolean
 }
@@ -24,8 +25,9 @@
 	private readonly server: Server
 
 	constructor(private readonly handlers: PeerHandlers) {
-		this.server = createServer({ keepAlive: true }, (message, response) =>
-			this.handle(message, response),
+		this.server = createServer(
+			{ keepAlive: true },
+			(message, response) => void this.handle(message, response),
 		)
 	}
 
@@ -38,7 +40,12 @@
 		this.server.closeAllConnections()
 	}
 
-	private handle(message: IncomingMessage, response: ServerResponse): void {
+	private accept(account: AccountName, tokens: number, url: URL): boolean {
+		const budgetsAt = Number(url.searchParams.get('budgetsAt'))
+		return Number.isSafeInteger(budgetsAt) && this.handlers.accept(account, tokens, budgetsAt)
+	}
+
+	private async handle(message: IncomingMessage, response: ServerResponse): Promise<void> {
 		const url = new URL(message.url ?? '/', 'http://box')
 		if (url.pathname === OPEN_PATH) {
 			response.writeHead(this.handlers.isOpen() ? 200 : 503).end()
@@ -51,13 +58,17 @@
 			return
 		}
 		if (message.method === 'POST' && url.pathname === LEND_PATH)
-			sendJson(response, 200, { lent: this.handlers.lend(account, tokens) })
+			sendLent(response, await this.handlers.lend(account, tokens))
 		else if (message.method === 'POST' && url.pathname === ACCEPT_PATH)
-			sendJson(response, this.handlers.accept(account, tokens) ? 200 : 503, {})
+			sendJson(response, this.accept(account, tokens, url) ? 200 : 503, {})
 		else response.writeHead(404).end()
 	}
 }
 
-function sendJson(response: ServerResponse, status: number, body: unknown): void {
+function sendLent(response: ServerResponse, answer: LendAnswer | undefined): void {
+	sendJson(response, answer ? 200 : 503, answer ?? {})
+}
+
+function sendJson(response: ServerResponse, status: number, body: object): void {
 	response.writeHead(status, { 'Content-Type': 'application/json' }).end(JSON.stringify(body))
 }
--- a/packages/gateway/src/lib/TokenLending.ts
+++ b/packages/gateway/src/lib/TokenLending.ts
@@ -1,21 +1,34 @@
-import type { AccountName, AllowanceBook, AllowanceRow, BoxName, LogEvent } from '@stallwing/core'
+import type { AccountName, AllowanceBook, LogEvent } from '@stallwing/core'
+import type { ReserveResult } from './DrawWaiters.js'
+
+/** What a box answers that was asked for tokens. */
+export interface LendAnswer {
+	/** Tokens that were handed over: as many as were asked for, or fewer. */
+	readonly lent: number
+	/** What is left of the budget can't hold what was asked for, wherever it lies. */
+	readonly spent: boolean
+	/** Store revision of the configuration under which the lender held the tokens. */
+	readonly budgetsAt: number
+}
+
+/** The answer of a box that has nothing, or does not answer. */
+export const NOTHING_LENT: LendAnswer = { lent: 0, spent: false, budgetsAt: 0 }
 
 /** Calls to other boxes about tokens. */
 export interface Lenders {
-	/** Tokens that one box hands over; 0 where it has none or does not answer. */
-	ask(address: string, account: AccountName, tokens: number): Promise<number>
+	/** Asks one box to hand tokens over; {@link NOTHING_LENT} where it does not answer. */
+	ask(address: string, account: AccountName, tokens: number): Promise<LendAnswer>
 	/** Whether a box answers at all. */
 	isOpen(address: string): Promise<boolean>
 	/** Gives tokens to one box. False: it may not have got them, and nobody else may get them. */
-	give(address: string, account: AccountName, tokens: number): Promise<boolean>
+	give(address: string, account: AccountName, tokens: number, budgetsAt: number): Promise<boolean>
 }
 
 /** What {@link TokenLending} works with. */
 export interface TokenLendingOptions {
-	readonly box: BoxName
 	readonly lenders: Lenders
-	/** The shared record of draws, as this box last saw it. */
-	readonly row: () => AllowanceRow
+	/** Addresses of the boxes to be asked for tokens of an account, in order. */
+	readonly order: (account: AccountName) => readonly string[]
 	readonly log: (event: LogEvent) => void
 }
 
@@ -29,27 +42,24 @@
 export class TokenLending {
 	constructor(private readonly options: TokenLendingOptions) {}
 
-	/** Addresses of the other boxes that have ever drawn. */
-	peerAddresses(): string[] {
-		return this.others().map(([, draws]) => draws.address)
-	}
-
-	/** Gathers what is missing from other boxes, the richest first. True where it was reserved. */
-	async borrow(book: AllowanceBook, account: AccountName, tokens: number): Promise<boolean> {
-		for (const address of this.richest(account)) {
+	/** Gathers what is missing from other boxes, in order, and sets it aside. */
+	async borrow(book: AllowanceBook, account: AccountName, tokens: number): Promise<ReserveResult> {
+		for (const address of this.order(account)) {
 			const missing = tokens - Math.max(0, book.free(account))
-			if (missing > 0) await this.borrowFrom(book, address, account, missing)
-			if (book.reserve(account, tokens)) return true
-			if (book.isClosed) return false
+			const answer =
+				missing > 0 ? await this.borrowFrom(book, address, account, missing) : undefined
+			if (book.reserve(account, tokens)) return 'reserved'
+			if (answer?.spent) return 'spent'
+			if (book.isClosed) return 'unknown'
 		}
-		return false
+		return 'unknown'
 	}
 
-	/** Gives what is free of an account to the first box that answers: this one stops. */
-	async handOver(book: AllowanceBook, account: AccountName): Promise<void> {
+	/** Gives what is free of an account, under the configuration of a revision, to the first box that answers. */
+	async handOver(book: AllowanceBook, account: AccountName, budgetsAt: number): Promise<void> {
 		const tokens = book.handOver(account)
 		if (tokens === 0) return
-		const to = await this.giveToFirst(account, tokens)
+		const to = await this.giveToFirst(account, tokens, budgetsAt)
 		this.options.log({ name: 'allowance-handed-over', fields: { account, tokens, to } })
 	}
 
@@ -58,38 +68,29 @@
 		address: string,
 		account: AccountName,
 		missing: number,
-	): Promise<void> {
-		const lent = await this.options.lenders.ask(address, account, missing)
-		book.borrow(account, lent)
-		this.options.log({
-			name: 'allowance-borrowed',
-			fields: { account, lender: address, asked: missing, lent },
-		})
+	): Promise<LendAnswer> {
+		const answer = await this.options.lenders.ask(address, account, missing)
+		book.borrow(account, answer.lent, answer.budgetsAt)
+		const fields = { account, lender: address, asked: missing, ...answer }
+		this.options.log({ name: 'allowance-borrowed', fields })
+		return answer
 	}
 
 	/** The box that took the tokens, or an empty text. A box that did not answer may have them. */
-	private async giveToFirst(account: AccountName, tokens: number): Promise<string> {
+	private async giveToFirst(
+		account: AccountName,
+		tokens: number,
+		budgetsAt: number,
+	): Promise<string> {
 		const { lenders } = this.options
-		for (const address of this.richest(account)) {
+		for (const address of this.order(account)) {
 			if (!(await lenders.isOpen(address))) continue
-			return (await lenders.give(address, account, tokens)) ? address : ''
+			return (await lenders.give(address, account, tokens, budgetsAt)) ? address : ''
 		}
 		return ''
 	}
 
-	/** Addresses of other boxes, by the tokens that they seemed to hold when they last wrote. */
-	private richest(account: AccountName): string[] {
-		return this.others()
-			.map(([, draws]) => ({
-				address: draws.address,
-				held: (draws.drawn[account] ?? 0) - (draws.spent[account] ?? 0),
-			}))
-			.sort((a, b) => b.held - a.held)
-			.slice(0, MOST_LENDERS)
-			.map((entry) => entry.address)
-	}
-
-	private others() {
-		return Object.entries(this.options.row().boxes).filter(([box]) => box !== this.options.box)
+	private order(account: AccountName): readonly string[] {
+		return this.options.order(account).slice(0, MOST_LENDERS)
 	}
 }
--- a/packages/gateway/src/lib/TokenReservation.ts
+++ b/packages/gateway/src/lib/TokenReservation.ts
@@ -1,5 +1,6 @@
 import type { AccountName } from '@stallwing/core'
-import type { AllowanceClient, ReserveResult } from './AllowanceClient.js'
+import type { AllowanceClient } from './AllowanceClient.js'
+import type { ReserveResult } from './DrawWaiters.js'
 
 /** The tokens set aside for one request; settled exactly once. */
 export class TokenReservation {
