Large answers over small links; requests borrowed for together; strict about lowered budgets

Now a call ends when the next bytes stay away for its time, at most 20 times that. - a box whose neighbours could not vouch for silence went back to them each time, the store's turn came each 3.4 s. Requests are now asked for together, with half a second of demand in advance while the budget is far from its end; a late time-out of a busy box says nothing of the other. Work under way at targets is gathered by lenders in fleets of more than 13 boxes and comes back with their answers.

--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -171,6 +171,7 @@
 	drawnByOthers,
 	spentByOthers,
 	type AllowanceRow,
+	isOverBudget,
 	richestBoxes,
 	secondsToEnd,
 } from './lib/allowance/AllowanceRow.js'
@@ -182,6 +183,7 @@
 	type SpendingMark,
 } from './lib/allowance/SpendingMark.js'
 export {
+	allLenders,
 	lendersFor,
 	lendersOfZone,
 	type FleetMember,
--- a/packages/core/src/lib/allowance/AllowanceBook.ts
+++ b/packages/core/src/lib/allowance/AllowanceBook.ts
@@ -19,6 +19,8 @@
 	loweredAt: number
 	/** What reservations free is lost: it may lie above a budget that was lowered meanwhile. */
 	losesRefunds: boolean
+	/** All draws together lie above a budget that was lowered: what reservations free is given up. */
+	isOver: boolean
 	readonly demand: DemandMeter
 }
 
@@ -87,7 +89,10 @@
 	settle(account: AccountName, reserved: number, charged: number): void {
 		assertInvariant(charged <= reserved, 'slice-not-overdrawn', { account, reserved, charged })
 		const allowance = this.allowance(account)
-		if (!allowance.losesRefunds) allowance.used -= reserved - charged
+		const refund = reserved - charged
+		if (allowance.losesRefunds) return
+		allowance.used -= refund
+		if (allowance.isOver) allowance.drawn -= refund
 	}
 
 	/** True once nothing is reserved any more. */
@@ -144,13 +149,14 @@
 
 	/**
 	 * A write with this draw succeeded, made under the configuration of a revision. Reading the draw is
-	 * not enough: an older write may still land.
+	 * not enough: an older write may still land. `isOver`: all draws together lie above the budget.
 	 */
-	confirm(account: AccountName, drawn: number, budgetsAt: number): void {
+	confirm(account: AccountName, drawn: number, budgetsAt: number, isOver: boolean): void {
 		const allowance = this.allowance(account)
 		const floor = allowance.spentBefore + allowance.used
 		assertInvariant(drawn >= floor, 'slice-not-overdrawn', { account, drawn, floor })
 		allowance.drawn = drawn
+		allowance.isOver = isOver
 		if (budgetsAt >= allowance.frozenUntil) allowance.frozenUntil = 0
 	}
 
@@ -224,6 +230,7 @@
 			frozenUntil: 0,
 			loweredAt: 0,
 			losesRefunds: false,
+			isOver: false,
 			demand: new DemandMeter(),
 		}
 		this.accounts.set(account, fresh)
--- a/packages/core/src/lib/allowance/AllowanceRow.ts
+++ b/packages/core/src/lib/allowance/AllowanceRow.ts
@@ -48,6 +48,13 @@
 	return sum
 }
 
+/** True where all draws of an account together lie above its budget, which was lowered. @public */
+export function isOverBudget(row: AllowanceRow, account: AccountName): boolean {
+	let sum = 0
+	for (const draws of Object.values<BoxDraws>(row.boxes)) sum += draws.drawn[account] ?? 0
+	return sum > (row.budgets[account] ?? 0)
+}
+
 /** Other boxes that have drawn of an account, by what they seemed to hold when they last wrote. @public */
 export function richestBoxes(row: AllowanceRow, account: AccountName, except: BoxName): BoxDraws[] {
 	const held = (draws: BoxDraws) => (draws.drawn[account] ?? 0) - (draws.spent[account] ?? 0)
--- a/packages/core/src/lib/allowance/chooseLenders.ts
+++ b/packages/core/src/lib/allowance/chooseLenders.ts
@@ -23,6 +23,12 @@
 	return ranked(zone, ofZone).slice(0, LENDERS_PER_ZONE)
 }
 
+/** The lenders of all zones. @public */
+export function allLenders(members: readonly FleetMember[]): FleetMember[] {
+	const zones = new Set(members.map((member) => member.zone))
+	return [...zones].flatMap((zone) => lendersOfZone(members, zone))
+}
+
 /**
  * Boxes that a box asks for tokens of an account, in order. In a zone all boxes begin with the same
  * lender of an account, so that its tokens lie together.
--- a/packages/core/src/lib/placement/TargetBoard.test.ts
+++ b/packages/core/src/lib/placement/TargetBoard.test.ts
@@ -118,4 +118,17 @@
 		const even = board.choose(query(), 10)!
 		expect(even.cost.ms).toBeLessThan(100)
 	})
+
+	it('sums the work of the boxes that are asked for, while their word is fresh', () => {
+		const board = new TargetBoard()
+		board.replace([entry('a')], 0)
+		const row = (open: number) => [
+			{ target: brandId<TargetName>('a'), unreadTokens: 100 * open, open },
+		]
+		board.notePeerWork(brandId<BoxName>('box-1'), row(1), 0)
+		board.notePeerWork(brandId<BoxName>('box-2'), row(2), 0)
+		expect(board.workOf(() => true, 10)).toEqual(row(3))
+		expect(board.workOf((box) => box === 'box-2', 10)).toEqual(row(2))
+		expect(board.workOf(() => true, 5_000)).toEqual([])
+	})
 })
--- a/packages/core/src/lib/placement/TargetBoard.ts
+++ b/packages/core/src/lib/placement/TargetBoard.ts
@@ -2,7 +2,12 @@
 import type { BoxName, ServiceName, TargetName, ZoneName } from '../ids.js'
 import { worstCaseTokens, type StatedWork } from '../traffic/StatedWork.js'
 import type { Millis } from '../units.js'
-import { placementCost, type PlacementCost, type PlacementRequest } from './placementCost.js'
+import {
+	isFreshWork,
+	placementCost,
+	type PlacementCost,
+	type PlacementRequest,
+} from './placementCost.js'
 import { promptChains } from './PromptIndex.js'
 import type { TargetEntry, TargetLoad } from './TargetEntry.js'
 import { TargetState, type AttemptVerdict, type OpenAttempt } from './TargetState.js'
@@ -92,14 +97,22 @@
 		return this.targets.size
 	}
 
-	/** Work that this box has under way, by target: what it tells other boxes. */
-	ownWork(): TargetWork[] {
+	/**
+	 * Work under way by target: that of this box, and what it lately heard of the other boxes that are
+	 * asked for.
+	 */
+	workOf(includes: (box: BoxName) => boolean, now: Millis): TargetWork[] {
 		const rows: TargetWork[] = []
 		for (const state of this.targets.values()) {
-			if (state.open.size === 0) continue
 			let unreadTokens = 0
+			let open = state.open.size
 			for (const attempt of state.open) if (!attempt.answered) unreadTokens += attempt.unreadTokens
-			rows.push({ target: state.entry.name, unreadTokens, open: state.open.size })
+			for (const [box, work] of state.peerWork) {
+				if (!includes(box) || !isFreshWork(work, now)) continue
+				unreadTokens += work.unreadTokens
+				open += work.open
+			}
+			if (open > 0) rows.push({ target: state.entry.name, unreadTokens, open })
 		}
 		return rows
 	}
--- a/packages/core/src/lib/placement/placementCost.ts
+++ b/packages/core/src/lib/placement/placementCost.ts
@@ -125,7 +125,12 @@
 }
 
 function freshPeerWork(target: TargetState, now: Millis): PeerWork[] {
-	return [...target.peerWork.values()].filter((work) => now - work.at < PEER_WORK_MS)
+	return [...target.peerWork.values()].filter((work) => isFreshWork(work, now))
+}
+
+/** True where the word of another box still counts. */
+export function isFreshWork(work: PeerWork, now: Millis): boolean {
+	return now - work.at < PEER_WORK_MS
 }
 
 function plainServiceMs(target: TargetState, plainMs: Millis, now: Millis): Millis {
--- a/packages/gateway/src/lib/AllowanceClient.test.ts
+++ b/packages/gateway/src/lib/AllowanceClient.test.ts
@@ -182,9 +182,9 @@
 			return entry && !entry.dead ? entry.client : undefined
 		}
 		return {
-			ask: async (address, account, tokens) => {
+			ask: async (address, account, request) => {
 				await sleep(2)
-				const answer = (await other(address)?.lend(account, tokens)) ?? NOTHING_LENT
+				const answer = (await other(address)?.lend(account, request)) ?? NOTHING_LENT
 				await sleep(2)
 				const isLost = this.losesAnswers && this.answers++ % 7 === 6
 				return isLost ? NOTHING_LENT : answer
--- a/packages/gateway/src/lib/AllowanceClient.ts
+++ b/packages/gateway/src/lib/AllowanceClient.ts
@@ -3,6 +3,7 @@
 	drawnByOthers,
 	isDrawOff,
 	isMarkOff,
+	isOverBudget,
 	planClaim,
 	nextMark,
 	planDraw,
@@ -25,7 +26,13 @@
 import { AllowanceRecord } from './AllowanceRecord.js'
 import { DrawWaiters, type ReserveResult } from './DrawWaiters.js'
 import { SpendingPromise } from './SpendingPromise.js'
-import { NOTHING_LENT, TokenLending, type LendAnswer, type Lenders } from './TokenLending.js'
+import {
+	NOTHING_LENT,
+	TokenLending,
+	type LendAnswer,
+	type LendRequest,
+	type Lenders,
+} from './TokenLending.js'
 
 /** What an {@link AllowanceClient} works with. */
 export interface AllowanceClientOptions {
@@ -73,6 +80,9 @@
 const GIVE_BACK_TRIES = 2
 /** Longest wait of another box for a draw, in ms: shorter than its patience with this box. */
 const LEND_WAIT_MS = 70
+/** Time to the end of a budget above which tokens are lent in advance, in seconds, and their part. */
+const LEND_AHEAD_SECONDS = 8
+const LEND_AHEAD_PART = 0.1
 
 /** This box's part of the token budgets: draws from the store, and reservations from the draws. */
 export class AllowanceClient {
@@ -160,16 +170,17 @@
 	 * Hands tokens to another box, after a draw where this box holds too little. Undefined once this box
 	 * has given back what it held.
 	 */
-	async lend(account: AccountName, tokens: number): Promise<LendAnswer | undefined> {
+	async lend(account: AccountName, request: LendRequest): Promise<LendAnswer | undefined> {
 		const { book } = this
 		if (this.closed) return undefined
 		if (!this.mayLend) return NOTHING_LENT
-		book.noteDemand(account, tokens, this.options.now())
+		book.noteDemand(account, request.tokens, this.options.now())
 		book.setPromiseOver(this.promise.isOver)
-		const lent = await this.setAside(account, tokens)
-		const spent = lent < tokens && this.isSpent(account, tokens)
-		this.options.log({ name: 'allowance-lent', fields: { account, asked: tokens, lent, spent } })
-		return { lent, spent, budgetsAt: this.budgets.at }
+		const needed = await this.setAside(account, request.tokens)
+		const lent = needed < request.tokens ? needed : needed + this.lendAhead(account, request.ahead)
+		const left = this.leftAtMost(account)
+		this.options.log({ name: 'allowance-lent', fields: { account, ...request, lent, left } })
+		return { lent, left, budgetsAt: this.budgets.at }
 	}
 
 	/** Ends a reservation. */
@@ -248,6 +259,21 @@
 		return book.lend(account, tokens)
 	}
 
+	/** A small part of what is free, while the budget is far from its end. */
+	private lendAhead(account: AccountName, tokens: number): number {
+		const { book } = this
+		const view = book.view(account, this.options.now())
+		const { row } = this.record
+		const seconds = secondsToEnd(row, this.options.box, view, this.undrawn(view))
+		if (seconds < LEND_AHEAD_SECONDS) return 0
+		const lent = book.lend(
+			account,
+			Math.min(tokens, Math.max(0, Math.floor(view.free * LEND_AHEAD_PART))),
+		)
+		book.noteDemand(account, lent, this.options.now())
+		return lent
+	}
+
 	private waitForDraw(account: AccountName, tokens: number, ms: number): Promise<ReserveResult> {
 		const result = this.waiters.wait(account, tokens, ms)
 		void this.draw()
@@ -330,10 +356,16 @@
 	}
 
 	private isSpent(account: AccountName, tokens: number): boolean {
+		return tokens > this.leftAtMost(account)
+	}
+
+	/** What may be left of a budget, wherever it lies; Infinity where that can't be told. */
+	private leftAtMost(account: AccountName): number {
 		const budget = this.budgets.tokens[account]
-		if (budget === undefined || this.record.row.budgetsAt > this.budgets.at) return false
+		if (budget === undefined || this.record.row.budgetsAt > this.budgets.at)
+			return Number.POSITIVE_INFINITY
 		const others = spentByOthers(this.record.row, account, this.options.box)
-		return others + this.book.view(account, this.options.now()).floor + tokens > budget
+		return budget - others - this.book.view(account, this.options.now()).floor
 	}
 
 	/** Draws for all accounts at once; one draw at a time. */
@@ -451,7 +483,7 @@
 
 	private confirm(next: AllowanceRow): void {
 		for (const [account, drawn] of this.ownDraws(next))
-			this.book.confirm(account, drawn, next.budgetsAt)
+			this.book.confirm(account, drawn, next.budgetsAt, isOverBudget(next, account))
 		this.options.metrics.count('stallwing_draws_total')
 		this.options.log({
 			name: 'allowance-drawn',
--- a/packages/gateway/src/lib/FeedRelay.ts
+++ b/packages/gateway/src/lib/FeedRelay.ts
@@ -45,6 +45,8 @@
 const FRESH_MS = 4_500
 /** Time for which a box that did not answer is not asked, in ms. */
 const AVOID_MS = 2_000
+/** Time for which a box goes to the store itself after no other could tell, in ms. */
+const DIRECT_MS = 6_000
 /** Boxes that are asked before the store is. */
 const MOST_WATCHERS = 2
 /** Changes above this size are for the store to tell: the link of a box is small. */
@@ -66,6 +68,7 @@
 	private readonly feeds = new Map<string, Feed>()
 	private readonly avoidUntil = new Map<string, number>()
 	private turn = 0
+	private directUntil = Number.NEGATIVE_INFINITY
 
 	constructor(private readonly options: FeedRelayOptions) {}
 
@@ -83,9 +86,9 @@
 		after: number,
 		waitMs: number,
 	): Promise<E.Either<StoreFault, readonly StoreChange[]>> {
-		const { isWatcher, watchers } = this.options
+		const { isWatcher, now, watchers } = this.options
 		const addresses = watchers()
-		if (isWatcher() || addresses.length === 0) {
+		if (isWatcher() || addresses.length === 0 || now() < this.directUntil) {
 			const told = await this.watchStore(prefix, after, waitMs)
 			if (E.isRight(told) || told.left.kind === 'history-gone') return told
 			const next = addresses[this.turn++ % Math.max(1, addresses.length)]
@@ -96,6 +99,7 @@
 			const heard = await this.askOne(address, prefix, after)
 			if (heard) return E.right(heard)
 		}
+		this.directUntil = now() + DIRECT_MS
 		return this.watchStore(prefix, after, Math.min(waitMs, RELAY_WAIT_MS))
 	}
 
--- /dev/null
+++ b/packages/gateway/src/lib/FleetRoster.test.ts
@@ -0,0 +1,95 @@
+import { brandId, type AccountName, type BoxName, type ZoneName } from '@stallwing/core'
+import { MemoryStore, type CallFate } from '@stallwing/standins'
+import { afterEach, beforeEach, describe, expect, it, vi } from 'vitest'
+import { FleetRoster } from './FleetRoster.js'
+
+const ACCOUNT = brandId<AccountName>('acme')
+
+function sleep(ms: number): Promise<void> {
+	return new Promise((resolve) => setTimeout(resolve, ms))
+}
+
+describe('FleetRoster', () => {
+	let fate: CallFate
+	let store: MemoryStore
+	let rosters: FleetRoster[]
+
+	beforeEach(() => {
+		vi.useFakeTimers()
+		fate = 'served'
+		store = new MemoryStore({ now: () => Date.now(), sleep, fate: () => fate })
+		rosters = []
+	})
+
+	afterEach(() => {
+		for (const roster of rosters) roster.stop()
+		vi.useRealTimers()
+	})
+
+	function start(zone: number, box: number): FleetRoster {
+		const roster = new FleetRoster({
+			store: store.connect(`${zone}-${box}`),
+			prefix: 'box/',
+			self: {
+				box: brandId<BoxName>(`box-${zone}-${box}`),
+				zone: brandId<ZoneName>(`zone-${zone}`),
+				address: `10.${zone}.0.${box}:1`,
+			},
+			sleep,
+			random: () => 0.5,
+			log: () => undefined,
+		})
+		rosters.push(roster)
+		void roster.run()
+		return roster
+	}
+
+	it('lets all boxes that start together know each other before they are listed', async () => {
+		for (let zone = 0; zone < 2; zone++) for (let box = 0; box < 10; box++) start(zone, box)
+		await vi.advanceTimersByTimeAsync(1_000)
+		expect(rosters.map((roster) => roster.size)).toEqual(rosters.map(() => 20))
+		expect(rosters.filter((roster) => roster.isLender)).toHaveLength(6)
+		const firsts = rosters
+			.slice(0, 10)
+			.filter((roster) => !roster.isLender)
+			.map((roster) => roster.lenderAddresses(ACCOUNT)[0])
+		expect(new Set(firsts).size).toBe(1)
+	})
+
+	it('keeps its place through a new start, without another write', async () => {
+		start(0, 0)
+		await vi.advanceTimersByTimeAsync(1_000)
+		const writes = store.calls.get('write')
+		const again = start(0, 0)
+		await vi.advanceTimersByTimeAsync(100)
+		expect(again.listed).toBe(true)
+		expect(store.calls.get('write')).toBe(writes)
+	})
+
+	it('hears of a box that comes later, and divides by 16 until it knows any', async () => {
+		const first = start(0, 0)
+		expect(first.size).toBe(16)
+		await vi.advanceTimersByTimeAsync(1_000)
+		expect(first.size).toBe(1)
+		start(0, 1)
+		await vi.advanceTimersByTimeAsync(10_000)
+		expect(first.size).toBe(2)
+		expect(first.workPeers).toEqual(['10.0.0.1:1'])
+	})
+
+	it('joins as soon as the store answers', async () => {
+		fate = 'refused'
+		const roster = start(0, 0)
+		await vi.advanceTimersByTimeAsync(5_000)
+		expect(roster.listed).toBe(false)
+		fate = 'served'
+		await vi.advanceTimersByTimeAsync(1_500)
+		expect(roster.listed).toBe(true)
+	})
+
+	it('tells its work to one box of its zone in a large fleet, and as a lender to all lenders', async () => {
+		for (let zone = 0; zone < 2; zone++) for (let box = 0; box < 10; box++) start(zone, box)
+		await vi.advanceTimersByTimeAsync(1_000)
+		for (const roster of rosters) expect(roster.workPeers).toHaveLength(roster.isLender ? 5 : 1)
+	})
+})
--- a/packages/gateway/src/lib/FleetRoster.ts
+++ b/packages/gateway/src/lib/FleetRoster.ts
@@ -1,5 +1,6 @@
 import {
 	brandId,
+	allLenders,
 	lendersFor,
 	lendersOfZone,
 	watchersFor,
@@ -36,6 +37,8 @@
 const POLL_SPREAD_MS = 2_000
 /** Boxes that are assumed until the others are known: what is limited for the fleet is divided by them. */
 const BOXES_BEFORE_LISTED = 16
+/** Boxes up to which each tells all others what it does. */
+const MOST_EQUALS = 13
 
 /** The boxes of the fleet. Each writes one item of the store, once; none is removed when a box fails. */
 export class FleetRoster {
@@ -47,7 +50,7 @@
 	isLender = false
 	/** Answers of {@link lenderAddresses}, for as long as the members stay the same. */
 	private watcherAddresses: readonly string[] | undefined
-	private others: readonly string[] | undefined
+	private workAddresses: readonly string[] | undefined
 	private readonly lenders = new Map<AccountName, readonly string[]>()
 
 	constructor(private readonly options: FleetRosterOptions) {}
@@ -92,12 +95,22 @@
 		return this.watcherAddresses
 	}
 
-	/** Addresses of all other boxes. */
-	get otherAddresses(): readonly string[] {
-		this.others ??= this.members
-			.filter((member) => member.box !== this.options.self.box)
-			.map((member) => member.address)
-		return this.others
+	/** True where boxes are too many to tell each other what they do: lenders gather it. */
+	get isLarge(): boolean {
+		return this.members.length > MOST_EQUALS
+	}
+
+	/** Addresses of the boxes that this one tells of its work. */
+	get workPeers(): readonly string[] {
+		this.workAddresses ??= this.findWorkPeers()
+		return this.workAddresses
+	}
+
+	private findWorkPeers(): readonly string[] {
+		const { self } = this.options
+		if (this.isLarge && !this.isLender) return this.watchers.slice(0, 1)
+		const equals = this.isLarge ? allLenders(this.members) : this.members
+		return equals.filter((member) => member.box !== self.box).map((member) => member.address)
 	}
 
 	/** True once this box has written its item and knows the others. */
@@ -131,7 +144,7 @@
 		this.members = members
 		this.lenders.clear()
 		this.watcherAddresses = undefined
-		this.others = undefined
+		this.workAddresses = undefined
 		const { box, zone } = this.options.self
 		this.isLender = lendersOfZone(members, zone).some((member) => member.box === box)
 		if (isSame) return
--- a/packages/gateway/src/lib/Gateway.ts
+++ b/packages/gateway/src/lib/Gateway.ts
@@ -112,7 +112,9 @@
 			random: options.random,
 			log: options.log,
 		})
-		const peers = new PeerClient(options.now)
+		const peers = new PeerClient(options.box, options.now, (work) =>
+			this.workSharing.noteFleetWork(work),
+		)
 		this.feed = new FeedRelay({
 			store: options.store,
 			peers,
@@ -154,7 +156,8 @@
 		this.applyLimits()
 		this.readiness = createServer((message, response) => this.answerReadiness(message, response))
 		this.peers = new PeerServer({
-			lend: (account, tokens) => this.allowance.lend(account, tokens),
+			lend: (account, request) => this.allowance.lend(account, request),
+			fleetWork: (asker) => (this.roster.isLarge ? this.workSharing.fleetWork(asker) : []),
 			accept: (account, tokens, budgetsAt) => this.allowance.accept(account, tokens, budgetsAt),
 			isOpen: () => !this.context.stopping,
 			changes: (prefix, after, waitMs) => this.feed.answer(prefix, after, waitMs),
@@ -162,7 +165,8 @@
 		this.workSharing = new WorkSharing({
 			box: options.box,
 			board: this.board,
-			peers: () => this.roster.otherAddresses,
+			peers: () => this.roster.workPeers,
+			isHub: () => this.roster.isLarge && this.roster.isLender,
 			now: options.now,
 		})
 		this.followers = [this.followConfig(), this.followTargets()]
--- a/packages/gateway/src/lib/PeerClient.ts
+++ b/packages/gateway/src/lib/PeerClient.ts
@@ -1,11 +1,14 @@
-import type { AccountName } from '@stallwing/core'
+import type { AccountName, BoxName, TargetWork } from '@stallwing/core'
 import { HttpCaller } from '@stallwing/store'
-import { NOTHING_LENT, type LendAnswer, type Lenders } from './TokenLending.js'
+import { NOTHING_LENT, type LendAnswer, type LendRequest, type Lenders } from './TokenLending.js'
 import { decodeFeedAnswer } from './feedCodec.js'
 import type { FeedAnswer, FeedPeers } from './FeedRelay.js'
+import { fromWireWork } from './workCodec.js'
 import { ACCEPT_PATH, CHANGES_PATH, LEND_PATH, OPEN_PATH } from './PeerServer.js'
 
 const ASK_MS = 160
+/** A time-out that comes later than this after its time is one of a busy box, in ms. */
+const OWN_LAG_MS = 40
 /** Time beyond the wait that an answer about changes may take, in ms. */
 const CHANGES_GRACE_MS = 300
 const CONNECTIONS = 6
@@ -24,20 +27,28 @@
 	private readonly callers = new Map<string, HttpCaller>()
 	private readonly avoided = new Map<string, Avoided>()
 
-	constructor(private readonly now: () => number) {}
+	constructor(
+		private readonly box: BoxName,
+		private readonly now: () => number,
+		/** Work of all other boxes that came with an answer. */
+		private readonly onFleetWork: (work: readonly TargetWork[]) => void,
+	) {}
 
-	async ask(address: string, account: AccountName, tokens: number): Promise<LendAnswer> {
+	async ask(address: string, account: AccountName, request: LendRequest): Promise<LendAnswer> {
 		if (this.isAvoided(address)) return NOTHING_LENT
-		const query = new URLSearchParams({ account, tokens: String(Math.ceil(tokens)) })
+		const { tokens, ahead } = request
+		const fields = { account, tokens: String(tokens), ahead: String(ahead), box: this.box }
+		const began = this.now()
 		try {
-			const path = `${LEND_PATH}?${query}`
+			const path = `${LEND_PATH}?${new URLSearchParams(fields)}`
 			const reply = await this.caller(address).send({ method: 'POST', path, timeoutMs: ASK_MS })
 			if (reply.status !== 200) throw new Error(`status ${reply.status}`)
 			this.avoided.delete(address)
-			return readLendAnswer(reply.text)
+			return this.readLendAnswer(reply.text)
 		} catch {
 			// Tokens of a lost answer stay counted as spent at the lender: nobody can spend them.
-			this.avoid(address)
+			// A box that was busy itself for longer than the wait says nothing about the other.
+			if (this.now() - began < ASK_MS + OWN_LAG_MS) this.avoid(address)
 			return NOTHING_LENT
 		}
 	}
@@ -109,11 +120,15 @@
 		this.callers.set(address, caller)
 		return caller
 	}
-}
 
-function readLendAnswer(text: string): LendAnswer {
-	const body = JSON.parse(text) as Partial<Record<keyof LendAnswer, unknown>>
-	const lent = typeof body.lent === 'number' ? body.lent : 0
-	const budgetsAt = typeof body.budgetsAt === 'number' ? body.budgetsAt : 0
-	return { lent, spent: body.spent === true, budgetsAt }
+	/** @throws where the text is no JSON document. */
+	private readLendAnswer(text: string): LendAnswer {
+		const body = JSON.parse(text) as Partial<Record<keyof LendAnswer | 'work', unknown>>
+		const work = fromWireWork(body.work)
+		if (work) this.onFleetWork(work)
+		const lent = typeof body.lent === 'number' ? body.lent : 0
+		const budgetsAt = typeof body.budgetsAt === 'number' ? body.budgetsAt : 0
+		const left = typeof body.left === 'number' ? body.left : Number.POSITIVE_INFINITY
+		return { lent, left, budgetsAt }
+	}
 }
--- a/packages/gateway/src/lib/PeerServer.ts
+++ b/packages/gateway/src/lib/PeerServer.ts
@@ -1,8 +1,9 @@
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http'
-import { brandId, type AccountName } from '@stallwing/core'
+import { brandId, type AccountName, type BoxName, type TargetWork } from '@stallwing/core'
 import { encodeFeedAnswer } from './feedCodec.js'
 import type { FeedAnswer } from './FeedRelay.js'
-import type { LendAnswer } from './TokenLending.js'
+import type { LendAnswer, LendRequest } from './TokenLending.js'
+import { toWireWork } from './workCodec.js'
 import { listenOn, type ListenAddress } from './listenOn.js'
 
 /** Path on which a box asks another for tokens. */
@@ -18,7 +19,9 @@
 /** What other boxes may ask of this one. */
 export interface PeerHandlers {
 	/** Hands over tokens of an account; undefined where this box has given back all that it held. */
-	lend(account: AccountName, tokens: number): Promise<LendAnswer | undefined>
+	lend(account: AccountName, request: LendRequest): Promise<LendAnswer | undefined>
+	/** Work at targets of all boxes but one, to go with an answer to that one. */
+	fleetWork(asker: BoxName): readonly TargetWork[]
 	/** Takes tokens over that were held under the configuration of a revision; false where this box can't. */
 	accept(account: AccountName, tokens: number, budgetsAt: number): boolean
 	/** Whether this box would take tokens over. */
@@ -59,6 +62,19 @@
 		sendJson(response, 200, encodeFeedAnswer(answer))
 	}
 
+	private async lend(
+		account: AccountName,
+		tokens: number,
+		url: URL,
+		response: ServerResponse,
+	): Promise<void> {
+		const ahead = Math.max(0, Number(url.searchParams.get('ahead')) || 0)
+		const answer = await this.handlers.lend(account, { tokens, ahead })
+		const asker = brandId<BoxName>(url.searchParams.get('box') ?? '')
+		const work = toWireWork(this.handlers.fleetWork(asker))
+		sendJson(response, answer ? 200 : 503, { ...answer, work })
+	}
+
 	private accept(account: AccountName, tokens: number, url: URL): boolean {
 		const budgetsAt = Number(url.searchParams.get('budgetsAt'))
 		return Number.isSafeInteger(budgetsAt) && this.handlers.accept(account, tokens, budgetsAt)
@@ -81,17 +97,13 @@
 			return
 		}
 		if (message.method === 'POST' && url.pathname === LEND_PATH)
-			sendLent(response, await this.handlers.lend(account, tokens))
+			await this.lend(account, tokens, url, response)
 		else if (message.method === 'POST' && url.pathname === ACCEPT_PATH)
 			sendJson(response, this.accept(account, tokens, url) ? 200 : 503, {})
 		else response.writeHead(404).end()
 	}
 }
 
-function sendLent(response: ServerResponse, answer: LendAnswer | undefined): void {
-	sendJson(response, answer ? 200 : 503, answer ?? {})
-}
-
 function sendJson(response: ServerResponse, status: number, body: object): void {
 	response.writeHead(status, { 'Content-Type': 'application/json' }).end(JSON.stringify(body))
 }
--- a/packages/gateway/src/lib/WorkSharing.ts
+++ b/packages/gateway/src/lib/WorkSharing.ts
@@ -1,43 +1,35 @@
 import { createSocket, type Socket } from 'node:dgram'
-import {
-	brandId,
-	type BoxName,
-	type TargetBoard,
-	type TargetName,
-	type TargetWork,
-} from '@stallwing/core'
+import { brandId, type BoxName, type TargetBoard, type TargetWork } from '@stallwing/core'
 import type { ListenAddress } from './listenOn.js'
+import { decodeWork, encodeWork } from './workCodec.js'
 
 /** What {@link WorkSharing} works with. */
 export interface WorkSharingOptions {
 	readonly box: BoxName
 	readonly board: TargetBoard
+	/** Addresses of the boxes that are told. */
 	readonly peers: () => readonly string[]
+	/** This box tells the work of the boxes that tell it, together with its own. */
+	readonly isHub: () => boolean
 	readonly now: () => number
 }
 
-/** A datagram: the box and, for each target with work, name, unread tokens and open requests. */
-interface WorkMessage {
-	readonly box: string
-	readonly work: readonly (readonly [string, number, number])[]
-}
-
 const TICK_MS = 25
 /** Work that does not change is told again after this, in ms, for datagrams that were lost. */
 const REPEAT_MS = 200
-/**
- * Other boxes up to which a box tells its work. In a larger fleet the datagrams would grow with its
- * square, and each box is a small part of the load of a target: there the word of the target serves.
- */
-const MOST_PEERS = 12
+/** The sender under which work is kept that came with an answer of a hub. */
+const FLEET = brandId<BoxName>('(fleet)')
 
 /**
  * Tells other boxes by datagram what this box has under way at each target, and takes their word in:
- * the load that targets tell of themselves is old, and says nothing of prompts still to be read.
- * A lost datagram costs a worse choice, nothing else.
+ * the load that targets tell of themselves is old, and says nothing of prompts still to be read. In a
+ * small fleet all boxes tell each other. In a large one each tells one hub, the hubs tell each other,
+ * and a box hears the sum with the answers of a hub: datagrams then grow with boxes, not with their
+ * square. A lost datagram costs a worse choice, nothing else.
  */
 export class WorkSharing {
 	private readonly socket: Socket
+	private readonly hubs = new Set<BoxName>()
 	private timer: NodeJS.Timeout | undefined
 	private told = ''
 	private toldAt = Number.NEGATIVE_INFINITY
@@ -59,18 +51,33 @@
 		this.socket.close()
 	}
 
+	/** Work of all boxes that this one knows of, but for the one that asks. */
+	fleetWork(asker: BoxName): TargetWork[] {
+		const { board, now } = this.options
+		return board.workOf((box) => box !== asker && box !== FLEET, now())
+	}
+
+	/** Takes in what a hub knows of all other boxes. */
+	noteFleetWork(work: readonly TargetWork[]): void {
+		this.options.board.notePeerWork(FLEET, work, this.options.now())
+	}
+
 	private tell(): void {
-		const peers = this.options.peers()
-		if (peers.length > MOST_PEERS) return
-		const work = this.options.board.ownWork()
-		const message = encode(this.options.box, work)
-		const now = this.options.now()
+		const { box, board, now, peers } = this.options
+		const isHub = this.options.isHub()
+		const work = board.workOf((other) => isHub && this.isOrdinary(other), now())
+		const message = encodeWork({ box, isHub, work })
 		const isRepeat = message === this.told
-		if (isRepeat && (work.length === 0 || now - this.toldAt < REPEAT_MS)) return
+		if (isRepeat && (work.length === 0 || now() - this.toldAt < REPEAT_MS)) return
 		this.told = message
-		this.toldAt = now
+		this.toldAt = now()
 		const bytes = Buffer.from(message)
-		for (const peer of peers) this.send(bytes, peer)
+		for (const peer of peers()) this.send(bytes, peer)
+	}
+
+	/** A box that tells its own work only, and only to this one. */
+	private isOrdinary(box: BoxName): boolean {
+		return box !== FLEET && !this.hubs.has(box)
 	}
 
 	private send(bytes: Buffer, peer: string): void {
@@ -79,28 +86,10 @@
 	}
 
 	private receive(bytes: Buffer): void {
-		const message = decode(bytes)
+		const message = decodeWork(bytes)
 		if (!message) return
-		const rows = message.work.map(([target, unreadTokens, open]) => ({
-			target: brandId<TargetName>(target),
-			unreadTokens,
-			open,
-		}))
-		this.options.board.notePeerWork(brandId<BoxName>(message.box), rows, this.options.now())
-	}
-}
-
-function encode(box: BoxName, work: readonly TargetWork[]): string {
-	const rows = work.map((row) => [row.target, Math.round(row.unreadTokens), row.open])
-	return JSON.stringify({ box, work: rows })
-}
-
-function decode(bytes: Buffer): WorkMessage | undefined {
-	try {
-		const message = JSON.parse(bytes.toString('utf8')) as Partial<WorkMessage>
-		if (typeof message.box !== 'string' || !Array.isArray(message.work)) return undefined
-		return { box: message.box, work: message.work }
-	} catch {
-		return undefined
+		if (message.isHub) this.hubs.add(message.box)
+		else this.hubs.delete(message.box)
+		this.options.board.notePeerWork(message.box, message.work, this.options.now())
 	}
 }
--- /dev/null
+++ b/packages/gateway/src/lib/workCodec.test.ts
@@ -0,0 +1,18 @@
+import { brandId, type BoxName, type TargetName } from '@stallwing/core'
+import { describe, expect, it } from 'vitest'
+import { decodeWork, encodeWork, fromWireWork, toWireWork } from './workCodec.js'
+
+const WORK = [{ target: brandId<TargetName>('t-1'), unreadTokens: 900, open: 2 }]
+
+describe('workCodec', () => {
+	it('reads what it wrote', () => {
+		const message = { box: brandId<BoxName>('box-1'), isHub: true, work: WORK }
+		expect(decodeWork(Buffer.from(encodeWork(message)))).toEqual(message)
+		expect(fromWireWork(toWireWork(WORK))).toEqual(WORK)
+	})
+
+	it('takes nothing else', () => {
+		for (const text of ['', 'null', '{}', '{"box":1,"work":[]}', '{"box":"b","work":3}'])
+			expect(decodeWork(Buffer.from(text))).toBeUndefined()
+	})
+})
--- a/packages/store/src/lib/HttpCaller.ts
+++ b/packages/store/src/lib/HttpCaller.ts
@@ -15,10 +15,16 @@
 	readonly path: string
 	/** Sent as JSON. */
 	readonly body?: unknown
-	/** Time until the whole answer must be there, in ms. */
+	/**
+	 * Time in which the next bytes of the answer must come, in ms: a large answer takes long on a small
+	 * link. The whole of it may take {@link MOST_WAITS} times as long.
+	 */
 	readonly timeoutMs: number
 }
 
+/** Multiple of the time for the next bytes that a whole answer may take. */
+const MOST_WAITS = 20
+
 /** A whole answer. */
 export interface HttpReply {
 	readonly status: number
@@ -57,6 +63,7 @@
 				() => outgoing.destroy(new Error(`no answer in ${call.timeoutMs} ms`)),
 				call.timeoutMs,
 			)
+			const latest = performance.now() + call.timeoutMs * MOST_WAITS
 			const fail = (error: Error): void => {
 				clearTimeout(timer)
 				reject(error)
@@ -64,7 +71,10 @@
 			outgoing.on('error', fail)
 			outgoing.on('response', (answer) => {
 				const chunks: Buffer[] = []
-				answer.on('data', (chunk: Buffer) => chunks.push(chunk))
+				answer.on('data', (chunk: Buffer) => {
+					chunks.push(chunk)
+					if (performance.now() < latest) timer.refresh()
+				})
 				answer.on('error', fail)
 				answer.on('end', () => {
 					clearTimeout(timer)
