AllowanceClient in three parts: what is known, what draws, what serves requests

Change: AllowanceState (configuration, book and record, and what follows from them), AllowanceDrawer (claim, draws, ceilings), AllowanceClient (requests, lending, giving back).

--- /dev/null
+++ b/packages/gateway/src/lib/AllowanceDrawer.ts
@@ -0,0 +1,343 @@
+import {
+	isDrawOff,
+	isMarkOff,
+	isOverBudget,
+	nextMark,
+	planClaim,
+	planDraw,
+	spentAtMost,
+	type AccountName,
+	type AllowanceRow,
+	type AllowanceView,
+	type BoxName,
+	type Incarnation,
+	type LogEvent,
+	type SpendingMark,
+} from '@stallwing/core'
+import type { KeyValueStore, StoreFault } from '@stallwing/store'
+import type { Metrics } from '@stallwing/telemetry'
+import * as E from 'fp-ts/lib/Either.js'
+import type { AllowanceRecord } from './AllowanceRecord.js'
+import type { AllowanceState } from './AllowanceState.js'
+import { DrawWaiters, type ReserveResult } from './DrawWaiters.js'
+import { SpendingPromise } from './SpendingPromise.js'
+
+/** What an {@link AllowanceDrawer} works with. */
+export interface AllowanceDrawerOptions {
+	readonly store: KeyValueStore
+	/** Key of the record of this box's spending ceilings. */
+	readonly markKey: string
+	readonly box: BoxName
+	readonly holder: Incarnation
+	/** Where other boxes reach this one. */
+	readonly address: string
+	readonly record: AllowanceRecord
+	readonly state: AllowanceState
+	/** This box draws from the store; others ask such boxes. */
+	readonly isLender: () => boolean
+	readonly metrics: Metrics
+	/** Steady clock, in ms. */
+	readonly now: () => number
+	/** Time of day, in ms. */
+	readonly wallTime: () => number
+	readonly random: () => number
+	readonly sleep: (ms: number) => Promise<void>
+	readonly log: (event: LogEvent) => void
+}
+
+/** What the earlier incarnation had promised when this one looked. */
+interface FoundPromise {
+	readonly mark: SpendingMark | undefined
+	/** Time of day of that look, in ms. */
+	readonly readAt: number
+}
+
+/** Least time between two draws that no request waits for, in ms: boxes draw from one record. */
+const DRAW_PAUSE_MS = 900
+/** Age from which the shared record is read again, in ms. */
+const ROW_AGE_MS = 2_000
+/** Pause of the maintenance after a failed call, in ms. */
+const FAULT_PAUSE_MS = 900
+const CONFLICT_TRIES = 8
+const CONFLICT_PAUSE_MS = 12
+const CLAIM_PAUSE_MS = 200
+const CLAIM_CONFLICT_PAUSE_MS = 40
+
+/** Claims the right to draw for this box, draws from the shared record, and promises ceilings. */
+export class AllowanceDrawer {
+	private readonly waiters = new DrawWaiters()
+	private readonly promise: SpendingPromise
+	private readonly record: AllowanceRecord
+	private readonly state: AllowanceState
+	private found: FoundPromise | undefined
+	private claiming = false
+	private drawing = false
+	private drawAgain = false
+	private drewAt = Number.NEGATIVE_INFINITY
+	private closed = false
+
+	constructor(private readonly options: AllowanceDrawerOptions) {
+		this.record = options.record
+		this.state = options.state
+		this.promise = new SpendingPromise({ ...options, key: options.markKey })
+	}
+
+	/** True once this incarnation may draw. */
+	get claimed(): boolean {
+		return this.state.book.claimed
+	}
+
+	/** This box draws, or would if it had claimed the right to, and the store seems to answer. */
+	get mayDraw(): boolean {
+		if (!this.claimed) return this.options.isLender()
+		return this.record.reached
+	}
+
+	/** Lets the book know whether its ceilings still hold. */
+	checkPromise(): void {
+		this.state.book.setPromiseOver(this.promise.isOver)
+	}
+
+	/** Claims the right to draw, trying until the store grants it. */
+	async claim(): Promise<void> {
+		if (this.claiming) return
+		this.claiming = true
+		while (!this.claimed && !this.closed) {
+			if (await this.claimOnce()) return
+			await this.options.sleep(CLAIM_PAUSE_MS)
+		}
+	}
+
+	/** Renews draws that run low and gives back what is too much. To be called some times a second. */
+	async maintain(): Promise<void> {
+		if (this.closed || this.drawing) return
+		if (!this.claimed) {
+			if (this.options.isLender()) await this.claim()
+			return
+		}
+		const { record } = this
+		if (!record.reached && record.sinceFaultMs < FAULT_PAUSE_MS) return
+		if (!record.reached || record.ageMs > ROW_AGE_MS) await record.refresh()
+		if (record.reached && (this.needsDraw() || this.needsMark())) await this.draw()
+	}
+
+	/** Waits for the next draw, which is made as soon as may be. */
+	waitForDraw(account: AccountName, tokens: number, ms: number): Promise<ReserveResult> {
+		const result = this.waiters.wait(account, tokens, ms)
+		void this.draw()
+		return result
+	}
+
+	/** Claims and draws no more. */
+	close(): void {
+		this.closed = true
+	}
+
+	private async claimOnce(): Promise<boolean> {
+		const { box, holder, address } = this.options
+		const found = await this.findPromise()
+		if (E.isLeft(found)) return false
+		if (await this.record.read()) return false
+		const before = this.record.row.boxes[box]
+		const spent = spentAtMost(before, found.right.mark, found.right.readAt)
+		const next = planClaim(this.record.row, { box, holder, address, spent })
+		const result = await this.record.write(next)
+		if (E.isLeft(result)) return false
+		// Another box wrote first, or a write of ours whose answer was lost: claiming again does no harm.
+		if (result.right === 'conflict') {
+			await this.options.sleep(this.options.random() * CLAIM_CONFLICT_PAUSE_MS)
+			return this.claimOnce()
+		}
+		this.state.book.claim(spent)
+		this.logClaim(found.right, sum(before?.drawn), sum(spent))
+		void this.draw()
+		return true
+	}
+
+	private logClaim(found: FoundPromise, drawnBefore: number, spentBefore: number): void {
+		this.options.log({
+			name: 'allowance-claimed',
+			fields: {
+				holder: this.options.holder,
+				revision: this.record.revision,
+				promise: found.mark?.holder ?? '',
+				promiseAgeMs: Math.round(found.readAt - (found.mark?.wallTime ?? 0)),
+				drawnBefore,
+				spentBefore,
+			},
+		})
+	}
+
+	/** The promise of the earlier incarnation, read once: a later look would find its lease over. */
+	private async findPromise(): Promise<E.Either<StoreFault, FoundPromise>> {
+		if (this.found) return E.right(this.found)
+		const read = await this.promise.readPrevious()
+		if (E.isLeft(read)) return E.left(this.record.noteFault(read.left))
+		this.found = { mark: read.right, readAt: this.options.wallTime() }
+		return E.right(this.found)
+	}
+
+	private needsDraw(): boolean {
+		const views = this.state.views()
+		if (views.some((view) => view.frozen)) return true
+		if (this.options.now() - this.drewAt < DRAW_PAUSE_MS) return false
+		return views.some((view) => isDrawOff(view, this.state.undrawn(view), this.state.drawers))
+	}
+
+	private needsMark(): boolean {
+		return (
+			this.promise.isOld || this.state.views().some((view) => isMarkOff(view, this.markOf(view)))
+		)
+	}
+
+	private markOf(view: AllowanceView): number {
+		return nextMark(view, this.state.secondsLeft(view))
+	}
+
+	/** Draws for all accounts at once; one draw at a time. */
+	async draw(): Promise<void> {
+		if (this.closed) return
+		if (!this.claimed) {
+			if (this.options.isLender()) void this.claim()
+			return
+		}
+		if (this.drawing) {
+			this.drawAgain = true
+			return
+		}
+		this.drawing = true
+		try {
+			await this.drawForWaiters()
+		} finally {
+			this.drawing = false
+		}
+	}
+
+	private async drawForWaiters(): Promise<void> {
+		do {
+			this.drawAgain = false
+			const served = this.waiters.count
+			const fault = await this.replenish()
+			this.answerWaiters(fault ? this.waiters.count : served)
+		} while (this.drawAgain && this.record.reached)
+	}
+
+	/** Draws where that is needed, then raises the ceilings. */
+	private async replenish(): Promise<StoreFault | undefined> {
+		if (this.needsDraw() || this.waitersLackDraws()) {
+			const fault = await this.writeDraw(false)
+			if (fault) return fault
+		}
+		return this.writeMarks()
+	}
+
+	/**
+	 * A request waits for more than this box holds, and what nobody has drawn could hold it. Where it
+	 * can't, a draw now and then still tells the others what is spent here.
+	 */
+	private waitersLackDraws(): boolean {
+		const isPauseOver = this.options.now() - this.drewAt >= DRAW_PAUSE_MS
+		return this.state.views().some((view) => {
+			const smallest = this.waiters.smallest(view.account)
+			if (smallest <= view.held) return false
+			if (smallest <= view.held + this.state.undrawn(view)) return true
+			return isPauseOver && view.floor > this.toldSpent(view.account)
+		})
+	}
+
+	/** What the record says that this box has spent. */
+	private toldSpent(account: AccountName): number {
+		return this.record.row.boxes[this.options.box]?.spent[account] ?? 0
+	}
+
+	private async writeMarks(): Promise<StoreFault | undefined> {
+		const waiting = this.waiters.tokens()
+		const marks: Record<AccountName, number> = {}
+		for (const view of this.state.views()) {
+			const needed = view.floor + (waiting[view.account] ?? 0)
+			marks[view.account] = Math.max(this.markOf(view), Math.min(needed, view.drawn), view.floor)
+		}
+		for (const [account, mark] of Object.entries<number>(marks))
+			this.state.book.lowerMark(account as AccountName, mark)
+		const result = await this.promise.write(marks)
+		this.state.book.setPromiseOver(this.promise.isOver)
+		if (E.isLeft(result)) return this.record.noteFault(result.left)
+		for (const [account, mark] of Object.entries<number>(marks))
+			this.state.book.confirmMark(account as AccountName, mark)
+		return undefined
+	}
+
+	private answerWaiters(count: number): void {
+		this.waiters.answer(count, (account, tokens) => {
+			if (this.state.book.reserve(account, tokens)) return 'reserved'
+			return this.state.isSpent(account, tokens) ? 'spent' : 'unknown'
+		})
+	}
+
+	/** Writes this box's draws; with `giveBack`, all that is free goes back. */
+	async writeDraw(giveBack: boolean): Promise<StoreFault | undefined> {
+		for (let tries = 0; tries < CONFLICT_TRIES; tries++) {
+			const next = this.plan(giveBack)
+			this.lower(next)
+			const result = await this.record.write(next)
+			if (E.isLeft(result)) return result.left
+			if (result.right === 'written') {
+				this.drewAt = this.options.now()
+				this.confirm(next)
+				return undefined
+			}
+			await this.options.sleep(this.options.random() * CONFLICT_PAUSE_MS * tries)
+		}
+		return { kind: 'refused', status: 412 }
+	}
+
+	private plan(giveBack: boolean): AllowanceRow {
+		const { box, holder, address } = this.options
+		return planDraw(this.record.row, {
+			box,
+			holder,
+			address,
+			budgets: this.state.budgets,
+			views: this.state.views(),
+			waiting: this.waiters.tokens(),
+			giveBack,
+		})
+	}
+
+	private lower(next: AllowanceRow): void {
+		for (const [account, drawn] of this.ownDraws(next)) this.state.book.lower(account, drawn)
+	}
+
+	private confirm(next: AllowanceRow): void {
+		for (const [account, drawn] of this.ownDraws(next))
+			this.state.book.confirm(account, drawn, next.budgetsAt, isOverBudget(next, account))
+		this.options.metrics.count('stallwing_draws_total')
+		this.options.log({
+			name: 'allowance-drawn',
+			fields: {
+				revision: this.record.revision,
+				budgetsAt: next.budgetsAt,
+				free: this.describe((view) => view.free),
+				undrawn: this.describe((view) => this.state.undrawn(view)),
+			},
+		})
+	}
+
+	/** Figures by account, for a log line. */
+	private describe(figure: (view: AllowanceView) => number): string {
+		return this.state
+			.views()
+			.map((view) => `${view.account}:${Math.round(figure(view))}`)
+			.join(' ')
+	}
+
+	private ownDraws(row: AllowanceRow): [AccountName, number][] {
+		const drawn = row.boxes[this.options.box]?.drawn ?? {}
+		const accounts = this.state.accounts
+		return accounts.map((account) => [account, drawn[account] ?? 0])
+	}
+}
+
+function sum(tokens: Readonly<Record<AccountName, number>> | undefined): number {
+	return Object.values<number>(tokens ?? {}).reduce((total, amount) => total + amount, 0)
+}
