A box that is late refuses a part of its work at once; calls that fail are made less often

In an outage each follower called the store again each 150 ms, and each call is paid for; boxes that had lost the store vouched for silence for 4.5 s more. Ruled out: the link (3 of 7 Mbit/s); leaving the balancer by not being ready (it takes 2 s to notice and moves all to the next box); one late timer as a sign (a large configuration or a pause looks the same). Followers double their pause up to 1.2 s. A relay does not vouch once its own call failed.

--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -221,3 +221,4 @@
 	type TrafficConfig,
 } from './lib/traffic/TrafficConfig.js'
 export { TrafficIndex } from './lib/traffic/TrafficIndex.js'
+export { shedPart } from './lib/overload/shedPart.js'
--- a/packages/gateway/src/lib/Exchange.ts
+++ b/packages/gateway/src/lib/Exchange.ts
@@ -2,6 +2,7 @@
 import {
 	decideAfterAttempt,
 	exhaustive,
+	shedPart,
 	worstCaseTokens,
 	type AttemptFacts,
 	type LogValue,
@@ -69,11 +70,21 @@
 		this.request = read.right
 		const body = await this.readBody(traffic)
 		if (!body || this.over) return
+		if (this.isShed(read.right)) return
 		this.startLimitTimer(read.right)
 		if (!(await this.reserve(read.right))) return
 		await this.tryTargets(read.right, traffic, body)
 	}
 
+	/** Refuses the request where this box is late with what it has. */
+	private isShed(request: CallerRequest): boolean {
+		const delayMs = this.context.delayMs()
+		const part = shedPart(delayMs, request.work !== undefined)
+		if (part === 0 || this.context.random() >= part) return false
+		this.refuse('overloaded', `timers are ${Math.round(delayMs)} ms late`)
+		return true
+	}
+
 	/** Ends the exchange after a fault of the program. */
 	abandon(): void {
 		this.attempt?.cancel()
--- a/packages/gateway/src/lib/FeedRelay.test.ts
+++ b/packages/gateway/src/lib/FeedRelay.test.ts
@@ -142,4 +142,17 @@
 		await vi.advanceTimersByTimeAsync(6_000)
 		expect(zone.seen.get('other')).toEqual({ 'a/x': 'last' })
 	})
+
+	it('does not vouch for silence once the store does not answer it', async () => {
+		await vi.advanceTimersByTimeAsync(2_000)
+		zone.cut.add('watcher-1')
+		zone.cut.add('watcher-2')
+		// Soon after, the box has gone to the store itself, whose answers it gets.
+		await vi.advanceTimersByTimeAsync(6_000)
+		const before = zone.calls.get('other') ?? 0
+		zone.store.put('a/x', 'one')
+		await vi.advanceTimersByTimeAsync(200)
+		expect(before).toBeGreaterThan(1)
+		expect(zone.seen.get('other')).toEqual({ 'a/x': 'one' })
+	})
 })
--- a/packages/gateway/src/lib/FeedRelay.ts
+++ b/packages/gateway/src/lib/FeedRelay.ts
@@ -54,7 +54,7 @@
 
 interface Feed {
 	readonly log: ChangeLog
-	/** When the store itself last answered about this prefix. */
+	/** When the store itself last answered about this prefix; -Infinity once it did not answer. */
 	toldAt: number
 }
 
@@ -119,8 +119,11 @@
 		waitMs: number,
 	): Promise<E.Either<StoreFault, readonly StoreChange[]>> {
 		const told = await this.options.store.watch(prefix, after, waitMs)
-		if (E.isLeft(told)) return told
 		const feed = this.feed(prefix)
+		if (E.isLeft(told)) {
+			feed.toldAt = Number.NEGATIVE_INFINITY
+			return told
+		}
 		feed.toldAt = this.options.now()
 		feed.log.append(told.right)
 		return told
--- a/packages/gateway/src/lib/Gateway.test.ts
+++ b/packages/gateway/src/lib/Gateway.test.ts
@@ -64,6 +64,7 @@
 	'budget-unknown': 503,
 	'no-target': 503,
 	stopping: 503,
+	overloaded: 503,
 	'too-late': 503,
 	'target-failed': 502,
 	'timed-out': 504,
--- a/packages/gateway/src/lib/Gateway.ts
+++ b/packages/gateway/src/lib/Gateway.ts
@@ -2,9 +2,7 @@
 import {
 	RepeatBudget,
 	TargetBoard,
-	TrafficIndex,
 	brandId,
-	type AccountName,
 	type BoxName,
 	type Incarnation,
 	type LogEvent,
@@ -20,7 +18,6 @@
 	type StoreItem,
 } from '@stallwing/store'
 import type { Metrics } from '@stallwing/telemetry'
-import * as E from 'fp-ts/lib/Either.js'
 import { AllowanceClient } from './AllowanceClient.js'
 import type { Dialect } from './Dialect.js'
 import type { Documents } from './Documents.js'
@@ -28,10 +25,12 @@
 import type { GatewayContext, TrafficInForce } from './GatewayContext.js'
 import { FeedRelay } from './FeedRelay.js'
 import { FleetRoster } from './FleetRoster.js'
+import { LoopDelay } from './LoopDelay.js'
 import { PeerClient } from './PeerClient.js'
 import { PeerServer } from './PeerServer.js'
 import { TargetDirectory } from './TargetDirectory.js'
 import { TargetPools } from './TargetPools.js'
+import { TrafficDirectory, type TokenBudgets } from './TrafficDirectory.js'
 import { WorkSharing } from './WorkSharing.js'
 import { listenOn, type ListenAddress } from './listenOn.js'
 
@@ -89,6 +88,7 @@
 	private readonly pools: TargetPools
 	private readonly targets: TargetDirectory
 	private readonly repeatBudgets = new Map<ServiceName, RepeatBudget>()
+	private readonly loopDelay: LoopDelay
 	private readonly roster: FleetRoster
 	private readonly feed: FeedRelay
 	private readonly allowance: AllowanceClient
@@ -103,6 +103,7 @@
 	private wasReady = false
 
 	constructor(private readonly options: GatewayOptions) {
+		this.loopDelay = new LoopDelay(options.now)
 		const address = `${options.listen.peers.host}:${options.listen.peers.port}`
 		this.roster = new FleetRoster({
 			store: options.store,
@@ -186,6 +187,7 @@
 		await this.peers.listen(this.options.listen.peers)
 		await this.workSharing.start(this.options.listen.peers)
 		for (const follower of this.followers) void follower.run()
+		this.loopDelay.start()
 		void this.roster.run()
 		this.timers.push(setInterval(() => void this.allowance.maintain(), MAINTAIN_MS))
 		this.timers.push(setInterval(() => this.sweep(), SWEEP_MS))
@@ -213,6 +215,7 @@
 		this.pools.close()
 		for (const follower of this.followers) follower.stop()
 		this.roster.stop()
+		this.loopDelay.stop()
 		for (const timer of this.timers) clearInterval(timer)
 		this.workSharing.stop()
 		this.options.log({ name: 'stop-done', fields: { open: this.open } })
@@ -247,6 +250,8 @@
 			stallwing_configuration_version: traffic?.index.config.version ?? -1,
 			stallwing_configuration_age_ms: traffic ? Math.round(now - traffic.since) : -1,
 			stallwing_ready: this.ready ? 1 : 0,
+			stallwing_loop_delay_ms: Math.round(this.loopDelay.ms),
+			stallwing_boxes: this.roster.size,
 		}
 		for (const view of this.allowance.views()) {
 			const label = `{account="${view.account}"}`
@@ -275,6 +280,7 @@
 			pool: (target) => this.pools.of(target),
 			isFull: (target) => this.isFull(target),
 			repeats: (service) => this.repeats(service),
+			delayMs: () => this.loopDelay.ms,
 			boxes: () => this.roster.size,
 		}
 	}
@@ -307,52 +313,21 @@
 	}
 
 	private followConfig(): PrefixFollower {
-		const { configPrefix, configKey } = this.options.documents
-		return this.follower(configPrefix, (items) => {
-			const item = items.get(configKey)
-			if (item) this.takeConfig(item)
+		const { documents, now, log } = this.options
+		const directory = new TrafficDirectory({
+			key: documents.configKey,
+			readConfig: (value) => documents.readConfig(value),
+			onTraffic: (traffic, tokens) => this.putInForce(traffic, tokens),
+			now,
+			log,
 		})
+		return this.follower(documents.configPrefix, (items) => directory.takeItems(items))
 	}
 
-	private takeConfig(item: StoreItem): void {
-		const { traffic } = this.context
-		if (traffic && item.revision <= traffic.revision) return
-		const read = this.options.documents.readConfig(item.value)
-		if (E.isLeft(read)) {
-			this.options.log({
-				name: 'traffic-refused',
-				fields: { revision: item.revision, what: read.left.what },
-			})
-			return
-		}
-		this.putInForce({
-			index: new TrafficIndex(read.right),
-			revision: item.revision,
-			since: this.options.now(),
-		})
-	}
-
-	private putInForce(traffic: TrafficInForce): void {
+	private putInForce(traffic: TrafficInForce, tokens: TokenBudgets): void {
 		this.context.traffic = traffic
 		this.applyLimits()
-		const { config } = traffic.index
-		const tokens: Record<AccountName, number> = {}
-		for (const account of config.accounts ?? []) {
-			if (account.tokenBudget !== undefined) tokens[account.name] = account.tokenBudget
-		}
 		this.allowance.setBudgets({ at: traffic.revision, tokens })
-		this.options.log({
-			name: 'traffic-in-force',
-			fields: {
-				version: config.version,
-				revision: traffic.revision,
-				routes: config.routes.length,
-				accounts: config.accounts?.length ?? 0,
-				budgets: Object.entries<number>(tokens)
-					.map(([account, budget]) => `${account}:${budget}`)
-					.join(' '),
-			},
-		})
 	}
 
 	private followTargets(): PrefixFollower {
--- a/packages/gateway/src/lib/GatewayContext.ts
+++ b/packages/gateway/src/lib/GatewayContext.ts
@@ -46,6 +46,8 @@
 	/** True where the target takes no further connection from this box. */
 	isFull(target: TargetName): boolean
 	repeats(service: ServiceName): RepeatBudget
+	/** By how much the timers of this process are late, in ms. */
+	delayMs(): number
 	/** Boxes that share what is limited for the fleet; an estimate, never 0. */
 	boxes(): number
 }
--- a/packages/gateway/src/lib/Refusal.ts
+++ b/packages/gateway/src/lib/Refusal.ts
@@ -9,6 +9,7 @@
  * - `budget-unknown`: this box holds too little of the budget and can't draw more now.
  * - `no-target`: no target could take it.
  * - `stopping`: this box ends soon; what begins now might be cut off.
+ * - `overloaded`: this box is late with what it has; another one may be free.
  * - `too-late`: too little time is left to begin.
  *
  * It may have run:
@@ -27,6 +28,7 @@
 	| 'budget-unknown'
 	| 'no-target'
 	| 'stopping'
+	| 'overloaded'
 	| 'too-late'
 	| 'target-failed'
 	| 'timed-out'
@@ -45,6 +47,7 @@
 	'budget-unknown',
 	'no-target',
 	'stopping',
+	'overloaded',
 	'too-late',
 ])
 
--- /dev/null
+++ b/packages/gateway/src/lib/TrafficDirectory.ts
@@ -0,0 +1,73 @@
+import { TrafficIndex, type AccountName, type LogEvent } from '@stallwing/core'
+import type { StoreItem } from '@stallwing/store'
+import * as E from 'fp-ts/lib/Either.js'
+import type { Documents } from './Documents.js'
+import type { TrafficInForce } from './GatewayContext.js'
+
+/** Token budgets by account. */
+export type TokenBudgets = Readonly<Record<AccountName, number>>
+
+/** What a {@link TrafficDirectory} works with. */
+export interface TrafficDirectoryOptions {
+	/** Key of the configuration in the store. */
+	readonly key: string
+	readonly readConfig: Documents['readConfig']
+	/** A newer configuration is in force from now on. */
+	readonly onTraffic: (traffic: TrafficInForce, tokens: TokenBudgets) => void
+	/** Steady clock, in ms. */
+	readonly now: () => number
+	readonly log: (event: LogEvent) => void
+}
+
+/** Takes the configuration from the store; never an older one than before. */
+export class TrafficDirectory {
+	private revision = 0
+
+	constructor(private readonly options: TrafficDirectoryOptions) {}
+
+	/** Takes all items below the prefix of the configuration. */
+	takeItems(items: ReadonlyMap<string, StoreItem>): void {
+		const item = items.get(this.options.key)
+		if (item && item.revision > this.revision) this.take(item)
+	}
+
+	/** A configuration that can't be read is left out: the last one stays in force. */
+	private take({ revision, value }: StoreItem): void {
+		const { log, now, onTraffic, readConfig } = this.options
+		const read = readConfig(value)
+		if (E.isLeft(read)) {
+			log({ name: 'traffic-refused', fields: { revision, what: read.left.what } })
+			return
+		}
+		this.revision = revision
+		const traffic = { index: new TrafficIndex(read.right), revision, since: now() }
+		const tokens = budgetsOf(traffic)
+		onTraffic(traffic, tokens)
+		this.logInForce(traffic, tokens)
+	}
+
+	private logInForce({ index, revision }: TrafficInForce, tokens: TokenBudgets): void {
+		const { accounts, routes, version } = index.config
+		const budgets = Object.entries<number>(tokens)
+			.map(([account, budget]) => `${account}:${budget}`)
+			.join(' ')
+		this.options.log({
+			name: 'traffic-in-force',
+			fields: {
+				version,
+				revision,
+				routes: routes.length,
+				accounts: accounts?.length ?? 0,
+				budgets,
+			},
+		})
+	}
+}
+
+function budgetsOf({ index }: TrafficInForce): TokenBudgets {
+	const tokens: Record<AccountName, number> = {}
+	for (const account of index.config.accounts ?? []) {
+		if (account.tokenBudget !== undefined) tokens[account.name] = account.tokenBudget
+	}
+	return tokens
+}
--- a/packages/store/src/lib/PrefixFollower.ts
+++ b/packages/store/src/lib/PrefixFollower.ts
@@ -6,7 +6,7 @@
 	readonly prefix: string
 	/** Longest wait of one watch, in ms: a watch that went silent is noticed after it. */
 	readonly waitMs: number
-	/** Pause after a failed call, in ms. */
+	/** Pause after a failed call, in ms; doubled after each further one, up to {@link MOST_RETRY_FACTOR}. */
 	readonly retryMs: number
 	/** All items, after each change. */
 	readonly onItems: (items: ReadonlyMap<string, StoreItem>) => void
@@ -19,6 +19,9 @@
 export type StoreContact =
 	{ readonly kind: 'reached' } | { readonly kind: 'lost'; readonly fault: StoreFault }
 
+/** Each call is paid for, also one that is refused. */
+const MOST_RETRY_FACTOR = 8
+
 /**
  * Keeps a copy of all items below a prefix: lists them, watches from there, and lists anew when the
  * history is gone. A watch that heard nothing goes on from the last change that it did hear, not from
@@ -32,6 +35,7 @@
 	private listed = false
 	private stopped = false
 	private reached: boolean | undefined
+	private retryFactor = 1
 
 	constructor(
 		private readonly store: FollowedStore,
@@ -43,6 +47,7 @@
 		while (!this.stopped) {
 			const fault = this.listed ? await this.watchOnce() : await this.listOnce()
 			if (fault === undefined) {
+				this.retryFactor = 1
 				this.noteContact({ kind: 'reached' })
 				continue
 			}
@@ -51,7 +56,8 @@
 				continue
 			}
 			this.noteContact({ kind: 'lost', fault })
-			await this.options.sleep(this.options.retryMs)
+			await this.options.sleep(this.options.retryMs * this.retryFactor)
+			this.retryFactor = Math.min(MOST_RETRY_FACTOR, 2 * this.retryFactor)
 		}
 	}
 
