--- a/packages/core/src/lib/allowance/SpendingMark.ts
+++ b/packages/core/src/lib/allowance/SpendingMark.ts
@@ -28,7 +28,7 @@
 /** The same at the end of a budget: what is promised and not spent is lost with the process. */
 const AHEAD_SECONDS_AT_END = 0.5
 /** Part of the time until a budget ends that a ceiling allows for, between the two. */
-const AHEAD_PART_OF_TIME = 0.2
+const AHEAD_PART_OF_TIME = 0.12
 
 /** A ceiling is raised when less than this part of what it should allow is left. */
 const LOW_PART = 0.5
