Two import circles less; options of drawing stand once

Type-only: LoadReport and OutgoingCall have files of their own, AllowanceClientOptions extends DrawOptions.

--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -137,9 +137,9 @@
 	type CallerRequest,
 	type Work,
 	type AttemptOutcome,
-	type LoadReport,
 	type CoreEvent,
 } from './lib/router/CoreEvent.js'
+export { type LoadReport } from './lib/router/LoadReport.js'
 export { type LogEventName, type LogEvent, type LogValue } from './lib/router/LogEvent.js'
 export {
 	type AskRow,
--- a/packages/core/src/lib/controllers/MembershipController.ts
+++ b/packages/core/src/lib/controllers/MembershipController.ts
@@ -1,5 +1,5 @@
 import type { BoxName, TargetName } from '../ids.js'
-import type { LoadReport } from '../router/CoreEvent.js'
+import type { LoadReport } from '../router/LoadReport.js'
 import { isRetired, nextView, zoneKeys } from '../membership/ZoneView.js'
 import type { Member, ZoneView } from '../membership/ZoneView.js'
 import type { PlatformResult } from '../platform/PlatformOp.js'
--- a/packages/core/src/lib/controllers/TargetController.ts
+++ b/packages/core/src/lib/controllers/TargetController.ts
@@ -4,7 +4,8 @@
 import { newTargetState, type TargetState } from '../routing/TargetState.js'
 import type { TargetsSection } from '../router/Blackboard.js'
 import type { CoreContext } from '../router/CoreContext.js'
-import type { LoadReport, Work } from '../router/CoreEvent.js'
+import type { Work } from '../router/CoreEvent.js'
+import type { LoadReport } from '../router/LoadReport.js'
 import type { Priority } from '../bundle/Bundle.js'
 import type { Millis } from '../units.js'
 
--- a/packages/core/src/lib/router/CoreEvent.ts
+++ b/packages/core/src/lib/router/CoreEvent.ts
@@ -2,6 +2,7 @@
 import type { AccountName, BoxName, BudgetName, CallId, RequestId, TargetName } from '../ids.js'
 import type { OpId, PlatformResult } from '../platform/PlatformOp.js'
 import type { Millis } from '../units.js'
+import type { LoadReport } from './LoadReport.js'
 import type { PeerMessage } from './PeerMessage.js'
 
 /** A caller's request, read and hashed by the shell. @public */
@@ -58,16 +59,6 @@
 	/** The run was cancelled at our word; `outputTokens` is what the target says ran. */
 	| { readonly kind: 'cancelled'; readonly outputTokens: number }
 
-/** A target's own word on its load. @public */
-export interface LoadReport {
-	readonly target: TargetName
-	readonly running: number
-	readonly waiting: number
-	readonly leaving: boolean
-	/** Time at which the target measured it. */
-	readonly at: Millis
-}
-
 /** Everything that a router core reacts to. @public */
 export type CoreEvent =
 	| { readonly kind: 'tick' }
--- a/packages/core/src/lib/router/PeerMessage.ts
+++ b/packages/core/src/lib/router/PeerMessage.ts
@@ -5,7 +5,7 @@
 import type { SliceCounters } from '../money/SliceLedger.js'
 import type { Testimony } from '../money/ZoneLedger.js'
 import type { Amount } from '../units.js'
-import type { LoadReport } from './CoreEvent.js'
+import type { LoadReport } from './LoadReport.js'
 
 /** One budget's line in an ask to the keeper. @public */
 export interface AskRow {
--- a/packages/gateway/src/lib/AllowanceClient.ts
+++ b/packages/gateway/src/lib/AllowanceClient.ts
@@ -1,15 +1,5 @@
-import {
-	richestBoxes,
-	type AccountName,
-	type AllowanceView,
-	type BoxName,
-	type Budgets,
-	type Incarnation,
-	type LogEvent,
-} from '@stallwing/core'
-import type { KeyValueStore } from '@stallwing/store'
-import type { Metrics } from '@stallwing/telemetry'
-import { AllowanceDrawer } from './AllowanceDrawer.js'
+import { richestBoxes, type AccountName, type AllowanceView, type Budgets } from '@stallwing/core'
+import { AllowanceDrawer, type DrawOptions } from './AllowanceDrawer.js'
 import { AllowanceRecord } from './AllowanceRecord.js'
 import { AllowanceState } from './AllowanceState.js'
 import type { ReserveResult } from './DrawWaiters.js'
@@ -22,29 +12,12 @@
 } from './TokenLending.js'
 
 /** What an {@link AllowanceClient} works with. */
-export interface AllowanceClientOptions {
-	readonly store: KeyValueStore
+export interface AllowanceClientOptions extends DrawOptions {
 	/** Key of the shared record in the store. */
 	readonly key: string
-	/** Key of the record of this box's spending ceilings. */
-	readonly markKey: string
-	readonly box: BoxName
-	readonly holder: Incarnation
-	/** Where other boxes reach this one. */
-	readonly address: string
 	readonly lenders: Lenders
-	/** This box draws from the store; others ask such boxes. */
-	readonly isLender: () => boolean
 	/** Addresses of the boxes to be asked for tokens, in order, where this box does not draw. */
 	readonly lenderAddresses: (account: AccountName) => readonly string[]
-	readonly metrics: Metrics
-	/** Steady clock, in ms. */
-	readonly now: () => number
-	/** Time of day, in ms. */
-	readonly wallTime: () => number
-	readonly random: () => number
-	readonly sleep: (ms: number) => Promise<void>
-	readonly log: (event: LogEvent) => void
 }
 
 const GIVE_BACK_TRIES = 2
--- a/packages/gateway/src/lib/AllowanceDrawer.ts
+++ b/packages/gateway/src/lib/AllowanceDrawer.ts
@@ -22,8 +22,8 @@
 import { DrawWaiters, type ReserveResult } from './DrawWaiters.js'
 import { SpendingPromise } from './SpendingPromise.js'
 
-/** What an {@link AllowanceDrawer} works with. */
-export interface AllowanceDrawerOptions {
+/** What a box needs to draw. */
+export interface DrawOptions {
 	readonly store: KeyValueStore
 	/** Key of the record of this box's spending ceilings. */
 	readonly markKey: string
@@ -31,8 +31,6 @@
 	readonly holder: Incarnation
 	/** Where other boxes reach this one. */
 	readonly address: string
-	readonly record: AllowanceRecord
-	readonly state: AllowanceState
 	/** This box draws from the store; others ask such boxes. */
 	readonly isLender: () => boolean
 	readonly metrics: Metrics
@@ -45,6 +43,12 @@
 	readonly log: (event: LogEvent) => void
 }
 
+/** What an {@link AllowanceDrawer} works with. */
+export interface AllowanceDrawerOptions extends DrawOptions {
+	readonly record: AllowanceRecord
+	readonly state: AllowanceState
+}
+
 /** What the earlier incarnation had promised when this one looked. */
 interface FoundPromise {
 	readonly mark: SpendingMark | undefined
--- a/packages/router/src/lib/AttemptRunner.ts
+++ b/packages/router/src/lib/AttemptRunner.ts
@@ -1,19 +1,9 @@
 import type { AttemptOutcome, CoreAction, RequestId } from '@stallwing/core'
 import { Agent, request, type Dispatcher } from 'undici'
+import type { OutgoingCall } from './OutgoingCall.js'
 import type { RunAnswer } from './RunAnswer.js'
 import { SseReader } from './SseReader.js'
 
-/** The first caller's request, as it goes to a target. */
-export interface OutgoingCall {
-	readonly method: string
-	/** Path at the target. */
-	readonly path: string
-	readonly body: Buffer
-	readonly contentType: string
-	/** Set for a model request. */
-	readonly chat?: { readonly stream: boolean; readonly json: Record<string, unknown> }
-}
-
 /** Limits of an attempt. */
 export interface AttemptLimits {
 	readonly answerBytes: number
--- a/packages/router/src/lib/OpenCall.ts
+++ b/packages/router/src/lib/OpenCall.ts
@@ -1,6 +1,6 @@
 import type { CallerRequest } from '@stallwing/core'
 import type { AnswerSink } from './AnswerSink.js'
-import type { OutgoingCall } from './AttemptRunner.js'
+import type { OutgoingCall } from './OutgoingCall.js'
 
 /** A caller's request that this box holds: what to send on, and where the answer goes. */
 export interface OpenCall {
--- a/packages/router/src/lib/RunAnswer.ts
+++ b/packages/router/src/lib/RunAnswer.ts
@@ -1,6 +1,6 @@
 import type { Refusal, RequestId } from '@stallwing/core'
 import type { AnswerHead, AnswerSink } from './AnswerSink.js'
-import type { OutgoingCall } from './AttemptRunner.js'
+import type { OutgoingCall } from './OutgoingCall.js'
 
 /**
  * The answer of one run: bytes that came from the target, those held until the bill is safe, and
--- a/packages/router/src/lib/readCall.ts
+++ b/packages/router/src/lib/readCall.ts
@@ -12,7 +12,7 @@
 	type Work,
 } from '@stallwing/core'
 import * as E from 'fp-ts/lib/Either.js'
-import type { OutgoingCall } from './AttemptRunner.js'
+import type { OutgoingCall } from './OutgoingCall.js'
 import { chatWork, parseChat } from './chat.js'
 
 /** A request as it came over HTTP or from a relaying box. */
