Relays vouch for silence for 1.6 s only

Cause, by reading, not by logs: a lender whose own watch has gone deaf vouches that nothing has changed for up to 4.5 s, and the box that asks it is in touch with the store all the while. A test with deaf watchers shows it. Not ruled out: a further cause beside it. Change: a lender that others rely on watches for 1 s at most and vouches for 1.6 s; it answers at once when it can no longer vouch, also while a box waits at it. In small fleets nobody relies on a lender. Test first: deaf watchers at six offsets, failed before, now within 1.9 s.

--- a/packages/gateway/src/lib/FeedRelay.test.ts
+++ b/packages/gateway/src/lib/FeedRelay.test.ts
@@ -1,5 +1,5 @@
 import { MemoryStore, type CallFate } from '@stallwing/standins'
-import { PrefixFollower } from '@stallwing/store'
+import { PrefixFollower, type FollowedStore } from '@stallwing/store'
 import { afterEach, beforeEach, describe, expect, it, vi } from 'vitest'
 import { FeedRelay, type FeedPeers } from './FeedRelay.js'
 import { decodeFeedAnswer, encodeFeedAnswer } from './feedCodec.js'
@@ -11,6 +11,8 @@
 /** Two boxes that watch the store, and one that asks them. */
 class Zone {
 	readonly cut = new Set<string>()
+	/** Boxes whose watches say nothing for long, and do not fail either. */
+	readonly deaf = new Set<string>()
 	readonly dead = new Set<string>()
 	readonly calls = new Map<string, number>()
 	readonly seen = new Map<string, Record<string, string>>()
@@ -33,9 +35,10 @@
 	private start(box: string): void {
 		const isWatcher = box.startsWith('watcher')
 		const relay = new FeedRelay({
-			store: this.store.connect(box),
+			store: this.deafStore(box),
 			peers: this.peers(),
 			isWatcher: () => isWatcher,
+			isServing: () => isWatcher,
 			watchers: () => ['watcher-1', 'watcher-2'].filter((other) => other !== box),
 			now: () => Date.now(),
 			log: () => undefined,
@@ -56,6 +59,18 @@
 		void follower.run()
 	}
 
+	private deafStore(box: string): FollowedStore {
+		const store = this.store.connect(box)
+		return {
+			list: store.list,
+			watch: async (prefix, after, waitMs) => {
+				const told = await store.watch(prefix, after, waitMs)
+				while (this.deaf.has(box)) await sleep(100)
+				return told
+			},
+		}
+	}
+
 	private peers(): FeedPeers {
 		return {
 			changes: async (address, prefix, after, waitMs) => {
@@ -155,4 +170,17 @@
 		expect(before).toBeGreaterThan(1)
 		expect(zone.seen.get('other')).toEqual({ 'a/x': 'one' })
 	})
+
+	it('hears of a change in time though the boxes it asks have gone deaf without knowing', async () => {
+		for (const offsetMs of [0, 250, 500, 750, 1_000, 1_250]) {
+			await vi.advanceTimersByTimeAsync(8_000 + offsetMs)
+			zone.deaf.add('watcher-1')
+			zone.deaf.add('watcher-2')
+			zone.store.put('a/x', `${offsetMs}`)
+			// The bound of the users' deployments is 2 s to 3 s.
+			await vi.advanceTimersByTimeAsync(1_900)
+			expect(zone.seen.get('other')).toEqual({ 'a/x': `${offsetMs}` })
+			zone.deaf.clear()
+		}
+	})
 })
--- a/packages/gateway/src/lib/FeedRelay.ts
+++ b/packages/gateway/src/lib/FeedRelay.ts
@@ -32,6 +32,8 @@
 	readonly peers: FeedPeers
 	/** This box watches the store itself, for others too. */
 	readonly isWatcher: () => boolean
+	/** Boxes that do not watch rely on this one. */
+	readonly isServing: () => boolean
 	/** Addresses of boxes that watch the store, in the order in which this one asks them. */
 	readonly watchers: () => readonly string[]
 	/** Steady clock, in ms. */
@@ -41,8 +43,13 @@
 
 /** Longest wait of one call to another box, in ms. */
 const RELAY_WAIT_MS = 1_000
+/**
+ * Longest watch of a box that others ask, in ms: what it does not hear of, they don't either, although
+ * the store may reach them.
+ */
+const SERVING_WATCH_MS = 1_000
 /** Age from which the word of the store that a box has is too old to vouch for silence, in ms. */
-const FRESH_MS = 4_500
+const FRESH_MS = 1_600
 /** Time for which a box that did not answer is not asked, in ms. */
 const AVOID_MS = 2_000
 /** Time for which a box goes to the store itself after no other could tell, in ms. */
@@ -62,7 +69,8 @@
  * Follows the store for this box and for others. A few boxes of each zone watch the store, the others
  * ask them: calls then do not grow with boxes. Where a box that watches is turned away by the store, it
  * asks the others as well. Changes are facts whoever passes them on; that nothing has changed is
- * believed only of a box that the store answered a short time ago.
+ * believed only of a box that the store answered a short time ago: watches of boxes that others rely on are
+ * short for that.
  */
 export class FeedRelay implements FollowedStore {
 	private readonly feeds = new Map<string, Feed>()
@@ -89,7 +97,8 @@
 		const { isWatcher, now, watchers } = this.options
 		const addresses = watchers()
 		if (isWatcher() || addresses.length === 0 || now() < this.directUntil) {
-			const told = await this.watchStore(prefix, after, waitMs)
+			const longest = this.options.isServing() ? Math.min(waitMs, SERVING_WATCH_MS) : waitMs
+			const told = await this.watchStore(prefix, after, longest)
 			if (E.isRight(told) || told.left.kind === 'history-gone') return told
 			const next = addresses[this.turn++ % Math.max(1, addresses.length)]
 			const heard = next === undefined ? undefined : await this.askOne(next, prefix, after)
@@ -103,14 +112,23 @@
 		return this.watchStore(prefix, after, Math.min(waitMs, RELAY_WAIT_MS))
 	}
 
-	/** Answers another box: changes as soon as there are any, or none when the time is over. */
+	/**
+	 * Answers another box: changes as soon as there are any, otherwise when the time is over, or as soon
+	 * as this box can't vouch for silence any longer.
+	 */
 	async answer(prefix: string, after: number, waitMs: number): Promise<FeedAnswer> {
 		const feed = this.feeds.get(prefix)
-		if (!feed) return { fresh: false, changes: [] }
-		if (feed.log.since(after)?.length === 0) await feed.log.wait(Math.min(waitMs, RELAY_WAIT_MS))
-		const changes = feed.log.since(after)
-		if (!changes || bytesOf(changes) > MOST_BYTES) return { fresh: false, changes: [] }
-		return { fresh: this.options.now() - feed.toldAt < FRESH_MS, changes }
+		const until = this.options.now() + Math.min(waitMs, RELAY_WAIT_MS)
+		while (feed) {
+			const changes = feed.log.since(after)
+			if (!changes || bytesOf(changes) > MOST_BYTES) break
+			const now = this.options.now()
+			const freshUntil = feed.toldAt + FRESH_MS
+			if (changes.length > 0 || now >= Math.min(until, freshUntil))
+				return { fresh: now < freshUntil, changes }
+			await feed.log.wait(Math.ceil(Math.min(until, freshUntil) - now))
+		}
+		return { fresh: false, changes: [] }
 	}
 
 	private async watchStore(
--- a/packages/gateway/src/lib/Gateway.ts
+++ b/packages/gateway/src/lib/Gateway.ts
@@ -120,6 +120,7 @@
 			store: options.store,
 			peers,
 			isWatcher: () => this.roster.isLender,
+			isServing: () => this.roster.isLarge,
 			watchers: () => this.roster.watchers,
 			now: options.now,
 			log: options.log,
