--- a/packages/core/src/lib/allowance/planDraw.ts
+++ b/packages/core/src/lib/allowance/planDraw.ts
@@ -23,7 +23,7 @@
 }
 
 /** Demand that a box holds in advance, in seconds: a cut from the store has to be lived through. */
-export const HOLD_SECONDS = 9
+const HOLD_SECONDS = 9
 /** Part of what nobody has drawn that all boxes together hold beyond their demand. */
 const SPECULATIVE_PART = 0.2
 /** Part of what nobody has drawn that one draw may take beyond what requests wait for. */
@@ -41,7 +41,7 @@
  * Tokens that a box would like to hold free of an account: its demand for some seconds, and a small
  * part of what nobody has drawn, for accounts that come to this box first during a cut.
  */
-export function wantedTokens(view: AllowanceView, undrawn: number, boxes: number): number {
+function wantedTokens(view: AllowanceView, undrawn: number, boxes: number): number {
 	const demand = view.tokensPerSecond * HOLD_SECONDS
 	const speculative = (SPECULATIVE_PART * undrawn) / Math.max(LEAST_BOXES, boxes)
 	return Math.max(demand, speculative)
--- a/packages/store/src/lib/ChangeLog.ts
+++ b/packages/store/src/lib/ChangeLog.ts
@@ -45,7 +45,7 @@
 	}
 }
 
-/** Revision of the store at a change. @public */
-export function revisionOf(change: StoreChange): number {
+/** Revision of the store at a change. */
+function revisionOf(change: StoreChange): number {
 	return change.kind === 'gone' ? change.revision : change.item.revision
 }
