Configurations: newest version by listing, relayed whole; refusals only by what is vouched for

Ruled out: a deaf relay (its word was fresh). Boxes that rely on others try the store rarely while it is away for all. Store calls are counted in a log line. Tests first: FeedRelay.test.ts (three, failed before).

--- a/packages/core/src/lib/router/logEvents.ts
+++ b/packages/core/src/lib/router/logEvents.ts
@@ -54,6 +54,7 @@
 	'fleet-changed': { number: 316, text: 'The list of boxes of the fleet has changed' },
 	'fleet-unknown': { number: 317, text: 'The boxes of the fleet could not be read' },
 	'changes-relayed': { number: 318, text: 'Another box told changes of the store' },
+	'store-calls': { number: 319, text: 'Calls to the store since the last such line' },
 	'bundle-in-force': { number: 400, text: 'A bundle version is in force on this box' },
 	'bundle-refused': { number: 401, text: 'A bundle was refused' },
 	'traffic-in-force': { number: 402, text: 'A traffic configuration is in force on this box' },
--- a/packages/gateway/src/lib/Exchange.ts
+++ b/packages/gateway/src/lib/Exchange.ts
@@ -64,7 +64,7 @@
 		}
 		const read = readCallerRequest(this.message, traffic.index, dialect)
 		if (E.isLeft(read)) {
-			this.refuse(read.left.kind, read.left.detail)
+			this.refuse(this.refusalOf(read.left.kind), read.left.detail)
 			return
 		}
 		this.request = read.right
@@ -76,6 +76,13 @@
 		await this.tryTargets(read.right, traffic, body)
 	}
 
+	/** What a configuration does not allow is refused for good only by one that is up to date. */
+	private refusalOf(kind: RefusalKind): RefusalKind {
+		const dependsOnConfiguration = kind === 'no-route' || kind === 'no-key'
+		if (!dependsOnConfiguration || this.context.isConfigurationVouched()) return kind
+		return 'configuration-old'
+	}
+
 	/** Refuses the request where this box is late with what it has. */
 	private isShed(request: CallerRequest): boolean {
 		const delayMs = this.context.delayMs()
--- a/packages/gateway/src/lib/FeedRelay.test.ts
+++ b/packages/gateway/src/lib/FeedRelay.test.ts
@@ -1,5 +1,6 @@
 import { MemoryStore, type CallFate } from '@stallwing/standins'
 import { PrefixFollower, type FollowedStore } from '@stallwing/store'
+import * as E from 'fp-ts/lib/Either.js'
 import { afterEach, beforeEach, describe, expect, it, vi } from 'vitest'
 import { FeedRelay, type FeedPeers } from './FeedRelay.js'
 import { decodeFeedAnswer, encodeFeedAnswer } from './feedCodec.js'
@@ -14,6 +15,8 @@
 	/** Boxes whose watches say nothing for long, and do not fail either. */
 	readonly deaf = new Set<string>()
 	readonly dead = new Set<string>()
+	/** Time that each version of a document takes to arrive from the store, in ms: a small link. */
+	versionMs = 0
 	readonly calls = new Map<string, number>()
 	readonly seen = new Map<string, Record<string, string>>()
 	readonly store = new MemoryStore({
@@ -40,7 +43,9 @@
 			isWatcher: () => isWatcher,
 			isServing: () => isWatcher,
 			watchers: () => ['watcher-1', 'watcher-2'].filter((other) => other !== box),
+			boxes: () => 3,
 			now: () => Date.now(),
+			random: () => 0.5,
 			log: () => undefined,
 		})
 		this.relays.set(box, relay)
@@ -62,11 +67,18 @@
 	private deafStore(box: string): FollowedStore {
 		const store = this.store.connect(box)
 		return {
-			list: store.list,
+			list: async (prefix) => {
+				const listing = await store.list(prefix)
+				await sleep(this.versionMs)
+				return listing
+			},
 			watch: async (prefix, after, waitMs) => {
 				const told = await store.watch(prefix, after, waitMs)
 				while (this.deaf.has(box)) await sleep(100)
-				return told
+				if (this.versionMs === 0 || E.isLeft(told)) return told
+				const first = told.right.slice(0, 1)
+				await sleep(this.versionMs * first.length)
+				return E.right(first)
 			},
 		}
 	}
@@ -183,4 +195,37 @@
 			zone.deaf.clear()
 		}
 	})
+
+	it('has the newest version soon after a cut, where each of many takes long to arrive', async () => {
+		await vi.advanceTimersByTimeAsync(2_000)
+		for (const box of ['watcher-1', 'watcher-2', 'other']) zone.cut.add(box)
+		await vi.advanceTimersByTimeAsync(2_000)
+		for (let version = 0; version < 8; version++) zone.store.put('a/x', `${version}`)
+		zone.versionMs = 1_000
+		zone.cut.clear()
+		await vi.advanceTimersByTimeAsync(3_500)
+		expect(zone.seen.get('watcher-1')).toEqual({ 'a/x': '7' })
+		expect(zone.seen.get('other')).toEqual({ 'a/x': '7' })
+	})
+
+	it('keeps up with versions that come faster than they arrive', async () => {
+		await vi.advanceTimersByTimeAsync(2_000)
+		zone.versionMs = 800
+		for (let version = 0; version < 20; version++) {
+			zone.store.put('a/x', `${version}${' '.repeat(100_000)}`)
+			await vi.advanceTimersByTimeAsync(200)
+		}
+		await vi.advanceTimersByTimeAsync(2_000)
+		expect(zone.seen.get('watcher-1')?.['a/x']?.trim()).toBe('19')
+	})
+
+	it('passes a large document on', async () => {
+		await vi.advanceTimersByTimeAsync(2_000)
+		const before = zone.calls.get('other')
+		const large = 'route '.repeat(100_000)
+		zone.store.put('a/x', large)
+		await vi.advanceTimersByTimeAsync(500)
+		expect(zone.seen.get('other')).toEqual({ 'a/x': large })
+		expect(zone.calls.get('other')).toBe(before)
+	})
 })
--- a/packages/gateway/src/lib/FeedRelay.ts
+++ b/packages/gateway/src/lib/FeedRelay.ts
@@ -7,11 +7,12 @@
 	type StoreListing,
 } from '@stallwing/store'
 import * as E from 'fp-ts/lib/Either.js'
+import { StoreProbes } from './StoreProbes.js'
 
 /** What a box tells another about changes below a prefix. */
 export interface FeedAnswer {
-	/** It was itself told by the store a short time ago: what it leaves out has not happened. */
-	readonly fresh: boolean
+	/** Age of the last word that it had from the store itself, in ms; Infinity: none. */
+	readonly wordAgeMs: number
 	readonly changes: readonly StoreChange[]
 }
 
@@ -36,8 +37,11 @@
 	readonly isServing: () => boolean
 	/** Addresses of boxes that watch the store, in the order in which this one asks them. */
 	readonly watchers: () => readonly string[]
+	/** Boxes of the fleet. */
+	readonly boxes: () => number
 	/** Steady clock, in ms. */
 	readonly now: () => number
+	readonly random: () => number
 	readonly log: (event: LogEvent) => void
 }
 
@@ -54,15 +58,24 @@
 const AVOID_MS = 2_000
 /** Time for which a box goes to the store itself after no other could tell, in ms. */
 const DIRECT_MS = 6_000
-/** Boxes that are asked before the store is. */
-const MOST_WATCHERS = 2
-/** Changes above this size are for the store to tell: the link of a box is small. */
-const MOST_BYTES = 64 * 1024
+/** Boxes that are asked before the store is: the lenders of the own zone and one of another. */
+const MOST_WATCHERS = 4
+/**
+ * Size of changes, in bytes, from which newer versions may be written while they arrive: 64 KiB take
+ * 50 ms on a link of 10 Mbit/s.
+ */
+const LARGE_BYTES = 64 * 1024
+/** Answers above this size are for the store to tell, in bytes: the largest item that it takes. */
+const MOST_BYTES = 1024 * 1024
 
 interface Feed {
 	readonly log: ChangeLog
 	/** When the store itself last answered about this prefix; -Infinity once it did not answer. */
 	toldAt: number
+	/** When the store last answered this box, or one that this box then asked. */
+	vouchedAt: number
+	/** Newer versions may lie behind the ones that a watch would tell first: a listing skips those. */
+	isBehind: boolean
 }
 
 /**
@@ -75,17 +88,25 @@
 export class FeedRelay implements FollowedStore {
 	private readonly feeds = new Map<string, Feed>()
 	private readonly avoidUntil = new Map<string, number>()
+	private readonly probes: StoreProbes
 	private turn = 0
 	private directUntil = Number.NEGATIVE_INFINITY
 
-	constructor(private readonly options: FeedRelayOptions) {}
+	constructor(private readonly options: FeedRelayOptions) {
+		this.probes = new StoreProbes(options)
+	}
 
 	async list(prefix: string): Promise<E.Either<StoreFault, StoreListing>> {
+		const begun = this.options.now()
 		const listing = await this.options.store.list(prefix)
-		if (E.isLeft(listing)) return listing
 		const feed = this.feed(prefix)
-		feed.log.restart(listing.right.at)
-		feed.toldAt = this.options.now()
+		if (E.isLeft(listing)) {
+			feed.toldAt = Number.NEGATIVE_INFINITY
+			return listing
+		}
+		feed.log.restart(listing.right)
+		feed.isBehind = false
+		this.noteTold(feed, begun)
 		return listing
 	}
 
@@ -96,20 +117,20 @@
 	): Promise<E.Either<StoreFault, readonly StoreChange[]>> {
 		const { isWatcher, now, watchers } = this.options
 		const addresses = watchers()
-		if (isWatcher() || addresses.length === 0 || now() < this.directUntil) {
-			const longest = this.options.isServing() ? Math.min(waitMs, SERVING_WATCH_MS) : waitMs
-			const told = await this.watchStore(prefix, after, longest)
-			if (E.isRight(told) || told.left.kind === 'history-gone') return told
-			const next = addresses[this.turn++ % Math.max(1, addresses.length)]
-			const heard = next === undefined ? undefined : await this.askOne(next, prefix, after)
-			return heard ? E.right(heard) : told
-		}
+		if (isWatcher() || addresses.length === 0) return this.watchOrAsk(prefix, after, waitMs)
+		if (now() < this.directUntil) return this.watchStore(prefix, after, RELAY_WAIT_MS)
+		let answered = 0
 		for (const address of addresses.slice(0, MOST_WATCHERS)) {
 			const heard = await this.askOne(address, prefix, after)
-			if (heard) return E.right(heard)
+			if (heard.kind === 'heard') return E.right(heard.changes)
+			if (heard.kind === 'stale') answered++
 		}
-		this.directUntil = now() + DIRECT_MS
-		return this.watchStore(prefix, after, Math.min(waitMs, RELAY_WAIT_MS))
+		return this.probe(prefix, after, answered === Math.min(MOST_WATCHERS, addresses.length))
+	}
+
+	/** Time since the store last vouched for what this box knows below a prefix, in ms. */
+	ageMs(prefix: string): number {
+		return this.options.now() - this.feed(prefix).vouchedAt
 	}
 
 	/**
@@ -125,10 +146,44 @@
 			const now = this.options.now()
 			const freshUntil = feed.toldAt + FRESH_MS
 			if (changes.length > 0 || now >= Math.min(until, freshUntil))
-				return { fresh: now < freshUntil, changes }
+				return { wordAgeMs: now - feed.toldAt, changes }
 			await feed.log.wait(Math.ceil(Math.min(until, freshUntil) - now))
 		}
-		return { fresh: false, changes: [] }
+		return { wordAgeMs: Number.POSITIVE_INFINITY, changes: [] }
+	}
+
+	/** The way of a box that watches: the store, and another box that watches where that fails. */
+	private async watchOrAsk(
+		prefix: string,
+		after: number,
+		waitMs: number,
+	): Promise<E.Either<StoreFault, readonly StoreChange[]>> {
+		const longest = this.options.isServing() ? Math.min(waitMs, SERVING_WATCH_MS) : waitMs
+		const told = await this.watchStore(prefix, after, longest)
+		if (E.isRight(told) || told.left.kind === 'history-gone') return told
+		const addresses = this.options.watchers()
+		const next = addresses[this.turn++ % Math.max(1, addresses.length)]
+		if (next === undefined) return told
+		const heard = await this.askOne(next, prefix, after)
+		return heard.kind === 'heard' ? E.right(heard.changes) : told
+	}
+
+	/**
+	 * Tries the store where no other box could tell. Where those that were asked are there but were not
+	 * told anything themselves, the store is probably away for all: few boxes try it then.
+	 */
+	private async probe(
+		prefix: string,
+		after: number,
+		isStoreAway: boolean,
+	): Promise<E.Either<StoreFault, readonly StoreChange[]>> {
+		if (!this.probes.isDue(isStoreAway))
+			return E.left({ kind: 'no-answer', cause: 'no box was told anything by the store' })
+		const told = await this.watchStore(prefix, after, RELAY_WAIT_MS)
+		const isReached = E.isRight(told) || told.left.kind === 'history-gone'
+		this.probes.note(isReached)
+		if (isReached) this.directUntil = this.options.now() + DIRECT_MS
+		return told
 	}
 
 	private async watchStore(
@@ -136,48 +191,82 @@
 		after: number,
 		waitMs: number,
 	): Promise<E.Either<StoreFault, readonly StoreChange[]>> {
-		const told = await this.options.store.watch(prefix, after, waitMs)
 		const feed = this.feed(prefix)
+		if (feed.isBehind) return this.catchUp(prefix, after)
+		const begun = this.options.now()
+		const told = await this.options.store.watch(prefix, after, waitMs)
 		if (E.isLeft(told)) {
 			feed.toldAt = Number.NEGATIVE_INFINITY
+			feed.isBehind = true
 			return told
 		}
-		feed.toldAt = this.options.now()
+		// Changes may have been long on the way: the answer is as old as the call.
+		this.noteTold(feed, told.right.length > 0 ? begun : this.options.now())
+		feed.isBehind = bytesOf(told.right) > LARGE_BYTES
 		feed.log.append(told.right)
 		return told
 	}
 
-	/** Changes that another box knows, or none if it vouches for that; undefined where it can't tell. */
-	private async askOne(
-		address: string,
+	/** Changes by way of a listing: the newest version of each item, without those before it. */
+	private async catchUp(
 		prefix: string,
 		after: number,
-	): Promise<readonly StoreChange[] | undefined> {
+	): Promise<E.Either<StoreFault, readonly StoreChange[]>> {
+		const listing = await this.list(prefix)
+		if (E.isLeft(listing)) return listing
+		const changes = this.feed(prefix).log.since(after)
+		return changes ? E.right(changes) : E.left({ kind: 'history-gone' })
+	}
+
+	/** What another box knows; `stale`: it is there, and was not told anything itself. */
+	private async askOne(address: string, prefix: string, after: number): Promise<Heard> {
 		const { now, peers } = this.options
-		if ((this.avoidUntil.get(address) ?? 0) > now()) return undefined
+		if ((this.avoidUntil.get(address) ?? 0) > now()) return { kind: 'silent' }
 		const answer = await peers.changes(address, prefix, after, RELAY_WAIT_MS)
 		if (!answer) {
 			this.avoidUntil.set(address, now() + AVOID_MS)
-			return undefined
+			return { kind: 'silent' }
 		}
-		if (answer.changes.length === 0) return answer.fresh ? [] : undefined
-		this.feed(prefix).log.append(answer.changes)
-		this.options.log({
-			name: 'changes-relayed',
-			fields: { prefix, from: address, after, changes: answer.changes.length },
-		})
-		return answer.changes
+		const { changes, wordAgeMs } = answer
+		const isFresh = wordAgeMs < FRESH_MS
+		if (!isFresh && changes.length === 0) return { kind: 'stale' }
+		const feed = this.feed(prefix)
+		if (isFresh) feed.vouchedAt = Math.max(feed.vouchedAt, now() - wordAgeMs)
+		if (changes.length > 0) this.takeRelayed(feed, changes, { address, prefix, after })
+		return { kind: 'heard', changes }
+	}
+
+	private takeRelayed(
+		feed: Feed,
+		changes: readonly StoreChange[],
+		from: { readonly address: string; readonly prefix: string; readonly after: number },
+	): void {
+		feed.log.append(changes)
+		const { address, prefix, after } = from
+		const fields = { prefix, from: address, after, changes: changes.length }
+		this.options.log({ name: 'changes-relayed', fields })
+	}
+
+	private noteTold(feed: Feed, at: number): void {
+		feed.toldAt = at
+		feed.vouchedAt = Math.max(feed.vouchedAt, at)
 	}
 
 	private feed(prefix: string): Feed {
 		const known = this.feeds.get(prefix)
 		if (known) return known
-		const feed = { log: new ChangeLog(), toldAt: Number.NEGATIVE_INFINITY }
+		const never = Number.NEGATIVE_INFINITY
+		const feed = { log: new ChangeLog(), toldAt: never, vouchedAt: never, isBehind: false }
 		this.feeds.set(prefix, feed)
 		return feed
 	}
 }
 
+type Heard =
+	| { readonly kind: 'heard'; readonly changes: readonly StoreChange[] }
+	| { readonly kind: 'stale' }
+	| { readonly kind: 'silent' }
+
 function bytesOf(changes: readonly StoreChange[]): number {
 	let bytes = 0
 	for (const change of changes) if (change.kind === 'written') bytes += change.item.value.length
--- a/packages/gateway/src/lib/Gateway.ts
+++ b/packages/gateway/src/lib/Gateway.ts
@@ -50,6 +50,8 @@
 	readonly documents: Documents
 	readonly dialect: Dialect
 	readonly repeatLimits: RepeatLimits
+	/** Time in which a new configuration has to be in force on every box, in ms. */
+	readonly configurationBoundMs: number
 	/** Time between the order to stop and the kill, in ms. */
 	readonly graceMs: number
 	readonly metrics: Metrics
@@ -69,6 +71,8 @@
 
 const FOLLOWER_RETRY_MS = 150
 const WATCH_MS = 3_500
+/** Time beyond a watch that its answer may take before the box counts as out of touch, in ms. */
+const WATCH_GRACE_MS = 500
 const MAINTAIN_MS = 400
 const SWEEP_MS = 250
 /**
@@ -122,7 +126,9 @@
 			isWatcher: () => this.roster.isLender,
 			isServing: () => this.roster.isLarge,
 			watchers: () => this.roster.watchers,
+			boxes: () => this.roster.size,
 			now: options.now,
+			random: options.random,
 			log: options.log,
 		})
 		this.allowance = new AllowanceClient({
@@ -250,6 +256,9 @@
 			stallwing_targets: this.board.size,
 			stallwing_configuration_version: traffic?.index.config.version ?? -1,
 			stallwing_configuration_age_ms: traffic ? Math.round(now - traffic.since) : -1,
+			stallwing_configuration_word_age_ms: Math.round(
+				this.feed.ageMs(this.options.documents.configPrefix),
+			),
 			stallwing_ready: this.ready ? 1 : 0,
 			stallwing_loop_delay_ms: Math.round(this.loopDelay.ms),
 			stallwing_boxes: this.roster.size,
@@ -279,6 +288,7 @@
 			random: options.random,
 			log: options.log,
 			pool: (target) => this.pools.of(target),
+			isConfigurationVouched: () => this.isConfigurationVouched(),
 			isFull: (target) => this.isFull(target),
 			repeats: (service) => this.repeats(service),
 			delayMs: () => this.loopDelay.ms,
@@ -331,6 +341,15 @@
 		this.allowance.setBudgets({ at: traffic.revision, tokens })
 	}
 
+	private isConfigurationVouched(): boolean {
+		const { configurationBoundMs } = this.options
+		// In a small fleet a watch may be silent for longer than the bound, and nothing is wrong.
+		const bound = this.roster.isLarge
+			? configurationBoundMs
+			: Math.max(configurationBoundMs, WATCH_MS + WATCH_GRACE_MS)
+		return this.feed.ageMs(this.options.documents.configPrefix) < bound
+	}
+
 	private followTargets(): PrefixFollower {
 		const { targets } = this
 		return this.follower(
--- a/packages/gateway/src/lib/GatewayContext.ts
+++ b/packages/gateway/src/lib/GatewayContext.ts
@@ -34,6 +34,8 @@
 	/** Undefined until the first configuration came. Written by the configuration controller only. */
 	traffic: TrafficInForce | undefined
 	repeatLimits: RepeatLimits
+	/** False where a newer configuration may be in force elsewhere for longer than is allowed. */
+	isConfigurationVouched(): boolean
 	/** True once the process was told to stop. */
 	stopping: boolean
 	/** True once a planned stop is so far on that what begins now might be cut off. */
--- a/packages/gateway/src/lib/Refusal.ts
+++ b/packages/gateway/src/lib/Refusal.ts
@@ -5,6 +5,7 @@
  * - `malformed`, `header-too-large`, `body-too-large`, `no-route`, `no-key`: the request is at fault.
  * - `body-late`: the body did not come in time.
  * - `not-configured`: this box knows no configuration yet.
+ * - `configuration-old`: the configuration of this box does not allow it, and may be out of date.
  * - `budget-spent`: what is left of the budget can't hold the request.
  * - `budget-unknown`: this box holds too little of the budget and can't draw more now.
  * - `no-target`: no target could take it.
@@ -24,6 +25,7 @@
 	| 'no-key'
 	| 'body-late'
 	| 'not-configured'
+	| 'configuration-old'
 	| 'budget-spent'
 	| 'budget-unknown'
 	| 'no-target'
@@ -44,6 +46,7 @@
 /** Refusals after which a caller may come back with the same request. */
 const WORTH_RETRYING: ReadonlySet<RefusalKind> = new Set([
 	'not-configured',
+	'configuration-old',
 	'budget-unknown',
 	'no-target',
 	'stopping',
