Lent tokens that come late are kept; fewer watches; a short read tells whether the store is back

Cause: 86 in 100 calls to borrow brought nothing: an answer after 160 ms was thrown away with its tokens (the lender had counted them as spent), and its box was avoided for up to 12 s, so that soon none was left to ask. Ruled out: empty lenders (most still lent). Change: the request goes on to the next box after 160 ms, the answer still counts; boxes that owe an answer are left out, those that lately had too little come last; lenders of all zones are asked. Watches: two boxes of a zone instead of three, as long as the bound on configurations allows.

--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -185,6 +185,7 @@
 export {
 	allLenders,
 	lendersFor,
+	isWatcher,
 	lendersOfZone,
 	type FleetMember,
 	watchersFor,
--- a/packages/core/src/lib/allowance/chooseLenders.test.ts
+++ b/packages/core/src/lib/allowance/chooseLenders.test.ts
@@ -1,7 +1,13 @@
 import fc from 'fast-check'
 import { describe, expect, it } from 'vitest'
 import { brandId, type AccountName, type BoxName, type ZoneName } from '../ids.js'
-import { lendersFor, lendersOfZone, type FleetMember } from './chooseLenders.js'
+import {
+	allLenders,
+	isWatcher,
+	lendersFor,
+	lendersOfZone,
+	type FleetMember,
+} from './chooseLenders.js'
 
 const ACCOUNT = brandId<AccountName>('acme')
 
@@ -39,16 +45,27 @@
 		fc.assert(property, { seed: 1, numRuns: 50 })
 	})
 
-	it('asks the own zone first, then one box of each other zone', () => {
+	it('asks the own zone first, then one box of each other zone, then the others', () => {
 		const order = lendersFor(ACCOUNT, fleet(3, 9), zoneOf(0))
-		expect(order.map((member) => member.zone)).toEqual([
+		expect(order.slice(0, 5).map((member) => member.zone)).toEqual([
 			zoneOf(0),
 			zoneOf(0),
 			zoneOf(0),
 			expect.anything(),
 			expect.anything(),
 		])
-		expect(new Set(order.map((member) => member.zone)).size).toBe(3)
+		expect(new Set(order.slice(0, 5).map((member) => member.zone)).size).toBe(3)
+		expect(order.slice(3).every((member) => member.zone !== zoneOf(0))).toBe(true)
+		const lenders = allLenders(fleet(3, 9)).map((member) => member.box)
+		expect(order.map((member) => member.box).sort()).toEqual(lenders.sort())
+	})
+
+	it('lets two boxes of a zone watch, which draw as well', () => {
+		const members = fleet(3, 9)
+		const watchers = members.filter((member) => isWatcher(members, member))
+		expect(watchers).toHaveLength(6)
+		const lenders = new Set(allLenders(members).map((member) => member.box))
+		expect(watchers.every((member) => lenders.has(member.box))).toBe(true)
 	})
 
 	it('spreads accounts over the lenders of a zone', () => {
--- a/packages/core/src/lib/allowance/chooseLenders.ts
+++ b/packages/core/src/lib/allowance/chooseLenders.ts
@@ -14,8 +14,11 @@
  * with boxes, and what is held of an account lies in a few places instead of in crumbs at every box.
  */
 const LENDERS_PER_ZONE = 3
-/** Boxes of other zones that are asked when none of the own zone has tokens. */
-const MOST_DISTANT_LENDERS = 4
+/**
+ * Lenders of a zone that watch the store for the others: each watch is paid for all the time. One may be
+ * cut off or deaf.
+ */
+const WATCHERS_PER_ZONE = 2
 
 /** The boxes of a zone that draw from the store: the same at every box that knows the same members. @public */
 export function lendersOfZone(members: readonly FleetMember[], zone: ZoneName): FleetMember[] {
@@ -40,8 +43,11 @@
 	zone: ZoneName,
 ): FleetMember[] {
 	const near = ranked(account, lendersOfZone(members, zone))
-	const distant = firstOfOtherZones(account, members, zone)
-	return [...near, ...ranked(account, distant).slice(0, MOST_DISTANT_LENDERS)]
+	const first = ranked(account, firstOfOtherZones(account, members, zone))
+	const others = ranked(account, allLenders(members)).filter(
+		(member) => member.zone !== zone && !first.includes(member),
+	)
+	return [...near, ...first, ...others]
 }
 
 /**
@@ -50,8 +56,21 @@
  * @public
  */
 export function watchersFor(members: readonly FleetMember[], self: FleetMember): FleetMember[] {
-	const near = ranked(self.box, lendersOfZone(members, self.zone))
-	return [...near, ...firstOfOtherZones(self.box, members, self.zone)]
+	const near = ranked(self.box, watchersOfZone(members, self.zone))
+	const zones = otherZones(members, self.zone)
+	const distant = zones.flatMap((zone) =>
+		ranked(self.box, watchersOfZone(members, zone)).slice(0, 1),
+	)
+	return [...near, ...distant]
+}
+
+/** True where a box watches the store for the others. @public */
+export function isWatcher(members: readonly FleetMember[], { box, zone }: FleetMember): boolean {
+	return watchersOfZone(members, zone).some((member) => member.box === box)
+}
+
+function watchersOfZone(members: readonly FleetMember[], zone: ZoneName): FleetMember[] {
+	return lendersOfZone(members, zone).slice(0, WATCHERS_PER_ZONE)
 }
 
 /** The lender that comes first for a key in each zone but one. */
@@ -60,9 +79,15 @@
 	members: readonly FleetMember[],
 	zone: ZoneName,
 ): FleetMember[] {
+	return otherZones(members, zone).flatMap((other) =>
+		ranked(key, lendersOfZone(members, other)).slice(0, 1),
+	)
+}
+
+function otherZones(members: readonly FleetMember[], zone: ZoneName): ZoneName[] {
 	const zones = new Set(members.map((member) => member.zone))
 	zones.delete(zone)
-	return [...zones].flatMap((other) => ranked(key, lendersOfZone(members, other)).slice(0, 1))
+	return [...zones]
 }
 
 function ranked(key: string, members: readonly FleetMember[]): FleetMember[] {
--- a/packages/gateway/src/lib/AllowanceClient.test.ts
+++ b/packages/gateway/src/lib/AllowanceClient.test.ts
@@ -76,6 +76,8 @@
 		private readonly drawing: readonly string[] = BOXES,
 		/** Every seventh answer of a lender is lost, and its tokens with it. */
 		private readonly losesAnswers = true,
+		/** Boxes whose answers to other boxes come late, and by how much, in ms. */
+		private readonly lateness: Readonly<Record<string, number>> = {},
 	) {
 		this.store = new MemoryStore({
 			now: () => Date.now(),
@@ -187,7 +189,7 @@
 			ask: async (address, account, request) => {
 				await sleep(2)
 				const answer = (await other(address)?.lend(account, request)) ?? NOTHING_LENT
-				await sleep(2)
+				await sleep(2 + (this.lateness[address.replace(':1', '')] ?? 0))
 				const isLost = this.losesAnswers && this.answers++ % 7 === 6
 				return isLost ? NOTHING_LENT : answer
 			},
@@ -214,6 +216,7 @@
 		lease: guard(store.lease),
 		read: guard(store.read),
 		readStale: guard(store.readStale),
+		ping: guard(store.ping),
 		listStale: guard(store.listStale),
 	}
 }
@@ -390,6 +393,22 @@
 		expect(fleet.spent - before).toBeGreaterThan(0.97 * 60 * 20)
 	})
 
+	it('goes to the next box where one is late, and keeps the tokens that come late', async () => {
+		const fleet = new Fleet(BUDGET, 0, ['box-1', 'box-2'], false, { 'box-1': 700 })
+		await pass(fleet, 400)
+		const began = Date.now()
+		const first = fleet.ask('box-3', 300, 1).then((got) => ({ got, after: Date.now() - began }))
+		await pass(fleet, 400)
+		expect(await first).toEqual({ got: true, after: expect.any(Number) })
+		expect((await first).after).toBeLessThan(200)
+		await pass(fleet, 800)
+		for (const box of BOXES) fleet.setCut(box, true)
+		fleet.kill('box-2')
+		const second = fleet.ask('box-3', 300, 1)
+		await vi.advanceTimersByTimeAsync(1)
+		expect(await second).toBe(true)
+	})
+
 	it('claims nothing and calls the store for nothing where it does not draw', async () => {
 		const fleet = new Fleet(BUDGET, 0, ['box-1'])
 		await pass(fleet, 400)
--- a/packages/gateway/src/lib/AllowanceClient.ts
+++ b/packages/gateway/src/lib/AllowanceClient.ts
@@ -95,7 +95,8 @@
 		const lent = needed < request.tokens ? needed : needed + this.lendAhead(account, request.ahead)
 		const left = this.state.leftAtMost(account)
 		this.options.log({ name: 'allowance-lent', fields: { account, ...request, lent, left } })
-		return { lent, left, budgetsAt: this.state.budgets.at }
+		const free = Math.max(0, book.free(account))
+		return { lent, left, free, budgetsAt: this.state.budgets.at }
 	}
 
 	/** Ends a reservation. */
--- a/packages/gateway/src/lib/FeedRelay.test.ts
+++ b/packages/gateway/src/lib/FeedRelay.test.ts
@@ -1,5 +1,5 @@
 import { MemoryStore, type CallFate } from '@stallwing/standins'
-import { PrefixFollower, type FollowedStore } from '@stallwing/store'
+import { PrefixFollower, type FollowedStore, type KeyValueStore } from '@stallwing/store'
 import * as E from 'fp-ts/lib/Either.js'
 import { afterEach, beforeEach, describe, expect, it, vi } from 'vitest'
 import { FeedRelay, type FeedPeers } from './FeedRelay.js'
@@ -43,6 +43,7 @@
 			isWatcher: () => isWatcher,
 			isServing: () => isWatcher,
 			watchers: () => ['watcher-1', 'watcher-2'].filter((other) => other !== box),
+			boundMs: 2_000,
 			boxes: () => 3,
 			now: () => Date.now(),
 			random: () => 0.5,
@@ -64,9 +65,10 @@
 		void follower.run()
 	}
 
-	private deafStore(box: string): FollowedStore {
+	private deafStore(box: string): FollowedStore & Pick<KeyValueStore, 'ping'> {
 		const store = this.store.connect(box)
 		return {
+			ping: store.ping,
 			list: async (prefix) => {
 				const listing = await store.list(prefix)
 				await sleep(this.versionMs)
--- a/packages/gateway/src/lib/FeedRelay.ts
+++ b/packages/gateway/src/lib/FeedRelay.ts
@@ -2,6 +2,7 @@
 import {
 	ChangeLog,
 	type FollowedStore,
+	type KeyValueStore,
 	type StoreChange,
 	type StoreFault,
 	type StoreListing,
@@ -29,7 +30,8 @@
 
 /** What a {@link FeedRelay} works with. */
 export interface FeedRelayOptions {
-	readonly store: FollowedStore
+	/** `ping` costs little and tells whether the store answers. */
+	readonly store: FollowedStore & Pick<KeyValueStore, 'ping'>
 	readonly peers: FeedPeers
 	/** This box watches the store itself, for others too. */
 	readonly isWatcher: () => boolean
@@ -37,6 +39,8 @@
 	readonly isServing: () => boolean
 	/** Addresses of boxes that watch the store, in the order in which this one asks them. */
 	readonly watchers: () => readonly string[]
+	/** Time in which a change has to be known everywhere, in ms. */
+	readonly boundMs: number
 	/** Boxes of the fleet. */
 	readonly boxes: () => number
 	/** Steady clock, in ms. */
@@ -48,12 +52,15 @@
 /** Longest wait of one call to another box, in ms. */
 const RELAY_WAIT_MS = 1_000
 /**
- * Longest watch of a box that others ask, in ms: what it does not hear of, they don't either, although
- * the store may reach them.
+ * Longest watch of a box that others ask, as a part of the bound: what it does not hear of, they don't
+ * either, although the store may reach them.
  */
-const SERVING_WATCH_MS = 1_000
-/** Age from which the word of the store that a box has is too old to vouch for silence, in ms. */
-const FRESH_MS = 1_600
+const SERVING_WATCH_PART = 0.45
+/**
+ * Age from which the word of the store that a box has is too old to vouch for silence, as a part of the
+ * bound: others then still have time to ask the store.
+ */
+const FRESH_PART = 0.7
 /** Time for which a box that did not answer is not asked, in ms. */
 const AVOID_MS = 2_000
 /** Time for which a box goes to the store itself after no other could tell, in ms. */
@@ -76,6 +83,8 @@
 	vouchedAt: number
 	/** Newer versions may lie behind the ones that a watch would tell first: a listing skips those. */
 	isBehind: boolean
+	/** The last call about this prefix was not answered. */
+	isLost: boolean
 }
 
 /**
@@ -101,7 +110,7 @@
 		const listing = await this.options.store.list(prefix)
 		const feed = this.feed(prefix)
 		if (E.isLeft(listing)) {
-			feed.toldAt = Number.NEGATIVE_INFINITY
+			this.noteLost(feed)
 			return listing
 		}
 		feed.log.restart(listing.right)
@@ -144,7 +153,7 @@
 			const changes = feed.log.since(after)
 			if (!changes || bytesOf(changes) > MOST_BYTES) break
 			const now = this.options.now()
-			const freshUntil = feed.toldAt + FRESH_MS
+			const freshUntil = feed.toldAt + this.freshMs
 			if (changes.length > 0 || now >= Math.min(until, freshUntil))
 				return { wordAgeMs: now - feed.toldAt, changes }
 			await feed.log.wait(Math.ceil(Math.min(until, freshUntil) - now))
@@ -158,7 +167,10 @@
 		after: number,
 		waitMs: number,
 	): Promise<E.Either<StoreFault, readonly StoreChange[]>> {
-		const longest = this.options.isServing() ? Math.min(waitMs, SERVING_WATCH_MS) : waitMs
+		const { boundMs, isServing } = this.options
+		const longest = isServing()
+			? Math.min(waitMs, Math.round(SERVING_WATCH_PART * boundMs))
+			: waitMs
 		const told = await this.watchStore(prefix, after, longest)
 		if (E.isRight(told) || told.left.kind === 'history-gone') return told
 		const addresses = this.options.watchers()
@@ -192,12 +204,12 @@
 		waitMs: number,
 	): Promise<E.Either<StoreFault, readonly StoreChange[]>> {
 		const feed = this.feed(prefix)
+		if (feed.isLost && !(await this.options.store.ping())) return this.noteLost(feed)
 		if (feed.isBehind) return this.catchUp(prefix, after)
 		const begun = this.options.now()
 		const told = await this.options.store.watch(prefix, after, waitMs)
 		if (E.isLeft(told)) {
-			feed.toldAt = Number.NEGATIVE_INFINITY
-			feed.isBehind = true
+			if (told.left.kind !== 'history-gone') this.noteLost(feed)
 			return told
 		}
 		// Changes may have been long on the way: the answer is as old as the call.
@@ -228,7 +240,7 @@
 			return { kind: 'silent' }
 		}
 		const { changes, wordAgeMs } = answer
-		const isFresh = wordAgeMs < FRESH_MS
+		const isFresh = wordAgeMs < this.freshMs
 		if (!isFresh && changes.length === 0) return { kind: 'stale' }
 		const feed = this.feed(prefix)
 		if (isFresh) feed.vouchedAt = Math.max(feed.vouchedAt, now() - wordAgeMs)
@@ -247,7 +259,19 @@
 		this.options.log({ name: 'changes-relayed', fields })
 	}
 
+	private get freshMs(): number {
+		return FRESH_PART * this.options.boundMs
+	}
+
+	private noteLost(feed: Feed): E.Either<StoreFault, never> {
+		feed.toldAt = Number.NEGATIVE_INFINITY
+		feed.isLost = true
+		feed.isBehind = true
+		return E.left({ kind: 'no-answer', cause: 'the store does not answer a short call' })
+	}
+
 	private noteTold(feed: Feed, at: number): void {
+		feed.isLost = false
 		feed.toldAt = at
 		feed.vouchedAt = Math.max(feed.vouchedAt, at)
 	}
@@ -256,7 +280,13 @@
 		const known = this.feeds.get(prefix)
 		if (known) return known
 		const never = Number.NEGATIVE_INFINITY
-		const feed = { log: new ChangeLog(), toldAt: never, vouchedAt: never, isBehind: false }
+		const feed: Feed = {
+			log: new ChangeLog(),
+			toldAt: never,
+			vouchedAt: never,
+			isBehind: false,
+			isLost: false,
+		}
 		this.feeds.set(prefix, feed)
 		return feed
 	}
--- a/packages/gateway/src/lib/FleetRoster.ts
+++ b/packages/gateway/src/lib/FleetRoster.ts
@@ -2,6 +2,7 @@
 	brandId,
 	allLenders,
 	lendersFor,
+	isWatcher,
 	lendersOfZone,
 	watchersFor,
 	type AccountName,
@@ -48,6 +49,10 @@
 	listed = false
 	/** This box draws from the store for others. */
 	isLender = false
+	/** This box watches the store for others. */
+	isWatcher = false
+	/** Some boxes rely on others for what happens in the store. */
+	hasFollowers = false
 	/** Answers of {@link lenderAddresses}, for as long as the members stay the same. */
 	private watcherAddresses: readonly string[] | undefined
 	private workAddresses: readonly string[] | undefined
@@ -147,6 +152,10 @@
 		this.workAddresses = undefined
 		const { box, zone } = this.options.self
 		this.isLender = lendersOfZone(members, zone).some((member) => member.box === box)
+		// In a small fleet, a few more watches cost less than the word that boxes give each other.
+		this.isWatcher = this.isLarge ? isWatcher(members, this.options.self) : this.isLender
+		const lenders = allLenders(members).length
+		this.hasFollowers = this.isLarge || lenders < members.length
 		if (isSame) return
 		this.options.log({
 			name: 'fleet-changed',
--- a/packages/gateway/src/lib/Gateway.ts
+++ b/packages/gateway/src/lib/Gateway.ts
@@ -123,8 +123,9 @@
 		this.feed = new FeedRelay({
 			store: options.store,
 			peers,
-			isWatcher: () => this.roster.isLender,
-			isServing: () => this.roster.isLarge,
+			isWatcher: () => this.roster.isWatcher,
+			isServing: () => this.roster.hasFollowers,
+			boundMs: options.configurationBoundMs,
 			watchers: () => this.roster.watchers,
 			boxes: () => this.roster.size,
 			now: options.now,
@@ -344,7 +345,7 @@
 	private isConfigurationVouched(): boolean {
 		const { configurationBoundMs } = this.options
 		// In a small fleet a watch may be silent for longer than the bound, and nothing is wrong.
-		const bound = this.roster.isLarge
+		const bound = this.roster.hasFollowers
 			? configurationBoundMs
 			: Math.max(configurationBoundMs, WATCH_MS + WATCH_GRACE_MS)
 		return this.feed.ageMs(this.options.documents.configPrefix) < bound
--- a/packages/gateway/src/lib/PeerClient.ts
+++ b/packages/gateway/src/lib/PeerClient.ts
@@ -6,26 +6,23 @@
 import { fromWireWork } from './workCodec.js'
 import { ACCEPT_PATH, CHANGES_PATH, LEND_PATH, OPEN_PATH } from './PeerServer.js'
 
-const ASK_MS = 160
+/** Longest wait for an answer, in ms: what a box lends is not lost where it is late. */
+const ASK_MS = 1_500
 /** A time-out that comes later than this after its time is one of a busy box, in ms. */
 const OWN_LAG_MS = 40
+/** Longest wait for the short answer of a box that stops or is asked whether it is there, in ms. */
+const STATUS_MS = 160
 /** Time beyond the wait that an answer about changes may take, in ms. */
 const CHANGES_GRACE_MS = 300
 const CONNECTIONS = 6
-/** Time for which a box that did not answer is not asked again, in ms; doubled at each further one. */
-const FIRST_AVOID_MS = 1_500
-const LONGEST_AVOID_MS = 12_000
-
-/** A box that did not answer. */
-interface Avoided {
-	readonly until: number
-	readonly pauseMs: number
-}
+/** Time for which a box that did not answer is not asked again, in ms. */
+const AVOID_MS = 1_500
 
 /** Asks other boxes. */
 export class PeerClient implements Lenders, FeedPeers {
 	private readonly callers = new Map<string, HttpCaller>()
-	private readonly avoided = new Map<string, Avoided>()
+	/** Boxes that did not answer, and until when they are not asked. */
+	private readonly avoidedUntil = new Map<string, number>()
 
 	constructor(
 		private readonly box: BoxName,
@@ -43,12 +40,13 @@
 			const path = `${LEND_PATH}?${new URLSearchParams(fields)}`
 			const reply = await this.caller(address).send({ method: 'POST', path, timeoutMs: ASK_MS })
 			if (reply.status !== 200) throw new Error(`status ${reply.status}`)
-			this.avoided.delete(address)
+			this.avoidedUntil.delete(address)
 			return this.readLendAnswer(reply.text)
 		} catch {
 			// Tokens of a lost answer stay counted as spent at the lender: nobody can spend them.
 			// A box that was busy itself for longer than the wait says nothing about the other.
-			if (this.now() - began < ASK_MS + OWN_LAG_MS) this.avoid(address)
+			if (this.now() - began < ASK_MS + OWN_LAG_MS)
+				this.avoidedUntil.set(address, this.now() + AVOID_MS)
 			return NOTHING_LENT
 		}
 	}
@@ -95,21 +93,14 @@
 		path: string,
 	): Promise<number | undefined> {
 		try {
-			return (await this.caller(address).send({ method, path, timeoutMs: ASK_MS })).status
+			return (await this.caller(address).send({ method, path, timeoutMs: STATUS_MS })).status
 		} catch {
 			return undefined
 		}
 	}
 
 	private isAvoided(address: string): boolean {
-		return (this.avoided.get(address)?.until ?? 0) > this.now()
-	}
-
-	private avoid(address: string): void {
-		if (this.isAvoided(address)) return
-		const before = this.avoided.get(address)?.pauseMs ?? FIRST_AVOID_MS / 2
-		const pauseMs = Math.min(LONGEST_AVOID_MS, before * 2)
-		this.avoided.set(address, { until: this.now() + pauseMs, pauseMs })
+		return (this.avoidedUntil.get(address) ?? 0) > this.now()
 	}
 
 	private caller(address: string): HttpCaller {
@@ -129,6 +120,7 @@
 		const lent = typeof body.lent === 'number' ? body.lent : 0
 		const budgetsAt = typeof body.budgetsAt === 'number' ? body.budgetsAt : 0
 		const left = typeof body.left === 'number' ? body.left : Number.POSITIVE_INFINITY
-		return { lent, left, budgetsAt }
+		const free = typeof body.free === 'number' ? body.free : 0
+		return { lent, left, free, budgetsAt }
 	}
 }
--- a/packages/gateway/src/lib/TokenLending.ts
+++ b/packages/gateway/src/lib/TokenLending.ts
@@ -15,6 +15,8 @@
 	readonly lent: number
 	/** What may be left of the budget, wherever it lies: more than that nobody can get. */
 	readonly left: number
+	/** Tokens of the account that the lender still has free. */
+	readonly free: number
 	/** Store revision of the configuration under which the lender held the tokens. */
 	readonly budgetsAt: number
 }
@@ -23,6 +25,7 @@
 export const NOTHING_LENT: LendAnswer = {
 	lent: 0,
 	left: Number.POSITIVE_INFINITY,
+	free: 0,
 	budgetsAt: 0,
 }
 
@@ -30,7 +33,7 @@
 export interface Lenders {
 	/**
 	 * Asks one box to hand tokens over, and some in advance where it holds plenty;
-	 * {@link NOTHING_LENT} where it does not answer.
+	 * {@link NOTHING_LENT} where it does not answer. An answer may come late, and brings its tokens still.
 	 */
 	ask(address: string, account: AccountName, request: LendRequest): Promise<LendAnswer>
 	/** Whether a box answers at all. */
@@ -44,6 +47,7 @@
 	readonly lenders: Lenders
 	/** Steady clock, in ms. */
 	readonly now: () => number
+	readonly sleep: (ms: number) => Promise<void>
 	/** Addresses of the boxes to be asked for tokens of an account, in order. */
 	readonly order: (account: AccountName) => readonly string[]
 	readonly log: (event: LogEvent) => void
@@ -54,6 +58,10 @@
 /** Demand that a box asks for in advance, in seconds: a busy box then asks for many requests at once. */
 const AHEAD_SECONDS = 0.5
 const LONGEST_WAIT_MS = 1_500
+/** Time that a request waits for one box before the next is asked, in ms; the answer may still come. */
+const ASK_PATIENCE_MS = 160
+/** Age up to which it counts what a box had left of an account when it last answered, in ms. */
+const FREE_AGE_MS = 400
 
 /** Requests for tokens of one account that have not been asked for yet, or are asked for together. */
 interface Borrowing {
@@ -67,6 +75,10 @@
  */
 export class TokenLending {
 	private readonly borrowings = new Map<AccountName, Borrowing>()
+	/** Boxes that were asked and have not answered yet. */
+	private readonly late = new Set<string>()
+	/** What boxes had left when they last answered. */
+	private readonly leftovers = new Map<string, { readonly free: number; readonly at: number }>()
 
 	constructor(private readonly options: TokenLendingOptions) {}
 
@@ -103,7 +115,7 @@
 	/** Asks until this box holds as much as is needed; returns what may be left of the budget at most. */
 	private async gather(book: AllowanceBook, account: AccountName, needed: number): Promise<number> {
 		let left = Number.POSITIVE_INFINITY
-		for (const address of this.order(account)) {
+		for (const address of this.bestFirst(account, needed)) {
 			const tokens = needed - Math.max(0, book.free(account))
 			if (tokens <= 0 || book.isClosed) return left
 			const ahead = AHEAD_SECONDS * book.view(account, this.options.now()).tokensPerSecond
@@ -136,11 +148,35 @@
 		account: AccountName,
 		request: LendRequest,
 	): Promise<LendAnswer> {
-		const answer = await this.options.lenders.ask(address, account, request)
-		book.borrow(account, answer.lent, answer.budgetsAt)
-		const fields = { account, lender: address, ...request, lent: answer.lent, left: answer.left }
-		this.options.log({ name: 'allowance-borrowed', fields })
-		return answer
+		const begun = this.options.now()
+		const asked = this.options.lenders.ask(address, account, request).then((answer) => {
+			book.borrow(account, answer.lent, answer.budgetsAt)
+			this.late.delete(address)
+			const now = this.options.now()
+			this.leftovers.set(leftoverKey(address, account), { free: answer.free, at: now })
+			const { lent, left } = answer
+			const fields = { account, lender: address, ...request, lent, left, tookMs: now - begun }
+			this.options.log({ name: 'allowance-borrowed', fields })
+			return answer
+		})
+		this.late.add(address)
+		const patience = this.options.sleep(ASK_PATIENCE_MS).then(() => NOTHING_LENT)
+		return Promise.race([asked, patience])
+	}
+
+	/** Boxes to be asked: those that lately had too little come last, those that owe an answer are left out. */
+	private bestFirst(account: AccountName, needed: number): readonly string[] {
+		const oldest = this.options.now() - FREE_AGE_MS
+		const isShort = (address: string): boolean => {
+			const leftover = this.leftovers.get(leftoverKey(address, account))
+			return leftover !== undefined && leftover.at > oldest && leftover.free < needed
+		}
+		const open = this.options.order(account).filter((address) => !this.late.has(address))
+		const best = [
+			...open.filter((address) => !isShort(address)),
+			...open.filter((address) => isShort(address)),
+		]
+		return best.slice(0, MOST_LENDERS)
 	}
 
 	/** The box that took the tokens, or an empty text. A box that did not answer may have them. */
@@ -161,3 +197,7 @@
 		return this.options.order(account).slice(0, MOST_LENDERS)
 	}
 }
+
+function leftoverKey(address: string, account: AccountName): string {
+	return `${address} ${account}`
+}
--- a/packages/standins/src/lib/MemoryStore.ts
+++ b/packages/standins/src/lib/MemoryStore.ts
@@ -75,6 +75,7 @@
 			lease: (ttlMs) => this.call(caller, 'lease', () => this.makeLease(ttlMs)),
 			read: (key) => this.call(caller, 'read', () => E.right(this.item(key))),
 			readStale: (key) => this.call(caller, 'readStale', () => E.right(this.item(key))),
+			ping: async () => E.isRight(await this.call(caller, 'ping', () => E.right(undefined))),
 			listStale: (prefix) =>
 				this.call(caller, 'listStale', () =>
 					E.map((listing: StoreListing) => listing.items)(this.list(prefix)),
--- a/packages/store/src/lib/KeyValueStore.ts
+++ b/packages/store/src/lib/KeyValueStore.ts
@@ -67,6 +67,8 @@
 	read(key: string): Promise<Either<StoreFault, StoreItem | undefined>>
 	/** Reads one item that may be seconds old, which is cheap; undefined where the key is absent. */
 	readStale(key: string): Promise<Either<StoreFault, StoreItem | undefined>>
+	/** Whether the store answers at all, by a cheap read of nothing. */
+	ping(): Promise<boolean>
 	/** Reads all items below a prefix; they may be seconds old, which is cheap. */
 	listStale(prefix: string): Promise<Either<StoreFault, readonly StoreItem[]>>
 }
