Promises of ceilings hold for 5 s, and a new process proves by its own age that the old one kept them

Ruled out: renewal of a lease (a late renewal would lengthen it). Change: a lease of promise + 0.7 s; the new process looks when it has run for 0.7 s, so a lease that is still there began less than a promise before the old one ended. The time of day is compared with the start of the new process. Tests: a loss of power of 2.2 s (failed before); the waits of the other tests follow the constants (claims now come after 0.7 s, promises end after 5 s; the same assertions).

--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -177,6 +177,8 @@
 } from './lib/allowance/AllowanceRow.js'
 export {
 	PROMISE_MS,
+	MARK_LEASE_MS,
+	START_PROOF_MS,
 	isMarkOff,
 	nextMark,
 	spentAtMost,
--- a/packages/core/src/lib/allowance/SpendingMark.ts
+++ b/packages/core/src/lib/allowance/SpendingMark.ts
@@ -5,30 +5,41 @@
 
 /**
  * A box's promise not to spend beyond a ceiling for {@link PROMISE_MS}. It lies in the store under a
- * lease of that length which is never renewed, only replaced: where the record is still there, the
- * box had reached the store a short time before, and has spent no more than this.
+ * lease of {@link MARK_LEASE_MS} which is never renewed, only replaced. A new process of the box that
+ * has run for {@link START_PROOF_MS} and still finds the record knows that the one before it ended
+ * within the promise, and has spent no more than this.
  * @public
  */
 export interface SpendingMark {
 	readonly holder: Incarnation
-	/** Time of day of the writer, in ms: while the store is down its leases may stand still. */
+	/**
+	 * Time of day of the writer when it asked for the lease, in ms: while the store is down its leases
+	 * may stand still.
+	 */
 	readonly wallTime: Millis
 	/** Ceilings by account, counted like the draws. */
 	readonly marks: Readonly<Record<AccountName, number>>
 }
 
-/** How long a promise holds, from the answer to the lease that bounds it. */
-export const PROMISE_MS: Millis = 3_200
-/** Difference of the time of day above the promise that is still taken as a sign of its age. */
+/**
+ * How long a promise holds, from the answer to the lease that bounds it: a loss of power of two to three
+ * seconds fits into it. A cut from the store has to be borne within the ceilings for as long.
+ */
+export const PROMISE_MS: Millis = 5_000
+/** Time that a process has run at least when it looks for the promise of the one before it. */
+export const START_PROOF_MS: Millis = 700
+/** Length of the lease under which a promise lies. */
+export const MARK_LEASE_MS: Millis = PROMISE_MS + START_PROOF_MS
+/** Difference of two times of day of one machine that counts as none, in ms. */
 const WALL_SLACK_MS: Millis = 500
 /** Demand in advance that a ceiling allows while the budget is far from its end, in seconds. */
-const AHEAD_SECONDS = 3.5
+const AHEAD_SECONDS = 5.5
 /** Part of what is held that a ceiling allows then at least: for accounts that come to a box anew. */
 const AHEAD_PART = 0.2
 /** The same at the end of a budget: what is promised and not spent is lost with the process. */
 const AHEAD_SECONDS_AT_END = 0.5
 /** Part of the time until a budget ends that a ceiling allows for, between the two. */
-const AHEAD_PART_OF_TIME = 0.12
+const AHEAD_PART_OF_TIME = 0.2
 
 /** A ceiling is raised when less than this part of what it should allow is left. */
 const LOW_PART = 0.5
@@ -55,18 +66,19 @@
 
 /**
  * What the earlier incarnation of a box has spent at most: up to its ceilings where its promise
- * certainly still held when it ended, otherwise all that it drew.
+ * certainly still held when it ended, otherwise all that it drew. `startedAt` is the time of day when
+ * the new one started: the earlier one had ended by then.
  * @public
  */
 export function spentAtMost(
 	draws: BoxDraws | undefined,
 	mark: SpendingMark | undefined,
-	wallTime: Millis,
+	startedAt: Millis,
 ): Readonly<Record<AccountName, number>> {
 	const drawn = draws?.drawn ?? {}
 	if (!draws || !mark || mark.holder !== draws.holder) return drawn
-	const age = wallTime - mark.wallTime
-	if (age < -WALL_SLACK_MS || age > PROMISE_MS + WALL_SLACK_MS) return drawn
+	const age = startedAt - mark.wallTime
+	if (age < -WALL_SLACK_MS || age > PROMISE_MS) return drawn
 	const spent: Record<AccountName, number> = {}
 	for (const [account, tokens] of Object.entries<number>(drawn))
 		spent[account as AccountName] = Math.min(tokens, mark.marks[account as AccountName] ?? tokens)
--- a/packages/gateway/src/lib/AllowanceClient.test.ts
+++ b/packages/gateway/src/lib/AllowanceClient.test.ts
@@ -1,4 +1,5 @@
 import {
+	PROMISE_MS,
 	brandId,
 	type AccountName,
 	type BoxName,
@@ -20,6 +21,8 @@
 /** A budget that runs dry within a randomised run: only then does a token too many show. */
 const SMALL_BUDGET = 3_000
 const LOWERED_BUDGET = 1_200
+/** Time in which all boxes have claimed the right to draw: a claim waits for the age of its process. */
+const START_MS = 1_000
 const BOXES = ['box-1', 'box-2', 'box-3'] as const
 
 /** One thing that happens, after a pause. */
@@ -92,6 +95,7 @@
 	start(box: string): void {
 		const entry = { client: undefined as unknown as AllowanceClient, dead: false }
 		const address = `${box}:1`
+		const startedAt = Date.now()
 		entry.client = new AllowanceClient({
 			store: mortal(this.store.connect(box), () => entry.dead),
 			key: 'allowance',
@@ -106,6 +110,7 @@
 			metrics: new Metrics(),
 			now: () => Date.now(),
 			wallTime: () => Date.now(),
+			aliveMs: () => Date.now() - startedAt,
 			random: () => 0.5,
 			sleep,
 			log: () => undefined,
@@ -116,11 +121,11 @@
 	}
 
 	/** The process of a box is gone; a new one starts a little later. */
-	kill(box: string): void {
+	kill(box: string, downMs = 600): void {
 		const entry = this.clients.get(box)
 		if (!entry || entry.dead) return
 		entry.dead = true
-		setTimeout(() => this.start(box), 600)
+		setTimeout(() => this.start(box), downMs)
 	}
 
 	async stop(box: string): Promise<void> {
@@ -256,7 +261,7 @@
 			fc.nat({ max: 1_000 }),
 			async (happenings, fateSeed) => {
 				const fleet = new Fleet(SMALL_BUDGET, fateSeed, drawing)
-				await pass(fleet, 400)
+				await pass(fleet, START_MS)
 				// What was spent or set aside when a budget was lowered below it can't be taken back.
 				let bound = SMALL_BUDGET
 				let revision = 1
@@ -285,7 +290,7 @@
 		['one draws for all', ['box-1']],
 	])('spends nearly all of a budget, wherever the requests arrive: %s', async (_name, drawing) => {
 		const fleet = new Fleet(BUDGET, 0, drawing, drawing === BOXES)
-		await pass(fleet, 400)
+		await pass(fleet, START_MS)
 		for (let i = 0; i < 400; i++) {
 			void fleet.ask(BOXES[i % BOXES.length] ?? BOXES[0], 40, 1)
 			await pass(fleet, 50)
@@ -293,15 +298,18 @@
 		expect(fleet.spent).toBeGreaterThan(0.97 * BUDGET)
 	})
 
-	it('takes only the promised ceiling as spent after a kill', async () => {
+	it.each([
+		['a kill', 600],
+		['a loss of power', 2_200],
+	])('takes only the promised ceiling as spent after %s', async (_name, downMs) => {
 		const fleet = new Fleet(BUDGET, 0)
-		await pass(fleet, 400)
+		await pass(fleet, START_MS)
 		for (let i = 0; i < 100; i++) {
 			void fleet.ask(BOXES[i % BOXES.length] ?? BOXES[0], 90, 1)
 			await pass(fleet, 50)
 		}
-		for (const box of BOXES) fleet.kill(box)
-		await pass(fleet, 1_500)
+		for (const box of BOXES) fleet.kill(box, downMs)
+		await pass(fleet, downMs + 1_500)
 		for (let i = 0; i < 100; i++) {
 			void fleet.ask(BOXES[i % BOXES.length] ?? BOXES[0], 20, 1)
 			await pass(fleet, 50)
@@ -313,7 +321,7 @@
 
 	it('takes all that was drawn as spent when the promise may have been over', async () => {
 		const fleet = new Fleet(BUDGET, 0)
-		await pass(fleet, 400)
+		await pass(fleet, START_MS)
 		expect(await asks(fleet, 'box-1', 500)).toBe(true)
 		fleet.setCut('box-1', true)
 		await pass(fleet, 6_000)
@@ -331,13 +339,13 @@
 	it('gives back what is free when it stops, and hands it over when the store is away', async () => {
 		for (const cut of [false, true]) {
 			const fleet = new Fleet(BUDGET, 0)
-			await pass(fleet, 400)
+			await pass(fleet, START_MS)
 			for (let i = 0; i < 20; i++) {
 				void fleet.ask('box-1', 100, 1)
 				await pass(fleet, 50)
 			}
 			fleet.setCut('box-1', cut)
-			await pass(fleet, cut ? 5_000 : 0)
+			await pass(fleet, cut ? PROMISE_MS + 3_000 : 0)
 			void fleet.stop('box-1')
 			await pass(fleet, 4_000)
 			fleet.setCut('box-1', false)
@@ -350,7 +358,7 @@
 	it('keeps to a lowered budget, also for an account that was away in between', async () => {
 		for (const between of [undefined, {}]) {
 			const fleet = new Fleet(BUDGET, 0)
-			await pass(fleet, 400)
+			await pass(fleet, START_MS)
 			for (let i = 0; i < 10; i++) await asks(fleet, BOXES[i % BOXES.length] ?? BOXES[0], 100)
 			if (between) fleet.setBudgets(2, between)
 			fleet.setBudgets(3, { [ACCOUNT]: 1_500 })
@@ -365,7 +373,7 @@
 
 	it('keeps to a lowered budget where other boxes draw', async () => {
 		const fleet = new Fleet(BUDGET, 0, ['box-1'])
-		await pass(fleet, 400)
+		await pass(fleet, START_MS)
 		for (let i = 0; i < 10; i++) void fleet.ask('box-3', 100, 0.2)
 		await pass(fleet, 100)
 		fleet.setBudgets(3, { [ACCOUNT]: 400 })
@@ -379,7 +387,7 @@
 
 	it('serves a box that does not draw through a cut of all boxes from the store', async () => {
 		const fleet = new Fleet(FAR_BUDGET, 0, ['box-1'], false)
-		await pass(fleet, 400)
+		await pass(fleet, START_MS)
 		for (let i = 0; i < 60; i++) {
 			void fleet.ask('box-3', 20, 1)
 			await pass(fleet, 50)
@@ -395,7 +403,7 @@
 
 	it('goes to the next box where one is late, and keeps the tokens that come late', async () => {
 		const fleet = new Fleet(BUDGET, 0, ['box-1', 'box-2'], false, { 'box-1': 700 })
-		await pass(fleet, 400)
+		await pass(fleet, START_MS)
 		const began = Date.now()
 		const first = fleet.ask('box-3', 300, 1).then((got) => ({ got, after: Date.now() - began }))
 		await pass(fleet, 400)
@@ -411,7 +419,7 @@
 
 	it('claims nothing and calls the store for nothing where it does not draw', async () => {
 		const fleet = new Fleet(BUDGET, 0, ['box-1'])
-		await pass(fleet, 400)
+		await pass(fleet, START_MS)
 		for (let i = 0; i < 10; i++) await asks(fleet, 'box-3', 50)
 		expect(fleet.spent).toBeGreaterThan(0)
 		expect(fleet.callsOf('box-3')).toBe(0)
@@ -419,7 +427,7 @@
 
 	it('goes on drawing after a record that it could not read', async () => {
 		const fleet = new Fleet(BUDGET, 0)
-		await pass(fleet, 400)
+		await pass(fleet, START_MS)
 		const good = fleet.store.text('allowance') ?? ''
 		fleet.store.put('allowance', 'not a record')
 		await pass(fleet, 3_000)
@@ -431,7 +439,7 @@
 
 	it('answers at once when the store and the other boxes have nothing', async () => {
 		const fleet = new Fleet(100, 0)
-		await pass(fleet, 400)
+		await pass(fleet, START_MS)
 		expect(await asks(fleet, 'box-1', 60)).toBe(true)
 		const before = Date.now()
 		const second = fleet.ask('box-2', 60, 1).then((got) => ({ got, after: Date.now() - before }))
--- a/packages/gateway/src/lib/AllowanceDrawer.ts
+++ b/packages/gateway/src/lib/AllowanceDrawer.ts
@@ -38,6 +38,8 @@
 	readonly now: () => number
 	/** Time of day, in ms. */
 	readonly wallTime: () => number
+	/** Time since this process started, in ms. */
+	readonly aliveMs: () => number
 	readonly random: () => number
 	readonly sleep: (ms: number) => Promise<void>
 	readonly log: (event: LogEvent) => void
@@ -52,8 +54,8 @@
 /** What the earlier incarnation had promised when this one looked. */
 interface FoundPromise {
 	readonly mark: SpendingMark | undefined
-	/** Time of day of that look, in ms. */
-	readonly readAt: number
+	/** Time of day when this incarnation started, in ms. */
+	readonly startedAt: number
 }
 
 /** Least time between two draws that no request waits for, in ms: boxes draw from one record. */
@@ -143,7 +145,7 @@
 		if (E.isLeft(found)) return false
 		if (await this.record.read()) return false
 		const before = this.record.row.boxes[box]
-		const spent = spentAtMost(before, found.right.mark, found.right.readAt)
+		const spent = spentAtMost(before, found.right.mark, found.right.startedAt)
 		const next = planClaim(this.record.row, { box, holder, address, spent })
 		const result = await this.record.write(next)
 		if (E.isLeft(result)) return false
@@ -165,7 +167,7 @@
 				holder: this.options.holder,
 				revision: this.record.revision,
 				promise: found.mark?.holder ?? '',
-				promiseAgeMs: Math.round(found.readAt - (found.mark?.wallTime ?? 0)),
+				promiseAgeMs: found.mark ? Math.round(found.startedAt - found.mark.wallTime) : -1,
 				drawnBefore,
 				spentBefore,
 			},
@@ -177,7 +179,8 @@
 		if (this.found) return E.right(this.found)
 		const read = await this.promise.readPrevious()
 		if (E.isLeft(read)) return E.left(this.record.noteFault(read.left))
-		this.found = { mark: read.right, readAt: this.options.wallTime() }
+		const startedAt = this.options.wallTime() - this.options.aliveMs()
+		this.found = { mark: read.right, startedAt }
 		return E.right(this.found)
 	}
 
--- a/packages/gateway/src/lib/Gateway.test.ts
+++ b/packages/gateway/src/lib/Gateway.test.ts
@@ -149,6 +149,7 @@
 		log: () => undefined,
 		now: () => performance.now(),
 		wallTime: () => Date.now(),
+		aliveMs: () => 1_000,
 		random: () => 0.5,
 	})
 
--- a/packages/gateway/src/lib/Gateway.ts
+++ b/packages/gateway/src/lib/Gateway.ts
@@ -60,6 +60,8 @@
 	readonly now: () => number
 	/** Time of day, in ms; it may jump. */
 	readonly wallTime: () => number
+	/** Time since this process started, in ms. */
+	readonly aliveMs: () => number
 	readonly random: () => number
 }
 
@@ -145,6 +147,7 @@
 			metrics: options.metrics,
 			now: options.now,
 			wallTime: options.wallTime,
+			aliveMs: options.aliveMs,
 			random: options.random,
 			sleep,
 			log: options.log,
--- a/packages/gateway/src/lib/SpendingPromise.ts
+++ b/packages/gateway/src/lib/SpendingPromise.ts
@@ -1,4 +1,11 @@
-import { PROMISE_MS, type AccountName, type Incarnation, type SpendingMark } from '@stallwing/core'
+import {
+	MARK_LEASE_MS,
+	PROMISE_MS,
+	START_PROOF_MS,
+	type AccountName,
+	type Incarnation,
+	type SpendingMark,
+} from '@stallwing/core'
 import type { KeyValueStore, StoreFault, StoreItem, StoreLease } from '@stallwing/store'
 import * as E from 'fp-ts/lib/Either.js'
 
@@ -12,10 +19,16 @@
 	readonly now: () => number
 	/** Time of day, in ms. */
 	readonly wallTime: () => number
+	/** Time since this process started, in ms. */
+	readonly aliveMs: () => number
+	readonly sleep: (ms: number) => Promise<void>
 }
 
-/** Age from which a lease is replaced, in ms. */
-const LEASE_AGE_MS = 1_000
+/**
+ * Age from which a lease is replaced, in ms: less than half of the promise, so that one that ends soon
+ * after a loss of power is rare; each replacement is two calls.
+ */
+const LEASE_AGE_MS = 2_000
 const TRIES = 3
 
 /** Keeps the record of this box's spending ceilings in the store. See {@link SpendingMark}. */
@@ -23,6 +36,8 @@
 	private revision = 0
 	private lease: StoreLease | undefined
 	private leaseAt = Number.NEGATIVE_INFINITY
+	/** Time of day when the lease was asked for. */
+	private leaseWallTime = 0
 
 	constructor(private readonly options: SpendingPromiseOptions) {}
 
@@ -36,8 +51,10 @@
 		return this.options.now() >= this.leaseAt + PROMISE_MS
 	}
 
-	/** Reads what the earlier incarnation promised. */
+	/** Reads what the earlier incarnation promised, once this one has run for long enough. */
 	async readPrevious(): Promise<E.Either<StoreFault, SpendingMark | undefined>> {
+		const { aliveMs, sleep } = this.options
+		if (aliveMs() < START_PROOF_MS) await sleep(START_PROOF_MS - aliveMs())
 		const read = await this.options.store.read(this.options.key)
 		if (E.isLeft(read)) return read
 		this.adopt(read.right)
@@ -51,8 +68,8 @@
 		for (let tries = 0; tries < TRIES; tries++) {
 			const lease = await this.freshLease()
 			if (E.isLeft(lease)) return lease
-			const { store, key, holder, wallTime } = this.options
-			const value = encode({ holder, wallTime: wallTime(), marks })
+			const { store, key, holder } = this.options
+			const value = encode({ holder, wallTime: this.leaseWallTime, marks })
 			const result = await store.write(key, value, this.revision, lease.right)
 			if (E.isLeft(result)) {
 				this.lease = undefined
@@ -69,8 +86,10 @@
 
 	private async freshLease(): Promise<E.Either<StoreFault, StoreLease>> {
 		if (this.lease && !this.isOld) return E.right(this.lease)
-		const made = await this.options.store.lease(PROMISE_MS)
+		const asked = this.options.wallTime()
+		const made = await this.options.store.lease(MARK_LEASE_MS)
 		if (E.isLeft(made)) return made
+		this.leaseWallTime = asked
 		this.lease = made.right
 		this.leaseAt = this.options.now()
 		return made
