--- a/packages/gateway/src/lib/AllowanceClient.test.ts
+++ b/packages/gateway/src/lib/AllowanceClient.test.ts
@@ -425,6 +425,23 @@
 		expect(fleet.callsOf('box-3')).toBe(0)
 	})
 
+	it('writes little for requests that no draw can serve', async () => {
+		const fleet = new Fleet(BUDGET, 0, ['box-1', 'box-2'], false)
+		await pass(fleet, START_MS)
+		for (let i = 0; i < 18; i++) {
+			void fleet.ask(BOXES[i % 2] ?? BOXES[0], 490, 1)
+			await pass(fleet, 50)
+		}
+		await pass(fleet, 1_000)
+		const before = fleet.store.calls.get('write') ?? 0
+		for (let i = 0; i < 100; i++) {
+			void fleet.ask('box-3', 1_100, 1)
+			await pass(fleet, 20)
+		}
+		// Two seconds: a promise of each lender is renewed, and each tells the other once a second.
+		expect((fleet.store.calls.get('write') ?? 0) - before).toBeLessThan(12)
+	})
+
 	it('goes on drawing after a record that it could not read', async () => {
 		const fleet = new Fleet(BUDGET, 0)
 		await pass(fleet, START_MS)
--- a/packages/gateway/src/lib/AllowanceClient.ts
+++ b/packages/gateway/src/lib/AllowanceClient.ts
@@ -70,9 +70,11 @@
 		if (book.reserve(account, tokens)) return 'reserved'
 		if (this.state.isSpent(account, tokens)) return 'spent'
 		if (this.closed || patienceMs <= 0) return 'unknown'
-		if (this.drawer.mayDraw) {
-			const result = await this.drawer.waitForDraw(account, tokens, patienceMs)
-			if (result !== 'unknown' || !this.drawer.claimed) return result
+		const attainable = Math.min(tokens, this.drawer.attainable(account))
+		if (attainable > book.free(account)) {
+			const result = await this.drawer.waitForDraw(account, attainable, patienceMs)
+			if (attainable === tokens && (result !== 'unknown' || !this.drawer.claimed)) return result
+			if (result === 'reserved') book.settle(account, attainable, 0)
 		}
 		const result = await this.lending.borrow(book, account, tokens)
 		if (result === 'reserved') return result
@@ -152,10 +154,10 @@
 	/** Counts tokens as spent here, as many of those asked for as can be had. */
 	private async setAside(account: AccountName, tokens: number): Promise<number> {
 		const { book } = this.state
-		const isShort = book.free(account) < tokens && !this.state.isSpent(account, tokens)
-		if (isShort && this.drawer.mayDraw) {
-			const result = await this.drawer.waitForDraw(account, tokens, LEND_WAIT_MS)
-			if (result === 'reserved') return tokens
+		const attainable = Math.min(tokens, this.drawer.attainable(account))
+		if (book.free(account) < attainable && !this.state.isSpent(account, attainable)) {
+			const result = await this.drawer.waitForDraw(account, attainable, LEND_WAIT_MS)
+			if (result === 'reserved') return attainable
 		}
 		return book.lend(account, tokens)
 	}
--- a/packages/gateway/src/lib/AllowanceDrawer.ts
+++ b/packages/gateway/src/lib/AllowanceDrawer.ts
@@ -127,6 +127,14 @@
 		if (record.reached && (this.needsDraw() || this.needsMark())) await this.draw()
 	}
 
+	/** What this box could have free of an account after a draw and with a higher ceiling. */
+	attainable(account: AccountName): number {
+		if (!this.mayDraw) return 0
+		const view = this.state.view(account)
+		if (!this.claimed || view.frozen) return Number.POSITIVE_INFINITY
+		return view.held + this.state.undrawn(view)
+	}
+
 	/** Waits for the next draw, which is made as soon as may be. */
 	waitForDraw(account: AccountName, tokens: number, ms: number): Promise<ReserveResult> {
 		const result = this.waiters.wait(account, tokens, ms)
@@ -235,7 +243,15 @@
 			const fault = await this.writeDraw(false)
 			if (fault) return fault
 		}
-		return this.writeMarks()
+		return this.needsMark() || this.waitersLackCeilings() ? this.writeMarks() : undefined
+	}
+
+	/** A request waits that this box could serve if its ceiling were higher. */
+	private waitersLackCeilings(): boolean {
+		return this.state.views().some((view) => {
+			const smallest = this.waiters.smallest(view.account)
+			return smallest > view.free && smallest <= view.held
+		})
 	}
 
 	/**
