--- /dev/null
+++ b/apps/stallwing/src/lib/losses/LossLedger.test.ts
@@ -0,0 +1,131 @@
+import fc from 'fast-check'
+import { describe, expect, it } from 'vitest'
+import { LossLedger, lostIn } from './LossLedger.js'
+import { renderLossChart } from './renderLossChart.js'
+
+const START = Date.parse('2026-01-01T00:00:00.000Z')
+
+function lineOf(name: string, fields: Record<string, unknown>, second = 0): string {
+	const time = new Date(START + second * 1_000).toISOString()
+	return JSON.stringify({ time, name, box: 'b-1', zone: 'north', ...fields })
+}
+
+function answered(fields: Record<string, unknown>): string {
+	const usual = {
+		status: 200,
+		sentMs: 5,
+		firstMs: 80,
+		aimMs: 100,
+		longestPauseMs: 0,
+		pauseAimMs: 50,
+	}
+	return lineOf('request-answered', {
+		request: 'r',
+		route: 'a',
+		account: 'acme',
+		...usual,
+		...fields,
+	})
+}
+
+function causesOf(...lines: string[]): Record<string, number> {
+	const ledger = new LossLedger()
+	for (const line of lines) ledger.add(line)
+	return Object.fromEntries(ledger.report().causes)
+}
+
+describe('LossLedger', () => {
+	it('tells why an answer was late', () => {
+		expect(
+			causesOf(
+				answered({}),
+				answered({ firstMs: 150 }),
+				answered({ firstMs: 150, sentMs: 90 }),
+				answered({ longestPauseMs: 60 }),
+				answered({ status: 500 }),
+			),
+		).toEqual({
+			'in-time': 1,
+			'late-at-target': 1,
+			'late-at-box': 1,
+			'late-in-pause': 1,
+			'failed-status': 1,
+		})
+	})
+
+	it('tells why a request was refused or failed, on both interfaces', () => {
+		const refused = (kind: string, detail = '') => lineOf('request-refused', { kind, detail })
+		expect(
+			causesOf(
+				refused('budget-unknown'),
+				refused('budget-spent'),
+				refused('no-route'),
+				refused('target-failed', 'silent'),
+				refused('target-failed', 'read ECONNRESET'),
+				refused('timed-out', 'time limit'),
+				lineOf('request-failed', { cause: 'answer broken off' }),
+				lineOf('request-cancelled', {}),
+				lineOf('request-refused', { type: 'budget-exhausted' }),
+				lineOf('request-billed', { request: 'x' }),
+			),
+		).toEqual({
+			'refused-budget-unknown': 1,
+			'refused-budget-spent': 2,
+			'refused-at-fault': 1,
+			'failed-silent': 1,
+			'failed-broken': 2,
+			'failed-deadline': 1,
+			'caller-left': 1,
+			'in-time': 1,
+		})
+	})
+
+	it('counts a request whose box wrote no end', () => {
+		const chosen = lineOf('target-chosen', { request: 'r-1' })
+		expect(causesOf(chosen)).toEqual({ 'failed-box-gone': 1 })
+		expect(causesOf(lineOf('request-cancelled', { request: 'r-1' }), chosen)).toEqual({
+			'caller-left': 1,
+		})
+	})
+
+	it('counts by route, account, zone, box and second, largest first, in any order of lines', () => {
+		const lines = [
+			lineOf('request-refused', { kind: 'no-target', route: 'b', account: 'acme' }, 2),
+			lineOf('request-refused', { kind: 'no-target', route: 'b', account: 'other', sent: 2 }, 0),
+			answered({ route: 'a' }),
+		]
+		for (const order of [lines, [...lines].reverse()]) {
+			const ledger = new LossLedger()
+			for (const line of order) ledger.add(`  12.5 b-1 ${line}`)
+			const report = ledger.report()
+			expect(report.requests).toBe(3)
+			expect(report.repeated).toBe(1)
+			expect(report.groups.route.map(([key, counts]) => [key, lostIn(counts)])).toEqual([
+				['b', 2],
+				['a', 0],
+			])
+			expect(report.seconds.map(lostIn)).toEqual([1, 0, 1])
+			expect(renderLossChart(report)).toContain('refused-no-target')
+		}
+	})
+
+	it('passes over lines that are cut off or foreign, and never fails', () => {
+		const text = fc.oneof(
+			fc.string(),
+			fc.json(),
+			fc.nat({ max: 150 }).map((length) => answered({}).slice(0, length)),
+		)
+		fc.assert(
+			fc.property(fc.array(text), (lines) => {
+				const ledger = new LossLedger()
+				for (const line of lines) ledger.add(line)
+				ledger.add(answered({}))
+				const report = ledger.report()
+				expect(report.requests).toBe(1)
+				expect(report.foreignLines).toBe(lines.filter((line) => line.trim() !== '').length)
+				renderLossChart(report)
+			}),
+			{ seed: 20261202, numRuns: 300 },
+		)
+	})
+})
--- /dev/null
+++ b/apps/stallwing/src/lib/losses/LossLedger.ts
@@ -0,0 +1,143 @@
+import { causeOf } from './causeOf.js'
+import { LOSS_CAUSES, type LossCause } from './LossCause.js'
+import { readLogLine, type LogLine } from './readLogLine.js'
+
+/** What losses are counted by. */
+export const LOSS_GROUPS = ['route', 'account', 'zone', 'box'] as const
+export type LossGroup = (typeof LOSS_GROUPS)[number]
+
+/** Requests by cause. */
+export type LossCounts = ReadonlyMap<LossCause, number>
+
+/** What a {@link LossLedger} found, largest first. */
+export interface LossReport {
+	/** Requests with an end, and those whose box was gone before it. */
+	readonly requests: number
+	/** Requests that were sent to more than one target. */
+	readonly repeated: number
+	/** Lines that are no log lines, or cut off. */
+	readonly foreignLines: number
+	readonly causes: readonly (readonly [LossCause, number])[]
+	readonly groups: Readonly<Record<LossGroup, readonly (readonly [string, LossCounts])[]>>
+	/** Requests by cause in each second since the first end; index 0 is the first second. */
+	readonly seconds: readonly LossCounts[]
+}
+
+interface OpenRequest {
+	readonly box: string
+	readonly zone: string
+	readonly atMs: number
+}
+
+interface End {
+	readonly cause: LossCause
+	readonly atMs: number
+	readonly by: Readonly<Record<LossGroup, string>>
+}
+
+const SECOND_MS = 1_000
+const CAUSE_ORDER = new Map(LOSS_CAUSES.map((cause, i) => [cause, i]))
+
+/** Reads log lines of any number of boxes, in any order, and counts what became of each request. */
+export class LossLedger {
+	private readonly ends: End[] = []
+	private readonly open = new Map<string, OpenRequest>()
+	private readonly ended = new Set<string>()
+	private repeated = 0
+	private foreignLines = 0
+
+	add(text: string): void {
+		if (text.trim() === '') return
+		const line = readLogLine(text)
+		if (line) this.addLine(line)
+		else this.foreignLines++
+	}
+
+	report(): LossReport {
+		const lost = [...this.open].filter(([request]) => !this.ended.has(request))
+		const ends = [...this.ends, ...lost.map(([, open]) => endOfLost(open))]
+		return {
+			requests: ends.length,
+			repeated: this.repeated,
+			foreignLines: this.foreignLines,
+			causes: sortedCauses(countCauses(ends)),
+			groups: {
+				route: groupBy(ends, 'route'),
+				account: groupBy(ends, 'account'),
+				zone: groupBy(ends, 'zone'),
+				box: groupBy(ends, 'box'),
+			},
+			seconds: bySecond(ends),
+		}
+	}
+
+	private addLine(line: LogLine): void {
+		const { fields, box, zone, atMs } = line
+		const request = `${box} ${String(fields.request ?? '')}`
+		if (line.name === 'target-chosen') {
+			this.open.set(request, { box, zone, atMs })
+			return
+		}
+		const cause = causeOf(line)
+		if (cause === undefined) return
+		if (fields.request !== undefined) this.ended.add(request)
+		if (typeof fields.sent === 'number' && fields.sent > 1) this.repeated++
+		const by = { route: textOf(fields.route), account: textOf(fields.account), zone, box }
+		this.ends.push({ cause, atMs, by })
+	}
+}
+
+/** Losses first, by their number; answers in time last. */
+export function sortedCauses(counts: LossCounts): (readonly [LossCause, number])[] {
+	const order = (cause: LossCause): number => CAUSE_ORDER.get(cause) ?? 0
+	return [...counts].sort(([a, m], [b, n]) => {
+		if (a === 'in-time' || b === 'in-time') return a === 'in-time' ? 1 : -1
+		return n - m || order(a) - order(b)
+	})
+}
+
+/** Requests that were not answered in time. */
+export function lostIn(counts: LossCounts): number {
+	let lost = 0
+	for (const [cause, count] of counts) if (cause !== 'in-time') lost += count
+	return lost
+}
+
+function endOfLost({ box, zone, atMs }: OpenRequest): End {
+	return { cause: 'failed-box-gone', atMs, by: { route: '', account: '', zone, box } }
+}
+
+function countCauses(ends: readonly End[]): LossCounts {
+	const counts = new Map<LossCause, number>()
+	for (const { cause } of ends) counts.set(cause, (counts.get(cause) ?? 0) + 1)
+	return counts
+}
+
+function groupBy(ends: readonly End[], group: LossGroup): (readonly [string, LossCounts])[] {
+	const groups = new Map<string, End[]>()
+	for (const end of ends) {
+		const key = end.by[group]
+		const known = groups.get(key)
+		if (known) known.push(end)
+		else groups.set(key, [end])
+	}
+	const rows = [...groups].map(([key, part]) => [key, countCauses(part)] as const)
+	return rows.sort(([, a], [, b]) => lostIn(b) - lostIn(a))
+}
+
+function bySecond(ends: readonly End[]): LossCounts[] {
+	if (ends.length === 0) return []
+	const first = ends.reduce((least, { atMs }) => Math.min(least, atMs), Number.POSITIVE_INFINITY)
+	const last = ends.reduce((most, { atMs }) => Math.max(most, atMs), first)
+	const seconds = Math.floor((last - first) / SECOND_MS) + 1
+	const parts = Array.from({ length: Math.min(seconds, MOST_SECONDS) }, (): End[] => [])
+	for (const end of ends) parts[Math.floor((end.atMs - first) / SECOND_MS)]?.push(end)
+	return parts.map(countCauses)
+}
+
+/** Seconds that are told apart at most: logs of a day are to be cut before. */
+const MOST_SECONDS = 7_200
+
+function textOf(value: unknown): string {
+	return typeof value === 'string' ? value : ''
+}
--- /dev/null
+++ b/apps/stallwing/src/lib/losses/causeOf.ts
@@ -0,0 +1,69 @@
+import type { LossCause } from './LossCause.js'
+import type { LogLine } from './readLogLine.js'
+
+/** Kinds of refusal, of both interfaces, by cause. */
+const REFUSALS: Readonly<Record<string, LossCause>> = {
+	'budget-unknown': 'refused-budget-unknown',
+	'budget-spent': 'refused-budget-spent',
+	'budget-exhausted': 'refused-budget-spent',
+	'too-late': 'refused-too-late',
+	'body-late': 'refused-too-late',
+	'no-target': 'refused-no-target',
+	overloaded: 'refused-overload',
+	stopping: 'refused-stopping',
+	'not-ready': 'refused-configuration',
+	'not-configured': 'refused-configuration',
+	'configuration-old': 'refused-configuration',
+	'timed-out': 'failed-deadline',
+	deadline: 'failed-deadline',
+	'caller-gone': 'caller-left',
+}
+
+/** Part of the time allowed after which it is the box that made an answer late. */
+const BOX_PART = 0.5
+const FIRST_ERROR_STATUS = 500
+
+/** What a line says of the end of a request; undefined where it is about something else. */
+export function causeOf({ name, fields }: LogLine): LossCause | undefined {
+	switch (name) {
+		case 'request-answered':
+			return causeOfAnswer(fields)
+		case 'request-billed':
+			return 'in-time'
+		case 'request-refused':
+			return causeOfRefusal(fields)
+		case 'request-failed':
+			return causeOfFailure(String(fields.cause ?? ''))
+		case 'request-cancelled':
+			return 'caller-left'
+		default:
+			return undefined
+	}
+}
+
+function causeOfAnswer(fields: LogLine['fields']): LossCause {
+	if (numberOf(fields.status) >= FIRST_ERROR_STATUS) return 'failed-status'
+	const aim = numberOf(fields.aimMs)
+	if (aim <= 0) return 'in-time'
+	if (numberOf(fields.firstMs) > aim)
+		return numberOf(fields.sentMs) > BOX_PART * aim ? 'late-at-box' : 'late-at-target'
+	const pauseAim = numberOf(fields.pauseAimMs)
+	return pauseAim > 0 && numberOf(fields.longestPauseMs) > pauseAim ? 'late-in-pause' : 'in-time'
+}
+
+function causeOfRefusal(fields: LogLine['fields']): LossCause {
+	const kind = String(fields.kind ?? fields.type ?? '')
+	if (kind === 'target-failed') return causeOfFailure(String(fields.detail ?? fields.message ?? ''))
+	return REFUSALS[kind] ?? 'refused-at-fault'
+}
+
+function causeOfFailure(cause: string): LossCause {
+	if (cause === 'silent') return 'failed-silent'
+	if (cause.includes('time limit') || cause.includes('time is left')) return 'failed-deadline'
+	if (cause.startsWith('status')) return 'failed-status'
+	return 'failed-broken'
+}
+
+function numberOf(value: unknown): number {
+	return typeof value === 'number' ? value : 0
+}
--- a/apps/stallwing/src/main.ts
+++ b/apps/stallwing/src/main.ts
@@ -4,6 +4,7 @@
 import { CommandError, EXIT } from './lib/CommandError.js'
 import { addBudgetCommands } from './lib/commands/budgetCommands.js'
 import { addBundleCommands } from './lib/commands/bundleCommands.js'
+import { addLossesCommand } from './lib/commands/lossesCommand.js'
 import { addOperatorCommands } from './lib/commands/operatorCommands.js'
 import { addRouterCommand } from './lib/commands/routerCommand.js'
 import { addStatusCommands } from './lib/commands/statusCommands.js'
@@ -33,6 +34,7 @@
 addBudgetCommands(program, operatorFile)
 addStatusCommands(program, operatorFile)
 addOperatorCommands(program)
+addLossesCommand(program)
 
 try {
 	await program.parseAsync()
--- a/packages/core/src/lib/traffic/TrafficConfig.ts
+++ b/packages/core/src/lib/traffic/TrafficConfig.ts
@@ -28,6 +28,8 @@
 	readonly timeoutMs: Millis
 	/** Time within which an answer, or the first event of a stream, is in time. */
 	readonly aimMs: Millis
+	/** Longest pause between two events with which a stream is still in time; undefined: none is stated. */
+	readonly pauseAimMs: Millis | undefined
 	/** Rank among routes; 0 is the most urgent. */
 	readonly rank: number
 	/** Never empty. */
--- a/packages/core/src/lib/traffic/TrafficIndex.test.ts
+++ b/packages/core/src/lib/traffic/TrafficIndex.test.ts
@@ -12,6 +12,7 @@
 		resumable: false,
 		timeoutMs: 1_000,
 		aimMs: 100,
+		pauseAimMs: undefined,
 		rank,
 		shares: [
 			{ service: brandId<ServiceName>('s1'), weight: 90 },
--- a/packages/gateway/src/lib/AnswerWriter.ts
+++ b/packages/gateway/src/lib/AnswerWriter.ts
@@ -16,14 +16,22 @@
 	framed = true
 	/** Events passed on. */
 	events = 0
+	/** When the answer, or the first event of a stream, was passed on; undefined until then. */
+	firstAt: number | undefined
+	/** Longest time between two events, in ms. */
+	longestPauseMs = 0
+	private lastEventAt = 0
 
 	constructor(
 		private readonly response: ServerResponse,
 		private readonly stopping: () => boolean,
+		/** Steady clock, in ms. */
+		private readonly now: () => number,
 	) {}
 
 	/** Passes on a whole answer of a target. */
 	whole(head: AnswerHead, body: Buffer): void {
+		this.firstAt = this.now()
 		const headers = answerHeadersToPassOn(head.rawHeaders)
 		if (!isFramed(head)) this.leaveUnframed(headers)
 		else if (mayHaveBody(head.status)) headers.push('Content-Length', String(body.length))
@@ -44,10 +52,18 @@
 	/** Passes on one event. False: the caller reads slowly; wait for {@link onDrain}. */
 	event(event: StreamEvent): boolean {
 		this.events++
+		this.noteEventTime()
 		if (event.id !== undefined) this.lastEvent = event.id
 		return this.response.write(event.bytes)
 	}
 
+	private noteEventTime(): void {
+		const now = this.now()
+		if (this.firstAt === undefined) this.firstAt = now
+		else this.longestPauseMs = Math.max(this.longestPauseMs, now - this.lastEventAt)
+		this.lastEventAt = now
+	}
+
 	/** Calls back once the caller has read what was written. */
 	onDrain(callback: () => void): void {
 		this.response.once('drain', callback)
--- a/packages/gateway/src/lib/Exchange.ts
+++ b/packages/gateway/src/lib/Exchange.ts
@@ -36,6 +36,8 @@
 	private limitTimer: NodeJS.Timeout | undefined
 	/** Attempts of which bytes left this box. */
 	private sent = 0
+	/** When the request first went to a target; undefined until then. */
+	private firstSentAt: number | undefined
 	/** A target may have run the request, or may be running it. */
 	private mayHaveRun = false
 	private over = false
@@ -46,7 +48,7 @@
 		private readonly response: ServerResponse,
 	) {
 		this.arrivedAt = context.now()
-		this.answer = new AnswerWriter(response, () => context.stopping)
+		this.answer = new AnswerWriter(response, () => context.stopping, context.now)
 		this.reservation = new TokenReservation(context.allowance)
 		response.on('close', () => this.callerLeft())
 	}
@@ -195,6 +197,7 @@
 		body: Buffer,
 	): Promise<AttemptEnd> {
 		this.tried.add(place.target.name)
+		this.firstSentAt ??= this.context.now()
 		const mayMoveOn = isRepeatable(request) && this.sent + 1 < request.route.maxAttempts
 		this.attempt = new Attempt(this.context, request, place, this.answer, mayMoveOn)
 		const left = Math.floor(this.leftMs(request))
@@ -255,7 +258,22 @@
 		this.reservation.settle(this.chargeOf(request, end))
 		if (end.whole) this.answer.whole(end.whole.head, end.whole.body)
 		else this.answer.endStream()
-		this.noteEnd('request-answered', { status: end.status, events: this.answer.events })
+		this.noteEnd('request-answered', { status: end.status, ...this.timesOf(request) })
+	}
+
+	/** What decides whether an answer was in time: times since the arrival, and what the route aims at. */
+	private timesOf({ route }: CallerRequest): Readonly<Record<string, LogValue>> {
+		const { events, firstAt, longestPauseMs } = this.answer
+		const sinceArrival = (at: number | undefined): number =>
+			at === undefined ? -1 : Math.round(at - this.arrivedAt)
+		return {
+			events,
+			sentMs: sinceArrival(this.firstSentAt),
+			firstMs: sinceArrival(firstAt),
+			aimMs: route.aimMs,
+			longestPauseMs: Math.round(longestPauseMs),
+			pauseAimMs: route.pauseAimMs ?? -1,
+		}
 	}
 
 	/** Tokens that an answered request is charged: what came out where one target made all of it. */
--- a/packages/gateway/src/lib/Gateway.test.ts
+++ b/packages/gateway/src/lib/Gateway.test.ts
@@ -78,6 +78,7 @@
 		host: 'a.example',
 		timeoutMs: 20_000,
 		aimMs: 1_000,
+		pauseAimMs: undefined,
 		rank: 0,
 		shares: [{ service: SERVICE, weight: 1 }],
 		maxAttempts: 2,
