Two lenders a zone, low ceilings near a budget's end, bounded stops, cheaper probes of the store

- Lenders: three of a zone to two (all in zones of up to three boxes).
Fewer crumbs, promises and watches.
- Ceilings: within 25 s of a budget's end 0.06 of the time left instead of 0.2, before that 5 s.
- A process outlived its grace: a stopping box asked each silent box again for each account.
It remembers them now, and giving back is bounded.
Test first (TokenLending.test.ts).
- Probes: a short read first; the first within a tenth of the bound; all watchers are asked at once where the first can't tell.
The store's read rate comes from the settings.

--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -187,7 +187,6 @@
 export {
 	allLenders,
 	lendersFor,
-	isWatcher,
 	lendersOfZone,
 	type FleetMember,
 	watchersFor,
--- a/packages/core/src/lib/allowance/SpendingMark.ts
+++ b/packages/core/src/lib/allowance/SpendingMark.ts
@@ -33,13 +33,18 @@
 /** Difference of two times of day of one machine that counts as none, in ms. */
 const WALL_SLACK_MS: Millis = 500
 /** Demand in advance that a ceiling allows while the budget is far from its end, in seconds. */
-const AHEAD_SECONDS = 5.5
+const AHEAD_SECONDS = 5
 /** Part of what is held that a ceiling allows then at least: for accounts that come to a box anew. */
 const AHEAD_PART = 0.2
 /** The same at the end of a budget: what is promised and not spent is lost with the process. */
 const AHEAD_SECONDS_AT_END = 0.5
-/** Part of the time until a budget ends that a ceiling allows for, between the two. */
-const AHEAD_PART_OF_TIME = 0.2
+/** Part of the time until a budget ends that a ceiling allows for, once that end is near. */
+const AHEAD_PART_OF_TIME = 0.06
+/**
+ * Time to the end of a budget below which its ceilings are low, in seconds: what a cut keeps such an
+ * account from spending it spends later, and what a loss of power takes is gone.
+ */
+const NEAR_END_SECONDS = 25
 
 /** A ceiling is raised when less than this part of what it should allow is left. */
 const LOW_PART = 0.5
@@ -49,10 +54,10 @@
 
 /** The ceiling of an account: what is spent, and some demand in advance. */
 export function nextMark(view: AllowanceView, secondsLeft: number): number {
-	const seconds = Math.max(AHEAD_SECONDS_AT_END, AHEAD_PART_OF_TIME * secondsLeft)
+	const nearEnd = Math.max(AHEAD_SECONDS_AT_END, AHEAD_PART_OF_TIME * secondsLeft)
 	const ahead =
-		seconds < AHEAD_SECONDS
-			? view.tokensPerSecond * seconds
+		secondsLeft < NEAR_END_SECONDS
+			? view.tokensPerSecond * nearEnd
 			: Math.max(view.tokensPerSecond * AHEAD_SECONDS, view.held * AHEAD_PART)
 	return Math.max(view.floor, Math.min(view.drawn, view.floor + Math.ceil(ahead)))
 }
--- a/packages/core/src/lib/allowance/chooseLenders.ts
+++ b/packages/core/src/lib/allowance/chooseLenders.ts
@@ -13,17 +13,15 @@
  * Boxes of a zone that draw from the store. Draws, records and renewals then grow with zones and not
  * with boxes, and what is held of an account lies in a few places instead of in crumbs at every box.
  */
-const LENDERS_PER_ZONE = 3
-/**
- * Lenders of a zone that watch the store for the others: each watch is paid for all the time. One may be
- * cut off or deaf.
- */
-const WATCHERS_PER_ZONE = 2
+const LENDERS_PER_ZONE = 2
+/** Boxes of a zone up to which all draw: nobody then depends on another box for tokens. */
+const MOST_WITHOUT_CHOICE = 3
 
 /** The boxes of a zone that draw from the store: the same at every box that knows the same members. @public */
 export function lendersOfZone(members: readonly FleetMember[], zone: ZoneName): FleetMember[] {
 	const ofZone = members.filter((member) => member.zone === zone)
-	return ranked(zone, ofZone).slice(0, LENDERS_PER_ZONE)
+	const isSmall = ofZone.length <= MOST_WITHOUT_CHOICE
+	return ranked(zone, ofZone).slice(0, isSmall ? ofZone.length : LENDERS_PER_ZONE)
 }
 
 /** The lenders of all zones. @public */
@@ -56,21 +54,14 @@
  * @public
  */
 export function watchersFor(members: readonly FleetMember[], self: FleetMember): FleetMember[] {
-	const near = ranked(self.box, watchersOfZone(members, self.zone))
+	const near = ranked(self.box, lendersOfZone(members, self.zone))
 	const zones = otherZones(members, self.zone)
-	const distant = zones.flatMap((zone) =>
-		ranked(self.box, watchersOfZone(members, zone)).slice(0, 1),
-	)
-	return [...near, ...distant]
-}
-
-/** True where a box watches the store for the others. @public */
-export function isWatcher(members: readonly FleetMember[], { box, zone }: FleetMember): boolean {
-	return watchersOfZone(members, zone).some((member) => member.box === box)
-}
-
-function watchersOfZone(members: readonly FleetMember[], zone: ZoneName): FleetMember[] {
-	return lendersOfZone(members, zone).slice(0, WATCHERS_PER_ZONE)
+	const distant = zones.map((zone) => ranked(self.box, lendersOfZone(members, zone)))
+	return [
+		...near,
+		...distant.flatMap((watchers) => watchers.slice(0, 1)),
+		...distant.flatMap((watchers) => watchers.slice(1)),
+	]
 }
 
 /** The lender that comes first for a key in each zone but one. */
--- a/packages/gateway/src/lib/FeedRelay.test.ts
+++ b/packages/gateway/src/lib/FeedRelay.test.ts
@@ -44,6 +44,7 @@
 			isServing: () => isWatcher,
 			watchers: () => ['watcher-1', 'watcher-2'].filter((other) => other !== box),
 			boundMs: 2_000,
+			storeReadsPerSecond: 2_000,
 			boxes: () => 3,
 			now: () => Date.now(),
 			random: () => 0.5,
--- a/packages/gateway/src/lib/FeedRelay.ts
+++ b/packages/gateway/src/lib/FeedRelay.ts
@@ -41,6 +41,8 @@
 	readonly watchers: () => readonly string[]
 	/** Time in which a change has to be known everywhere, in ms. */
 	readonly boundMs: number
+	/** Reads a second that the store takes of all boxes together. */
+	readonly storeReadsPerSecond: number
 	/** Boxes of the fleet. */
 	readonly boxes: () => number
 	/** Steady clock, in ms. */
@@ -65,8 +67,8 @@
 const AVOID_MS = 2_000
 /** Time for which a box goes to the store itself after no other could tell, in ms. */
 const DIRECT_MS = 6_000
-/** Boxes that are asked before the store is: the lenders of the own zone and one of another. */
-const MOST_WATCHERS = 4
+/** Boxes that are asked before the store is: those of the own zone that watch, and some of others. */
+const MOST_WATCHERS = 8
 /**
  * Size of changes, in bytes, from which newer versions may be written while they arrive: 64 KiB take
  * 50 ms on a link of 10 Mbit/s.
@@ -128,13 +130,26 @@
 		const addresses = watchers()
 		if (isWatcher() || addresses.length === 0) return this.watchOrAsk(prefix, after, waitMs)
 		if (now() < this.directUntil) return this.watchStore(prefix, after, RELAY_WAIT_MS)
-		let answered = 0
-		for (const address of addresses.slice(0, MOST_WATCHERS)) {
-			const heard = await this.askOne(address, prefix, after)
-			if (heard.kind === 'heard') return E.right(heard.changes)
-			if (heard.kind === 'stale') answered++
-		}
-		return this.probe(prefix, after, answered === Math.min(MOST_WATCHERS, addresses.length))
+		const heard = await this.askWatchers(addresses.slice(0, MOST_WATCHERS), prefix, after)
+		if (heard.kind === 'heard') return E.right(heard.changes)
+		return this.probe(prefix, after, heard.kind === 'stale')
+	}
+
+	/**
+	 * Asks the first box, and all others at once where that one can't tell. `stale`: all that are there
+	 * were not told anything, `silent`: none is there.
+	 */
+	private async askWatchers(
+		addresses: readonly string[],
+		prefix: string,
+		after: number,
+	): Promise<Heard> {
+		const [first, ...others] = addresses
+		if (first === undefined) return { kind: 'silent' }
+		const heard = await this.askOne(first, prefix, after)
+		if (heard.kind === 'heard') return heard
+		const asked = others.map((address) => this.askOne(address, prefix, after))
+		return firstHeard([Promise.resolve(heard), ...asked])
 	}
 
 	/** Time since the store last vouched for what this box knows below a prefix, in ms. */
@@ -191,6 +206,10 @@
 	): Promise<E.Either<StoreFault, readonly StoreChange[]>> {
 		if (!this.probes.isDue(isStoreAway))
 			return E.left({ kind: 'no-answer', cause: 'no box was told anything by the store' })
+		if (!(await this.options.store.ping())) {
+			this.probes.note(false)
+			return this.noteLost(this.feed(prefix))
+		}
 		const told = await this.watchStore(prefix, after, RELAY_WAIT_MS)
 		const isReached = E.isRight(told) || told.left.kind === 'history-gone'
 		this.probes.note(isReached)
@@ -297,6 +316,19 @@
 	| { readonly kind: 'stale' }
 	| { readonly kind: 'silent' }
 
+/** The first answer that tells something; otherwise `stale` where any box was there. */
+function firstHeard(asked: readonly Promise<Heard>[]): Promise<Heard> {
+	return new Promise((resolve) => {
+		const note = (heard: Heard): void => {
+			if (heard.kind === 'heard') resolve(heard)
+		}
+		for (const answer of asked) void answer.then(note)
+		void Promise.all(asked).then((all) => {
+			resolve(all.find((heard) => heard.kind === 'stale') ?? { kind: 'silent' })
+		})
+	})
+}
+
 function bytesOf(changes: readonly StoreChange[]): number {
 	let bytes = 0
 	for (const change of changes) if (change.kind === 'written') bytes += change.item.value.length
--- a/packages/gateway/src/lib/FleetRoster.ts
+++ b/packages/gateway/src/lib/FleetRoster.ts
@@ -2,7 +2,6 @@
 	brandId,
 	allLenders,
 	lendersFor,
-	isWatcher,
 	lendersOfZone,
 	watchersFor,
 	type AccountName,
@@ -47,10 +46,8 @@
 	private stopped = false
 	/** True once the other boxes are known. */
 	listed = false
-	/** This box draws from the store for others. */
+	/** This box draws from the store and watches it, for others too. */
 	isLender = false
-	/** This box watches the store for others. */
-	isWatcher = false
 	/** Some boxes rely on others for what happens in the store. */
 	hasFollowers = false
 	/** Answers of {@link lenderAddresses}, for as long as the members stay the same. */
@@ -152,8 +149,6 @@
 		this.workAddresses = undefined
 		const { box, zone } = this.options.self
 		this.isLender = lendersOfZone(members, zone).some((member) => member.box === box)
-		// In a small fleet, a few more watches cost less than the word that boxes give each other.
-		this.isWatcher = this.isLarge ? isWatcher(members, this.options.self) : this.isLender
 		const lenders = allLenders(members).length
 		this.hasFollowers = this.isLarge || lenders < members.length
 		if (isSame) return
--- a/packages/gateway/src/lib/Gateway.test.ts
+++ b/packages/gateway/src/lib/Gateway.test.ts
@@ -132,6 +132,7 @@
 		incarnation: brandId<Incarnation>('first'),
 		listen: { callers: LOOPBACK, readiness: LOOPBACK, peers: LOOPBACK },
 		store: this.store.connect('box'),
+		storeReadsPerSecond: 2_000,
 		documents: {
 			configPrefix: 'config/',
 			configKey: 'config/now',
--- a/packages/gateway/src/lib/Gateway.ts
+++ b/packages/gateway/src/lib/Gateway.ts
@@ -47,6 +47,8 @@
 		readonly peers: ListenAddress
 	}
 	readonly store: KeyValueStore
+	/** Reads a second that the store takes of all boxes together. */
+	readonly storeReadsPerSecond: number
 	readonly documents: Documents
 	readonly dialect: Dialect
 	readonly repeatLimits: RepeatLimits
@@ -125,9 +127,10 @@
 		this.feed = new FeedRelay({
 			store: options.store,
 			peers,
-			isWatcher: () => this.roster.isWatcher,
+			isWatcher: () => this.roster.isLender,
 			isServing: () => this.roster.hasFollowers,
 			boundMs: options.configurationBoundMs,
+			storeReadsPerSecond: options.storeReadsPerSecond,
 			watchers: () => this.roster.watchers,
 			boxes: () => this.roster.size,
 			now: options.now,
@@ -217,7 +220,8 @@
 		this.callers.closeIdleConnections()
 		await this.untilIdle(end - GIVE_BACK_MS)
 		// Tokens go back while the last answers still run: the grace may end before they do.
-		await this.allowance.giveBack()
+		const giveBackMs = Math.max(0, end - STOP_MARGIN_MS - this.options.now())
+		await Promise.race([this.allowance.giveBack(), sleep(giveBackMs)])
 		await this.untilIdle(end - STOP_MARGIN_MS)
 		this.callers.close()
 		this.callers.closeIdleConnections()
--- a/packages/gateway/src/lib/StoreProbes.ts
+++ b/packages/gateway/src/lib/StoreProbes.ts
@@ -1,5 +1,9 @@
 /** What {@link StoreProbes} works with. */
 export interface StoreProbesOptions {
+	/** Reads a second that the store takes of all boxes together. */
+	readonly storeReadsPerSecond: number
+	/** Time in which a change has to be known everywhere, in ms. */
+	readonly boundMs: number
 	/** Boxes of the fleet. */
 	readonly boxes: () => number
 	/** Steady clock, in ms. */
@@ -8,12 +12,17 @@
 }
 
 /**
- * Probes a second of all boxes together while the store seems to be away: each call is paid for, also
- * one that gets no answer.
+ * Part of the reads that the store takes which all boxes together make as probes while it seems to be
+ * away: 40 a second of 6,000. Each call is paid for, also one that gets no answer, but a stale read costs
+ * a tenth.
  */
-const FLEET_PROBES_PER_SECOND = 10
+const PROBES_PART = 1 / 150
+/** Part of the bound in which all boxes make their first probe: those that were asked may only be deaf. */
+const FIRST_PROBE_PART = 0.1
 /** Pause after a first probe that failed, in ms; doubled after each further one. */
 const FIRST_PAUSE_MS = 500
+/** Least time between two probes of a box, in ms. */
+const LEAST_INTERVAL_MS = 1_000
 const LONGEST_PAUSE_MS = 4_000
 const SECOND_MS = 1_000
 
@@ -37,7 +46,7 @@
 			return now >= this.pauseUntil
 		}
 		// Boxes begin at different times, so that they do not all try at once.
-		this.nextAt ??= now + this.spreadMs() * this.options.random()
+		this.nextAt ??= now + FIRST_PROBE_PART * this.options.boundMs * this.options.random()
 		if (now < this.nextAt) return false
 		this.nextAt = now + this.spreadMs() * (0.5 + this.options.random())
 		return true
@@ -56,6 +65,8 @@
 
 	/** Time in which each box of the fleet tries once, in ms. */
 	private spreadMs(): number {
-		return (this.options.boxes() / FLEET_PROBES_PER_SECOND) * SECOND_MS
+		const { boxes, storeReadsPerSecond } = this.options
+		const fleetMs = (boxes() / (PROBES_PART * storeReadsPerSecond)) * SECOND_MS
+		return Math.max(LEAST_INTERVAL_MS, fleetMs)
 	}
 }
--- /dev/null
+++ b/packages/gateway/src/lib/TokenLending.test.ts
@@ -0,0 +1,50 @@
+import { AllowanceBook, brandId, type AccountName } from '@stallwing/core'
+import { afterEach, beforeEach, describe, expect, it, vi } from 'vitest'
+import { NOTHING_LENT, TokenLending, type Lenders } from './TokenLending.js'
+
+const LENDERS = ['a:1', 'b:1', 'c:1', 'd:1', 'e:1', 'f:1']
+const ACCOUNTS = Array.from({ length: 24 }, (_, i) => brandId<AccountName>(`account-${i}`))
+const SILENCE_MS = 160
+
+function sleep(ms: number): Promise<void> {
+	return new Promise((resolve) => setTimeout(resolve, ms))
+}
+
+/** Boxes that never answer, but for one. */
+function lendersWithOneOpen(open: string, given: Map<AccountName, number>): Lenders {
+	return {
+		ask: () => Promise.resolve(NOTHING_LENT),
+		isOpen: async (address) => {
+			await sleep(address === open ? 2 : SILENCE_MS)
+			return address === open
+		},
+		give: (_address, account, tokens) => {
+			given.set(account, tokens)
+			return Promise.resolve(true)
+		},
+	}
+}
+
+describe('TokenLending', () => {
+	beforeEach(() => void vi.useFakeTimers())
+	afterEach(() => void vi.useRealTimers())
+
+	it('hands all accounts over in little time where most boxes are silent', async () => {
+		const book = new AllowanceBook()
+		for (const account of ACCOUNTS) book.borrow(account, 100, 1)
+		const given = new Map<AccountName, number>()
+		const lending = new TokenLending({
+			lenders: lendersWithOneOpen('f:1', given),
+			now: () => Date.now(),
+			sleep,
+			order: () => LENDERS,
+			log: () => undefined,
+		})
+		const all = async (): Promise<void> => {
+			for (const account of ACCOUNTS) await lending.handOver(book, account, 1)
+		}
+		void all()
+		await vi.advanceTimersByTimeAsync(1_500)
+		expect([...given.values()]).toEqual(ACCOUNTS.map(() => 100))
+	})
+})
--- a/packages/gateway/src/lib/TokenLending.ts
+++ b/packages/gateway/src/lib/TokenLending.ts
@@ -60,6 +60,8 @@
 const LONGEST_WAIT_MS = 1_500
 /** Time that a request waits for one box before the next is asked, in ms; the answer may still come. */
 const ASK_PATIENCE_MS = 160
+/** Time for which a box that would not take tokens is not asked again, in ms: a stop hands over many accounts. */
+const CLOSED_MS = 3_000
 /** Age up to which it counts what a box had left of an account when it last answered, in ms. */
 const FREE_AGE_MS = 400
 
@@ -77,6 +79,8 @@
 	private readonly borrowings = new Map<AccountName, Borrowing>()
 	/** Boxes that were asked and have not answered yet. */
 	private readonly late = new Set<string>()
+	/** Boxes that took nothing, and until when they are not asked to. */
+	private readonly closedUntil = new Map<string, number>()
 	/** What boxes had left when they last answered. */
 	private readonly leftovers = new Map<string, { readonly free: number; readonly at: number }>()
 
@@ -101,15 +105,18 @@
 		if (borrowing.running) return
 		borrowing.running = true
 		const { waiters } = borrowing
-		while (waiters.count > 0) {
-			const asked = waiters.count
-			const left = await this.gather(book, account, waiters.tokens()[account] ?? 0)
-			waiters.answer(asked, (_account, tokens) => {
-				if (book.reserve(account, tokens)) return 'reserved'
-				return tokens > left + Math.max(0, book.free(account)) ? 'spent' : 'unknown'
-			})
+		try {
+			while (waiters.count > 0) {
+				const asked = waiters.count
+				const left = await this.gather(book, account, waiters.tokens()[account] ?? 0)
+				waiters.answer(asked, (_account, tokens) => {
+					if (book.reserve(account, tokens)) return 'reserved'
+					return tokens > left + Math.max(0, book.free(account)) ? 'spent' : 'unknown'
+				})
+			}
+		} finally {
+			borrowing.running = false
 		}
-		borrowing.running = false
 	}
 
 	/** Asks until this box holds as much as is needed; returns what may be left of the budget at most. */
@@ -187,7 +194,11 @@
 	): Promise<string> {
 		const { lenders } = this.options
 		for (const address of this.order(account)) {
-			if (!(await lenders.isOpen(address))) continue
+			if ((this.closedUntil.get(address) ?? 0) > this.options.now()) continue
+			if (!(await lenders.isOpen(address))) {
+				this.closedUntil.set(address, this.options.now() + CLOSED_MS)
+				continue
+			}
 			return (await lenders.give(address, account, tokens, budgetsAt)) ? address : ''
 		}
 		return ''
