--- a/packages/gateway/src/lib/Gateway.test.ts
+++ b/packages/gateway/src/lib/Gateway.test.ts
@@ -12,7 +12,7 @@
 	type ZoneName,
 	type AccountName,
 } from '@stallwing/core'
-import { MemoryStore } from '@stallwing/standins'
+import { MemoryStore, type CallFate } from '@stallwing/standins'
 import { Metrics } from '@stallwing/telemetry'
 import * as E from 'fp-ts/lib/Either.js'
 import { afterEach, describe, expect, it } from 'vitest'
@@ -121,7 +121,13 @@
 
 /** One gateway in this process, a store in memory, and targets on loopback. */
 class TestBox {
-	readonly store = new MemoryStore({ now: () => performance.now(), sleep })
+	/** What happens to calls to the store. */
+	fate: CallFate = 'served'
+	readonly store = new MemoryStore({
+		now: () => performance.now(),
+		sleep,
+		fate: () => this.fate,
+	})
 	readonly seen: { target: string; headers: IncomingMessage['headers']; body: string }[] = []
 	private readonly servers: Server[] = []
 	private port = 0
@@ -344,6 +350,35 @@
 		expect(new Set(box.seen.map((seen) => seen.target))).toEqual(new Set(['t2']))
 	})
 
+	it('keeps to a drain and loses no request while the store is away', async () => {
+		await running(['t1', ok], ['t2', ok])
+		const entry = JSON.parse(box.store.text('targets/t1') ?? '') as TargetEntry
+		box.list('t1', entry.address, true)
+		await sleep(100)
+		box.fate = 'lost'
+		box.store.remove('targets/t1')
+		box.store.remove('targets/t2')
+		for (let i = 0; i < 10; i++) {
+			expect((await box.ask('/once/x', { id: `r-${i}` })).status).toBe(200)
+			await sleep(50)
+		}
+		expect(new Set(box.seen.map((seen) => seen.target))).toEqual(new Set(['t2']))
+	})
+
+	it('refuses for good by its configuration only while the store vouches for it', async () => {
+		await running(['t1', ok])
+		box.fate = 'lost'
+		await sleep(4_300)
+		const answer = await box.ask('/nowhere/')
+		expect(answer.status).toBe(503)
+		expect(Number(answer.headers['retry-after'])).toBeGreaterThan(0)
+		expect((await box.ask('/once/x', { headers: { authorization: 'new' } })).status).toBe(503)
+		expect((await box.ask('/once/x')).status).toBe(200)
+		box.fate = 'served'
+		await sleep(3_000)
+		expect((await box.ask('/nowhere/')).status).toBe(404)
+	})
+
 	it('lets an account have its tokens and no more', async () => {
 		await running(['t1', ok])
 		const statuses: number[] = []
