A box that answers for one account is asked for others meanwhile

Cause: a box counted as owing an answer from the moment it was asked, not from the end of the patience with it, so requests of other accounts passed over their lender. Test first (TokenLending.test.ts).

--- a/packages/gateway/src/lib/TokenLending.test.ts
+++ b/packages/gateway/src/lib/TokenLending.test.ts
@@ -47,4 +47,27 @@
 		await vi.advanceTimersByTimeAsync(1_500)
 		expect([...given.values()]).toEqual(ACCOUNTS.map(() => 100))
 	})
+
+	it('asks a box for one account while it still answers for another', async () => {
+		const asked: string[] = []
+		const lending = new TokenLending({
+			lenders: {
+				...lendersWithOneOpen('a:1', new Map()),
+				ask: async (address, account, { tokens }) => {
+					asked.push(`${address} ${account}`)
+					await sleep(20)
+					return { ...NOTHING_LENT, lent: tokens, budgetsAt: 1 }
+				},
+			},
+			now: () => Date.now(),
+			sleep,
+			order: () => LENDERS,
+			log: () => undefined,
+		})
+		const book = new AllowanceBook()
+		const results = ACCOUNTS.map((account) => lending.borrow(book, account, 10))
+		await vi.advanceTimersByTimeAsync(50)
+		expect(await Promise.all(results)).toEqual(ACCOUNTS.map(() => 'reserved'))
+		expect(asked).toEqual(ACCOUNTS.map((account) => `a:1 ${account}`))
+	})
 })
--- a/packages/gateway/src/lib/TokenLending.ts
+++ b/packages/gateway/src/lib/TokenLending.ts
@@ -77,7 +77,7 @@
  */
 export class TokenLending {
 	private readonly borrowings = new Map<AccountName, Borrowing>()
-	/** Answers that boxes owe. */
+	/** Answers that boxes owe beyond the patience with them. */
 	private readonly late = new Map<string, Promise<LendAnswer>>()
 	/** Boxes that took nothing, and until when they are not asked to. */
 	private readonly closedUntil = new Map<string, number>()
@@ -165,7 +165,6 @@
 		const begun = this.options.now()
 		const asked = this.options.lenders.ask(address, account, request).then((answer) => {
 			book.borrow(account, answer.lent, answer.budgetsAt)
-			this.late.delete(address)
 			const now = this.options.now()
 			this.leftovers.set(leftoverKey(address, account), { free: answer.free, at: now })
 			const { lent, left } = answer
@@ -173,9 +172,12 @@
 			this.options.log({ name: 'allowance-borrowed', fields })
 			return answer
 		})
+		const patience = this.options.sleep(ASK_PATIENCE_MS).then(() => undefined)
+		const answer = await Promise.race([asked, patience])
+		if (answer) return answer
 		this.late.set(address, asked)
-		const patience = this.options.sleep(ASK_PATIENCE_MS).then(() => NOTHING_LENT)
-		return Promise.race([asked, patience])
+		void asked.then(() => this.late.delete(address))
+		return NOTHING_LENT
 	}
 
 	/** Boxes to be asked: those that lately had too little come last, those that owe an answer are left out. */
