--- a/packages/core/src/lib/allowance/SpendingMark.ts
+++ b/packages/core/src/lib/allowance/SpendingMark.ts
@@ -22,10 +22,10 @@
 }
 
 /**
- * How long a promise holds, from the answer to the lease that bounds it: a loss of power of two to three
+ * How long a promise holds, from the answer to the lease that bounds it: a loss of power of about two
  * seconds fits into it. A cut from the store has to be borne within the ceilings for as long.
  */
-export const PROMISE_MS: Millis = 5_000
+export const PROMISE_MS: Millis = 3_500
 /** Time that a process has run at least when it looks for the promise of the one before it. */
 export const START_PROOF_MS: Millis = 700
 /** Length of the lease under which a promise lies. */
@@ -33,13 +33,13 @@
 /** Difference of two times of day of one machine that counts as none, in ms. */
 const WALL_SLACK_MS: Millis = 500
 /** Demand in advance that a ceiling allows while the budget is far from its end, in seconds. */
-const AHEAD_SECONDS = 5
+const AHEAD_SECONDS = 3.5
 /** Part of what is held that a ceiling allows then at least: for accounts that come to a box anew. */
 const AHEAD_PART = 0.2
 /** The same at the end of a budget: what is promised and not spent is lost with the process. */
 const AHEAD_SECONDS_AT_END = 0.5
 /** Part of the time until a budget ends that a ceiling allows for, once that end is near. */
-const AHEAD_PART_OF_TIME = 0.06
+const AHEAD_PART_OF_TIME = 0.08
 /**
  * Time to the end of a budget below which its ceilings are low, in seconds: what a cut keeps such an
  * account from spending it spends later, and what a loss of power takes is gone.
--- a/packages/gateway/src/lib/SpendingPromise.ts
+++ b/packages/gateway/src/lib/SpendingPromise.ts
@@ -28,7 +28,7 @@
  * Age from which a lease is replaced, in ms: less than half of the promise, so that one that ends soon
  * after a loss of power is rare; each replacement is two calls.
  */
-const LEASE_AGE_MS = 2_000
+const LEASE_AGE_MS = 1_200
 const TRIES = 3
 
 /** Keeps the record of this box's spending ceilings in the store. See {@link SpendingMark}. */
