Choices tell the revision and age of what they know of a target

Cause: a request reached a target 12 s after it had said that it leaves, and no log line or metric told whether the box had an old list, used an entry that had run out, or had gone back to an older entry. Change: target-chosen tells targetRevision, targetListAgeMs and lapsed; lines about targets tell revision and age; two metrics. No decision changes.

--- a/packages/core/src/lib/placement/TargetBoard.test.ts
+++ b/packages/core/src/lib/placement/TargetBoard.test.ts
@@ -16,6 +16,7 @@
 		slots: 8,
 		leaving: false,
 		coldMs: 0,
+		revision: 1,
 		...changes,
 	}
 }
--- a/packages/core/src/lib/placement/TargetEntry.ts
+++ b/packages/core/src/lib/placement/TargetEntry.ts
@@ -14,6 +14,8 @@
 	readonly leaving: boolean
 	/** How much longer it stays slow after its start, when the entry was read. */
 	readonly coldMs: Millis
+	/** Revision of the store at the last change of this entry. */
+	readonly revision: number
 }
 
 /** Load that a target told of itself. @public */
--- a/packages/gateway/src/lib/Exchange.ts
+++ b/packages/gateway/src/lib/Exchange.ts
@@ -17,6 +17,7 @@
 import type { GatewayContext, TrafficInForce } from './GatewayContext.js'
 import { messageForTarget } from './messageForTarget.js'
 import { readBody } from './readBody.js'
+import { roundAge } from './roundAge.js'
 import { refusal, type RefusalKind } from './Refusal.js'
 import { TokenReservation } from './TokenReservation.js'
 
@@ -347,6 +348,9 @@
 				unreadTokens: Math.round(place.cost.unreadTokens),
 				candidates: place.candidates,
 				loadAgeMs: place.loadAgeMs,
+				targetRevision: place.target.revision,
+				targetListAgeMs: roundAge(this.context.targetListAgeMs()),
+				lapsed: this.context.isLapsed(place.target.name),
 				leftMs: Math.round(this.leftMs(request)),
 				configuration: traffic.index.config.version,
 				configurationAgeMs: Math.round(this.context.now() - traffic.since),
--- a/packages/gateway/src/lib/Gateway.test.ts
+++ b/packages/gateway/src/lib/Gateway.test.ts
@@ -4,6 +4,7 @@
 	brandId,
 	type BoxName,
 	type Incarnation,
+	type LogEvent,
 	type RouteName,
 	type ServiceName,
 	type TargetEntry,
@@ -128,6 +129,7 @@
 		sleep,
 		fate: () => this.fate,
 	})
+	readonly logged: LogEvent[] = []
 	readonly seen: { target: string; headers: IncomingMessage['headers']; body: string }[] = []
 	private readonly servers: Server[] = []
 	private port = 0
@@ -147,14 +149,15 @@
 			markPrefix: 'mark/',
 			boxPrefix: 'box/',
 			readConfig: (value) => readConfig(value.toString()),
-			readTarget: (item) => E.right(JSON.parse(item.value.toString()) as TargetEntry),
+			readTarget: ({ value, revision }) =>
+				E.right({ ...(JSON.parse(value.toString()) as TargetEntry), revision }),
 		},
 		dialect: DIALECT,
 		repeatLimits: { ratio: 0.2, slack: 1_000, windowMs: 10_000 },
 		configurationBoundMs: 2_000,
 		graceMs: 8_000,
 		metrics: new Metrics(),
-		log: () => undefined,
+		log: (event) => this.logged.push(event),
 		now: () => performance.now(),
 		wallTime: () => Date.now(),
 		aliveMs: () => 1_000,
@@ -197,6 +200,7 @@
 			slots: 8,
 			leaving,
 			coldMs: 0,
+			revision: 0,
 		}
 		this.store.put(`targets/${id}`, JSON.stringify(entry))
 	}
@@ -350,6 +354,15 @@
 		expect(new Set(box.seen.map((seen) => seen.target))).toEqual(new Set(['t2']))
 	})
 
+	it('says with each choice how old the word on its target is', async () => {
+		await running(['t1', ok])
+		await box.ask('/once/x')
+		const chosen = box.logged.find((event) => event.name === 'target-chosen')
+		expect(chosen?.fields).toMatchObject({ target: 't1', lapsed: false })
+		expect(chosen?.fields.targetRevision).toBeGreaterThan(0)
+		expect(chosen?.fields.targetListAgeMs).toBeGreaterThanOrEqual(0)
+	})
+
 	it('keeps to a drain and loses no request while the store is away', async () => {
 		await running(['t1', ok], ['t2', ok])
 		const entry = JSON.parse(box.store.text('targets/t1') ?? '') as TargetEntry
--- a/packages/gateway/src/lib/Gateway.ts
+++ b/packages/gateway/src/lib/Gateway.ts
@@ -33,6 +33,7 @@
 import { TrafficDirectory, type TokenBudgets } from './TrafficDirectory.js'
 import { WorkSharing } from './WorkSharing.js'
 import { listenOn, type ListenAddress } from './listenOn.js'
+import { roundAge } from './roundAge.js'
 
 /** All that a gateway is made of. @public */
 export interface GatewayOptions {
@@ -164,6 +165,7 @@
 			board: this.board,
 			readTarget: (item) => options.documents.readTarget(item),
 			onDropped: (target) => this.pools.drop(target.name),
+			listAgeMs: () => this.targetListAgeMs,
 			now: options.now,
 			log: options.log,
 		})
@@ -264,9 +266,11 @@
 		const gauges: Record<string, number> = {
 			stallwing_open_requests: this.open,
 			stallwing_targets: this.board.size,
+			stallwing_targets_lapsed: this.targets.lapsedCount,
+			stallwing_targets_word_age_ms: roundAge(this.targetListAgeMs),
 			stallwing_configuration_version: traffic?.index.config.version ?? -1,
 			stallwing_configuration_age_ms: traffic ? Math.round(now - traffic.since) : -1,
-			stallwing_configuration_word_age_ms: Math.round(
+			stallwing_configuration_word_age_ms: roundAge(
 				this.feed.ageMs(this.options.documents.configPrefix),
 			),
 			stallwing_ready: this.ready ? 1 : 0,
@@ -300,6 +304,8 @@
 			pool: (target) => this.pools.of(target),
 			isConfigurationVouched: () => this.isConfigurationVouched(),
 			isFull: (target) => this.isFull(target),
+			targetListAgeMs: () => this.targetListAgeMs,
+			isLapsed: (target) => this.targets.isLapsed(target),
 			repeats: (service) => this.repeats(service),
 			delayMs: () => this.loopDelay.ms,
 			boxes: () => this.roster.size,
@@ -396,6 +402,10 @@
 			})
 	}
 
+	private get targetListAgeMs(): number {
+		return this.feed.ageMs(this.options.documents.targetsPrefix)
+	}
+
 	private isFull(target: TargetName): boolean {
 		const service = this.board.serviceOf(target)
 		if (!service) return false
--- a/packages/gateway/src/lib/GatewayContext.ts
+++ b/packages/gateway/src/lib/GatewayContext.ts
@@ -47,6 +47,10 @@
 	pool(target: TargetEntry): ConnectionPool
 	/** True where the target takes no further connection from this box. */
 	isFull(target: TargetName): boolean
+	/** Time since the store last vouched for the list of targets, in ms; Infinity: never. */
+	targetListAgeMs(): number
+	/** True where the target is used although the store no longer lists it. */
+	isLapsed(target: TargetName): boolean
 	repeats(service: ServiceName): RepeatBudget
 	/** By how much the timers of this process are late, in ms. */
 	delayMs(): number
--- a/packages/gateway/src/lib/TargetDirectory.ts
+++ b/packages/gateway/src/lib/TargetDirectory.ts
@@ -4,10 +4,12 @@
 	type LogEventName,
 	type TargetBoard,
 	type TargetEntry,
+	type TargetName,
 } from '@stallwing/core'
 import type { StoreContact, StoreItem } from '@stallwing/store'
 import * as E from 'fp-ts/lib/Either.js'
 import type { Documents } from './Documents.js'
+import { roundAge } from './roundAge.js'
 
 /** What a {@link TargetDirectory} works with. */
 export interface TargetDirectoryOptions {
@@ -15,6 +17,8 @@
 	readonly readTarget: Documents['readTarget']
 	/** A target gets no new work: its idle connections can go. */
 	readonly onDropped: (target: TargetEntry) => void
+	/** Time since the store last vouched for the list, in ms; Infinity: never. */
+	readonly listAgeMs: () => number
 	/** Steady clock, in ms. */
 	readonly now: () => number
 	readonly log: (event: LogEvent) => void
@@ -28,6 +32,16 @@
 
 	constructor(private readonly options: TargetDirectoryOptions) {}
 
+	/** Targets that are used although the store no longer lists them. */
+	get lapsedCount(): number {
+		return this.lapsed.lapsed.length
+	}
+
+	/** True where a target is used although the store no longer lists it. */
+	isLapsed(target: TargetName): boolean {
+		return this.lapsed.lapsed.some((entry) => entry.name === target)
+	}
+
 	/** Takes all items of the list. */
 	takeItems(items: ReadonlyMap<string, StoreItem>): void {
 		const entries: TargetEntry[] = []
@@ -69,7 +83,8 @@
 	}
 
 	private logAll(name: LogEventName, entries: readonly TargetEntry[]): void {
-		for (const { name: target, service, address } of entries)
-			this.options.log({ name, fields: { target, service, address } })
+		const listAgeMs = roundAge(this.options.listAgeMs())
+		for (const { name: target, service, address, revision } of entries)
+			this.options.log({ name, fields: { target, service, address, revision, listAgeMs } })
 	}
 }
