--- a/packages/core/src/lib/placement/LapsedTargets.test.ts
+++ b/packages/core/src/lib/placement/LapsedTargets.test.ts
@@ -45,4 +45,25 @@
 		expect(lapsed.lapsed).toEqual([])
 		expect(names(lapsed.take([target('a')], 9_600))).toEqual(['a'])
 	})
+
+	it('keeps a missing target for one grace only, however often contact is lost', () => {
+		const lapsed = new LapsedTargets()
+		lapsed.take([target('a'), target('b')], 0)
+		lapsed.noteContact(false, 1_000)
+		lapsed.take([target('a')], 2_000)
+		for (let now = 2_000; now < 12_000; now += 1_500) {
+			lapsed.noteContact(true, now)
+			lapsed.noteContact(false, now + 100)
+		}
+		expect(names(lapsed.retake(4_000))).toEqual(['a'])
+	})
+
+	it('drops a target that is found missing some time after the return at the end of the grace', () => {
+		const lapsed = new LapsedTargets()
+		lapsed.take([target('a'), target('b')], 0)
+		lapsed.noteContact(false, 1_000)
+		lapsed.noteContact(true, 5_000)
+		expect(names(lapsed.take([target('a')], 6_000))).toEqual(['a', 'b'])
+		expect(names(lapsed.retake(6_800))).toEqual(['a'])
+	})
 })
--- /dev/null
+++ b/packages/gateway/src/lib/TargetDirectory.test.ts
@@ -0,0 +1,109 @@
+import { afterEach, beforeEach, describe, expect, it, vi } from 'vitest'
+import { TestFleet } from './testFleet.js'
+
+/** Time after the return of the store from which a box must keep to what the store says, in ms. */
+const CONTACT_MS = 3_000
+const STEP_MS = 50
+const CUT_MS = 12_000
+
+/** Whom the boxes that the store turns away can reach meanwhile. */
+const REACH = {
+	'all other boxes': () => false,
+	'boxes of their zone': (a: string, b: string) => zoneOf(a) !== zoneOf(b),
+	'no other box': () => true,
+} as const
+
+type Reach = keyof typeof REACH
+
+interface Cut {
+	readonly seed: number
+	readonly reach: Reach
+	/** What the target does while the boxes are cut off. */
+	readonly change: (fleet: TestFleet) => void
+	readonly zones: Readonly<Record<string, number>>
+	readonly cutBoxes: readonly string[]
+}
+
+function zoneOf(box: string): string {
+	return box.slice(0, box.indexOf('-'))
+}
+
+function randomOf(seed: number): () => number {
+	let state = seed * 7_919 + 13
+	return () => {
+		state = (state * 1_103_515_245 + 12_345) & 0x7fffffff
+		return state / 0x7fffffff
+	}
+}
+
+/** Latest time after the return at which a box that was cut off still used the target, in ms. */
+async function latestUse({ seed, reach, change, zones, cutBoxes }: Cut): Promise<number> {
+	const random = randomOf(seed)
+	const fleet = new TestFleet({
+		zones,
+		watchersPerZone: 3,
+		startMs: () => Math.floor(random() * 3_500),
+		random,
+	})
+	for (const target of ['a', 'b', 'c']) fleet.store.put(`targets/${target}`, 'ready')
+	fleet.store.put('config/now', '0')
+	const versions = setInterval(() => fleet.store.put('config/now', `${Date.now()}`), 3_000)
+	await vi.advanceTimersByTimeAsync(10_000 + Math.floor(random() * 4_000))
+	const isCut = (box: string): boolean => cutBoxes.includes(box)
+	fleet.cut(cutBoxes, (a, b) => (isCut(a) || isCut(b)) && REACH[reach](a, b))
+	await vi.advanceTimersByTimeAsync(3_000)
+	change(fleet)
+	await vi.advanceTimersByTimeAsync(CUT_MS - 3_000 + Math.floor(random() * 3_000))
+	fleet.heal()
+	let latest = 0
+	for (let sinceReturn = 0; sinceReturn < 8_000; sinceReturn += STEP_MS) {
+		await vi.advanceTimersByTimeAsync(STEP_MS)
+		if (cutBoxes.some((box) => fleet.uses(box, 'c'))) latest = sinceReturn + STEP_MS
+	}
+	clearInterval(versions)
+	fleet.stop()
+	return latest
+}
+
+/** A fleet in which every box watches the store, and one in which most ask others. */
+const FLEETS = [
+	{ zones: { solo: 3, klaten: 3, boyolali: 2 }, cutBoxes: ['solo-1', 'solo-2', 'boyolali-2'] },
+	{ zones: { east: 6, west: 6 }, cutBoxes: ['east-2', 'east-5', 'west-4'] },
+] as const
+
+const SEEDS = [1, 2, 3, 4, 5, 6]
+
+/** Cuts of all kinds in which boxes used the target for too long after their return. */
+async function lateCuts(change: (fleet: TestFleet) => void): Promise<string[]> {
+	const late: string[] = []
+	for (const fleet of FLEETS) {
+		for (const reach of Object.keys(REACH) as Reach[]) {
+			for (const seed of SEEDS) {
+				const latest = await latestUse({ ...fleet, seed, reach, change })
+				const cut = `${Object.keys(fleet.zones).join('/')}, ${reach} reached, seed ${seed}`
+				if (latest >= CONTACT_MS) late.push(`${cut}: ${latest} ms`)
+			}
+		}
+	}
+	return late
+}
+
+describe('TargetDirectory', () => {
+	beforeEach(() => {
+		vi.useFakeTimers()
+	})
+
+	afterEach(() => {
+		vi.useRealTimers()
+	})
+
+	it('uses no target that said it leaves while its box was cut off, once that is back in touch', async () => {
+		const late = await lateCuts((fleet) => fleet.store.put('targets/c', 'leaving'))
+		expect(late).toEqual([])
+	})
+
+	it('uses no target whose entry went while its box was cut off, once that is back in touch', async () => {
+		const late = await lateCuts((fleet) => fleet.store.remove('targets/c'))
+		expect(late).toEqual([])
+	})
+})
--- /dev/null
+++ b/packages/gateway/src/lib/testFleet.ts
@@ -0,0 +1,228 @@
+import {
+	TargetBoard,
+	brandId,
+	watchersFor,
+	type BoxName,
+	type FleetMember,
+	type ServiceName,
+	type TargetName,
+	type ZoneName,
+} from '@stallwing/core'
+import { MemoryStore } from '@stallwing/standins'
+import {
+	PrefixFollower,
+	type FollowedStore,
+	type KeyValueStore,
+	type StoreFault,
+} from '@stallwing/store'
+import * as E from 'fp-ts/lib/Either.js'
+import { FeedRelay, type FeedAnswer, type FeedPeers } from './FeedRelay.js'
+import { TargetDirectory } from './TargetDirectory.js'
+
+/** Time without an answer after which a short call to the store is given up, in ms. */
+const SHORT_CALL_MS = 400
+/** Time beyond its wait after which a watch or a call to another box is given up, in ms. */
+const WATCH_GRACE_MS = 400
+const PEER_GRACE_MS = 300
+const PEER_ANSWER_MS = 3
+const WATCH_POLL_MS = 50
+const SERVICE = brandId<ServiceName>('service')
+const ZONE = brandId<ZoneName>('zone')
+
+/** Where and when the boxes of a {@link TestFleet} start. */
+export interface TestFleetOptions {
+	/** Boxes of each zone. */
+	readonly zones: Readonly<Record<string, number>>
+	/** Boxes of a zone that watch the store; the others ask them. */
+	readonly watchersPerZone: number
+	/** When a box starts, in ms. */
+	readonly startMs: (index: number) => number
+	readonly random: () => number
+}
+
+/**
+ * Boxes that follow configuration and targets, in virtual time, with a store in memory. Boxes can be cut off
+ * from the store and from each other. What is under way when a cut begins or ends gets no answer.
+ */
+export class TestFleet {
+	readonly store = new MemoryStore({ now: () => Date.now(), sleep })
+	readonly members: readonly FleetMember[]
+	private readonly directories = new Map<string, TargetDirectory>()
+	private readonly boards = new Map<string, TargetBoard>()
+	private readonly relays = new Map<string, FeedRelay>()
+	private readonly followers: PrefixFollower[] = []
+	private readonly timers: NodeJS.Timeout[] = []
+	private withoutStore: ReadonlySet<string> = new Set()
+	private areApart: (a: string, b: string) => boolean = () => false
+	/** Raised whenever a cut begins or ends. */
+	private cuts = 0
+
+	constructor(private readonly options: TestFleetOptions) {
+		this.members = Object.entries(options.zones).flatMap(([zone, count]) =>
+			Array.from({ length: count }, (_, index) => memberOf(zone, index + 1)),
+		)
+		this.members.forEach((member, index) => {
+			setTimeout(() => this.start(member), options.startMs(index))
+		})
+	}
+
+	stop(): void {
+		for (const follower of this.followers) follower.stop()
+		for (const timer of this.timers) clearInterval(timer)
+	}
+
+	/** Cuts boxes off from the store, and pairs of boxes from each other. */
+	cut(boxes: readonly string[], areApart: (a: string, b: string) => boolean): void {
+		this.withoutStore = new Set(boxes)
+		this.areApart = areApart
+		this.cuts++
+	}
+
+	heal(): void {
+		this.cut([], () => false)
+	}
+
+	/** True where a box would send a request to this target. */
+	uses(box: string, target: string): boolean {
+		const board = this.boards.get(box)
+		const place = board?.choose(
+			{
+				service: SERVICE,
+				zone: ZONE,
+				work: undefined,
+				tried: new Set(),
+				isFull: (name) => name !== target,
+			},
+			Date.now(),
+		)
+		return place !== undefined
+	}
+
+	private start(member: FleetMember): void {
+		const { box } = member
+		const relay = this.relayOf(member)
+		const board = new TargetBoard()
+		const directory = new TargetDirectory({
+			board,
+			readTarget: ({ key, value, revision }) =>
+				E.right({
+					name: brandId<TargetName>(key.slice(key.indexOf('/') + 1)),
+					service: SERVICE,
+					address: 'unused:1',
+					zone: ZONE,
+					slots: 1,
+					leaving: value.toString('utf8') !== 'ready',
+					coldMs: 0,
+					revision,
+				}),
+			onDropped: () => undefined,
+			listAgeMs: () => relay.ageMs('targets/'),
+			now: () => Date.now(),
+			log: () => undefined,
+		})
+		this.relays.set(box, relay)
+		this.boards.set(box, board)
+		this.directories.set(box, directory)
+		this.timers.push(setInterval(() => directory.maintain(), 250))
+		this.follow(relay, 'config/')
+		this.follow(relay, 'targets/', directory)
+	}
+
+	private relayOf(member: FleetMember): FeedRelay {
+		const watchers = this.watchersOf(member)
+		return new FeedRelay({
+			store: this.storeOf(member.box),
+			peers: this.peersOf(member.box),
+			isWatcher: () => this.isWatcher(member),
+			isServing: () => this.members.some((other) => !this.isWatcher(other)),
+			isPlaced: () => true,
+			watchers: () => watchers,
+			boundMs: 2_000,
+			storeReadsPerSecond: 2_000,
+			boxes: () => this.members.length,
+			now: () => Date.now(),
+			random: this.options.random,
+			sleep,
+			log: () => undefined,
+		})
+	}
+
+	private isWatcher({ box, zone }: FleetMember): boolean {
+		const ofZone = this.members.filter((member) => member.zone === zone)
+		const index = ofZone.findIndex((member) => member.box === box)
+		return index < this.options.watchersPerZone
+	}
+
+	private watchersOf(member: FleetMember): readonly string[] {
+		const watchers = this.members.filter((other) => this.isWatcher(other))
+		return watchersFor(watchers, member)
+			.filter((other) => other.box !== member.box)
+			.map((other) => other.address)
+	}
+
+	private follow(relay: FeedRelay, prefix: string, directory?: TargetDirectory): void {
+		const follower = new PrefixFollower(relay, {
+			prefix,
+			waitMs: 3_500,
+			retryMs: 150,
+			onItems: (items) => directory?.takeItems(items),
+			onContact: (contact) => directory?.noteContact(contact),
+			sleep,
+		})
+		this.followers.push(follower)
+		void follower.run()
+	}
+
+	private storeOf(box: string): FollowedStore & Pick<KeyValueStore, 'ping'> {
+		const store = this.store.connect(box)
+		return {
+			ping: () => this.shortCall(box, () => store.ping(), false),
+			list: (prefix) => this.shortCall(box, () => store.list(prefix), E.left(NO_ANSWER)),
+			watch: async (prefix, after, waitMs) => {
+				const began = Date.now()
+				const cuts = this.cuts
+				while (this.cuts === cuts && !this.withoutStore.has(box)) {
+					const told = await store.watch(prefix, after, 0)
+					if (E.isLeft(told) || told.right.length > 0) return told
+					if (Date.now() >= began + waitMs) return told
+					await sleep(WATCH_POLL_MS)
+				}
+				await sleep(Math.max(0, began + waitMs + WATCH_GRACE_MS - Date.now()))
+				return E.left(NO_ANSWER)
+			},
+		}
+	}
+
+	private async shortCall<T>(box: string, call: () => Promise<T>, none: T): Promise<T> {
+		if (!this.withoutStore.has(box)) return call()
+		await sleep(SHORT_CALL_MS)
+		return none
+	}
+
+	private peersOf(box: string): FeedPeers {
+		return {
+			changes: async (address, prefix, after, waitMs) => {
+				const cuts = this.cuts
+				const began = Date.now()
+				await sleep(PEER_ANSWER_MS)
+				const answer = this.areApart(box, address)
+					? undefined
+					: await this.relays.get(address)?.answer(prefix, after, waitMs)
+				if (answer && (cuts === this.cuts || !this.areApart(box, address))) return answer
+				await sleep(Math.max(0, began + waitMs + PEER_GRACE_MS - Date.now()))
+				return undefined as FeedAnswer | undefined
+			},
+		}
+	}
+}
+
+const NO_ANSWER: StoreFault = { kind: 'no-answer', cause: 'cut off' }
+
+function memberOf(zone: string, index: number): FleetMember {
+	const box = `${zone}-${index}`
+	return { box: brandId<BoxName>(box), zone: brandId<ZoneName>(zone), address: box }
+}
+
+function sleep(ms: number): Promise<void> {
+	return new Promise((resolve) => setTimeout(resolve, ms))
+}
--- /dev/null
+++ b/packages/store/src/lib/ChangeLog.test.ts
@@ -0,0 +1,41 @@
+import { describe, expect, it } from 'vitest'
+import { ChangeLog } from './ChangeLog.js'
+import type { StoreChange, StoreItem } from './KeyValueStore.js'
+
+function item(key: string, revision: number): StoreItem {
+	return { key, value: Buffer.from('value'), revision }
+}
+
+function written(key: string, revision: number): StoreChange {
+	return { kind: 'written', item: item(key, revision) }
+}
+
+function keysOf(changes: readonly StoreChange[] | undefined): string[] | undefined {
+	return changes?.map((change) => (change.kind === 'gone' ? `-${change.key}` : change.item.key))
+}
+
+describe('ChangeLog', () => {
+	it('tells the newest change of each key, in the order of revisions', () => {
+		const log = new ChangeLog()
+		log.restart({ items: [item('a', 1)], at: 2 })
+		log.append([written('b', 4), written('a', 3), { kind: 'gone', key: 'b', revision: 5 }])
+		expect(keysOf(log.since(2))).toEqual(['a', '-b'])
+		expect(keysOf(log.since(4))).toEqual(['-b'])
+	})
+
+	it('tells that a key is gone which a new listing lacks', () => {
+		const log = new ChangeLog()
+		log.restart({ items: [item('a', 1), item('b', 2)], at: 2 })
+		log.restart({ items: [item('a', 1)], at: 9 })
+		expect(keysOf(log.since(2))).toEqual(['-b'])
+	})
+
+	it('does not leave out a deletion that fell between two of its listings', () => {
+		const log = new ChangeLog()
+		log.restart({ items: [], at: 1 })
+		// Another box saw `b` written at 5. This one did not, and `b` went at 8.
+		log.restart({ items: [item('a', 9)], at: 10 })
+		expect(log.since(6)).toBeUndefined()
+		expect(log.since(10)).toEqual([])
+	})
+})
