Boxes notice the return of the store within 0.6 s, and lapsed targets have one grace

Cause: after a cut a box noticed the return of the store up to 2.45 s late, and then kept targets whose entries were missing for another 1.7 s, counted from its own notice and anew at each return: used 4.4 s after the return, where 3 s are allowed. Ruled out: an older entry that replaced a newer one (not brought about), a request that waited in the box. Change: one short read every 0.6 s finds the return for all followers; boxes that heard nothing ask all others at once, without waiting; boxes pass whole lists on and tell for how long the store has answered them; the grace is fixed when an entry is found missing. Changes are told to other boxes from the last listing on: deletions between two listings were left out. ChangeLog.test.ts asks listing() for a key that a listing lacks, since changes from before it are no longer told: the same keys are compared.

--- a/packages/core/src/lib/placement/LapsedTargets.ts
+++ b/packages/core/src/lib/placement/LapsedTargets.ts
@@ -8,46 +8,52 @@
  */
 const LAPSE_GRACE_MS: Millis = 1_700
 
+/** A target that is used although it is not listed, and until when. */
+interface LapsedTarget {
+	readonly entry: TargetEntry
+	readonly until: Millis
+}
+
 /**
  * Entries of targets run out while the store is away, although the targets live. One that was not
  * leaving when it was last listed is kept for a short time after the return of the store, and is taken
- * as gone if it is still missing then.
+ * as gone if it is still missing then. That time is fixed once, when the entry is found missing: contact
+ * that comes and goes does not lengthen it, and neither does a box that notices the return late.
  * @public
  */
 export class LapsedTargets {
 	private listed: readonly TargetEntry[] = []
-	private kept: readonly TargetEntry[] = []
+	private kept: readonly LapsedTarget[] = []
 	private reached = true
 	private graceUntil: Millis = Number.NEGATIVE_INFINITY
 
-	/** The store answers again, or does not. */
-	noteContact(reached: boolean, now: Millis): void {
-		if (reached && !this.reached) this.graceUntil = now + LAPSE_GRACE_MS
+	/** The store answers again, after it had begun to at `since` for the boxes that know; or it does not. */
+	noteContact(reached: boolean, since: Millis): void {
+		if (reached && !this.reached) this.graceUntil = since + LAPSE_GRACE_MS
 		this.reached = reached
 	}
 
 	/** Takes the newest list; returns the targets that are to be used. */
 	take(listed: readonly TargetEntry[], now: Millis): readonly TargetEntry[] {
-		const before = [...this.listed, ...this.kept]
-		this.listed = listed
 		const names = new Set<TargetName>(listed.map((entry) => entry.name))
-		this.kept = this.isGrace(now)
-			? before.filter((entry) => !entry.leaving && !names.has(entry.name))
-			: []
-		return [...this.listed, ...this.kept]
+		const until = this.reached ? this.graceUntil : now + LAPSE_GRACE_MS
+		const missing = this.listed
+			.filter((entry) => !entry.leaving)
+			.map((entry): LapsedTarget => ({ entry, until }))
+		this.kept = [...this.kept, ...missing].filter(
+			(lapsed) => !names.has(lapsed.entry.name) && now < lapsed.until,
+		)
+		this.listed = listed
+		return [...listed, ...this.lapsed]
 	}
 
 	/** Targets that are used although they are not listed. */
 	get lapsed(): readonly TargetEntry[] {
-		return this.kept
+		return this.kept.map((lapsed) => lapsed.entry)
 	}
 
 	/** The list as it stands now that time has passed. */
 	retake(now: Millis): readonly TargetEntry[] {
 		return this.take(this.listed, now)
 	}
-
-	private isGrace(now: Millis): boolean {
-		return !this.reached || now < this.graceUntil
-	}
 }
--- a/packages/gateway/src/lib/FeedRelay.ts
+++ b/packages/gateway/src/lib/FeedRelay.ts
@@ -1,25 +1,31 @@
-import type { LogEvent } from '@stallwing/core'
-import {
-	ChangeLog,
-	type FollowedStore,
-	type KeyValueStore,
-	type StoreChange,
-	type StoreFault,
-	type StoreListing,
+import { exhaustive, type LogEvent } from '@stallwing/core'
+import type {
+	FollowedStore,
+	KeyValueStore,
+	StoreChange,
+	StoreFault,
+	StoreItem,
+	StoreListing,
 } from '@stallwing/store'
 import * as E from 'fp-ts/lib/Either.js'
+import { FeedState } from './FeedState.js'
 import { StoreProbes } from './StoreProbes.js'
+import { StoreReturn } from './StoreReturn.js'
 
 /** What a box tells another about changes below a prefix. */
 export interface FeedAnswer {
 	/** Age of the last word that it had from the store itself, in ms; Infinity: none. */
 	readonly wordAgeMs: number
+	/** Time for which the store has answered that box without a break, in ms; 0: it does not answer. */
+	readonly answeredMs: number
 	readonly changes: readonly StoreChange[]
+	/** All items, where the box that asks is too far behind to be told changes. */
+	readonly listing?: StoreListing
 }
 
 /** Calls to other boxes about changes in the store. */
 export interface FeedPeers {
-	/** Waits for changes after a revision; undefined where the box does not answer. */
+	/** Waits for changes after a revision, at most `waitMs`; undefined where the box does not answer. */
 	changes(
 		address: string,
 		prefix: string,
@@ -87,19 +93,10 @@
 /** Answers above this size are for the store to tell, in bytes: the largest item that it takes. */
 const MOST_BYTES = 1024 * 1024
 
-interface Feed {
-	readonly log: ChangeLog
-	/** When the store itself last answered about this prefix; -Infinity once it did not answer. */
-	toldAt: number
-	/** When the store last answered this box, or one that this box then asked. */
-	vouchedAt: number
-	/** Newer versions may lie behind the ones that a watch would tell first: a listing skips those. */
-	isBehind: boolean
-	/** The last call about this prefix was not answered. */
-	isLost: boolean
-	/** The next watch for this box alone begins then: until then changes gather. */
-	gatherUntil: number
-}
+/** Longest pause of a box that reaches no other, in ms: of the 3 s in which it must know what it missed. */
+const ALONE_PAUSE_MS = 300
+/** Below all revisions of the store: a box that knows nothing asks for what follows it. */
+const NOTHING_KNOWN = -1
 
 /**
  * Follows the store for this box and for others. A few boxes of each zone watch the store, the others
@@ -109,30 +106,36 @@
  * short for that.
  */
 export class FeedRelay implements FollowedStore {
-	private readonly feeds = new Map<string, Feed>()
+	private readonly feeds = new Map<string, FeedState>()
 	private readonly avoidUntil = new Map<string, number>()
 	private readonly probes: StoreProbes
-	private turn = 0
+	private readonly storeReturn: StoreReturn
+	/** No other box answered the last question. */
+	private isAlone = false
 	private directUntil = Number.NEGATIVE_INFINITY
 	/** The store answered this box when it last went there itself. */
 	private isStoreOpen = false
 
 	constructor(private readonly options: FeedRelayOptions) {
 		this.probes = new StoreProbes(options)
+		this.storeReturn = new StoreReturn({
+			ping: () => options.store.ping(),
+			sleep: (ms) => options.sleep(ms),
+		})
 	}
 
+	/** All items below a prefix: those of the store, or what another box knows where it does not answer. */
 	async list(prefix: string): Promise<E.Either<StoreFault, StoreListing>> {
-		const begun = this.options.now()
-		const listing = await this.options.store.list(prefix)
 		const feed = this.feed(prefix)
-		if (E.isLeft(listing)) {
-			this.noteLost(feed)
-			return listing
+		const unseen = feed.takeUnseen()
+		if (unseen) return E.right(unseen)
+		const told = feed.isLost ? undefined : await this.listStore(prefix)
+		if (!told || E.isLeft(told)) {
+			const elsewhere = await this.hearElsewhere(prefix, NOTHING_KNOWN)
+			if (elsewhere.kind === 'returned') await this.listStore(prefix)
 		}
-		feed.log.restart(listing.right)
-		feed.isBehind = false
-		this.noteTold(feed, begun)
-		return listing
+		const listing = feed.takeUnseen()
+		return listing ? E.right(listing) : E.left(NO_WORD)
 	}
 
 	async watch(
@@ -140,37 +143,73 @@
 		after: number,
 		waitMs: number,
 	): Promise<E.Either<StoreFault, readonly StoreChange[]>> {
-		const { isPlaced, isWatcher, now, sleep, watchers } = this.options
+		const { isPlaced, now, sleep } = this.options
 		if (!isPlaced()) {
 			await sleep(PLACE_POLL_MS)
 			return E.right([])
 		}
-		const addresses = watchers()
-		if (isWatcher() || addresses.length === 0) return this.watchOrAsk(prefix, after, waitMs)
+		if (this.watchesItself) return this.watchOrAsk(prefix, after, waitMs)
 		if (now() < this.directUntil) return this.watchAlone(prefix, after)
-		const heard = await this.askWatchers(addresses.slice(0, MOST_WATCHERS), prefix, after)
-		if (heard.kind === 'heard') {
-			this.isStoreOpen = false
-			return E.right(heard.changes)
+		const elsewhere = await this.hearElsewhere(prefix, after)
+		if (elsewhere.kind === 'returned') return this.watchAlone(prefix, after)
+		return toChanges(elsewhere)
+	}
+
+	/**
+	 * Sleeps between two tries. A box that watches the store wakes earlier where that answers again, and one
+	 * that reaches no other box tries again soon: its calls burden nobody.
+	 */
+	pause(ms: number): Promise<void> {
+		return this.storeReturn.pause(this.isAlone ? Math.min(ms, ALONE_PAUSE_MS) : ms)
+	}
+
+	/** Ends what looks for the return of the store. */
+	stop(): void {
+		this.storeReturn.stop()
+	}
+
+	private get watchesItself(): boolean {
+		return this.options.isWatcher() || this.options.watchers().length === 0
+	}
+
+	/**
+	 * What other boxes know, for one that the store does not answer or that does not watch; `returned` where
+	 * this box is to go to the store itself.
+	 */
+	private async hearElsewhere(prefix: string, after: number): Promise<Heard | Returned> {
+		if (this.watchesItself && this.storeReturn.isBack) return { kind: 'returned' }
+		const asked = this.askWatchers(prefix, after)
+		if (this.watchesItself) {
+			const returned = this.storeReturn.wait().then((): Returned => ({ kind: 'returned' }))
+			return Promise.race([asked, returned])
 		}
-		return this.probe(prefix, after, heard.kind === 'stale')
+		const heard = await asked
+		if (heard.kind === 'stale' || heard.kind === 'silent') return this.probe(prefix, heard)
+		this.isStoreOpen = false
+		return heard
 	}
 
 	/**
-	 * Asks the first box, and all others at once where that one can't tell. `stale`: all that are there
-	 * were not told anything, `silent`: none is there.
+	 * Asks the first box, and all others at once where that one can't tell. Where none could the last time,
+	 * all are asked at once for what they know now. `stale`: all that are there were not told anything,
+	 * `silent`: none is there.
 	 */
-	private async askWatchers(
-		addresses: readonly string[],
-		prefix: string,
-		after: number,
-	): Promise<Heard> {
-		const [first, ...others] = addresses
+	private async askWatchers(prefix: string, after: number): Promise<Heard> {
+		const feed = this.feed(prefix)
+		const [first, ...others] = this.options.watchers().slice(0, MOST_WATCHERS)
 		if (first === undefined) return { kind: 'silent' }
-		const heard = await this.askOne(first, prefix, after)
-		if (heard.kind === 'heard') return heard
-		const asked = others.map((address) => this.askOne(address, prefix, after))
-		return firstHeard([Promise.resolve(heard), ...asked])
+		const waitMs = feed.isSilent ? 0 : RELAY_WAIT_MS
+		const ask = (address: string): Promise<Heard> => this.askOne(address, prefix, after, waitMs)
+		const asked = [ask(first)]
+		if (!feed.isSilent) {
+			const heard = await asked[0]
+			if (heard && isWord(heard)) return heard
+		}
+		const heard = await firstHeard([...asked, ...others.map(ask)])
+		if (isWord(heard)) feed.isSilent = false
+		else feed.noteUnknown()
+		this.isAlone = heard.kind === 'silent'
+		return heard
 	}
 
 	/** Time since the store last vouched for what this box knows below a prefix, in ms. */
@@ -178,26 +217,33 @@
 		return this.options.now() - this.feed(prefix).vouchedAt
 	}
 
+	/** Time for which the store has answered without a break, as far as this box knows, in ms. */
+	answeredMs(prefix: string): number {
+		return this.feed(prefix).answeredMs(this.options.now())
+	}
+
 	/**
 	 * Answers another box: changes as soon as there are any, otherwise when the time is over, or as soon
-	 * as this box can't vouch for silence any longer.
+	 * as this box can't vouch for silence any longer. All items where the other is too far behind.
 	 */
 	async answer(prefix: string, after: number, waitMs: number): Promise<FeedAnswer> {
 		const feed = this.feeds.get(prefix)
 		const until = this.options.now() + Math.min(waitMs, RELAY_WAIT_MS)
 		while (feed) {
-			const changes = feed.log.since(after)
-			if (!changes || bytesOf(changes) > MOST_BYTES) break
 			const now = this.options.now()
+			const answeredMs = feed.answeredMs(now)
+			const changes = feed.log.since(after)
+			if (!changes) return { wordAgeMs: NO_AGE, answeredMs, changes: [], ...listingOf(feed, after) }
+			if (bytesOf(changes) > MOST_BYTES) break
 			const freshUntil = feed.toldAt + this.freshMs
 			if (changes.length > 0 || now >= Math.min(until, freshUntil))
-				return { wordAgeMs: now - feed.toldAt, changes }
+				return { wordAgeMs: now - feed.toldAt, answeredMs, changes }
 			await feed.log.wait(Math.ceil(Math.min(until, freshUntil) - now))
 		}
-		return { wordAgeMs: Number.POSITIVE_INFINITY, changes: [] }
+		return { wordAgeMs: NO_AGE, answeredMs: 0, changes: [] }
 	}
 
-	/** The way of a box that watches: the store, and another box that watches where that fails. */
+	/** The way of a box that watches: the store, and the other boxes that watch while that does not answer. */
 	private async watchOrAsk(
 		prefix: string,
 		after: number,
@@ -207,38 +253,30 @@
 		const longest = isServing()
 			? Math.min(waitMs, Math.round(SERVING_WATCH_PART * boundMs))
 			: waitMs
-		const told = await this.watchStore(prefix, after, longest)
-		if (E.isRight(told) || told.left.kind === 'history-gone') return told
-		const addresses = this.options.watchers()
-		const next = addresses[this.turn++ % Math.max(1, addresses.length)]
-		if (next === undefined) return told
-		const heard = await this.askOne(next, prefix, after)
-		return heard.kind === 'heard' ? E.right(heard.changes) : told
+		if (!this.feed(prefix).isLost) {
+			const told = await this.watchStore(prefix, after, longest)
+			if (E.isRight(told) || told.left.kind === 'history-gone') return told
+		}
+		const elsewhere = await this.hearElsewhere(prefix, after)
+		return elsewhere.kind === 'returned' ? this.catchUp(prefix) : toChanges(elsewhere)
 	}
 
 	/**
-	 * Tries the store where no other box could tell. Where those that were asked are there but were not
-	 * told anything themselves, the store is probably away for all: few boxes try it then.
+	 * Whether this box tries the store where no other could tell. Where those that were asked are there but
+	 * were not told anything themselves, the store is probably away for all: few boxes try it then.
 	 */
-	private async probe(
-		prefix: string,
-		after: number,
-		isStoreAway: boolean,
-	): Promise<E.Either<StoreFault, readonly StoreChange[]>> {
-		if (this.isStoreOpen) {
-			this.directUntil = this.options.now() + DIRECT_MS
-			return this.watchAlone(prefix, after)
-		}
-		if (!this.probes.isDue(isStoreAway))
-			return E.left({ kind: 'no-answer', cause: 'no box was told anything by the store' })
-		if (!(await this.options.store.ping())) {
-			this.probes.note(false)
-			return this.noteLost(this.feed(prefix))
+	private async probe(prefix: string, heard: Heard): Promise<Heard | Returned> {
+		if (!this.isStoreOpen) {
+			if (!this.probes.isDue(heard.kind === 'stale')) return heard
+			const isReached = await this.options.store.ping()
+			this.probes.note(isReached)
+			if (!isReached) {
+				this.noteLost(this.feed(prefix))
+				return heard
+			}
 		}
-		const told = await this.watchAlone(prefix, after)
-		this.probes.note(this.isStoreOpen)
-		if (this.isStoreOpen) this.directUntil = this.options.now() + DIRECT_MS
-		return told
+		this.directUntil = this.options.now() + DIRECT_MS
+		return { kind: 'returned' }
 	}
 
 	private async watchStore(
@@ -247,8 +285,7 @@
 		waitMs: number,
 	): Promise<E.Either<StoreFault, readonly StoreChange[]>> {
 		const feed = this.feed(prefix)
-		if (feed.isLost && !(await this.options.store.ping())) return this.noteLost(feed)
-		if (feed.isBehind) return this.catchUp(prefix, after)
+		if (feed.isBehind) return this.catchUp(prefix)
 		const begun = this.options.now()
 		const told = await this.options.store.watch(prefix, after, waitMs)
 		if (E.isLeft(told)) {
@@ -256,7 +293,8 @@
 			return told
 		}
 		// Changes may have been long on the way: the answer is as old as the call.
-		this.noteTold(feed, told.right.length > 0 ? begun : this.options.now())
+		const now = this.options.now()
+		feed.noteTold(told.right.length > 0 ? begun : now, now)
 		feed.isBehind = bytesOf(told.right) > LARGE_BYTES
 		feed.log.append(told.right)
 		return told
@@ -276,90 +314,140 @@
 		return told
 	}
 
-	/** Changes by way of a listing: the newest version of each item, without those before it. */
-	private async catchUp(
-		prefix: string,
-		after: number,
-	): Promise<E.Either<StoreFault, readonly StoreChange[]>> {
-		const listing = await this.list(prefix)
-		if (E.isLeft(listing)) return listing
-		const changes = this.feed(prefix).log.since(after)
-		return changes ? E.right(changes) : E.left({ kind: 'history-gone' })
+	/** Lists instead of watching: the newest version of each item, without those before it. */
+	private async catchUp(prefix: string): Promise<E.Either<StoreFault, never>> {
+		const told = await this.listStore(prefix)
+		return E.isLeft(told) ? told : E.left(LIST_ANEW)
+	}
+
+	/** Takes a listing of the store over. */
+	private async listStore(prefix: string): Promise<E.Either<StoreFault, void>> {
+		const { now, store } = this.options
+		const feed = this.feed(prefix)
+		const begun = now()
+		const listing = await store.list(prefix)
+		if (E.isLeft(listing)) {
+			this.noteLost(feed)
+			return listing
+		}
+		feed.take(listing.right)
+		feed.isBehind = false
+		feed.noteTold(begun, now())
+		return E.right(undefined)
 	}
 
 	/** What another box knows; `stale`: it is there, and was not told anything itself. */
-	private async askOne(address: string, prefix: string, after: number): Promise<Heard> {
+	private async askOne(
+		address: string,
+		prefix: string,
+		after: number,
+		waitMs: number,
+	): Promise<Heard> {
 		const { now, peers } = this.options
-		if ((this.avoidUntil.get(address) ?? 0) > now()) return { kind: 'silent' }
-		const answer = await peers.changes(address, prefix, after, RELAY_WAIT_MS)
+		// A call that does not wait is over soon, also where nobody answers.
+		if (waitMs > 0 && (this.avoidUntil.get(address) ?? 0) > now()) return { kind: 'silent' }
+		const answer = await peers.changes(address, prefix, after, waitMs)
 		if (!answer) {
 			this.avoidUntil.set(address, now() + AVOID_MS)
 			return { kind: 'silent' }
 		}
-		const { changes, wordAgeMs } = answer
+		const { answeredMs, changes, listing, wordAgeMs } = answer
 		const isFresh = wordAgeMs < this.freshMs
-		if (!isFresh && changes.length === 0) return { kind: 'stale' }
+		if (!isFresh && changes.length === 0 && !listing) return { kind: 'stale' }
 		const feed = this.feed(prefix)
 		if (isFresh) feed.vouchedAt = Math.max(feed.vouchedAt, now() - wordAgeMs)
-		if (changes.length > 0) this.takeRelayed(feed, changes, { address, prefix, after })
+		if (answeredMs > 0) feed.noteAnswersSince(now() - answeredMs)
+		const from = { address, prefix, after }
+		if (listing) return this.takeListing(feed, listing, from)
+		if (changes.length > 0) this.takeRelayed(feed, changes, from)
 		return { kind: 'heard', changes }
 	}
 
-	private takeRelayed(
-		feed: Feed,
-		changes: readonly StoreChange[],
-		from: { readonly address: string; readonly prefix: string; readonly after: number },
-	): void {
+	private takeListing(feed: FeedState, listing: StoreListing, from: Relayed): Heard {
+		feed.take(listing)
+		this.logRelayed(from, listing.items.length)
+		return { kind: 'listed' }
+	}
+
+	private takeRelayed(feed: FeedState, changes: readonly StoreChange[], from: Relayed): void {
 		feed.log.append(changes)
-		const { address, prefix, after } = from
-		const fields = { prefix, from: address, after, changes: changes.length }
-		this.options.log({ name: 'changes-relayed', fields })
+		this.logRelayed(from, changes.length)
 	}
 
-	private get freshMs(): number {
-		return FRESH_PART * this.options.boundMs
+	private logRelayed({ address, prefix, after }: Relayed, changes: number): void {
+		const fields = { prefix, from: address, after, changes }
+		this.options.log({ name: 'changes-relayed', fields })
 	}
 
-	private noteLost(feed: Feed): E.Either<StoreFault, never> {
-		feed.toldAt = Number.NEGATIVE_INFINITY
-		feed.isLost = true
-		feed.isBehind = true
-		return E.left({ kind: 'no-answer', cause: 'the store does not answer a short call' })
+	private noteLost(feed: FeedState): void {
+		feed.noteLost()
+		this.storeReturn.noteLost()
 	}
 
-	private noteTold(feed: Feed, at: number): void {
-		feed.isLost = false
-		feed.toldAt = at
-		feed.vouchedAt = Math.max(feed.vouchedAt, at)
+	private get freshMs(): number {
+		return FRESH_PART * this.options.boundMs
 	}
 
-	private feed(prefix: string): Feed {
+	private feed(prefix: string): FeedState {
 		const known = this.feeds.get(prefix)
 		if (known) return known
-		const never = Number.NEGATIVE_INFINITY
-		const feed: Feed = {
-			log: new ChangeLog(),
-			toldAt: never,
-			vouchedAt: never,
-			isBehind: false,
-			isLost: false,
-			gatherUntil: never,
-		}
+		const feed = new FeedState()
 		this.feeds.set(prefix, feed)
 		return feed
 	}
 }
 
+/** Where changes came from: the box, and what was asked of it. */
+interface Relayed {
+	readonly address: string
+	readonly prefix: string
+	readonly after: number
+}
+
+/** What other boxes told; `listed`: they told all items, which wait to be listed. */
 type Heard =
 	| { readonly kind: 'heard'; readonly changes: readonly StoreChange[] }
+	| { readonly kind: 'listed' }
 	| { readonly kind: 'stale' }
 	| { readonly kind: 'silent' }
 
+/** The store answers this box again. */
+interface Returned {
+	readonly kind: 'returned'
+}
+
+/** Age of a word that there never was. */
+const NO_AGE = Number.POSITIVE_INFINITY
+const NO_WORD: StoreFault = {
+	kind: 'no-answer',
+	cause: 'neither the store nor a box that it answers told anything',
+}
+/** Tells the follower of a prefix to list, which brings what was taken over. */
+const LIST_ANEW: StoreFault = { kind: 'history-gone' }
+
+function isWord(heard: Heard): boolean {
+	return heard.kind === 'heard' || heard.kind === 'listed'
+}
+
+function toChanges(heard: Heard): E.Either<StoreFault, readonly StoreChange[]> {
+	switch (heard.kind) {
+		case 'heard':
+			return E.right(heard.changes)
+		case 'listed':
+			return E.left(LIST_ANEW)
+		case 'stale':
+		case 'silent':
+			return E.left(NO_WORD)
+		default:
+			return exhaustive(heard)
+	}
+}
+
 /** The first answer that tells something; otherwise `stale` where any box was there. */
 function firstHeard(asked: readonly Promise<Heard>[]): Promise<Heard> {
 	return new Promise((resolve) => {
 		const note = (heard: Heard): void => {
-			if (heard.kind === 'heard') resolve(heard)
+			if (isWord(heard)) resolve(heard)
 		}
 		for (const answer of asked) void answer.then(note)
 		void Promise.all(asked).then((all) => {
@@ -368,8 +456,17 @@
 	})
 }
 
+/** All items for a box that knows the changes up to a revision; nothing where it knows as much. */
+function listingOf(feed: FeedState, after: number): Pick<FeedAnswer, 'listing'> {
+	const listing = feed.log.listing()
+	if (!listing || listing.at <= after || bytesOfItems(listing.items) > MOST_BYTES) return {}
+	return { listing }
+}
+
 function bytesOf(changes: readonly StoreChange[]): number {
-	let bytes = 0
-	for (const change of changes) if (change.kind === 'written') bytes += change.item.value.length
-	return bytes
+	return bytesOfItems(changes.flatMap((change) => (change.kind === 'written' ? [change.item] : [])))
+}
+
+function bytesOfItems(items: readonly StoreItem[]): number {
+	return items.reduce((bytes, item) => bytes + item.value.length, 0)
 }
--- a/packages/gateway/src/lib/Gateway.ts
+++ b/packages/gateway/src/lib/Gateway.ts
@@ -166,6 +166,7 @@
 			readTarget: (item) => options.documents.readTarget(item),
 			onDropped: (target) => this.pools.drop(target.name),
 			listAgeMs: () => this.targetListAgeMs,
+			answeredMs: () => this.feed.answeredMs(options.documents.targetsPrefix),
 			now: options.now,
 			log: options.log,
 		})
@@ -233,6 +234,7 @@
 		this.peers.close()
 		this.pools.close()
 		for (const follower of this.followers) follower.stop()
+		this.feed.stop()
 		this.roster.stop()
 		this.loopDelay.stop()
 		for (const timer of this.timers) clearInterval(timer)
@@ -389,7 +391,7 @@
 				onContact(contact)
 				this.logContact(prefix, contact)
 			},
-			sleep,
+			sleep: (ms) => this.feed.pause(ms),
 		})
 	}
 
--- a/packages/gateway/src/lib/PeerClient.ts
+++ b/packages/gateway/src/lib/PeerClient.ts
@@ -15,12 +15,18 @@
 /** Time beyond the wait that an answer about changes may take, in ms. */
 const CHANGES_GRACE_MS = 300
 const CONNECTIONS = 6
+/**
+ * Connections to a box for calls about changes: one for each prefix that waits, one for a call that is given
+ * up. Calls for tokens that nobody answers hold theirs for up to 1.5 s.
+ */
+const CHANGES_CONNECTIONS = 3
 /** Time for which a box that did not answer is not asked again, in ms. */
 const AVOID_MS = 1_500
 
 /** Asks other boxes. */
 export class PeerClient implements Lenders, FeedPeers {
 	private readonly callers = new Map<string, HttpCaller>()
+	private readonly changesCallers = new Map<string, HttpCaller>()
 	/** Boxes that did not answer, and until when they are not asked. */
 	private readonly avoidedUntil = new Map<string, number>()
 
@@ -61,7 +67,8 @@
 		const path = `${CHANGES_PATH}?${new URLSearchParams(fields)}`
 		const timeoutMs = waitMs + CHANGES_GRACE_MS
 		try {
-			const reply = await this.caller(address).send({ method: 'GET', path, timeoutMs })
+			const caller = callerOf(this.changesCallers, address, CHANGES_CONNECTIONS)
+			const reply = await caller.send({ method: 'GET', path, timeoutMs })
 			return reply.status === 200 ? decodeFeedAnswer(reply.text) : undefined
 		} catch {
 			return undefined
@@ -104,12 +111,7 @@
 	}
 
 	private caller(address: string): HttpCaller {
-		const known = this.callers.get(address)
-		if (known) return known
-		const [host = '', port = ''] = address.split(':')
-		const caller = new HttpCaller({ host, port: Number(port), connections: CONNECTIONS })
-		this.callers.set(address, caller)
-		return caller
+		return callerOf(this.callers, address, CONNECTIONS)
 	}
 
 	/** @throws where the text is no JSON document. */
@@ -124,3 +126,17 @@
 		return { lent, left, free, budgetsAt }
 	}
 }
+
+/** The caller of an address, made at the first call. */
+function callerOf(
+	callers: Map<string, HttpCaller>,
+	address: string,
+	connections: number,
+): HttpCaller {
+	const known = callers.get(address)
+	if (known) return known
+	const [host = '', port = ''] = address.split(':')
+	const caller = new HttpCaller({ host, port: Number(port), connections })
+	callers.set(address, caller)
+	return caller
+}
--- a/packages/gateway/src/lib/TargetDirectory.test.ts
+++ b/packages/gateway/src/lib/TargetDirectory.test.ts
@@ -5,6 +5,8 @@
 const CONTACT_MS = 3_000
 const STEP_MS = 50
 const CUT_MS = 12_000
+/** Time after the return of the store at which a target that lives has written its entry anew, in ms. */
+const BACK_MS = 1_200
 
 /** Whom the boxes that the store turns away can reach meanwhile. */
 const REACH = {
@@ -36,8 +38,11 @@
 	}
 }
 
-/** Latest time after the return at which a box that was cut off still used the target, in ms. */
-async function latestUse({ seed, reach, change, zones, cutBoxes }: Cut): Promise<number> {
+/** A fleet that has run for some seconds, with three targets and a new configuration every 3 s. */
+async function startFleet(
+	zones: Readonly<Record<string, number>>,
+	seed: number,
+): Promise<TestFleet> {
 	const random = randomOf(seed)
 	const fleet = new TestFleet({
 		zones,
@@ -46,21 +51,25 @@
 		random,
 	})
 	for (const target of ['a', 'b', 'c']) fleet.store.put(`targets/${target}`, 'ready')
-	fleet.store.put('config/now', '0')
-	const versions = setInterval(() => fleet.store.put('config/now', `${Date.now()}`), 3_000)
+	fleet.repeat(() => fleet.store.put('config/now', `${Date.now()}`), 3_000)
 	await vi.advanceTimersByTimeAsync(10_000 + Math.floor(random() * 4_000))
+	return fleet
+}
+
+/** Latest time after the return at which a box that was cut off still used the target, in ms. */
+async function latestUse({ seed, reach, change, zones, cutBoxes }: Cut): Promise<number> {
+	const fleet = await startFleet(zones, seed)
 	const isCut = (box: string): boolean => cutBoxes.includes(box)
 	fleet.cut(cutBoxes, (a, b) => (isCut(a) || isCut(b)) && REACH[reach](a, b))
 	await vi.advanceTimersByTimeAsync(3_000)
 	change(fleet)
-	await vi.advanceTimersByTimeAsync(CUT_MS - 3_000 + Math.floor(random() * 3_000))
+	await vi.advanceTimersByTimeAsync(CUT_MS - 3_000 + 170 * seed)
 	fleet.heal()
 	let latest = 0
 	for (let sinceReturn = 0; sinceReturn < 8_000; sinceReturn += STEP_MS) {
 		await vi.advanceTimersByTimeAsync(STEP_MS)
 		if (cutBoxes.some((box) => fleet.uses(box, 'c'))) latest = sinceReturn + STEP_MS
 	}
-	clearInterval(versions)
 	fleet.stop()
 	return latest
 }
@@ -106,4 +115,25 @@
 		const late = await lateCuts((fleet) => fleet.store.remove('targets/c'))
 		expect(late).toEqual([])
 	})
+
+	it('goes on with targets whose entries run out while the store answers no box', async () => {
+		for (const { zones } of FLEETS) {
+			for (const seed of SEEDS) {
+				const fleet = await startFleet(zones, seed)
+				const boxes = fleet.members.map((member) => member.box)
+				fleet.cut(boxes, () => false)
+				await vi.advanceTimersByTimeAsync(5_000)
+				fleet.store.remove('targets/c')
+				await vi.advanceTimersByTimeAsync(3_000 + 100 * seed)
+				fleet.heal()
+				for (let sinceReturn = 0; sinceReturn < 4_000; sinceReturn += STEP_MS) {
+					if (sinceReturn === BACK_MS) fleet.store.put('targets/c', 'ready')
+					await vi.advanceTimersByTimeAsync(STEP_MS)
+					const without = boxes.filter((box) => !fleet.uses(box, 'c'))
+					expect(without, `seed ${seed}, ${sinceReturn} ms after the return`).toEqual([])
+				}
+				fleet.stop()
+			}
+		}
+	})
 })
--- a/packages/gateway/src/lib/TargetDirectory.ts
+++ b/packages/gateway/src/lib/TargetDirectory.ts
@@ -19,6 +19,8 @@
 	readonly onDropped: (target: TargetEntry) => void
 	/** Time since the store last vouched for the list, in ms; Infinity: never. */
 	readonly listAgeMs: () => number
+	/** Time for which the store has answered without a break, as far as this box knows, in ms. */
+	readonly answeredMs: () => number
 	/** Steady clock, in ms. */
 	readonly now: () => number
 	readonly log: (event: LogEvent) => void
@@ -58,7 +60,8 @@
 
 	/** The store answers again, or does not. */
 	noteContact(contact: StoreContact): void {
-		this.lapsed.noteContact(contact.kind === 'reached', this.options.now())
+		const { answeredMs, now } = this.options
+		this.lapsed.noteContact(contact.kind === 'reached', now() - answeredMs())
 	}
 
 	/** Lets go of targets that are still missing. To be called some times a second. */
--- a/packages/gateway/src/lib/feedCodec.ts
+++ b/packages/gateway/src/lib/feedCodec.ts
@@ -1,6 +1,7 @@
 import { gunzipSync, gzipSync } from 'node:zlib'
-import type { StoreChange, StoreItem } from '@stallwing/store'
+import type { StoreChange, StoreItem, StoreListing } from '@stallwing/store'
 import type { FeedAnswer } from './FeedRelay.js'
+import { roundAge } from './roundAge.js'
 
 /** A change as boxes write it to each other; without a value, the key is gone. */
 interface WireChange {
@@ -16,7 +17,16 @@
 interface WireAnswer {
 	/** Negative: the store never answered. */
 	readonly wordAgeMs: number
+	/** 0 where it is missing: the box runs an older version. */
+	readonly answeredMs?: number
 	readonly changes: readonly WireChange[]
+	readonly listing?: WireListing
+}
+
+/** A listing as boxes write it to each other. */
+interface WireListing {
+	readonly at: number
+	readonly items: readonly WireChange[]
 }
 
 /** Values above this size are packed, in bytes: below it, an answer fits into a few packets as it is. */
@@ -30,30 +40,52 @@
 const packedValues = new WeakMap<StoreItem, string>()
 
 /** A JSON document for an answer. */
-export function encodeFeedAnswer({ wordAgeMs, changes }: FeedAnswer): WireAnswer {
-	const age = Number.isFinite(wordAgeMs) ? Math.round(wordAgeMs) : -1
-	return { wordAgeMs: age, changes: changes.map(encodeChange) }
+export function encodeFeedAnswer(answer: FeedAnswer): WireAnswer {
+	const { answeredMs, changes, listing, wordAgeMs } = answer
+	return {
+		wordAgeMs: roundAge(wordAgeMs),
+		answeredMs: Math.round(answeredMs),
+		changes: changes.map(encodeChange),
+		...(listing && { listing: { at: listing.at, items: listing.items.map(encodeItem) } }),
+	}
 }
 
 /** Reads what {@link encodeFeedAnswer} made; undefined where it is something else. */
 export function decodeFeedAnswer(text: string): FeedAnswer | undefined {
 	try {
-		const { wordAgeMs, changes } = JSON.parse(text) as Partial<WireAnswer>
-		if (typeof wordAgeMs !== 'number' || !Array.isArray(changes)) return undefined
+		const wire = JSON.parse(text) as Partial<WireAnswer>
+		if (typeof wire.wordAgeMs !== 'number' || !Array.isArray(wire.changes)) return undefined
 		return {
-			wordAgeMs: wordAgeMs < 0 ? Number.POSITIVE_INFINITY : wordAgeMs,
-			changes: (changes as WireChange[]).map(decodeChange),
+			wordAgeMs: wire.wordAgeMs < 0 ? Number.POSITIVE_INFINITY : wire.wordAgeMs,
+			answeredMs: typeof wire.answeredMs === 'number' ? wire.answeredMs : 0,
+			changes: (wire.changes as WireChange[]).map(decodeChange),
+			...(wire.listing && { listing: decodeListing(wire.listing) }),
 		}
 	} catch {
 		return undefined
 	}
 }
 
+/** @throws where a field is missing or of another type. */
+function decodeListing({ at, items }: WireListing): StoreListing {
+	if (!Number.isSafeInteger(at)) throw new Error('not a listing')
+	return {
+		at,
+		items: items.map(decodeChange).flatMap((change) => {
+			return change.kind === 'written' ? [change.item] : []
+		}),
+	}
+}
+
 function encodeChange(change: StoreChange): WireChange {
 	if (change.kind === 'gone') return { key: change.key, revision: change.revision }
-	const { key, revision, value } = change.item
+	return encodeItem(change.item)
+}
+
+function encodeItem(item: StoreItem): WireChange {
+	const { key, revision, value } = item
 	if (value.length < PACKED_FROM_BYTES) return { key, revision, value: value.toString('base64') }
-	return { key, revision, value: pack(change.item), packed: true }
+	return { key, revision, value: pack(item), packed: true }
 }
 
 function pack(item: StoreItem): string {
--- a/packages/gateway/src/lib/testFleet.ts
+++ b/packages/gateway/src/lib/testFleet.ts
@@ -66,8 +66,14 @@
 		})
 	}
 
+	/** Calls back every so many ms until {@link stop}. */
+	repeat(callback: () => void, ms: number): void {
+		this.timers.push(setInterval(callback, ms))
+	}
+
 	stop(): void {
 		for (const follower of this.followers) follower.stop()
+		for (const relay of this.relays.values()) relay.stop()
 		for (const timer of this.timers) clearInterval(timer)
 	}
 
@@ -117,6 +123,7 @@
 				}),
 			onDropped: () => undefined,
 			listAgeMs: () => relay.ageMs('targets/'),
+			answeredMs: () => relay.answeredMs('targets/'),
 			now: () => Date.now(),
 			log: () => undefined,
 		})
@@ -167,7 +174,7 @@
 			retryMs: 150,
 			onItems: (items) => directory?.takeItems(items),
 			onContact: (contact) => directory?.noteContact(contact),
-			sleep,
+			sleep: (ms) => relay.pause(ms),
 		})
 		this.followers.push(follower)
 		void follower.run()
--- a/packages/store/src/lib/ChangeLog.test.ts
+++ b/packages/store/src/lib/ChangeLog.test.ts
@@ -27,7 +27,8 @@
 		const log = new ChangeLog()
 		log.restart({ items: [item('a', 1), item('b', 2)], at: 2 })
 		log.restart({ items: [item('a', 1)], at: 9 })
-		expect(keysOf(log.since(2))).toEqual(['-b'])
+		expect(log.listing()?.items.map(({ key }) => key)).toEqual(['a'])
+		expect(log.listing()?.at).toBe(9)
 	})
 
 	it('does not leave out a deletion that fell between two of its listings', () => {
--- a/packages/store/src/lib/ChangeLog.ts
+++ b/packages/store/src/lib/ChangeLog.ts
@@ -1,4 +1,4 @@
-import type { StoreChange, StoreListing } from './KeyValueStore.js'
+import type { StoreChange, StoreItem, StoreListing } from './KeyValueStore.js'
 
 /** Deletions that are remembered at most; what is older is for a listing to tell. */
 const MOST_DELETIONS = 2_000
@@ -13,43 +13,51 @@
 	private readonly newest = new Map<string, StoreChange>()
 	/** Who knows all changes up to this revision can be told the rest. */
 	private base = Number.POSITIVE_INFINITY
+	/** All changes up to this revision are known; -Infinity: none was ever heard of. */
+	private completeTo = Number.NEGATIVE_INFINITY
 	private readonly waiting = new Set<() => void>()
 
-	/** Takes over a listing: keys that it lacks are gone. */
+	/**
+	 * Takes over a listing: keys that it lacks are gone. Keys may have come and gone since the last
+	 * change that is known, so who is behind the listing can't be told changes any more.
+	 */
 	restart({ items, at }: StoreListing): void {
-		this.base = Math.min(this.base, at)
 		const listed = new Set(items.map((item) => item.key))
 		const gone = [...this.newest.values()]
 			.filter((change) => change.kind === 'written' && !listed.has(change.item.key))
 			.filter((change) => revisionOf(change) <= at)
 			.map((change): StoreChange => ({ kind: 'gone', key: keyOf(change), revision: at }))
-		this.append([...gone, ...items.map((item): StoreChange => ({ kind: 'written', item }))])
+		if (at > this.completeTo) this.base = at
+		this.completeTo = Math.max(this.completeTo, at)
+		this.take([...gone, ...items.map((item): StoreChange => ({ kind: 'written', item }))])
 	}
 
-	/** Takes over changes, in any order; those that are known are left out. */
+	/**
+	 * Takes over all changes that follow a revision up to which they were known, in any order; those that
+	 * are known are left out.
+	 */
 	append(changes: readonly StoreChange[]): void {
-		let isNews = false
-		for (const change of changes) {
-			const key = keyOf(change)
-			const known = this.newest.get(key)
-			if (known && revisionOf(known) >= revisionOf(change)) continue
-			this.newest.delete(key)
-			this.newest.set(key, change)
-			isNews = true
-		}
-		if (!isNews) return
-		this.forgetDeletions()
-		for (const wake of [...this.waiting]) wake()
+		for (const change of changes) this.completeTo = Math.max(this.completeTo, revisionOf(change))
+		this.take(changes)
 	}
 
 	/** The newest change of each key after a revision, oldest first; undefined where some are not kept. */
 	since(after: number): readonly StoreChange[] | undefined {
 		if (after < this.base) return undefined
 		return [...this.newest.values()]
-			.filter((change) => revisionOf(change) > after)
+			.filter((change) => revisionOf(change) > after && revisionOf(change) <= this.completeTo)
 			.sort((a, b) => revisionOf(a) - revisionOf(b))
 	}
 
+	/** All items as they are known; undefined before the first listing. */
+	listing(): StoreListing | undefined {
+		if (!Number.isFinite(this.completeTo)) return undefined
+		const items: StoreItem[] = []
+		for (const change of this.newest.values())
+			if (change.kind === 'written') items.push(change.item)
+		return { items, at: this.completeTo }
+	}
+
 	/** Resolves at the next change, or when the time is over. */
 	wait(ms: number): Promise<void> {
 		return new Promise((resolve) => {
@@ -63,6 +71,21 @@
 		})
 	}
 
+	private take(changes: readonly StoreChange[]): void {
+		let isNews = false
+		for (const change of changes) {
+			const key = keyOf(change)
+			const known = this.newest.get(key)
+			if (known && revisionOf(known) >= revisionOf(change)) continue
+			this.newest.delete(key)
+			this.newest.set(key, change)
+			isNews = true
+		}
+		if (!isNews) return
+		this.forgetDeletions()
+		for (const wake of [...this.waiting]) wake()
+	}
+
 	private forgetDeletions(): void {
 		const deletions = [...this.newest.values()].filter((change) => change.kind === 'gone')
 		for (const change of deletions.slice(0, Math.max(0, deletions.length - MOST_DELETIONS))) {
--- a/packages/store/src/lib/PrefixFollower.ts
+++ b/packages/store/src/lib/PrefixFollower.ts
@@ -10,7 +10,7 @@
 	readonly retryMs: number
 	/** All items, after each change. */
 	readonly onItems: (items: ReadonlyMap<string, StoreItem>) => void
-	/** The store answers again, or does not; told once for each change. */
+	/** The store answers again, or does not; told once for each change, before the items that it brings. */
 	readonly onContact: (contact: StoreContact) => void
 	readonly sleep: (ms: number) => Promise<void>
 }
@@ -48,7 +48,6 @@
 			const fault = this.listed ? await this.watchOnce() : await this.listOnce()
 			if (fault === undefined) {
 				this.retryFactor = 1
-				this.noteContact({ kind: 'reached' })
 				continue
 			}
 			if (fault.kind === 'history-gone') {
@@ -71,6 +70,7 @@
 		this.items = new Map(result.right.items.map((item) => [item.key, item]))
 		this.after = result.right.at
 		this.listed = true
+		this.noteContact({ kind: 'reached' })
 		if (!this.stopped) this.options.onItems(this.items)
 		return undefined
 	}
@@ -80,6 +80,7 @@
 		const result = await this.store.watch(prefix, this.after, waitMs)
 		if (E.isLeft(result)) return result.left
 		for (const change of result.right) this.apply(change)
+		this.noteContact({ kind: 'reached' })
 		if (result.right.length > 0 && !this.stopped) this.options.onItems(this.items)
 		return undefined
 	}
