A watch ends before a box must know what it missed

Cause: a cut of some tenths of a second can swallow the answer to a watch. The watch was given up after 3.9 s, and users bind a box 3 s after the cut: a target that left meanwhile got work for another 0.2 s. Change: the longest watch follows from the time after which a box is bound, which the settings tell: 2.5 s where that is 3 s, 3.5 s as before where it is 4 s or more. Costs watches: 2.5 s instead of 3.5 s on fleets of small zones.

--- a/packages/gateway/src/lib/Gateway.test.ts
+++ b/packages/gateway/src/lib/Gateway.test.ts
@@ -155,6 +155,7 @@
 		dialect: DIALECT,
 		repeatLimits: { ratio: 0.2, slack: 1_000, windowMs: 10_000 },
 		configurationBoundMs: 2_000,
+		contactMs: 3_000,
 		graceMs: 8_000,
 		metrics: new Metrics(),
 		log: (event) => this.logged.push(event),
--- a/packages/gateway/src/lib/Gateway.ts
+++ b/packages/gateway/src/lib/Gateway.ts
@@ -34,6 +34,7 @@
 import { WorkSharing } from './WorkSharing.js'
 import { listenOn, type ListenAddress } from './listenOn.js'
 import { roundAge } from './roundAge.js'
+import { watchMsFor } from './watchMsFor.js'
 
 /** All that a gateway is made of. @public */
 export interface GatewayOptions {
@@ -55,6 +56,8 @@
 	readonly repeatLimits: RepeatLimits
 	/** Time in which a new configuration has to be in force on every box, in ms. */
 	readonly configurationBoundMs: number
+	/** Time from the end of a disturbance after which a box must keep to what the store says, in ms. */
+	readonly contactMs: number
 	/** Time between the order to stop and the kill, in ms. */
 	readonly graceMs: number
 	readonly metrics: Metrics
@@ -75,7 +78,6 @@
 }
 
 const FOLLOWER_RETRY_MS = 150
-const WATCH_MS = 3_500
 /** Time beyond a watch that its answer may take before the box counts as out of touch, in ms. */
 const WATCH_GRACE_MS = 500
 const MAINTAIN_MS = 400
@@ -364,7 +366,7 @@
 		// In a small fleet a watch may be silent for longer than the bound, and nothing is wrong.
 		const bound = this.roster.hasFollowers
 			? configurationBoundMs
-			: Math.max(configurationBoundMs, WATCH_MS + WATCH_GRACE_MS)
+			: Math.max(configurationBoundMs, this.watchMs + WATCH_GRACE_MS)
 		return this.feed.ageMs(this.options.documents.configPrefix) < bound
 	}
 
@@ -384,7 +386,7 @@
 	): PrefixFollower {
 		return new PrefixFollower(this.feed, {
 			prefix,
-			waitMs: WATCH_MS,
+			waitMs: this.watchMs,
 			retryMs: FOLLOWER_RETRY_MS,
 			onItems,
 			onContact: (contact) => {
@@ -404,6 +406,10 @@
 			})
 	}
 
+	private get watchMs(): number {
+		return watchMsFor(this.options.contactMs)
+	}
+
 	private get targetListAgeMs(): number {
 		return this.feed.ageMs(this.options.documents.targetsPrefix)
 	}
--- a/packages/gateway/src/lib/TargetDirectory.test.ts
+++ b/packages/gateway/src/lib/TargetDirectory.test.ts
@@ -1,8 +1,6 @@
 import { afterEach, beforeEach, describe, expect, it, vi } from 'vitest'
-import { TestFleet } from './testFleet.js'
+import { CONTACT_MS, TestFleet } from './testFleet.js'
 
-/** Time after the return of the store from which a box must keep to what the store says, in ms. */
-const CONTACT_MS = 3_000
 const STEP_MS = 50
 const CUT_MS = 12_000
 /** Time after the return of the store at which a target that lives has written its entry anew, in ms. */
@@ -17,13 +15,11 @@
 
 type Reach = keyof typeof REACH
 
-interface Cut {
+interface Cut extends CutFleet {
 	readonly seed: number
 	readonly reach: Reach
 	/** What the target does while the boxes are cut off. */
 	readonly change: (fleet: TestFleet) => void
-	readonly zones: Readonly<Record<string, number>>
-	readonly cutBoxes: readonly string[]
 }
 
 function zoneOf(box: string): string {
@@ -56,6 +52,16 @@
 	return fleet
 }
 
+/** Latest time from now on at which one of the boxes would send to the target, in ms. */
+async function usedUntil(fleet: TestFleet, boxes: readonly string[]): Promise<number> {
+	let latest = 0
+	for (let sinceReturn = 0; sinceReturn < 8_000; sinceReturn += STEP_MS) {
+		await vi.advanceTimersByTimeAsync(STEP_MS)
+		if (boxes.some((box) => fleet.uses(box, 'c'))) latest = sinceReturn + STEP_MS
+	}
+	return latest
+}
+
 /** Latest time after the return at which a box that was cut off still used the target, in ms. */
 async function latestUse({ seed, reach, change, zones, cutBoxes }: Cut): Promise<number> {
 	const fleet = await startFleet(zones, seed)
@@ -65,20 +71,22 @@
 	change(fleet)
 	await vi.advanceTimersByTimeAsync(CUT_MS - 3_000 + 170 * seed)
 	fleet.heal()
-	let latest = 0
-	for (let sinceReturn = 0; sinceReturn < 8_000; sinceReturn += STEP_MS) {
-		await vi.advanceTimersByTimeAsync(STEP_MS)
-		if (cutBoxes.some((box) => fleet.uses(box, 'c'))) latest = sinceReturn + STEP_MS
-	}
+	const latest = await usedUntil(fleet, cutBoxes)
 	fleet.stop()
 	return latest
 }
 
-/** A fleet in which every box watches the store, and one in which most ask others. */
-const FLEETS = [
+/** The zones of a fleet with their boxes, and those that are cut off. */
+interface CutFleet {
+	readonly zones: Readonly<Record<string, number>>
+	readonly cutBoxes: readonly string[]
+}
+
+/** A fleet in which every box watches the store, and one in which half ask others. */
+const FLEETS: readonly CutFleet[] = [
 	{ zones: { solo: 3, klaten: 3, boyolali: 2 }, cutBoxes: ['solo-1', 'solo-2', 'boyolali-2'] },
 	{ zones: { east: 6, west: 6 }, cutBoxes: ['east-2', 'east-5', 'west-4'] },
-] as const
+]
 
 const SEEDS = [1, 2, 3, 4, 5, 6]
 
@@ -136,4 +144,19 @@
 			}
 		}
 	})
+
+	it('hears in time of a target that leaves while a short cut silences its watch', async () => {
+		for (const { zones, cutBoxes } of FLEETS) {
+			for (const seed of SEEDS) {
+				const fleet = await startFleet(zones, seed)
+				fleet.cut(cutBoxes, (a, b) => cutBoxes.includes(a) || cutBoxes.includes(b))
+				await vi.advanceTimersByTimeAsync(100)
+				fleet.store.put('targets/c', 'leaving')
+				await vi.advanceTimersByTimeAsync(200)
+				fleet.heal()
+				expect(await usedUntil(fleet, cutBoxes), `seed ${seed}`).toBeLessThan(CONTACT_MS)
+				fleet.stop()
+			}
+		}
+	})
 })
--- a/packages/gateway/src/lib/testFleet.ts
+++ b/packages/gateway/src/lib/testFleet.ts
@@ -18,6 +18,7 @@
 import * as E from 'fp-ts/lib/Either.js'
 import { FeedRelay, type FeedAnswer, type FeedPeers } from './FeedRelay.js'
 import { TargetDirectory } from './TargetDirectory.js'
+import { watchMsFor } from './watchMsFor.js'
 
 /** Time without an answer after which a short call to the store is given up, in ms. */
 const SHORT_CALL_MS = 400
@@ -26,6 +27,8 @@
 const PEER_GRACE_MS = 300
 const PEER_ANSWER_MS = 3
 const WATCH_POLL_MS = 50
+/** Time after the end of a cut from which a box must know what it missed, in ms. */
+export const CONTACT_MS = 3_000
 const SERVICE = brandId<ServiceName>('service')
 const ZONE = brandId<ZoneName>('zone')
 
@@ -170,7 +173,7 @@
 	private follow(relay: FeedRelay, prefix: string, directory?: TargetDirectory): void {
 		const follower = new PrefixFollower(relay, {
 			prefix,
-			waitMs: 3_500,
+			waitMs: watchMsFor(CONTACT_MS),
 			retryMs: 150,
 			onItems: (items) => directory?.takeItems(items),
 			onContact: (contact) => directory?.noteContact(contact),
--- /dev/null
+++ b/packages/gateway/src/lib/watchMsFor.ts
@@ -0,0 +1,15 @@
+/** Longest watch of the store, in ms: each one is paid for, and a target or a route changes less often. */
+const LONGEST_WATCH_MS = 3_500
+/**
+ * Time that a watch ends before a box must know what it missed, in ms: 0.4 s for a late answer of the store,
+ * 0.1 s for the list that follows.
+ */
+const MARGIN_MS = 500
+
+/**
+ * Longest watch of a box that must keep to what the store says within some time of a short cut, in ms: a
+ * watch that the cut silenced is then over.
+ */
+export function watchMsFor(contactMs: number): number {
+	return Math.min(LONGEST_WATCH_MS, contactMs - MARGIN_MS)
+}
