--- a/packages/gateway/src/lib/TargetDirectory.test.ts
+++ b/packages/gateway/src/lib/TargetDirectory.test.ts
@@ -1,5 +1,5 @@
 import { afterEach, beforeEach, describe, expect, it, vi } from 'vitest'
-import { CONTACT_MS, TestFleet } from './testFleet.js'
+import { CONTACT_MS, TestFleet, randomOf } from './testFleet.js'
 
 const STEP_MS = 50
 const CUT_MS = 12_000
@@ -26,26 +26,13 @@
 	return box.slice(0, box.indexOf('-'))
 }
 
-function randomOf(seed: number): () => number {
-	let state = seed * 7_919 + 13
-	return () => {
-		state = (state * 1_103_515_245 + 12_345) & 0x7fffffff
-		return state / 0x7fffffff
-	}
-}
-
 /** A fleet that has run for some seconds, with three targets and a new configuration every 3 s. */
 async function startFleet(
 	zones: Readonly<Record<string, number>>,
 	seed: number,
 ): Promise<TestFleet> {
 	const random = randomOf(seed)
-	const fleet = new TestFleet({
-		zones,
-		watchersPerZone: 3,
-		startMs: () => Math.floor(random() * 3_500),
-		random,
-	})
+	const fleet = new TestFleet({ zones, watchersPerZone: 3, random })
 	for (const target of ['a', 'b', 'c']) fleet.store.put(`targets/${target}`, 'ready')
 	fleet.repeat(() => fleet.store.put('config/now', `${Date.now()}`), 3_000)
 	await vi.advanceTimersByTimeAsync(10_000 + Math.floor(random() * 4_000))
--- a/packages/gateway/src/lib/testFleet.ts
+++ b/packages/gateway/src/lib/testFleet.ts
@@ -12,6 +12,7 @@
 import {
 	PrefixFollower,
 	type FollowedStore,
+	type FollowerOptions,
 	type KeyValueStore,
 	type StoreFault,
 } from '@stallwing/store'
@@ -27,19 +28,19 @@
 const PEER_GRACE_MS = 300
 const PEER_ANSWER_MS = 3
 const WATCH_POLL_MS = 50
+/** Boxes start within this time of each other, so that their watches do not go in step, in ms. */
+const START_SPREAD_MS = 3_500
 /** Time after the end of a cut from which a box must know what it missed, in ms. */
 export const CONTACT_MS = 3_000
 const SERVICE = brandId<ServiceName>('service')
 const ZONE = brandId<ZoneName>('zone')
 
-/** Where and when the boxes of a {@link TestFleet} start. */
+/** The boxes of a {@link TestFleet}. */
 export interface TestFleetOptions {
 	/** Boxes of each zone. */
 	readonly zones: Readonly<Record<string, number>>
 	/** Boxes of a zone that watch the store; the others ask them. */
 	readonly watchersPerZone: number
-	/** When a box starts, in ms. */
-	readonly startMs: (index: number) => number
 	readonly random: () => number
 }
 
@@ -50,7 +51,7 @@
 export class TestFleet {
 	readonly store = new MemoryStore({ now: () => Date.now(), sleep })
 	readonly members: readonly FleetMember[]
-	private readonly directories = new Map<string, TargetDirectory>()
+	private readonly versions = new Map<string, string>()
 	private readonly boards = new Map<string, TargetBoard>()
 	private readonly relays = new Map<string, FeedRelay>()
 	private readonly followers: PrefixFollower[] = []
@@ -64,9 +65,8 @@
 		this.members = Object.entries(options.zones).flatMap(([zone, count]) =>
 			Array.from({ length: count }, (_, index) => memberOf(zone, index + 1)),
 		)
-		this.members.forEach((member, index) => {
-			setTimeout(() => this.start(member), options.startMs(index))
-		})
+		for (const member of this.members)
+			setTimeout(() => this.start(member), Math.floor(options.random() * START_SPREAD_MS))
 	}
 
 	/** Calls back every so many ms until {@link stop}. */
@@ -107,6 +107,11 @@
 		return place !== undefined
 	}
 
+	/** The configuration that a box goes by. */
+	versionOf(box: string): string | undefined {
+		return this.versions.get(box)
+	}
+
 	private start(member: FleetMember): void {
 		const { box } = member
 		const relay = this.relayOf(member)
@@ -132,10 +137,16 @@
 		})
 		this.relays.set(box, relay)
 		this.boards.set(box, board)
-		this.directories.set(box, directory)
 		this.timers.push(setInterval(() => directory.maintain(), 250))
-		this.follow(relay, 'config/')
-		this.follow(relay, 'targets/', directory)
+		this.follow(relay, 'config/', (items) => {
+			this.versions.set(box, items.get('config/now')?.value.toString('utf8') ?? '')
+		})
+		this.follow(
+			relay,
+			'targets/',
+			(items) => directory.takeItems(items),
+			(contact) => directory.noteContact(contact),
+		)
 	}
 
 	private relayOf(member: FleetMember): FeedRelay {
@@ -170,13 +181,18 @@
 			.map((other) => other.address)
 	}
 
-	private follow(relay: FeedRelay, prefix: string, directory?: TargetDirectory): void {
+	private follow(
+		relay: FeedRelay,
+		prefix: string,
+		onItems: FollowerOptions['onItems'],
+		onContact: FollowerOptions['onContact'] = () => undefined,
+	): void {
 		const follower = new PrefixFollower(relay, {
 			prefix,
 			waitMs: watchMsFor(CONTACT_MS),
 			retryMs: 150,
-			onItems: (items) => directory?.takeItems(items),
-			onContact: (contact) => directory?.noteContact(contact),
+			onItems,
+			onContact,
 			sleep: (ms) => relay.pause(ms),
 		})
 		this.followers.push(follower)
@@ -236,3 +252,12 @@
 function sleep(ms: number): Promise<void> {
 	return new Promise((resolve) => setTimeout(resolve, ms))
 }
+
+/** Numbers from 0 to 1, the same for each seed. */
+export function randomOf(seed: number): () => number {
+	let state = seed * 7_919 + 13
+	return () => {
+		state = (state * 1_103_515_245 + 12_345) & 0x7fffffff
+		return state / 0x7fffffff
+	}
+}
