--- a/packages/gateway/src/lib/FeedRelay.test.ts
+++ b/packages/gateway/src/lib/FeedRelay.test.ts
@@ -1,8 +1,15 @@
 import { MemoryStore, type CallFate } from '@stallwing/standins'
-import { PrefixFollower, type FollowedStore, type KeyValueStore } from '@stallwing/store'
+import {
+	PrefixFollower,
+	type FollowedStore,
+	type KeyValueStore,
+	type StoreChange,
+	type StoreFault,
+} from '@stallwing/store'
 import * as E from 'fp-ts/lib/Either.js'
 import { afterEach, beforeEach, describe, expect, it, vi } from 'vitest'
-import { FeedRelay, type FeedPeers } from './FeedRelay.js'
+import { FeedRelay } from './FeedRelay.js'
+import type { FeedPeers } from './PeerFeeds.js'
 import { decodeFeedAnswer, encodeFeedAnswer } from './feedCodec.js'
 
 function sleep(ms: number): Promise<void> {
@@ -35,7 +42,7 @@
 		for (const follower of this.followers) follower.stop()
 	}
 
-	private start(box: string): void {
+	start(box: string): void {
 		const isWatcher = box.startsWith('watcher')
 		const relay = new FeedRelay({
 			store: this.deafStore(box),
@@ -233,4 +240,89 @@
 		expect(zone.seen.get('other')).toEqual({ 'a/x': large })
 		expect(zone.calls.get('other')).toBe(before)
 	})
+
+	it('has all items from others where the store turns it away from its start on', async () => {
+		zone.store.put('a/x', 'one')
+		await vi.advanceTimersByTimeAsync(2_000)
+		zone.cut.add('watcher-3')
+		zone.start('watcher-3')
+		await vi.advanceTimersByTimeAsync(1_500)
+		expect(zone.seen.get('watcher-3')).toEqual({ 'a/x': 'one' })
+		zone.store.put('a/x', 'two')
+		await vi.advanceTimersByTimeAsync(1_500)
+		expect(zone.seen.get('watcher-3')).toEqual({ 'a/x': 'two' })
+	})
+
+	it('hears of a deletion though the box that it asks never saw the item', async () => {
+		await vi.advanceTimersByTimeAsync(2_000)
+		zone.cut.add('watcher-1')
+		zone.cut.add('watcher-2')
+		zone.start('watcher-3')
+		zone.store.put('a/x', 'one')
+		await vi.advanceTimersByTimeAsync(2_000)
+		expect(zone.seen.get('watcher-3')).toEqual({ 'a/x': 'one' })
+		zone.dead.add('watcher-3')
+		zone.cut.add('watcher-3')
+		zone.store.remove('a/x')
+		zone.store.compact()
+		await vi.advanceTimersByTimeAsync(2_000)
+		zone.cut.delete('watcher-1')
+		zone.cut.delete('watcher-2')
+		await vi.advanceTimersByTimeAsync(4_000)
+		expect(zone.seen.get('watcher-3')).toEqual({})
+	})
+})
+
+describe('FeedRelay with a store that answers from some time ago', () => {
+	beforeEach(() => {
+		vi.useFakeTimers()
+	})
+
+	afterEach(() => {
+		vi.useRealTimers()
+	})
+
+	it('goes back to no older item', async () => {
+		const ready = { key: 'a/x', value: Buffer.from('ready'), revision: 1 }
+		const leaving = { key: 'a/x', value: Buffer.from('leaving'), revision: 5 }
+		const watches: E.Either<StoreFault, readonly StoreChange[]>[] = [
+			E.right([{ kind: 'written', item: leaving }]),
+			E.left({ kind: 'history-gone' }),
+		]
+		const relay = new FeedRelay({
+			store: {
+				ping: () => Promise.resolve(true),
+				list: () => Promise.resolve(E.right({ items: [ready], at: 1 })),
+				watch: async (_prefix, _after, waitMs) => {
+					await sleep(watches.length > 0 ? 10 : waitMs)
+					return watches.shift() ?? E.right([])
+				},
+			},
+			peers: { changes: () => Promise.resolve(undefined) },
+			isWatcher: () => true,
+			isServing: () => false,
+			isPlaced: () => true,
+			watchers: () => [],
+			boundMs: 2_000,
+			storeReadsPerSecond: 2_000,
+			boxes: () => 1,
+			now: () => Date.now(),
+			random: () => 0.5,
+			sleep,
+			log: () => undefined,
+		})
+		const seen: (string | undefined)[] = []
+		const follower = new PrefixFollower(relay, {
+			prefix: 'a/',
+			waitMs: 1_000,
+			retryMs: 100,
+			onItems: (items) => seen.push(items.get('a/x')?.value.toString('utf8')),
+			onContact: () => undefined,
+			sleep,
+		})
+		void follower.run()
+		await vi.advanceTimersByTimeAsync(3_000)
+		follower.stop()
+		expect(seen).toEqual(['ready', 'leaving', 'leaving'])
+	})
 })
--- a/packages/gateway/src/lib/FeedRelay.ts
+++ b/packages/gateway/src/lib/FeedRelay.ts
@@ -4,36 +4,15 @@
 	KeyValueStore,
 	StoreChange,
 	StoreFault,
-	StoreItem,
 	StoreListing,
 } from '@stallwing/store'
 import * as E from 'fp-ts/lib/Either.js'
+import { answerFeed, bytesOf, type FeedAnswer } from './answerFeed.js'
 import { FeedState } from './FeedState.js'
+import { PeerFeeds, RELAY_WAIT_MS, type FeedPeers, type Heard } from './PeerFeeds.js'
 import { StoreProbes } from './StoreProbes.js'
 import { StoreReturn } from './StoreReturn.js'
 
-/** What a box tells another about changes below a prefix. */
-export interface FeedAnswer {
-	/** Age of the last word that it had from the store itself, in ms; Infinity: none. */
-	readonly wordAgeMs: number
-	/** Time for which the store has answered that box without a break, in ms; 0: it does not answer. */
-	readonly answeredMs: number
-	readonly changes: readonly StoreChange[]
-	/** All items, where the box that asks is too far behind to be told changes. */
-	readonly listing?: StoreListing
-}
-
-/** Calls to other boxes about changes in the store. */
-export interface FeedPeers {
-	/** Waits for changes after a revision, at most `waitMs`; undefined where the box does not answer. */
-	changes(
-		address: string,
-		prefix: string,
-		after: number,
-		waitMs: number,
-	): Promise<FeedAnswer | undefined>
-}
-
 /** What a {@link FeedRelay} works with. */
 export interface FeedRelayOptions {
 	/** `ping` costs little and tells whether the store answers. */
@@ -60,8 +39,6 @@
 	readonly log: (event: LogEvent) => void
 }
 
-/** Longest wait of one call to another box, in ms. */
-const RELAY_WAIT_MS = 1_000
 /**
  * Longest watch of a box that others ask, as a part of the bound: what it does not hear of, they don't
  * either, although the store may reach them.
@@ -72,8 +49,6 @@
  * bound: others then still have time to ask the store.
  */
 const FRESH_PART = 0.7
-/** Time for which a box that did not answer is not asked, in ms. */
-const AVOID_MS = 2_000
 /**
  * Time for which a box goes to the store itself after no other could tell, in ms: those that watch are back
  * soon after it.
@@ -83,16 +58,11 @@
 const GATHER_MS = 250
 /** Pause before this box knows whom to ask, in ms. */
 const PLACE_POLL_MS = 100
-/** Boxes that are asked before the store is: those of the own zone that watch, and some of others. */
-const MOST_WATCHERS = 8
 /**
  * Size of changes, in bytes, from which newer versions may be written while they arrive: 64 KiB take
  * 50 ms on a link of 10 Mbit/s.
  */
 const LARGE_BYTES = 64 * 1024
-/** Answers above this size are for the store to tell, in bytes: the largest item that it takes. */
-const MOST_BYTES = 1024 * 1024
-
 /** Longest pause of a box that reaches no other, in ms: of the 3 s in which it must know what it missed. */
 const ALONE_PAUSE_MS = 300
 /** Below all revisions of the store: a box that knows nothing asks for what follows it. */
@@ -107,16 +77,16 @@
  */
 export class FeedRelay implements FollowedStore {
 	private readonly feeds = new Map<string, FeedState>()
-	private readonly avoidUntil = new Map<string, number>()
+	private readonly peerFeeds: PeerFeeds
 	private readonly probes: StoreProbes
 	private readonly storeReturn: StoreReturn
-	/** No other box answered the last question. */
-	private isAlone = false
 	private directUntil = Number.NEGATIVE_INFINITY
 	/** The store answered this box when it last went there itself. */
 	private isStoreOpen = false
 
 	constructor(private readonly options: FeedRelayOptions) {
+		const { log, now, peers, watchers } = options
+		this.peerFeeds = new PeerFeeds({ peers, watchers, freshMs: this.freshMs, now, log })
 		this.probes = new StoreProbes(options)
 		this.storeReturn = new StoreReturn({
 			ping: () => options.store.ping(),
@@ -160,7 +130,7 @@
 	 * that reaches no other box tries again soon: its calls burden nobody.
 	 */
 	pause(ms: number): Promise<void> {
-		return this.storeReturn.pause(this.isAlone ? Math.min(ms, ALONE_PAUSE_MS) : ms)
+		return this.storeReturn.pause(this.peerFeeds.isAlone ? Math.min(ms, ALONE_PAUSE_MS) : ms)
 	}
 
 	/** Ends what looks for the return of the store. */
@@ -178,7 +148,7 @@
 	 */
 	private async hearElsewhere(prefix: string, after: number): Promise<Heard | Returned> {
 		if (this.watchesItself && this.storeReturn.isBack) return { kind: 'returned' }
-		const asked = this.askWatchers(prefix, after)
+		const asked = this.peerFeeds.ask(this.feed(prefix), prefix, after)
 		if (this.watchesItself) {
 			const returned = this.storeReturn.wait().then((): Returned => ({ kind: 'returned' }))
 			return Promise.race([asked, returned])
@@ -189,29 +159,6 @@
 		return heard
 	}
 
-	/**
-	 * Asks the first box, and all others at once where that one can't tell. Where none could the last time,
-	 * all are asked at once for what they know now. `stale`: all that are there were not told anything,
-	 * `silent`: none is there.
-	 */
-	private async askWatchers(prefix: string, after: number): Promise<Heard> {
-		const feed = this.feed(prefix)
-		const [first, ...others] = this.options.watchers().slice(0, MOST_WATCHERS)
-		if (first === undefined) return { kind: 'silent' }
-		const waitMs = feed.isSilent ? 0 : RELAY_WAIT_MS
-		const ask = (address: string): Promise<Heard> => this.askOne(address, prefix, after, waitMs)
-		const asked = [ask(first)]
-		if (!feed.isSilent) {
-			const heard = await asked[0]
-			if (heard && isWord(heard)) return heard
-		}
-		const heard = await firstHeard([...asked, ...others.map(ask)])
-		if (isWord(heard)) feed.isSilent = false
-		else feed.noteUnknown()
-		this.isAlone = heard.kind === 'silent'
-		return heard
-	}
-
 	/** Time since the store last vouched for what this box knows below a prefix, in ms. */
 	ageMs(prefix: string): number {
 		return this.options.now() - this.feed(prefix).vouchedAt
@@ -222,25 +169,16 @@
 		return this.feed(prefix).answeredMs(this.options.now())
 	}
 
-	/**
-	 * Answers another box: changes as soon as there are any, otherwise when the time is over, or as soon
-	 * as this box can't vouch for silence any longer. All items where the other is too far behind.
-	 */
-	async answer(prefix: string, after: number, waitMs: number): Promise<FeedAnswer> {
-		const feed = this.feeds.get(prefix)
-		const until = this.options.now() + Math.min(waitMs, RELAY_WAIT_MS)
-		while (feed) {
-			const now = this.options.now()
-			const answeredMs = feed.answeredMs(now)
-			const changes = feed.log.since(after)
-			if (!changes) return { wordAgeMs: NO_AGE, answeredMs, changes: [], ...listingOf(feed, after) }
-			if (bytesOf(changes) > MOST_BYTES) break
-			const freshUntil = feed.toldAt + this.freshMs
-			if (changes.length > 0 || now >= Math.min(until, freshUntil))
-				return { wordAgeMs: now - feed.toldAt, answeredMs, changes }
-			await feed.log.wait(Math.ceil(Math.min(until, freshUntil) - now))
-		}
-		return { wordAgeMs: NO_AGE, answeredMs: 0, changes: [] }
+	/** Tells another box what this one knows: see {@link answerFeed}. */
+	answer(prefix: string, after: number, waitMs: number): Promise<FeedAnswer> {
+		const { freshMs } = this
+		const { now } = this.options
+		return answerFeed(this.feeds.get(prefix) ?? new FeedState(), {
+			after,
+			waitMs: Math.min(waitMs, RELAY_WAIT_MS),
+			freshMs,
+			now,
+		})
 	}
 
 	/** The way of a box that watches: the store, and the other boxes that watch while that does not answer. */
@@ -336,49 +274,6 @@
 		return E.right(undefined)
 	}
 
-	/** What another box knows; `stale`: it is there, and was not told anything itself. */
-	private async askOne(
-		address: string,
-		prefix: string,
-		after: number,
-		waitMs: number,
-	): Promise<Heard> {
-		const { now, peers } = this.options
-		// A call that does not wait is over soon, also where nobody answers.
-		if (waitMs > 0 && (this.avoidUntil.get(address) ?? 0) > now()) return { kind: 'silent' }
-		const answer = await peers.changes(address, prefix, after, waitMs)
-		if (!answer) {
-			this.avoidUntil.set(address, now() + AVOID_MS)
-			return { kind: 'silent' }
-		}
-		const { answeredMs, changes, listing, wordAgeMs } = answer
-		const isFresh = wordAgeMs < this.freshMs
-		if (!isFresh && changes.length === 0 && !listing) return { kind: 'stale' }
-		const feed = this.feed(prefix)
-		if (isFresh) feed.vouchedAt = Math.max(feed.vouchedAt, now() - wordAgeMs)
-		if (answeredMs > 0) feed.noteAnswersSince(now() - answeredMs)
-		const from = { address, prefix, after }
-		if (listing) return this.takeListing(feed, listing, from)
-		if (changes.length > 0) this.takeRelayed(feed, changes, from)
-		return { kind: 'heard', changes }
-	}
-
-	private takeListing(feed: FeedState, listing: StoreListing, from: Relayed): Heard {
-		feed.take(listing)
-		this.logRelayed(from, listing.items.length)
-		return { kind: 'listed' }
-	}
-
-	private takeRelayed(feed: FeedState, changes: readonly StoreChange[], from: Relayed): void {
-		feed.log.append(changes)
-		this.logRelayed(from, changes.length)
-	}
-
-	private logRelayed({ address, prefix, after }: Relayed, changes: number): void {
-		const fields = { prefix, from: address, after, changes }
-		this.options.log({ name: 'changes-relayed', fields })
-	}
-
 	private noteLost(feed: FeedState): void {
 		feed.noteLost()
 		this.storeReturn.noteLost()
@@ -397,27 +292,11 @@
 	}
 }
 
-/** Where changes came from: the box, and what was asked of it. */
-interface Relayed {
-	readonly address: string
-	readonly prefix: string
-	readonly after: number
-}
-
-/** What other boxes told; `listed`: they told all items, which wait to be listed. */
-type Heard =
-	| { readonly kind: 'heard'; readonly changes: readonly StoreChange[] }
-	| { readonly kind: 'listed' }
-	| { readonly kind: 'stale' }
-	| { readonly kind: 'silent' }
-
 /** The store answers this box again. */
 interface Returned {
 	readonly kind: 'returned'
 }
 
-/** Age of a word that there never was. */
-const NO_AGE = Number.POSITIVE_INFINITY
 const NO_WORD: StoreFault = {
 	kind: 'no-answer',
 	cause: 'neither the store nor a box that it answers told anything',
@@ -425,10 +304,6 @@
 /** Tells the follower of a prefix to list, which brings what was taken over. */
 const LIST_ANEW: StoreFault = { kind: 'history-gone' }
 
-function isWord(heard: Heard): boolean {
-	return heard.kind === 'heard' || heard.kind === 'listed'
-}
-
 function toChanges(heard: Heard): E.Either<StoreFault, readonly StoreChange[]> {
 	switch (heard.kind) {
 		case 'heard':
@@ -442,31 +317,3 @@
 			return exhaustive(heard)
 	}
 }
-
-/** The first answer that tells something; otherwise `stale` where any box was there. */
-function firstHeard(asked: readonly Promise<Heard>[]): Promise<Heard> {
-	return new Promise((resolve) => {
-		const note = (heard: Heard): void => {
-			if (isWord(heard)) resolve(heard)
-		}
-		for (const answer of asked) void answer.then(note)
-		void Promise.all(asked).then((all) => {
-			resolve(all.find((heard) => heard.kind === 'stale') ?? { kind: 'silent' })
-		})
-	})
-}
-
-/** All items for a box that knows the changes up to a revision; nothing where it knows as much. */
-function listingOf(feed: FeedState, after: number): Pick<FeedAnswer, 'listing'> {
-	const listing = feed.log.listing()
-	if (!listing || listing.at <= after || bytesOfItems(listing.items) > MOST_BYTES) return {}
-	return { listing }
-}
-
-function bytesOf(changes: readonly StoreChange[]): number {
-	return bytesOfItems(changes.flatMap((change) => (change.kind === 'written' ? [change.item] : [])))
-}
-
-function bytesOfItems(items: readonly StoreItem[]): number {
-	return items.reduce((bytes, item) => bytes + item.value.length, 0)
-}
--- a/packages/gateway/src/lib/FeedState.ts
+++ b/packages/gateway/src/lib/FeedState.ts
@@ -34,10 +34,15 @@
 	noteTold(at: number, now: number): void {
 		this.isLost = false
 		this.toldAt = at
-		this.vouchedAt = Math.max(this.vouchedAt, at)
+		this.noteVouched(at)
 		this.answersSince ??= now
 	}
 
+	/** The store vouched at `at` for what this box knows, directly or through another box. */
+	noteVouched(at: number): void {
+		this.vouchedAt = Math.max(this.vouchedAt, at)
+	}
+
 	/** Another box said since when the store answers it. */
 	noteAnswersSince(since: number): void {
 		this.answersSince = Math.min(this.answersSince ?? since, since)
--- a/packages/gateway/src/lib/PeerServer.ts
+++ b/packages/gateway/src/lib/PeerServer.ts
@@ -1,7 +1,7 @@
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http'
 import { brandId, type AccountName, type BoxName, type TargetWork } from '@stallwing/core'
 import { encodeFeedAnswer } from './feedCodec.js'
-import type { FeedAnswer } from './FeedRelay.js'
+import type { FeedAnswer } from './answerFeed.js'
 import type { LendAnswer, LendRequest } from './TokenLending.js'
 import { toWireWork } from './workCodec.js'
 import { listenOn, type ListenAddress } from './listenOn.js'
--- a/packages/gateway/src/lib/feedCodec.ts
+++ b/packages/gateway/src/lib/feedCodec.ts
@@ -1,6 +1,6 @@
 import { gunzipSync, gzipSync } from 'node:zlib'
 import type { StoreChange, StoreItem, StoreListing } from '@stallwing/store'
-import type { FeedAnswer } from './FeedRelay.js'
+import type { FeedAnswer } from './answerFeed.js'
 import { roundAge } from './roundAge.js'
 
 /** A change as boxes write it to each other; without a value, the key is gone. */
--- a/packages/gateway/src/lib/testFleet.ts
+++ b/packages/gateway/src/lib/testFleet.ts
@@ -17,7 +17,9 @@
 	type StoreFault,
 } from '@stallwing/store'
 import * as E from 'fp-ts/lib/Either.js'
-import { FeedRelay, type FeedAnswer, type FeedPeers } from './FeedRelay.js'
+import type { FeedAnswer } from './answerFeed.js'
+import { FeedRelay } from './FeedRelay.js'
+import type { FeedPeers } from './PeerFeeds.js'
 import { TargetDirectory } from './TargetDirectory.js'
 import { watchMsFor } from './watchMsFor.js'
 
