Boxes that are not behind a listing are told changes, not all items again

Change: only who knows of something between the last change that was known and the listing needs all items; the log of changes remembers such gaps. The deletion between two listings is still told (tests as they were).

--- a/packages/store/src/lib/ChangeLog.test.ts
+++ b/packages/store/src/lib/ChangeLog.test.ts
@@ -38,5 +38,24 @@
 		log.restart({ items: [item('a', 9)], at: 10 })
 		expect(log.since(6)).toBeUndefined()
 		expect(log.since(10)).toEqual([])
+		// Who knew no more than this box needs no listing.
+		expect(keysOf(log.since(1))).toEqual(['a'])
+	})
+
+	it('tells changes across a listing that brought nothing new', () => {
+		const log = new ChangeLog()
+		log.restart({ items: [item('a', 1)], at: 3 })
+		log.append([written('b', 4)])
+		log.restart({ items: [item('a', 1), item('b', 4)], at: 30 })
+		expect(log.since(4)).toEqual([])
+		log.append([{ kind: 'gone', key: 'b', revision: 31 }])
+		expect(keysOf(log.since(4))).toEqual(['-b'])
+	})
+
+	it('remembers a bounded number of gaps', () => {
+		const log = new ChangeLog()
+		for (let at = 1; at < 1_000; at += 2) log.restart({ items: [], at })
+		expect(log.since(1)).toBeUndefined()
+		expect(log.since(997)).toEqual([])
 	})
 })
--- a/packages/store/src/lib/ChangeLog.ts
+++ b/packages/store/src/lib/ChangeLog.ts
@@ -2,6 +2,14 @@
 
 /** Deletions that are remembered at most; what is older is for a listing to tell. */
 const MOST_DELETIONS = 2_000
+/** Gaps before listings that are remembered at most; what lies before the older ones is for a listing to tell. */
+const MOST_GAPS = 100
+
+/** Revisions between which keys may have come and gone unnoticed, neither of them included. */
+interface Gap {
+	readonly from: number
+	readonly to: number
+}
 
 /**
  * The newest change of each key below one prefix, for others that follow it. Older changes of a key are
@@ -15,11 +23,14 @@
 	private base = Number.POSITIVE_INFINITY
 	/** All changes up to this revision are known; -Infinity: none was ever heard of. */
 	private completeTo = Number.NEGATIVE_INFINITY
+	/** Between what was known and a listing, oldest first. */
+	private gaps: Gap[] = []
 	private readonly waiting = new Set<() => void>()
 
 	/**
-	 * Takes over a listing: keys that it lacks are gone. Keys may have come and gone since the last
-	 * change that is known, so who is behind the listing can't be told changes any more.
+	 * Takes over a listing: keys that it lacks are gone. Keys may have come and gone between the last change
+	 * that was known and the listing. Who knows such a key can't be told changes any more; who knows as
+	 * little as this log did can, and need not take all items again.
 	 */
 	restart({ items, at }: StoreListing): void {
 		const listed = new Set(items.map((item) => item.key))
@@ -27,7 +38,8 @@
 			.filter((change) => change.kind === 'written' && !listed.has(change.item.key))
 			.filter((change) => revisionOf(change) <= at)
 			.map((change): StoreChange => ({ kind: 'gone', key: keyOf(change), revision: at }))
-		if (at > this.completeTo) this.base = at
+		if (!Number.isFinite(this.base)) this.base = at
+		if (at > this.completeTo) this.addGap({ from: this.completeTo, to: at })
 		this.completeTo = Math.max(this.completeTo, at)
 		this.take([...gone, ...items.map((item): StoreChange => ({ kind: 'written', item }))])
 	}
@@ -43,7 +55,8 @@
 
 	/** The newest change of each key after a revision, oldest first; undefined where some are not kept. */
 	since(after: number): readonly StoreChange[] | undefined {
-		if (after < this.base) return undefined
+		if (after < this.base || this.gaps.some(({ from, to }) => from < after && after < to))
+			return undefined
 		return [...this.newest.values()]
 			.filter((change) => revisionOf(change) > after && revisionOf(change) <= this.completeTo)
 			.sort((a, b) => revisionOf(a) - revisionOf(b))
@@ -86,6 +99,13 @@
 		for (const wake of [...this.waiting]) wake()
 	}
 
+	private addGap(gap: Gap): void {
+		this.gaps.push(gap)
+		if (this.gaps.length <= MOST_GAPS) return
+		const oldest = this.gaps.shift()
+		if (oldest) this.base = Math.max(this.base, oldest.to)
+	}
+
 	private forgetDeletions(): void {
 		const deletions = [...this.newest.values()].filter((change) => change.kind === 'gone')
 		for (const change of deletions.slice(0, Math.max(0, deletions.length - MOST_DELETIONS))) {
