--- a/packages/gateway/src/lib/FeedRelay.ts
+++ b/packages/gateway/src/lib/FeedRelay.ts
@@ -105,7 +105,7 @@
 			if (elsewhere.kind === 'returned') await this.listStore(prefix)
 		}
 		const listing = feed.takeUnseen()
-		return listing ? E.right(listing) : E.left(NO_WORD)
+		return listing ? E.right(listing) : E.left(feed.fault ?? NO_WORD)
 	}
 
 	async watch(
@@ -122,7 +122,7 @@
 		if (now() < this.directUntil) return this.watchAlone(prefix, after)
 		const elsewhere = await this.hearElsewhere(prefix, after)
 		if (elsewhere.kind === 'returned') return this.watchAlone(prefix, after)
-		return toChanges(elsewhere)
+		return toChanges(elsewhere, this.feed(prefix).fault)
 	}
 
 	/**
@@ -196,7 +196,9 @@
 			if (E.isRight(told) || told.left.kind === 'history-gone') return told
 		}
 		const elsewhere = await this.hearElsewhere(prefix, after)
-		return elsewhere.kind === 'returned' ? this.catchUp(prefix) : toChanges(elsewhere)
+		return elsewhere.kind === 'returned'
+			? this.catchUp(prefix)
+			: toChanges(elsewhere, this.feed(prefix).fault)
 	}
 
 	/**
@@ -209,7 +211,7 @@
 			const isReached = await this.options.store.ping()
 			this.probes.note(isReached)
 			if (!isReached) {
-				this.noteLost(this.feed(prefix))
+				this.noteLost(this.feed(prefix), PING_LOST)
 				return heard
 			}
 		}
@@ -227,7 +229,7 @@
 		const begun = this.options.now()
 		const told = await this.options.store.watch(prefix, after, waitMs)
 		if (E.isLeft(told)) {
-			if (told.left.kind !== 'history-gone') this.noteLost(feed)
+			if (told.left.kind !== 'history-gone') this.noteLost(feed, told.left)
 			return told
 		}
 		// Changes may have been long on the way: the answer is as old as the call.
@@ -265,7 +267,7 @@
 		const begun = now()
 		const listing = await store.list(prefix)
 		if (E.isLeft(listing)) {
-			this.noteLost(feed)
+			this.noteLost(feed, listing.left)
 			return listing
 		}
 		feed.take(listing.right)
@@ -274,8 +276,8 @@
 		return E.right(undefined)
 	}
 
-	private noteLost(feed: FeedState): void {
-		feed.noteLost()
+	private noteLost(feed: FeedState, fault: StoreFault): void {
+		feed.noteLost(fault)
 		this.storeReturn.noteLost()
 	}
 
@@ -297,6 +299,10 @@
 	readonly kind: 'returned'
 }
 
+const PING_LOST: StoreFault = {
+	kind: 'no-answer',
+	cause: 'the store does not answer a short read',
+}
 const NO_WORD: StoreFault = {
 	kind: 'no-answer',
 	cause: 'neither the store nor a box that it answers told anything',
@@ -304,7 +310,11 @@
 /** Tells the follower of a prefix to list, which brings what was taken over. */
 const LIST_ANEW: StoreFault = { kind: 'history-gone' }
 
-function toChanges(heard: Heard): E.Either<StoreFault, readonly StoreChange[]> {
+/** What other boxes told, for a follower; the fault of the store where they could not tell anything. */
+function toChanges(
+	heard: Heard,
+	fault: StoreFault = NO_WORD,
+): E.Either<StoreFault, readonly StoreChange[]> {
 	switch (heard.kind) {
 		case 'heard':
 			return E.right(heard.changes)
@@ -312,7 +322,7 @@
 			return E.left(LIST_ANEW)
 		case 'stale':
 		case 'silent':
-			return E.left(NO_WORD)
+			return E.left(fault)
 		default:
 			return exhaustive(heard)
 	}
--- a/packages/gateway/src/lib/FeedState.ts
+++ b/packages/gateway/src/lib/FeedState.ts
@@ -1,4 +1,4 @@
-import { ChangeLog, type StoreListing } from '@stallwing/store'
+import { ChangeLog, type StoreFault, type StoreListing } from '@stallwing/store'
 
 const NEVER = Number.NEGATIVE_INFINITY
 
@@ -11,8 +11,8 @@
 	vouchedAt = NEVER
 	/** Newer versions may lie behind the ones that a watch would tell first: a listing skips those. */
 	isBehind = false
-	/** The last call about this prefix was not answered. */
-	isLost = false
+	/** Why the last call to the store about this prefix failed; undefined where it was answered. */
+	fault: StoreFault | undefined
 	/** None of the boxes that were last asked could tell anything. */
 	isSilent = false
 	/** The next watch for this box alone begins then: until then changes gather. */
@@ -22,9 +22,14 @@
 	/** A listing was taken over that the follower of this prefix has not seen yet. */
 	private hasUnseen = false
 
-	noteLost(): void {
+	/** The last call about this prefix was not answered. */
+	get isLost(): boolean {
+		return this.fault !== undefined
+	}
+
+	noteLost(fault: StoreFault): void {
 		this.toldAt = NEVER
-		this.isLost = true
+		this.fault = fault
 		this.isBehind = true
 		this.isSilent = true
 		this.answersSince = undefined
@@ -32,7 +37,7 @@
 
 	/** The store answered now; what it told was true at `at`. */
 	noteTold(at: number, now: number): void {
-		this.isLost = false
+		this.fault = undefined
 		this.toldAt = at
 		this.noteVouched(at)
 		this.answersSince ??= now
