--- a/packages/gateway/src/lib/watchMsFor.ts
+++ b/packages/gateway/src/lib/watchMsFor.ts
@@ -1,5 +1,7 @@
 /** Longest watch of the store, in ms: each one is paid for, and a target or a route changes less often. */
 const LONGEST_WATCH_MS = 3_500
+/** Shortest watch, in ms: where users leave less time than that, watches alone can't keep to it. */
+const SHORTEST_WATCH_MS = 500
 /**
  * Time that a watch ends before a box must know what it missed, in ms: 0.4 s for a late answer of the store,
  * 0.1 s for the list that follows.
@@ -11,5 +13,5 @@
  * watch that the cut silenced is then over.
  */
 export function watchMsFor(contactMs: number): number {
-	return Math.min(LONGEST_WATCH_MS, contactMs - MARGIN_MS)
+	return Math.max(SHORTEST_WATCH_MS, Math.min(LONGEST_WATCH_MS, contactMs - MARGIN_MS))
 }
