--- a/packages/gateway/src/lib/FeedRelay.ts
+++ b/packages/gateway/src/lib/FeedRelay.ts
@@ -85,8 +85,8 @@
 	private isStoreOpen = false
 
 	constructor(private readonly options: FeedRelayOptions) {
-		const { log, now, peers, watchers } = options
-		this.peerFeeds = new PeerFeeds({ peers, watchers, freshMs: this.freshMs, now, log })
+		const { log, now, peers, sleep, watchers } = options
+		this.peerFeeds = new PeerFeeds({ peers, watchers, freshMs: this.freshMs, now, sleep, log })
 		this.probes = new StoreProbes(options)
 		this.storeReturn = new StoreReturn({
 			ping: () => options.store.ping(),
--- a/packages/gateway/src/lib/PeerFeeds.ts
+++ b/packages/gateway/src/lib/PeerFeeds.ts
@@ -36,6 +36,7 @@
 	readonly freshMs: number
 	/** Steady clock, in ms. */
 	readonly now: () => number
+	readonly sleep: (ms: number) => Promise<void>
 	readonly log: (event: LogEvent) => void
 }
 
@@ -51,6 +52,11 @@
 export const RELAY_WAIT_MS = 1_000
 /** Time for which a box that did not answer is not asked, in ms. */
 const AVOID_MS = 2_000
+/**
+ * Time after which the next box is asked while one has not answered, in ms. Asked all at once, eight boxes sent
+ * the same large configuration over a small link.
+ */
+const NEXT_AFTER_MS = 150
 /** Boxes that are asked before the store is: those of the own zone that watch, and some of others. */
 const MOST_WATCHERS = 8
 
@@ -64,26 +70,38 @@
 
 	/**
 	 * Asks the first box, and all others at once where that one can't tell. Where none could the last time,
-	 * all are asked at once for what they know now.
+	 * they are asked in turn for what they know now.
 	 */
 	async ask(feed: FeedState, prefix: string, after: number): Promise<Heard> {
-		const [first, ...others] = this.options.watchers().slice(0, MOST_WATCHERS)
-		if (first === undefined) return { kind: 'silent' }
+		const watchers = this.options.watchers().slice(0, MOST_WATCHERS)
 		const waitMs = feed.isSilent ? 0 : RELAY_WAIT_MS
 		const askOne = (address: string): Promise<Heard> =>
 			this.askOne(feed, { address, prefix, after, waitMs })
-		const asked = askOne(first)
-		if (!feed.isSilent) {
-			const heard = await asked
-			if (isWord(heard)) return heard
-		}
-		const heard = await firstHeard([asked, ...others.map(askOne)])
+		const heard = await (feed.isSilent
+			? this.askInTurn(watchers, askOne)
+			: askFirstThenAll(watchers, askOne))
 		if (isWord(heard)) feed.isSilent = false
 		else feed.noteUnknown()
 		this.isAlone = heard.kind === 'silent'
 		return heard
 	}
 
+	/** Goes on to the next box where one can't tell, or takes long: an answer may be large and links small. */
+	private async askInTurn(
+		addresses: readonly string[],
+		askOne: (address: string) => Promise<Heard>,
+	): Promise<Heard> {
+		const asked: Promise<Heard>[] = []
+		for (const address of addresses) {
+			const answer = askOne(address)
+			asked.push(answer)
+			const late = this.options.sleep(NEXT_AFTER_MS)
+			const heard = await Promise.race([firstWord(asked), answer, late])
+			if (heard && isWord(heard)) return heard
+		}
+		return firstHeard(asked)
+	}
+
 	private async askOne(feed: FeedState, question: Question): Promise<Heard> {
 		const { address, prefix, after, waitMs } = question
 		const { freshMs, now, peers } = this.options
@@ -121,15 +139,31 @@
 	return heard.kind === 'heard' || heard.kind === 'listed'
 }
 
+/** Asks the first box, and all others at once where that one can't tell. */
+async function askFirstThenAll(
+	[first, ...others]: readonly string[],
+	askOne: (address: string) => Promise<Heard>,
+): Promise<Heard> {
+	if (first === undefined) return { kind: 'silent' }
+	const asked = askOne(first)
+	const heard = await asked
+	return isWord(heard) ? heard : firstHeard([asked, ...others.map(askOne)])
+}
+
 /** The first answer that tells something; otherwise `stale` where any box was there. */
 function firstHeard(asked: readonly Promise<Heard>[]): Promise<Heard> {
+	const none = Promise.all(asked).then(
+		(all): Heard => all.find((heard) => heard.kind === 'stale') ?? { kind: 'silent' },
+	)
+	return Promise.race([firstWord(asked), none])
+}
+
+/** The first answer that tells something; never resolves where none does. */
+function firstWord(asked: readonly Promise<Heard>[]): Promise<Heard> {
 	return new Promise((resolve) => {
 		const note = (heard: Heard): void => {
 			if (isWord(heard)) resolve(heard)
 		}
 		for (const answer of asked) void answer.then(note)
-		void Promise.all(asked).then((all) => {
-			resolve(all.find((heard) => heard.kind === 'stale') ?? { kind: 'silent' })
-		})
 	})
 }
