--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -178,6 +178,7 @@
 export {
 	PROMISE_MS,
 	MARK_LEASE_MS,
+	NEAR_END_SECONDS,
 	START_PROOF_MS,
 	isMarkOff,
 	nextMark,
--- a/packages/core/src/lib/allowance/SpendingMark.ts
+++ b/packages/core/src/lib/allowance/SpendingMark.ts
@@ -41,10 +41,12 @@
 /** Part of the time until a budget ends that a ceiling allows for, once that end is near. */
 const AHEAD_PART_OF_TIME = 0.08
 /**
- * Time to the end of a budget below which its ceilings are low, in seconds: what a cut keeps such an
- * account from spending it spends later, and what a loss of power takes is gone.
+ * Time to the end of a budget below which little of it is set aside in advance, by ceilings and by boxes that
+ * borrow, in seconds: what a cut keeps such an account from spending it spends later, and what a loss of power
+ * takes is gone.
+ * @public
  */
-const NEAR_END_SECONDS = 25
+export const NEAR_END_SECONDS = 25
 
 /** A ceiling is raised when less than this part of what it should allow is left. */
 const LOW_PART = 0.5
--- a/packages/gateway/src/index.ts
+++ b/packages/gateway/src/index.ts
@@ -8,4 +8,5 @@
 	type GatewayPorts,
 } from './lib/Gateway.js'
 export { listenOn, type ListenAddress } from './lib/listenOn.js'
+export { parseAddress } from './lib/parseAddress.js'
 export { type RefusalKind } from './lib/Refusal.js'
--- a/packages/gateway/src/lib/AllowanceClient.test.ts
+++ b/packages/gateway/src/lib/AllowanceClient.test.ts
@@ -13,6 +13,7 @@
 import { afterEach, beforeEach, describe, expect, it, vi } from 'vitest'
 import { AllowanceClient } from './AllowanceClient.js'
 import { NOTHING_LENT, type Lenders } from './TokenLending.js'
+import { sleep } from './sleep.js'
 
 const ACCOUNT = brandId<AccountName>('acme')
 const BUDGET = 10_000
@@ -226,10 +227,6 @@
 	}
 }
 
-function sleep(ms: number): Promise<void> {
-	return new Promise((resolve) => setTimeout(resolve, ms))
-}
-
 async function pass(fleet: Fleet, ms: number): Promise<void> {
 	let left = ms
 	while (left > 0) {
--- a/packages/gateway/src/lib/AllowanceClient.ts
+++ b/packages/gateway/src/lib/AllowanceClient.ts
@@ -1,4 +1,10 @@
-import { richestBoxes, type AccountName, type AllowanceView, type Budgets } from '@stallwing/core'
+import {
+	NEAR_END_SECONDS,
+	richestBoxes,
+	type AccountName,
+	type AllowanceView,
+	type Budgets,
+} from '@stallwing/core'
 import { AllowanceDrawer, type DrawOptions } from './AllowanceDrawer.js'
 import { AllowanceRecord } from './AllowanceRecord.js'
 import { AllowanceState } from './AllowanceState.js'
@@ -28,11 +34,7 @@
 const LEND_AHEAD_SECONDS = 8
 /** Part of what is free that is lent in advance at most. */
 const LEND_AHEAD_PART = 0.1
-/**
- * Time to the end of a budget below which only a part of what is asked for in advance is lent: it is lost
- * where the boxes that hold it lose power.
- */
-const NEAR_END_SECONDS = 25
+/** Part of what is asked for in advance that is lent near the end of a budget. */
 const NEAR_END_PART = 0.25
 
 /** This box's part of the token budgets: draws from the store, and reservations from the draws. */
--- a/packages/gateway/src/lib/ConnectionPool.ts
+++ b/packages/gateway/src/lib/ConnectionPool.ts
@@ -1,4 +1,5 @@
 import { connect, type Socket } from 'node:net'
+import { parseAddress } from './parseAddress.js'
 
 /** Times of a {@link ConnectionPool}, in ms. */
 export interface PoolTimes {
@@ -95,7 +96,7 @@
 	}
 
 	private connect(): Promise<Socket> {
-		const [host, port] = splitAddress(this.address)
+		const { host, port } = parseAddress(this.address)
 		const socket = connect({ host, port, noDelay: true })
 		this.open++
 		socket.once('close', () => this.forget(socket))
@@ -123,11 +124,6 @@
 	}
 }
 
-function splitAddress(address: string): [string, number] {
-	const colon = address.lastIndexOf(':')
-	return [address.slice(0, colon), Number(address.slice(colon + 1))]
-}
-
 function partition<T>(list: readonly T[], keep: (item: T) => boolean): [T[], T[]] {
 	return [list.filter(keep), list.filter((item) => !keep(item))]
 }
--- a/packages/gateway/src/lib/FeedRelay.test.ts
+++ b/packages/gateway/src/lib/FeedRelay.test.ts
@@ -11,10 +11,7 @@
 import { FeedRelay } from './FeedRelay.js'
 import type { FeedPeers } from './PeerFeeds.js'
 import { decodeFeedAnswer, encodeFeedAnswer } from './feedCodec.js'
-
-function sleep(ms: number): Promise<void> {
-	return new Promise((resolve) => setTimeout(resolve, ms))
-}
+import { sleep } from './sleep.js'
 
 /** Two boxes that watch the store, and one that asks them. */
 class Zone {
--- a/packages/gateway/src/lib/FleetRoster.test.ts
+++ b/packages/gateway/src/lib/FleetRoster.test.ts
@@ -2,13 +2,10 @@
 import { MemoryStore, type CallFate } from '@stallwing/standins'
 import { afterEach, beforeEach, describe, expect, it, vi } from 'vitest'
 import { FleetRoster } from './FleetRoster.js'
+import { sleep } from './sleep.js'
 
 const ACCOUNT = brandId<AccountName>('acme')
 
-function sleep(ms: number): Promise<void> {
-	return new Promise((resolve) => setTimeout(resolve, ms))
-}
-
 describe('FleetRoster', () => {
 	let fate: CallFate
 	let store: MemoryStore
--- a/packages/gateway/src/lib/Gateway.test.ts
+++ b/packages/gateway/src/lib/Gateway.test.ts
@@ -20,6 +20,7 @@
 import type { Dialect } from './Dialect.js'
 import type { UnreadableDocument } from './Documents.js'
 import { Gateway } from './Gateway.js'
+import { sleep } from './sleep.js'
 
 const DIALECT: Dialect = {
 	headers: {
@@ -274,10 +275,6 @@
 
 const LOOPBACK = { host: '127.0.0.1', port: 0 }
 
-function sleep(ms: number): Promise<void> {
-	return new Promise((resolve) => setTimeout(resolve, ms))
-}
-
 const ok: TargetHandler = (_message, response) => response.end('ok')
 
 function event(id: number): string {
--- a/packages/gateway/src/lib/Gateway.ts
+++ b/packages/gateway/src/lib/Gateway.ts
@@ -35,6 +35,7 @@
 import { listenOn, type ListenAddress } from './listenOn.js'
 import { roundAge } from './roundAge.js'
 import { watchMsFor } from './watchMsFor.js'
+import { sleep } from './sleep.js'
 
 /** All that a gateway is made of. @public */
 export interface GatewayOptions {
@@ -436,10 +437,6 @@
 	return brandId<Incarnation>(Math.floor(random() * Number.MAX_SAFE_INTEGER).toString(36))
 }
 
-function sleep(ms: number): Promise<void> {
-	return new Promise((resolve) => setTimeout(resolve, ms))
-}
-
 function describe(error: unknown): string {
 	return error instanceof Error ? (error.stack ?? error.message) : String(error)
 }
--- a/packages/gateway/src/lib/PeerClient.ts
+++ b/packages/gateway/src/lib/PeerClient.ts
@@ -4,6 +4,7 @@
 import { decodeFeedAnswer } from './feedCodec.js'
 import type { FeedAnswer } from './answerFeed.js'
 import type { FeedPeers } from './PeerFeeds.js'
+import { parseAddress } from './parseAddress.js'
 import { fromWireWork } from './workCodec.js'
 import { ACCEPT_PATH, CHANGES_PATH, LEND_PATH, OPEN_PATH } from './PeerServer.js'
 
@@ -136,8 +137,7 @@
 ): HttpCaller {
 	const known = callers.get(address)
 	if (known) return known
-	const [host = '', port = ''] = address.split(':')
-	const caller = new HttpCaller({ host, port: Number(port), connections })
+	const caller = new HttpCaller({ ...parseAddress(address), connections })
 	callers.set(address, caller)
 	return caller
 }
--- a/packages/gateway/src/lib/PrefixFollower.test.ts
+++ b/packages/gateway/src/lib/PrefixFollower.test.ts
@@ -1,10 +1,7 @@
 import { MemoryStore, type CallFate } from '@stallwing/standins'
 import { PrefixFollower, type StoreItem } from '@stallwing/store'
 import { afterEach, beforeEach, describe, expect, it, vi } from 'vitest'
-
-function sleep(ms: number): Promise<void> {
-	return new Promise((resolve) => setTimeout(resolve, ms))
-}
+import { sleep } from './sleep.js'
 
 describe('PrefixFollower', () => {
 	let fate: CallFate
--- a/packages/gateway/src/lib/StoreReturn.test.ts
+++ b/packages/gateway/src/lib/StoreReturn.test.ts
@@ -1,12 +1,9 @@
 import { afterEach, beforeEach, describe, expect, it, vi } from 'vitest'
 import { StoreReturn } from './StoreReturn.js'
+import { sleep } from './sleep.js'
 
 const LOST_CALL_MS = 400
 
-function sleep(ms: number): Promise<void> {
-	return new Promise((resolve) => setTimeout(resolve, ms))
-}
-
 describe('StoreReturn', () => {
 	let isAway: boolean
 	let pings: number
--- a/packages/gateway/src/lib/TokenLending.test.ts
+++ b/packages/gateway/src/lib/TokenLending.test.ts
@@ -1,15 +1,12 @@
 import { AllowanceBook, brandId, type AccountName } from '@stallwing/core'
 import { afterEach, beforeEach, describe, expect, it, vi } from 'vitest'
 import { NOTHING_LENT, TokenLending, type Lenders } from './TokenLending.js'
+import { sleep } from './sleep.js'
 
 const LENDERS = ['a:1', 'b:1', 'c:1', 'd:1', 'e:1', 'f:1']
 const ACCOUNTS = Array.from({ length: 24 }, (_, i) => brandId<AccountName>(`account-${i}`))
 const SILENCE_MS = 160
 
-function sleep(ms: number): Promise<void> {
-	return new Promise((resolve) => setTimeout(resolve, ms))
-}
-
 /** Boxes that never answer, but for one. */
 function lendersWithOneOpen(open: string, given: Map<AccountName, number>): Lenders {
 	return {
--- a/packages/gateway/src/lib/WorkSharing.ts
+++ b/packages/gateway/src/lib/WorkSharing.ts
@@ -2,6 +2,7 @@
 import { brandId, type BoxName, type TargetBoard, type TargetWork } from '@stallwing/core'
 import type { ListenAddress } from './listenOn.js'
 import { decodeWork, encodeWork } from './workCodec.js'
+import { parseAddress } from './parseAddress.js'
 
 /** What {@link WorkSharing} works with. */
 export interface WorkSharingOptions {
@@ -81,8 +82,8 @@
 	}
 
 	private send(bytes: Buffer, peer: string): void {
-		const [host, port] = peer.split(':')
-		if (host && port) this.socket.send(bytes, Number(port), host, () => undefined)
+		const { host, port } = parseAddress(peer)
+		if (host && port) this.socket.send(bytes, port, host, () => undefined)
 	}
 
 	private receive(bytes: Buffer): void {
--- a/packages/gateway/src/lib/testFleet.ts
+++ b/packages/gateway/src/lib/testFleet.ts
@@ -22,6 +22,7 @@
 import type { FeedPeers } from './PeerFeeds.js'
 import { TargetDirectory } from './TargetDirectory.js'
 import { watchMsFor } from './watchMsFor.js'
+import { sleep } from './sleep.js'
 
 /** Time without an answer after which a short call to the store is given up, in ms. */
 const SHORT_CALL_MS = 400
@@ -251,10 +252,6 @@
 	return { box: brandId<BoxName>(box), zone: brandId<ZoneName>(zone), address: box }
 }
 
-function sleep(ms: number): Promise<void> {
-	return new Promise((resolve) => setTimeout(resolve, ms))
-}
-
 /** Numbers from 0 to 1, the same for each seed. */
 export function randomOf(seed: number): () => number {
 	let state = seed * 7_919 + 13
