A box that was cut off alone keeps missing targets for the whole grace

Cause: where other boxes had reached the store all the time, a box back from a cut dropped missing targets at once, also those that were cut off together with it and write their entries anew within two seconds. Change: what other boxes tell shortens the grace only where the store has just returned for them too.

--- a/packages/core/src/lib/placement/LapsedTargets.ts
+++ b/packages/core/src/lib/placement/LapsedTargets.ts
@@ -18,7 +18,7 @@
  * Entries of targets run out while the store is away, although the targets live. One that was not
  * leaving when it was last listed is kept for a short time after the return of the store, and is taken
  * as gone if it is still missing then. That time is fixed once, when the entry is found missing: contact
- * that comes and goes does not lengthen it, and neither does a box that notices the return late.
+ * that comes and goes does not lengthen it, and neither does a box that notices late that the store returned.
  * @public
  */
 export class LapsedTargets {
@@ -27,9 +27,14 @@
 	private reached = true
 	private graceUntil: Millis = Number.NEGATIVE_INFINITY
 
-	/** The store answers again, after it had begun to at `since` for the boxes that know; or it does not. */
-	noteContact(reached: boolean, since: Millis): void {
-		if (reached && !this.reached) this.graceUntil = since + LAPSE_GRACE_MS
+	/**
+	 * The store answers again, or does not. `answeredMs` is the time for which it has answered other boxes. A
+	 * short time says when it returned for all; a long one says that only this box was cut off, perhaps
+	 * together with targets: these then write their entries anew from now on.
+	 */
+	noteContact(reached: boolean, now: Millis, answeredMs: Millis = 0): void {
+		const sinceReturn = answeredMs < LAPSE_GRACE_MS ? answeredMs : 0
+		if (reached && !this.reached) this.graceUntil = now - sinceReturn + LAPSE_GRACE_MS
 		this.reached = reached
 	}
 
--- a/packages/gateway/src/lib/TargetDirectory.ts
+++ b/packages/gateway/src/lib/TargetDirectory.ts
@@ -61,7 +61,7 @@
 	/** The store answers again, or does not. */
 	noteContact(contact: StoreContact): void {
 		const { answeredMs, now } = this.options
-		this.lapsed.noteContact(contact.kind === 'reached', now() - answeredMs())
+		this.lapsed.noteContact(contact.kind === 'reached', now(), answeredMs())
 	}
 
 	/** Lets go of targets that are still missing. To be called some times a second. */
