--- a/packages/gateway/src/lib/testFleet.ts
+++ b/packages/gateway/src/lib/testFleet.ts
@@ -30,7 +30,7 @@
 const WATCH_GRACE_MS = 400
 const PEER_GRACE_MS = 300
 const PEER_ANSWER_MS = 3
-const WATCH_POLL_MS = 50
+const WATCH_POLL_MS = 100
 /** Boxes start within this time of each other, so that their watches do not go in step, in ms. */
 const START_SPREAD_MS = 3_500
 /** Time after the end of a cut from which a box must know what it missed, in ms. */
