--- a/packages/core/src/lib/placement/LapsedTargets.ts
+++ b/packages/core/src/lib/placement/LapsedTargets.ts
@@ -18,7 +18,7 @@
  * Entries of targets run out while the store is away, although the targets live. One that was not
  * leaving when it was last listed is kept for a short time after the return of the store, and is taken
  * as gone if it is still missing then. That time is fixed once, when the entry is found missing: contact
- * that comes and goes does not lengthen it, and neither does a box that notices late that the store returned.
+ * that comes and goes does not lengthen it.
  * @public
  */
 export class LapsedTargets {
@@ -57,6 +57,11 @@
 		return this.kept.map((lapsed) => lapsed.entry)
 	}
 
+	/** True where a target is used although it is not listed; asked for each choice. */
+	isLapsed(target: TargetName): boolean {
+		return this.kept.some(({ entry }) => entry.name === target)
+	}
+
 	/** The list as it stands now that time has passed. */
 	retake(now: Millis): readonly TargetEntry[] {
 		return this.take(this.listed, now)
--- a/packages/gateway/src/lib/TargetDirectory.ts
+++ b/packages/gateway/src/lib/TargetDirectory.ts
@@ -41,7 +41,7 @@
 
 	/** True where a target is used although the store no longer lists it. */
 	isLapsed(target: TargetName): boolean {
-		return this.lapsed.lapsed.some((entry) => entry.name === target)
+		return this.lapsed.isLapsed(target)
 	}
 
 	/** Takes all items of the list. */
--- a/packages/gateway/src/lib/testFleet.ts
+++ b/packages/gateway/src/lib/testFleet.ts
@@ -17,7 +17,6 @@
 	type StoreFault,
 } from '@stallwing/store'
 import * as E from 'fp-ts/lib/Either.js'
-import type { FeedAnswer } from './answerFeed.js'
 import { FeedRelay } from './FeedRelay.js'
 import type { FeedPeers } from './PeerFeeds.js'
 import { TargetDirectory } from './TargetDirectory.js'
@@ -239,7 +238,7 @@
 					: await this.relays.get(address)?.answer(prefix, after, waitMs)
 				if (answer && (cuts === this.cuts || !this.areApart(box, address))) return answer
 				await sleep(Math.max(0, began + waitMs + PEER_GRACE_MS - Date.now()))
-				return undefined as FeedAnswer | undefined
+				return undefined
 			},
 		}
 	}
