Sight: the line of an ended attempt tells what the answer said of its target

Cause: lines and metrics could not tell whether a box had been told that a target leaves or wants no requests for some time, nor when: hypotheses 1 (not read) and 2 (read and forgotten) look alike in them. Ruled out: nothing yet. The words are read and told in the log; no belief and no choice changes.

--- a/internal/bench/src/lib/gatewayWorld.ts
+++ b/internal/bench/src/lib/gatewayWorld.ts
@@ -123,6 +123,7 @@
 		notRun: 'not-run',
 		load: 'load',
 		coldMs: 'cold-ms',
+		leaving: { header: 'leaving', value: 'yes' },
 	},
 	fleetHeaders: new Set(['authorization', 'account', 'expected-target', 'deadline-ms', 'rank']),
 	lowestRank: 9,
--- a/packages/gateway/src/lib/Attempt.ts
+++ b/packages/gateway/src/lib/Attempt.ts
@@ -10,6 +10,7 @@
 import type { CallerRequest } from './CallerRequest.js'
 import type { GatewayContext } from './GatewayContext.js'
 import type { RequestContent } from './RequestContent.js'
+import { readTargetNotice, type TargetNotice } from './readTargetNotice.js'
 import {
 	sendToTarget,
 	type AnswerHead,
@@ -50,6 +51,8 @@
 	private handle: AttemptHandle | undefined
 	private resolve: ((end: AttemptEnd) => void) | undefined
 	private head: AnswerHead | undefined
+	/** What the answer says of its target; undefined where none came. */
+	private notice: TargetNotice | undefined
 	private splitter: EventSplitter | undefined
 	private chunks: Buffer[] = []
 	private bytes = 0
@@ -107,6 +110,7 @@
 		this.handle?.noteByte(now)
 		this.firstByteMs = now - this.startedAt
 		this.head = head
+		this.notice = readTargetNotice(head, dialect.headers, dialect.wrongTargetStatus)
 		const load = headers[dialect.headers.load]
 		const told = typeof load === 'string' ? dialect.readLoad(load) : undefined
 		if (told) this.handle?.noteLoad(told, now)
@@ -259,6 +263,8 @@
 				expectedMs: Math.round(this.place.cost.expectedMs),
 				events: this.answer.events,
 				fingerprint: outcome.kind === 'unknown' ? this.content.fingerprint : '',
+				saidLeaving: this.notice?.leaving ?? false,
+				saidBackoff: describeBackoff(this.notice),
 			},
 		})
 		const wasClosed = outcome.kind === 'unknown' && !this.gaveUp
@@ -276,6 +282,21 @@
 	}
 }
 
+/** For a log line: ms, or the words that were not understood. */
+function describeBackoff(notice: TargetNotice | undefined): string {
+	const backoff = notice?.backoff ?? { kind: 'none' }
+	switch (backoff.kind) {
+		case 'none':
+			return ''
+		case 'asked':
+			return String(backoff.ms)
+		case 'unreadable':
+			return `not understood: ${backoff.text}`
+		default:
+			return exhaustive(backoff)
+	}
+}
+
 function isSuccess(head: AnswerHead): boolean {
 	return head.status >= 200 && head.status < 300
 }
--- a/packages/gateway/src/lib/Dialect.ts
+++ b/packages/gateway/src/lib/Dialect.ts
@@ -8,8 +8,14 @@
 	readonly what: string
 }
 
+/** Headers of answers in which a target speaks of itself, all in lower case. */
+export interface TargetHeaders {
+	/** With this value: the target ends soon and takes no new work. */
+	readonly leaving: { readonly header: string; readonly value: string }
+}
+
 /** Names of headers, all in lower case. */
-export interface HeaderNames {
+export interface HeaderNames extends TargetHeaders {
 	/** Identifies one try of a caller; a target sends it back. */
 	readonly requestId: string
 	/** How long the caller, or what is left for a target, will wait, in ms. */
--- /dev/null
+++ b/packages/gateway/src/lib/readTargetNotice.test.ts
@@ -0,0 +1,66 @@
+import * as fc from 'fast-check'
+import { describe, expect, it } from 'vitest'
+import { readTargetNotice, type BackoffNotice } from './readTargetNotice.js'
+
+const NAMES = { leaving: { header: 'leaving', value: 'yes' } }
+const WRONG_TARGET = 421
+
+function read(status: number, headers: Record<string, string | string[]>) {
+	return readTargetNotice({ status, headers, rawHeaders: [] }, NAMES, WRONG_TARGET)
+}
+
+function backoff(status: number, text: string): BackoffNotice {
+	return read(status, { 'retry-after': text }).backoff
+}
+
+describe('readTargetNotice', () => {
+	it('takes the word that a target leaves from answers of all kinds, also where it stands twice', () => {
+		for (const status of [200, 400, 429, 500, 503])
+			expect(read(status, { leaving: 'yes' }).leaving).toBe(true)
+		expect(read(200, { leaving: 'yes, yes' }).leaving).toBe(true)
+		expect(read(200, { leaving: ['no', 'yes'] }).leaving).toBe(true)
+	})
+
+	it('takes no other value for it', () => {
+		for (const value of ['', 'no', 'yess', '0', 'YES'])
+			expect(read(200, { leaving: value }).leaving).toBe(false)
+		expect(read(200, {}).leaving).toBe(false)
+	})
+
+	it('takes nothing from an answer of another target', () => {
+		const notice = read(WRONG_TARGET, { leaving: 'yes', 'retry-after': '3' })
+		expect(notice).toEqual({ leaving: false, backoff: { kind: 'none' } })
+	})
+
+	it('reads whole seconds and parts of them from answers that turn a request away', () => {
+		expect(backoff(503, '3')).toEqual({ kind: 'asked', ms: 3_000 })
+		expect(backoff(429, '1.5')).toEqual({ kind: 'asked', ms: 1_500 })
+		expect(backoff(503, '0')).toEqual({ kind: 'asked', ms: 0 })
+		expect(backoff(503, '2, 7')).toEqual({ kind: 'asked', ms: 2_000 })
+		for (const status of [200, 202, 301, 500, 502]) expect(backoff(status, '3').kind).toBe('none')
+	})
+
+	it('tells what it does not understand', () => {
+		for (const text of [
+			'',
+			'soon',
+			'-1',
+			'1e3',
+			'0x10',
+			'Infinity',
+			'Thu, 03 Dec 2026 08:00:00 GMT',
+		])
+			expect(backoff(503, text)).toEqual({ kind: 'unreadable', text })
+	})
+
+	it('never yields a time that is not a finite number of ms, whatever the header holds', () => {
+		fc.assert(
+			fc.property(fc.string(), (text) => {
+				const read = backoff(503, text)
+				if (read.kind === 'asked') expect(read.ms >= 0 && Number.isFinite(read.ms)).toBe(true)
+				if (read.kind === 'unreadable') expect(read.text.length).toBeLessThanOrEqual(40)
+			}),
+			{ seed: 46, numRuns: 2_000 },
+		)
+	})
+})
--- a/packages/gateway/src/lib/testBox.ts
+++ b/packages/gateway/src/lib/testBox.ts
@@ -34,6 +34,7 @@
 		notRun: 'not-run',
 		load: 'load',
 		coldMs: 'cold-ms',
+		leaving: { header: 'leaving', value: 'yes' },
 	},
 	fleetHeaders: new Set([
 		'authorization',
