Test: targets that say in answers that they leave or want rest (fails; known red)

Cause suspected: no belief changes by what a target says of itself in its answers, but for its load and cold time.

--- a/packages/standins/src/index.ts
+++ b/packages/standins/src/index.ts
@@ -12,5 +12,11 @@
 export { DEFAULT_ENGINE_MODEL, type EngineModel } from './lib/EngineScheduler.js'
 export { DEFAULT_ENGINE_OPTIONS, startEngine, type EngineOptions } from './lib/startEngine.js'
 export { CrashingTarget, type CrashingTargetOptions } from './lib/CrashingTarget.js'
+export {
+	NotifyingTarget,
+	type NotifiedRequest,
+	type NotifyingAnswer,
+	type NotifyingTargetOptions,
+} from './lib/NotifyingTarget.js'
 export { startService, type ServiceOptions } from './lib/startService.js'
 export { NO_TARGET_FAULTS, type TargetFaults } from './lib/targetFaults.js'
