What targets say of themselves in their answers decides where requests go

Cause: a box took the load and the cold time from answers and nothing else. A target that says in them that it leaves stayed a candidate for as long as the list called it ready (the store away), and one that turns requests away and asks for rest changed no belief: without work it looked the cheapest. Ruled out: words read and forgotten (nothing read them); requests that waited between choice and sending (1 to 13 ms in the record), though that way is closed too: the last look before a request leaves asks for both words; an entry that was kept as lapsed (false in each line). Change: TargetNotices keeps both words by life of a target, beside the list: an entry that says ready, runs out and is back, or is read anew does not undo them, a new life does (by its start and the time of day, where answers of the new life came before its entry). A service of which all targets asked for rest is closed: refused at once, with the time of the first that takes work again; so is the last refusal of a request that was turned away itself.

--- a/packages/core/src/lib/placement/TargetAdmission.ts
+++ b/packages/core/src/lib/placement/TargetAdmission.ts
@@ -9,21 +9,22 @@
  * Why no target of a service takes new work:
  * - `none`: none is listed, or each is leaving.
  * - `cordoned`: those that are listed lie in cordoned zones.
- * - `cold`: those that this box may use are cold and take no more for now.
+ * - `backoff`: each that is left asked this box to send nothing for some time.
+ * - `cold`: those that this box may use are cold and take no more for now; others may have asked for a backoff.
  * @public
  */
-export type ClosedCause = 'none' | 'cordoned' | 'cold'
+export type ClosedCause = 'none' | 'cordoned' | 'backoff' | 'cold'
 
 /** A service without a target that takes new work. @public */
 export interface ClosedService {
 	readonly cause: ClosedCause
-	/** When the first cold target will be warm, in ms from now; undefined where nothing tells. */
+	/** When the first target takes work again, in ms from now; undefined where nothing tells. */
 	readonly opensInMs: Millis | undefined
 }
 
 /**
- * Which targets take new work, whatever it would cost there: not those that leave or lie in a cordoned zone,
- * and cold ones no faster than they bear.
+ * Which targets take new work, whatever it would cost there: not those that leave, lie in a cordoned zone or asked this
+ * box for a backoff, and cold ones no faster than they bear.
  */
 export class TargetAdmission {
 	private readonly cordons = new ZoneCordons()
@@ -65,13 +66,18 @@
 	}
 
 	/** True where neither the target nor the operator says otherwise. */
-	isInService({ leaving, zone }: TargetEntry): boolean {
-		return !leaving && !this.cordons.has(zone)
+	isInService(target: TargetState): boolean {
+		return !target.leaving && !this.cordons.has(target.entry.zone)
+	}
+
+	/** True where the target may be sent to at all now, however cold it is. */
+	isOpen(target: TargetState, now: Millis): boolean {
+		return this.isInService(target) && target.notice.backoffUntil <= now
 	}
 
 	/** True where the target takes one more request of this box now. */
 	admits(target: TargetState, now: Millis): boolean {
-		if (!this.isInService(target.entry)) return false
+		if (!this.isOpen(target, now)) return false
 		const coldStart = this.coldStartOf(target, now)
 		if (!coldStart || !this.coldGate) return true
 		return this.coldGate.isOpen(target.entry.name, coldStart, now)
@@ -93,12 +99,15 @@
 	/** Why none of the targets of a service takes new work; undefined where one does. */
 	closedCause(targets: readonly TargetState[], now: Millis): ClosedService | undefined {
 		if (targets.some((target) => this.admits(target, now))) return undefined
-		const lasting = targets.filter(({ entry }) => !entry.leaving)
+		const lasting = targets.filter((target) => !target.leaving)
 		if (lasting.length === 0) return { cause: 'none', opensInMs: undefined }
-		const inService = lasting.filter(({ entry }) => this.isInService(entry))
+		const inService = lasting.filter((target) => this.isInService(target))
 		if (inService.length === 0) return { cause: 'cordoned', opensInMs: undefined }
-		const warmAt = Math.min(...inService.map((target) => target.coldUntil))
-		return { cause: 'cold', opensInMs: warmAt - now }
+		const opensAt = inService.map(({ coldUntil, notice }) =>
+			Math.max(coldUntil, notice.backoffUntil),
+		)
+		const isBackoff = inService.every(({ notice }) => notice.backoffUntil > now)
+		return { cause: isBackoff ? 'backoff' : 'cold', opensInMs: Math.min(...opensAt) - now }
 	}
 
 	/** How a cold target bears requests; undefined where it is warm or bears all at once. */
--- a/packages/core/src/lib/placement/TargetBoard.test.ts
+++ b/packages/core/src/lib/placement/TargetBoard.test.ts
@@ -1,45 +1,16 @@
 import { describe, expect, it } from 'vitest'
-import { brandId, type BoxName, type ServiceName, type TargetName, type ZoneName } from '../ids.js'
+import { brandId, type BoxName, type TargetName, type ZoneName } from '../ids.js'
 import type { StatedWork } from '../traffic/StatedWork.js'
 import { ColdStartGate, type ColdStart } from './ColdStartGate.js'
-import { TargetBoard, type PlaceQuery } from './TargetBoard.js'
+import { TargetBoard } from './TargetBoard.js'
 import type { TargetEntry } from './TargetEntry.js'
 import { lifeOf, type TargetLife } from './TargetLife.js'
+import { SERVICE, ZONE, entry, query } from './testEntries.js'
 
-const SERVICE = brandId<ServiceName>('engine')
-const ZONE = brandId<ZoneName>('z1')
 const OTHER_ZONE = brandId<ZoneName>('z2')
 const BOX = brandId<BoxName>('box')
 const COLD_START: ColdStart = { ms: 3_000, requestsPerSecond: 7.7 }
 
-function entry(name: string, changes: Partial<TargetEntry> = {}): TargetEntry {
-	return {
-		name: brandId<TargetName>(name),
-		service: SERVICE,
-		address: `10.0.0.1:${name.length}`,
-		zone: ZONE,
-		slots: 8,
-		leaving: false,
-		coldMs: 0,
-		bornAt: undefined,
-		revision: 1,
-		...changes,
-	}
-}
-
-function query(changes: Partial<PlaceQuery> = {}): PlaceQuery {
-	return {
-		service: SERVICE,
-		zone: ZONE,
-		work: undefined,
-		tried: new Set(),
-		isFull: () => false,
-		isConnected: () => true,
-		mayRunIn: () => true,
-		...changes,
-	}
-}
-
 function prompt(session: string, own: string): StatedWork {
 	return {
 		inputTokens: 9_000,
--- a/packages/core/src/lib/placement/TargetBoard.ts
+++ b/packages/core/src/lib/placement/TargetBoard.ts
@@ -13,6 +13,7 @@
 import { promptChains } from './PromptIndex.js'
 import type { TargetEntry, TargetLoad } from './TargetEntry.js'
 import { isEarlierLife, lifeOf, type TargetLife } from './TargetLife.js'
+import { TargetNotices, type TargetNotice } from './TargetNotices.js'
 import { TargetState, type AttemptVerdict, type OpenAttempt } from './TargetState.js'
 import type { CordonChanges, ZoneCordon } from './ZoneCordons.js'
 
@@ -52,6 +53,10 @@
 	/** The target told for how much longer it is cold. */
 	noteCold(coldMs: Millis, now: Millis): void
 	noteLoad(load: TargetLoad, now: Millis): void
+	/** The target said in its answer that it leaves. True where this is news. */
+	noteLeaving(now: Millis): boolean
+	/** The target asked this box to send nothing for so long. Returns when that ends. */
+	noteBackoff(ms: Millis, now: Millis): Millis
 	end(verdict: AttemptVerdict, now: Millis): void
 }
 
@@ -85,6 +90,7 @@
 	private readonly byService = new Map<ServiceName, TargetState[]>()
 	private readonly plainMs = new Map<ServiceName, Millis>()
 	private readonly admission: TargetAdmission
+	private readonly notices = new TargetNotices()
 
 	/** Without a gate, cold targets are dearer than others and take as much. */
 	constructor(coldGate?: ColdStartGate) {
@@ -121,13 +127,22 @@
 		return [...this.targets.values()].filter((state) => state.coldUntil > now).length
 	}
 
-	/** Why no target of the service takes new work; undefined where one does. */
-	closedCause(service: ServiceName, now: Millis): ClosedService | undefined {
-		return this.admission.closedCause(this.byService.get(service) ?? [], now)
+	/** Why no target of the service, in zones where the request may run, takes new work; undefined where one does. */
+	closedCause(
+		service: ServiceName,
+		now: Millis,
+		mayRunIn: PlaceQuery['mayRunIn'] = () => true,
+	): ClosedService | undefined {
+		const listed = this.byService.get(service) ?? []
+		const usable = listed.filter(({ entry }) => mayRunIn(entry.zone))
+		return this.admission.closedCause(usable, now)
 	}
 
-	/** Takes the newest list. Targets that are not in it get no new work. */
-	replace(entries: readonly TargetEntry[], now: Millis): TargetChanges {
+	/**
+	 * Takes the newest list. Targets that are not in it get no new work. The time of day tells which life of a target
+	 * that started again said what was heard shortly before; without it, the earlier one.
+	 */
+	replace(entries: readonly TargetEntry[], now: Millis, wallTime?: Millis): TargetChanges {
 		const joined: TargetEntry[] = []
 		const leaving: TargetEntry[] = []
 		const restarted: TargetEntry[] = []
@@ -140,9 +155,12 @@
 			if (isRestart) {
 				restarted.push(known.entry)
 				this.admission.forget(known.entry)
+				if (wallTime !== undefined && entry.bornAt !== undefined)
+					this.notices.noteRestart(known.entry, entry, wallTime - entry.bornAt, now)
 			}
 			if (!known || isRestart) {
-				this.targets.set(entry.name, new TargetState(entry, now))
+				const notice = this.notices.of(lifeOf(entry))
+				this.targets.set(entry.name, new TargetState(entry, now, notice))
 				joined.push(entry)
 				continue
 			}
@@ -155,7 +173,15 @@
 			this.admission.forget(entry)
 		}
 		this.group()
-		return { joined, leaving, gone: gone.map((state) => state.entry), restarted }
+		this.pruneNotices(now)
+		const goneEntries = gone.map((state) => ({ ...state.entry, leaving: state.leaving }))
+		return { joined, leaving, gone: goneEntries, restarted }
+	}
+
+	private pruneNotices(now: Millis): void {
+		if (this.notices.isEmpty) return
+		const lives = new Set([...this.targets.values()].map(({ entry }) => lifeOf(entry)))
+		this.notices.prune((life) => lives.has(life), now)
 	}
 
 	get size(): number {
@@ -194,8 +220,8 @@
 
 	/** True where this life of the target is listed and does not leave. */
 	isListed(life: TargetLife, target: TargetName): boolean {
-		const entry = this.targets.get(target)?.entry
-		return entry !== undefined && !entry.leaving && lifeOf(entry) === life
+		const state = this.targets.get(target)
+		return state !== undefined && !state.leaving && lifeOf(state.entry) === life
 	}
 
 	serviceOf(target: TargetName): ServiceName | undefined {
@@ -272,6 +298,8 @@
 			},
 			noteLoad: (load, now) => state?.noteLoad(load, now),
 			noteCold: (coldMs, now) => state?.noteCold(coldMs, now),
+			noteLeaving: (now) => this.noteLeaving(place.target, now),
+			noteBackoff: (ms, now) => this.noteBackoff(place.target, ms, now),
 			end: (verdict, now) => {
 				if (!state?.open.delete(attempt)) return
 				state.noteVerdict(verdict, now)
@@ -279,6 +307,25 @@
 		}
 	}
 
+	private noteLeaving(target: TargetEntry, now: Millis): boolean {
+		const life = lifeOf(target)
+		const isNews = this.notices.of(life).leavingSince === undefined
+		this.takeNotice(target, this.notices.noteLeaving(life, now))
+		return isNews
+	}
+
+	private noteBackoff(target: TargetEntry, ms: Millis, now: Millis): Millis {
+		const notice = this.notices.noteBackoff(lifeOf(target), ms, now)
+		this.takeNotice(target, notice)
+		return notice.backoffUntil
+	}
+
+	/** Takes what a life said, where it is the one that is listed. */
+	private takeNotice(target: TargetEntry, notice: TargetNotice): void {
+		const state = this.targets.get(target.name)
+		if (state && lifeOf(state.entry) === lifeOf(target)) state.notice = notice
+	}
+
 	private noteFirstByte(
 		service: ServiceName,
 		attempt: OpenAttempt,
@@ -303,7 +350,7 @@
 		const chains = promptChains(parts)
 		const shared = chains.at(-2) ?? chains.at(-1)
 		const names = listed
-			.filter((state) => this.admission.isInService(state.entry))
+			.filter((state) => this.admission.isInService(state))
 			.map((state) => state.entry.name)
 		return {
 			zone: query.zone,
@@ -327,7 +374,7 @@
 	private maySend(chosen: TargetEntry, attempt: OpenAttempt, now: Millis): boolean {
 		const state = this.targets.get(chosen.name)
 		if (!state || lifeOf(state.entry) !== lifeOf(chosen)) return false
-		if (!this.admission.isInService(state.entry)) return false
+		if (!this.admission.isOpen(state, now)) return false
 		if (attempt.countedCold) return true
 		if (!this.admission.admits(state, now)) return false
 		this.admission.count(state, now)
--- a/packages/core/src/lib/placement/TargetState.ts
+++ b/packages/core/src/lib/placement/TargetState.ts
@@ -2,6 +2,7 @@
 import type { Millis } from '../units.js'
 import { PromptIndex } from './PromptIndex.js'
 import type { TargetEntry, TargetLoad } from './TargetEntry.js'
+import type { TargetNotice } from './TargetNotices.js'
 
 /** A request that was sent to a target and has not ended. */
 export interface OpenAttempt {
@@ -63,10 +64,17 @@
 	constructor(
 		public entry: TargetEntry,
 		now: Millis,
+		/** What it said of itself in its answers. */
+		public notice: TargetNotice,
 	) {
 		this.toldColdUntil = now + entry.coldMs
 	}
 
+	/** It takes no new work: the list says so, or it said so itself. An entry of before its word does not undo that. */
+	get leaving(): boolean {
+		return this.entry.leaving || this.notice.leavingSince !== undefined
+	}
+
 	/** Takes a newer entry. One that was written before counts from now: the target may be warm earlier. */
 	noteEntry(entry: TargetEntry, now: Millis): void {
 		if (entry.revision > this.entry.revision) this.noteCold(entry.coldMs, now)
--- /dev/null
+++ b/packages/core/src/lib/placement/testEntries.ts
@@ -0,0 +1,36 @@
+import { brandId, type ServiceName, type TargetName, type ZoneName } from '../ids.js'
+import type { PlaceQuery } from './TargetBoard.js'
+import type { TargetEntry } from './TargetEntry.js'
+
+export const SERVICE = brandId<ServiceName>('engine')
+export const ZONE = brandId<ZoneName>('z1')
+
+/** An entry of the list of targets, ready unless `changes` say otherwise. */
+export function entry(name: string, changes: Partial<TargetEntry> = {}): TargetEntry {
+	return {
+		name: brandId<TargetName>(name),
+		service: SERVICE,
+		address: `10.0.0.1:${name.length}`,
+		zone: ZONE,
+		slots: 8,
+		leaving: false,
+		coldMs: 0,
+		bornAt: undefined,
+		revision: 1,
+		...changes,
+	}
+}
+
+/** A request that may go to any target. */
+export function query(changes: Partial<PlaceQuery> = {}): PlaceQuery {
+	return {
+		service: SERVICE,
+		zone: ZONE,
+		work: undefined,
+		tried: new Set(),
+		isFull: () => false,
+		isConnected: () => true,
+		mayRunIn: () => true,
+		...changes,
+	}
+}
--- a/packages/core/src/lib/router/logEvents.ts
+++ b/packages/core/src/lib/router/logEvents.ts
@@ -107,6 +107,18 @@
 		text: 'A target ended while it ran requests, with what showed it',
 	},
 	'target-restarted': { number: 511, text: 'A target started again under its name' },
+	'target-said-leaving': {
+		number: 512,
+		text: 'A target said in an answer that it leaves, and gets no new work of this box',
+	},
+	'target-backoff': {
+		number: 513,
+		text: 'A target turned a request away and asked this box to send nothing for some time',
+	},
+	'target-notice-unreadable': {
+		number: 514,
+		text: 'A target asked for a backoff in words that are not understood; it is left out',
+	},
 	'invariant-breach': {
 		number: 900,
 		text: 'An invariant would have been broken; the write was not made',
--- a/packages/gateway/src/lib/Attempt.ts
+++ b/packages/gateway/src/lib/Attempt.ts
@@ -1,15 +1,19 @@
 import {
 	EventSplitter,
 	exhaustive,
+	lifeOf,
 	type AttemptHandle,
 	type AttemptResult,
 	type AttemptVerdict,
+	type LogEventName,
+	type LogValue,
 	type Place,
 } from '@stallwing/core'
 import { isFramed, type AnswerWriter } from './AnswerWriter.js'
 import type { CallerRequest } from './CallerRequest.js'
 import type { GatewayContext } from './GatewayContext.js'
 import type { RequestContent } from './RequestContent.js'
+import { roundAge } from './roundAge.js'
 import { readTargetNotice, type TargetNotice } from './readTargetNotice.js'
 import {
 	sendToTarget,
@@ -110,7 +114,7 @@
 		this.handle?.noteByte(now)
 		this.firstByteMs = now - this.startedAt
 		this.head = head
-		this.notice = readTargetNotice(head, dialect.headers, dialect.wrongTargetStatus)
+		this.takeNotice(readTargetNotice(head, dialect.headers, dialect.wrongTargetStatus), now)
 		const load = headers[dialect.headers.load]
 		const told = typeof load === 'string' ? dialect.readLoad(load) : undefined
 		if (told) this.handle?.noteLoad(told, now)
@@ -166,6 +170,58 @@
 		}
 	}
 
+	/**
+	 * What a target says of itself holds from the head of any answer on, and for this box alone: the list may be out of
+	 * date while the store is away, and a target that turns requests away at once would look the cheapest of all.
+	 */
+	private takeNotice(notice: TargetNotice, now: number): void {
+		this.notice = notice
+		const { handle } = this
+		if (!handle) return
+		if (notice.leaving && handle.noteLeaving(now)) {
+			this.dropIdle()
+			this.logNotice('target-said-leaving', 'leaving', {})
+		}
+		const { backoff } = notice
+		switch (backoff.kind) {
+			case 'none':
+				return
+			case 'asked': {
+				const endsInMs = Math.round(handle.noteBackoff(backoff.ms, now) - now)
+				this.logNotice('target-backoff', 'backoff', { askedMs: backoff.ms, endsInMs })
+				return
+			}
+			case 'unreadable':
+				this.logNotice('target-notice-unreadable', 'unreadable', { text: backoff.text })
+				return
+			default:
+				exhaustive(backoff)
+		}
+	}
+
+	private logNotice(
+		name: LogEventName,
+		kind: 'leaving' | 'backoff' | 'unreadable',
+		facts: Readonly<Record<string, LogValue>>,
+	): void {
+		const { context, place, request } = this
+		const { target } = place
+		context.metrics.count('stallwing_target_notices_total', `kind="${kind}"`)
+		context.log({
+			name,
+			fields: {
+				target: target.name,
+				life: lifeOf(target),
+				service: target.service,
+				request: request.id,
+				status: this.head?.status ?? 0,
+				targetRevision: target.revision,
+				targetListAgeMs: roundAge(context.targetListAgeMs()),
+				...facts,
+			},
+		})
+	}
+
 	private noteCold(head: AnswerHead, now: number): void {
 		const told = head.headers[this.context.dialect.headers.coldMs]
 		const coldMs = typeof told === 'string' && told !== '' ? Number(told) : Number.NaN
--- a/packages/gateway/src/lib/Exchange.ts
+++ b/packages/gateway/src/lib/Exchange.ts
@@ -43,6 +43,12 @@
 /** Least time that is worth handing on to a target, in ms. */
 const LEAST_TIME_MS = 10
 
+/** Why no target takes a request, and when the first one will, in ms from now, as far as is known. */
+interface ClosedDetail {
+	readonly detail: string
+	readonly opensInMs: number | undefined
+}
+
 /** One request of a caller, from its head to the end of its answer. */
 export class Exchange {
 	private readonly arrivedAt: number
@@ -119,13 +125,21 @@
 
 	/** Refuses the request at once where no target of its service takes work. */
 	private isClosed(request: CallerRequest): boolean {
-		const closed = this.context.board.closedCause(request.service, this.context.now())
+		const closed = this.closedService(request)
 		if (!closed) return false
-		const opensInMs = closed.cause === 'cordoned' ? CORDON_PAUSE_MS : closed.opensInMs
-		this.refuse('no-target', `${request.service}: ${closed.cause}`, opensInMs)
+		this.refuse('no-target', closed.detail, closed.opensInMs)
 		return true
 	}
 
+	/** Why no target takes the request now, and when the first one will; undefined where one does. */
+	private closedService(request: CallerRequest): ClosedDetail | undefined {
+		const { board, mayRunIn, now } = this.context
+		const closed = board.closedCause(request.service, now(), (zone) => mayRunIn(zone, request))
+		if (!closed) return undefined
+		const opensInMs = closed.cause === 'cordoned' ? CORDON_PAUSE_MS : closed.opensInMs
+		return { detail: `${request.service}: ${closed.cause}`, opensInMs }
+	}
+
 	/** Ends the exchange where the request is known to end targets, or may do so and runs already. */
 	private isHeldBack(content: RequestContent): boolean {
 		const heldBack = this.context.crashes.heldBack(content, this.sent === 0)
@@ -346,8 +360,18 @@
 	}
 
 	private giveUp(cause: string): void {
-		if (this.answer.begun) this.breakOff(cause)
-		else this.refuse(this.mayHaveRun ? 'target-failed' : 'no-target', cause)
+		if (this.answer.begun) {
+			this.breakOff(cause)
+			return
+		}
+		if (this.mayHaveRun) {
+			this.refuse('target-failed', cause)
+			return
+		}
+		// The last target that took work may have turned this very request away.
+		const closed = this.request && this.closedService(this.request)
+		const detail = closed ? `${cause}; ${closed.detail}` : cause
+		this.refuse('no-target', detail, closed?.opensInMs)
 	}
 
 	/** Ends an answer that has begun and can't be completed, so that it does not look whole. */
--- a/packages/gateway/src/lib/Gateway.ts
+++ b/packages/gateway/src/lib/Gateway.ts
@@ -149,6 +149,7 @@
 			answeredMs: () => this.feed.answeredMs(options.documents.targetsPrefix),
 			now: options.now,
 			worldNow: options.worldNow,
+			wallTime: options.wallTime,
 			log: options.log,
 		})
 		this.limits = new ServiceLimits({
--- a/packages/gateway/src/lib/TargetDirectory.ts
+++ b/packages/gateway/src/lib/TargetDirectory.ts
@@ -27,6 +27,8 @@
 	readonly now: () => number
 	/** Clock that counts suspended time, in ms: entries run out by it. */
 	readonly worldNow: () => number
+	/** Time of day, in ms. */
+	readonly wallTime: () => number
 	readonly log: (event: LogEvent) => void
 }
 
@@ -112,7 +114,8 @@
 	}
 
 	private use(entries: readonly TargetEntry[]): void {
-		const changes = this.options.board.replace(entries, this.options.now())
+		const { board, now, wallTime } = this.options
+		const changes = board.replace(entries, now(), wallTime())
 		this.logAll('target-joined', changes.joined)
 		this.logAll('target-leaving', changes.leaving)
 		this.logAll('target-gone', changes.gone)
--- a/packages/gateway/src/lib/TargetDirectoryEntries.test.ts
+++ b/packages/gateway/src/lib/TargetDirectoryEntries.test.ts
@@ -38,6 +38,7 @@
 			answeredMs: () => 0,
 			now: () => now,
 			worldNow: () => now,
+			wallTime: () => now,
 			log: (event) => logged.push(event),
 		})
 	})
--- a/packages/gateway/src/lib/testFleet.ts
+++ b/packages/gateway/src/lib/testFleet.ts
@@ -155,6 +155,7 @@
 			onDropped: () => undefined,
 			onEnded: () => undefined,
 			worldNow: () => Date.now(),
+			wallTime: () => Date.now(),
 			listAgeMs: () => relay.ageMs('targets/'),
 			answeredMs: () => relay.answeredMs('targets/'),
 			now: () => Date.now(),
