--- a/packages/core/src/lib/placement/TargetBoard.test.ts
+++ b/packages/core/src/lib/placement/TargetBoard.test.ts
@@ -29,6 +29,10 @@
 	return board
 }
 
+function lives(name: string): ReadonlySet<TargetLife> {
+	return new Set([brandId<TargetLife>(name)])
+}
+
 /** The board of a fleet of one box that spares cold targets. */
 function gatedBoard(): TargetBoard {
 	const boxes = [BOX]
@@ -54,6 +58,20 @@
 		expect(board.choose(query({ isFull: () => true }), 1)).toBeUndefined()
 	})
 
+	it('goes elsewhere where a target turns requests away, and comes back when that is some time ago', () => {
+		// Without work of its own, the target that turns all away looks cheaper than one that works.
+		const board = boardOf(entry('a'), entry('bb'))
+		const working = Array.from({ length: 4 }, () => board.choose(query({ tried: lives('a') }), 0)!)
+		for (const place of working) board.begin(place, undefined, 0)
+		for (let i = 0; i < 3; i++) {
+			const place = board.choose(query(), i)
+			if (place?.target.name !== 'a') break
+			board.begin(place, undefined, i).end('full', i)
+		}
+		expect(board.choose(query(), 10)?.target.name).toBe('bb')
+		expect(board.choose(query(), 60_000)?.target.name).toBe('a')
+	})
+
 	it('tells what joined, leaves and is gone', () => {
 		const board = boardOf(entry('a'), entry('bb'))
 		const changes = board.replace([entry('a', { leaving: true }), entry('ccc')], 1)
--- a/packages/core/src/lib/placement/TargetState.ts
+++ b/packages/core/src/lib/placement/TargetState.ts
@@ -28,7 +28,7 @@
 /** How an attempt at a target ended, for the belief in that target. @public */
 export type AttemptVerdict = 'good' | 'failed' | 'unreachable' | 'full' | 'cancelled'
 
-/** Half-life of the memory of failures, in ms. */
+/** Half-life of the memory of failures and refusals, in ms. */
 const FAILURE_HALF_LIFE_MS = 4_000
 /** Weight of the newest result in the share of failures. */
 const FAILURE_WEIGHT = 0.2
@@ -95,7 +95,7 @@
 		return Math.max(this.toldColdUntil, this.assumedColdUntil)
 	}
 
-	/** Share of recent attempts that failed, fading with time. */
+	/** Share of recent attempts that failed or were turned away, fading with time. */
 	failures(now: Millis): number {
 		if (this.failureShare === 0) return 0
 		return this.failureShare * 2 ** (-(now - this.failureAt) / FAILURE_HALF_LIFE_MS)
@@ -115,6 +115,9 @@
 				this.eject(now)
 				return
 			case 'full':
+				// A target that turns all requests away at once has no work, and would look the cheapest of all.
+				this.weighFailure(1, now)
+				return
 			case 'cancelled':
 				return
 		}
