Boxes tell each other of targets that leave where the list does not say it

Cause: while the store is away only a target's own answers say that it leaves. A box learns it with one more request there, and what it sends shortly before the target ends breaks off. Ways: own word only | told to all boxes by datagram, after 150 ms in which the list says it where the store answers. Cost: one datagram of some 60 bytes to each other box for each such target; none where the list brings the word. What a box said itself hears from the target still holds for it without any datagram. Ruled out: reminders and passing on, as a lost datagram costs no more than own word does.

--- a/packages/core/src/lib/placement/TargetBoard.ts
+++ b/packages/core/src/lib/placement/TargetBoard.ts
@@ -12,7 +12,7 @@
 import { TargetAdmission, type ClosedService } from './TargetAdmission.js'
 import { promptChains } from './PromptIndex.js'
 import type { TargetEntry, TargetLoad } from './TargetEntry.js'
-import { isEarlierLife, lifeOf, type TargetLife } from './TargetLife.js'
+import { isEarlierLife, lifeOf, type TargetLife, type TargetStart } from './TargetLife.js'
 import { TargetNotices, type TargetNotice } from './TargetNotices.js'
 import { TargetState, type AttemptVerdict, type OpenAttempt } from './TargetState.js'
 import type { CordonChanges, ZoneCordon } from './ZoneCordons.js'
@@ -224,6 +224,12 @@
 		return state !== undefined && !state.leaving && lifeOf(state.entry) === life
 	}
 
+	/** True where the list calls this life of the target ready, whatever it says itself. */
+	isListedAsReady(target: TargetStart): boolean {
+		const entry = this.targets.get(target.name)?.entry
+		return entry !== undefined && !entry.leaving && lifeOf(entry) === lifeOf(target)
+	}
+
 	serviceOf(target: TargetName): ServiceName | undefined {
 		return this.targets.get(target)?.entry.service
 	}
@@ -307,7 +313,8 @@
 		}
 	}
 
-	private noteLeaving(target: TargetEntry, now: Millis): boolean {
+	/** This life of a target leaves, by its own word or that of another box. True where this is news. */
+	noteLeaving(target: TargetStart, now: Millis): boolean {
 		const life = lifeOf(target)
 		const isNews = this.notices.of(life).leavingSince === undefined
 		this.takeNotice(target, this.notices.noteLeaving(life, now))
@@ -321,7 +328,7 @@
 	}
 
 	/** Takes what a life said, where it is the one that is listed. */
-	private takeNotice(target: TargetEntry, notice: TargetNotice): void {
+	private takeNotice(target: TargetStart, notice: TargetNotice): void {
 		const state = this.targets.get(target.name)
 		if (state && lifeOf(state.entry) === lifeOf(target)) state.notice = notice
 	}
--- a/packages/core/src/lib/router/logEvents.ts
+++ b/packages/core/src/lib/router/logEvents.ts
@@ -119,6 +119,10 @@
 		number: 514,
 		text: 'A target asked for a backoff in words that are not understood; it is left out',
 	},
+	'target-heard-leaving': {
+		number: 515,
+		text: 'Another box told that a target leaves, which the list does not say yet',
+	},
 	'invariant-breach': {
 		number: 900,
 		text: 'An invariant would have been broken; the write was not made',
--- a/packages/gateway/src/lib/Attempt.ts
+++ b/packages/gateway/src/lib/Attempt.ts
@@ -179,7 +179,7 @@
 		const { handle } = this
 		if (!handle) return
 		if (notice.leaving && handle.noteLeaving(now)) {
-			this.dropIdle()
+			this.context.onSaidLeaving(this.place.target)
 			this.logNotice('target-said-leaving', 'leaving', {})
 		}
 		const { backoff } = notice
--- a/packages/gateway/src/lib/Gateway.ts
+++ b/packages/gateway/src/lib/Gateway.ts
@@ -19,6 +19,7 @@
 import { FleetRoster } from './FleetRoster.js'
 import type { GatewayOptions, GatewayPorts } from './GatewayOptions.js'
 import { GatewayReport, type GatewayStatus } from './GatewayReport.js'
+import { LeavingSharing } from './LeavingSharing.js'
 import { LoopDelay } from './LoopDelay.js'
 import { PeerClient } from './PeerClient.js'
 import { PeerDatagrams } from './PeerDatagrams.js'
@@ -66,6 +67,7 @@
 	private readonly datagrams = new PeerDatagrams()
 	private readonly workSharing: WorkSharing
 	private readonly crashes: CrashProtection
+	private readonly leaving: LeavingSharing
 	private readonly followers: PrefixFollower[]
 	private readonly timers: NodeJS.Timeout[] = []
 	private open = 0
@@ -140,6 +142,13 @@
 			datagrams: this.datagrams,
 			peers: () => this.roster.others,
 		})
+		this.leaving = new LeavingSharing({
+			...options,
+			board: this.board,
+			datagrams: this.datagrams,
+			peers: () => this.roster.others,
+			onHeard: ({ name }) => this.pools.dropIdle(name),
+		})
 		this.targets = new TargetDirectory({
 			board: this.board,
 			readTarget: (item) => options.documents.readTarget(item),
@@ -245,6 +254,7 @@
 		for (const timer of this.timers) clearInterval(timer)
 		this.workSharing.stop()
 		this.crashes.stop()
+		this.leaving.stop()
 		this.datagrams.stop()
 		this.options.log({ name: 'stop-done', fields: { open: this.open } })
 	}
@@ -310,6 +320,10 @@
 				allowsRegion(options.regionOf(zone), route.regions, account?.regions),
 			targetListAgeMs: () => this.targetListAgeMs,
 			isLapsed: (target) => this.targets.isLapsed(target),
+			onSaidLeaving: (target) => {
+				this.pools.dropIdle(target.name)
+				this.leaving.tell(target)
+			},
 			repeats: (service) => this.limits.repeats(service),
 			delayMs: () => this.loopDelay.ms,
 			lateMs: () => this.loopDelay.lateMs,
--- a/packages/gateway/src/lib/GatewayContext.ts
+++ b/packages/gateway/src/lib/GatewayContext.ts
@@ -60,6 +60,8 @@
 	targetListAgeMs(): number
 	/** True where the target is used although the store no longer lists it. */
 	isLapsed(target: TargetName): boolean
+	/** A target said in an answer that it leaves, which is news to this box. */
+	onSaidLeaving(target: TargetEntry): void
 	repeats(service: ServiceName): RepeatBudget
 	/** By how much the timers of this process are late, in ms. */
 	delayMs(): number
--- a/packages/gateway/src/lib/TargetPools.ts
+++ b/packages/gateway/src/lib/TargetPools.ts
@@ -31,6 +31,11 @@
 		return (this.pools.get(target)?.idleCount ?? 0) > 0
 	}
 
+	/** Closes idle connections to a target; requests that are under way there end undisturbed. */
+	dropIdle(target: TargetName): void {
+		this.pools.get(target)?.dropIdle()
+	}
+
 	/** Lets go of a target that gets no new work. */
 	drop(target: TargetName): void {
 		this.pools.get(target)?.close()
--- a/packages/gateway/src/lib/requestQuarantine.test.ts
+++ b/packages/gateway/src/lib/requestQuarantine.test.ts
@@ -6,9 +6,9 @@
  * Proof: lines of broken answers carry the content of the request; all ends of targets in a row had one in common, sent
  * by four boxes, some of which had seen an earlier end themselves.
  */
-import { createServer, type AddressInfo } from 'node:net'
 import { CrashingTarget, MemoryStore } from '@stallwing/standins'
 import { afterEach, describe, expect, it } from 'vitest'
+import { freePort } from './freePort.js'
 import { sleep } from './sleep.js'
 import { DIALECT, TestBox, configOf, entryOf } from './testBox.js'
 
@@ -161,13 +161,3 @@
 		})
 	}
 }
-
-/** A port of the loopback address that nothing listens on. */
-function freePort(): Promise<number> {
-	return new Promise((resolve) => {
-		const server = createServer().listen(0, '127.0.0.1', () => {
-			const { port } = server.address() as AddressInfo
-			server.close(() => resolve(port))
-		})
-	})
-}
