One reader of what an answer says of its target; status shows targets that are left alone; large files split

An answer of another target at the address (421) no longer sets the load and the cold time of the one that was meant: found in reading, readTargetNotice.test.ts.

--- a/apps/stallwing/src/lib/commands/statusCommands.ts
+++ b/apps/stallwing/src/lib/commands/statusCommands.ts
@@ -2,7 +2,7 @@
 import { CommandError, EXIT } from '../CommandError.js'
 import { loadOperatorConfig } from '../OperatorConfig.js'
 import { print, printJson, printTable } from '../print.js'
-import { askRouter, askRouters, requireRouters } from '../routerStatus.js'
+import { askRouter, askRouters, requireRouters, type NoticedTarget } from '../routerStatus.js'
 
 /** Adds `stallwing status` and `stallwing explain`. */
 export function addStatusCommands(program: Command, config: () => string): void {
@@ -29,11 +29,14 @@
 		return
 	}
 	const rows = statuses.map((row, i) => {
-		if (!row) return [urls[i] ?? '', '', 'no answer', '', '', '', '', '']
+		if (!row) return [urls[i] ?? '', '', 'no answer', '', '', '', '', '', '']
 		const state = row.ready ? 'ready' : 'not ready'
 		const cordons = (row.cordonedZones ?? []).map(({ zone }) => zone).join(' ')
-		if (row.configuration !== undefined)
-			return [row.box, row.zone, state, 'gateway', '', `${row.configuration}`, '', cordons]
+		if (row.configuration !== undefined) {
+			const version = `${row.configuration}`
+			const noticed = (row.noticedTargets ?? []).map(describeNoticed).join(' ')
+			return [row.box, row.zone, state, 'gateway', '', version, '', cordons, noticed]
+		}
 		const role = row.keeper ? 'keeper' : ''
 		const platform = row.platformUp ? 'up' : 'down'
 		return [
@@ -45,9 +48,17 @@
 			`${row.bundleVersion}`,
 			platform,
 			cordons,
+			'',
 		]
 	})
-	printTable(['box', 'zone', 'state', 'role', 'view', 'version', 'platform', 'cordoned'], rows)
+	const titles = ['box', 'zone', 'state', 'role', 'view', 'version', 'platform', 'cordoned']
+	printTable([...titles, 'left alone'], rows)
+}
+
+/** A target that asked not to be sent to, and why. */
+function describeNoticed({ target, leavingForMs, backoffMs }: NoticedTarget): string {
+	if (leavingForMs !== undefined) return `${target}(leaves)`
+	return `${target}(${Math.round(backoffMs)}ms)`
 }
 
 async function explain(file: string, request: string, json: boolean): Promise<void> {
--- a/apps/stallwing/src/lib/routerStatus.ts
+++ b/apps/stallwing/src/lib/routerStatus.ts
@@ -11,6 +11,16 @@
 	readonly heldMs: number
 }
 
+/** A target that gets no work because of its own word, as a gateway tells it; times in ms. */
+export interface NoticedTarget {
+	readonly target: string
+	readonly service: string
+	/** Time since it first said that it leaves; not there where it did not. */
+	readonly leavingForMs?: number
+	/** Time until the backoff that it asked for ends; 0 where there is none. */
+	readonly backoffMs: number
+}
+
 /** A router's own word on itself, as far as the command line reads it. */
 export interface RouterStatus {
 	readonly box: string
@@ -24,6 +34,8 @@
 	readonly requests: number
 	/** Availability zones that take no new work, as the box knows; a router of the own interface has none. */
 	readonly cordonedZones?: readonly { readonly zone: string; readonly ageMs: number }[]
+	/** Targets that get no work because of their own word; only of a gateway. */
+	readonly noticedTargets?: readonly NoticedTarget[]
 	/** Requests that end their targets and aren't sent to any; only of a gateway. */
 	readonly quarantined?: readonly QuarantinedRequest[]
 	/** Version of the traffic configuration; only of a gateway, which has no keeper, view or bundle. */
--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -196,14 +196,12 @@
 } from './lib/allowance/chooseLenders.js'
 export { SpentWords } from './lib/allowance/SpentWords.js'
 export { isDrawOff, planClaim, planDraw, type Budgets } from './lib/allowance/planDraw.js'
-export {
-	TargetBoard,
-	type AttemptHandle,
-	type Place,
-	type PlaceQuery,
-	type TargetChanges,
-	type TargetWork,
-} from './lib/placement/TargetBoard.js'
+export { TargetBoard } from './lib/placement/TargetBoard.js'
+export { type AttemptHandle } from './lib/placement/AttemptHandle.js'
+export { type Place, type PlaceQuery } from './lib/placement/Place.js'
+export { type TargetChanges } from './lib/placement/TargetChanges.js'
+export { type TargetWork } from './lib/placement/TargetWork.js'
+export { type NoticedTarget } from './lib/placement/NoticedTarget.js'
 export {
 	ColdStartGate,
 	type ColdLimits,
--- /dev/null
+++ b/packages/core/src/lib/placement/NoticedTarget.ts
@@ -0,0 +1,12 @@
+import type { ServiceName, TargetName } from '../ids.js'
+import type { Millis } from '../units.js'
+
+/** A target that is listed and gets no work because of its own word, as operators see it. @public */
+export interface NoticedTarget {
+	readonly target: TargetName
+	readonly service: ServiceName
+	/** Time since it first said that it leaves; undefined where it did not. */
+	readonly leavingForMs: Millis | undefined
+	/** Time until the backoff that it asked for ends; 0 where there is none. */
+	readonly backoffMs: Millis
+}
--- a/packages/core/src/lib/placement/TargetBoard.ts
+++ b/packages/core/src/lib/placement/TargetBoard.ts
@@ -2,82 +2,26 @@
 import type { BoxName, ServiceName, TargetName, ZoneName } from '../ids.js'
 import { worstCaseTokens, type StatedWork } from '../traffic/StatedWork.js'
 import type { Millis } from '../units.js'
+import type { AttemptHandle } from './AttemptHandle.js'
 import type { ColdStart } from './ColdStartGate.js'
+import type { NoticedTarget } from './NoticedTarget.js'
+import type { Place, PlaceQuery } from './Place.js'
 import {
 	isFreshWork,
 	placementCost,
 	type PlacementCost,
 	type PlacementRequest,
 } from './placementCost.js'
-import { TargetAdmission, type AdmissionOptions, type ClosedService } from './TargetAdmission.js'
 import { promptChains } from './PromptIndex.js'
-import type { TargetEntry, TargetLoad } from './TargetEntry.js'
+import { TargetAdmission, type AdmissionOptions, type ClosedService } from './TargetAdmission.js'
+import type { TargetChanges } from './TargetChanges.js'
+import type { TargetEntry } from './TargetEntry.js'
 import { isEarlierLife, lifeOf, type TargetLife, type TargetStart } from './TargetLife.js'
 import { TargetNotices, type TargetNotice } from './TargetNotices.js'
-import { TargetState, type AttemptVerdict, type OpenAttempt } from './TargetState.js'
+import { TargetState, type OpenAttempt } from './TargetState.js'
+import type { TargetWork } from './TargetWork.js'
 import type { CordonChanges, ZoneCordon } from './ZoneCordons.js'
 
-/** A request that needs a target. @public */
-export interface PlaceQuery {
-	readonly service: ServiceName
-	readonly zone: ZoneName
-	readonly work: StatedWork | undefined
-	/** Lives of targets that this request was sent to before. */
-	readonly tried: ReadonlySet<TargetLife>
-	/** Targets that can't take another connection from this box. */
-	readonly isFull: (target: TargetName) => boolean
-	/** False where the request may not run in a zone. */
-	readonly mayRunIn: (zone: ZoneName) => boolean
-	/** True where this box holds a connection to the target that nothing uses. */
-	readonly isConnected: (target: TargetName) => boolean
-}
-
-/** The place chosen, with what decided it. @public */
-export interface Place {
-	readonly target: TargetEntry
-	readonly cost: PlacementCost
-	/** Targets that could have been chosen. */
-	readonly candidates: number
-	/** Age of the load that the target told, in ms; -1 where it told none. */
-	readonly loadAgeMs: Millis
-}
-
-/** An attempt under way: what the board is told about it. @public */
-export interface AttemptHandle {
-	readonly target: TargetName
-	readonly expectedMs: Millis
-	/** False where the target takes no new work any more: to be asked just before the request leaves. */
-	maySend(now: Millis): boolean
-	/** Bytes of the answer came. */
-	noteByte(now: Millis): void
-	/** The target told for how much longer it is cold. */
-	noteCold(coldMs: Millis, now: Millis): void
-	noteLoad(load: TargetLoad, now: Millis): void
-	/** The target said in its answer that it leaves. True where this is news. */
-	noteLeaving(now: Millis): boolean
-	/** The target asked this box to send nothing for so long. Returns when that ends. */
-	noteBackoff(ms: Millis, now: Millis): Millis
-	end(verdict: AttemptVerdict, now: Millis): void
-}
-
-/** Work under way at one target. @public */
-export interface TargetWork {
-	readonly life: TargetLife
-	/** Prompt tokens sent and not answered yet. */
-	readonly unreadTokens: number
-	/** Requests under way. */
-	readonly open: number
-}
-
-/** A change of the list of targets. @public */
-export interface TargetChanges {
-	readonly joined: readonly TargetEntry[]
-	readonly leaving: readonly TargetEntry[]
-	readonly gone: readonly TargetEntry[]
-	/** Entries of lives that are over, of targets that have started again under their names. */
-	readonly restarted: readonly TargetEntry[]
-}
-
 const PLAIN_MS_START = 20
 const PLAIN_MS_WEIGHT = 0.05
 const MOST_COUNTED_PLAIN_MS = 500
@@ -184,6 +128,19 @@
 		this.notices.prune((life) => lives.has(life), now)
 	}
 
+	/** Targets that get no work because of what they said of themselves. */
+	noticedTargets(now: Millis): NoticedTarget[] {
+		const rows: NoticedTarget[] = []
+		for (const { entry, notice } of this.targets.values()) {
+			const backoffMs = Math.max(0, notice.backoffUntil - now)
+			const { leavingSince } = notice
+			if (leavingSince === undefined && backoffMs === 0) continue
+			const leavingForMs = leavingSince === undefined ? undefined : now - leavingSince
+			rows.push({ target: entry.name, service: entry.service, leavingForMs, backoffMs })
+		}
+		return rows
+	}
+
 	get size(): number {
 		return this.targets.size
 	}
--- a/packages/core/src/lib/placement/backoffModel.ts
+++ b/packages/core/src/lib/placement/backoffModel.ts
@@ -1,6 +1,7 @@
 import { brandId, type TargetName } from '../ids.js'
 import type { Millis } from '../units.js'
-import { TargetBoard, type AttemptHandle } from './TargetBoard.js'
+import type { AttemptHandle } from './AttemptHandle.js'
+import { TargetBoard } from './TargetBoard.js'
 import type { TargetEntry } from './TargetEntry.js'
 import { SERVICE, entry, query } from './testEntries.js'
 
--- a/packages/core/src/lib/placement/testEntries.ts
+++ b/packages/core/src/lib/placement/testEntries.ts
@@ -1,5 +1,5 @@
 import { brandId, type ServiceName, type TargetName, type ZoneName } from '../ids.js'
-import type { PlaceQuery } from './TargetBoard.js'
+import type { PlaceQuery } from './Place.js'
 import type { TargetEntry } from './TargetEntry.js'
 
 export const SERVICE = brandId<ServiceName>('engine')
--- a/packages/gateway/src/lib/Attempt.ts
+++ b/packages/gateway/src/lib/Attempt.ts
@@ -1,20 +1,16 @@
 import {
 	EventSplitter,
 	exhaustive,
-	lifeOf,
 	type AttemptHandle,
 	type AttemptResult,
 	type AttemptVerdict,
-	type LogEventName,
-	type LogValue,
 	type Place,
 } from '@stallwing/core'
 import { isFramed, type AnswerWriter } from './AnswerWriter.js'
 import type { CallerRequest } from './CallerRequest.js'
 import type { GatewayContext } from './GatewayContext.js'
 import type { RequestContent } from './RequestContent.js'
-import { roundAge } from './roundAge.js'
-import { readTargetNotice, type TargetNotice } from './readTargetNotice.js'
+import { describeBackoff, readTargetNotice, type TargetNotice } from './readTargetNotice.js'
 import {
 	sendToTarget,
 	type AnswerHead,
@@ -23,6 +19,7 @@
 	type TargetFailure,
 	type TargetRequest,
 } from './sendToTarget.js'
+import { takeTargetNotice } from './takeTargetNotice.js'
 
 /** How an attempt ended, with what may be passed on. */
 export interface AttemptEnd {
@@ -108,17 +105,14 @@
 	}
 
 	onHead(head: AnswerHead): boolean {
-		const { headers, dialect } = { headers: head.headers, dialect: this.context.dialect }
-		const now = this.context.now()
+		const { context, handle, place, request } = this
+		const now = context.now()
 		if (!this.belongs(head)) return false
-		this.handle?.noteByte(now)
+		handle?.noteByte(now)
 		this.firstByteMs = now - this.startedAt
 		this.head = head
-		this.takeNotice(readTargetNotice(head, dialect.headers, dialect.wrongTargetStatus), now)
-		const load = headers[dialect.headers.load]
-		const told = typeof load === 'string' ? dialect.readLoad(load) : undefined
-		if (told) this.handle?.noteLoad(told, now)
-		this.noteCold(head, now)
+		this.notice = readTargetNotice(head, context.dialect)
+		if (handle) takeTargetNotice(context, { handle, place, request }, this.notice)
 		if (isSuccess(head) && isEventStream(head)) this.beginStream(head)
 		this.watchSilence(this.patience().gapMs)
 		return true
@@ -170,64 +164,6 @@
 		}
 	}
 
-	/**
-	 * What a target says of itself holds from the head of any answer on, and for this box alone: the list may be out of
-	 * date while the store is away, and a target that turns requests away at once would look the cheapest of all.
-	 */
-	private takeNotice(notice: TargetNotice, now: number): void {
-		this.notice = notice
-		const { handle } = this
-		if (!handle) return
-		if (notice.leaving && handle.noteLeaving(now)) {
-			this.context.onSaidLeaving(this.place.target)
-			this.logNotice('target-said-leaving', 'leaving', {})
-		}
-		const { backoff } = notice
-		switch (backoff.kind) {
-			case 'none':
-				return
-			case 'asked': {
-				const endsInMs = Math.round(handle.noteBackoff(backoff.ms, now) - now)
-				this.logNotice('target-backoff', 'backoff', { askedMs: backoff.ms, endsInMs })
-				return
-			}
-			case 'unreadable':
-				this.logNotice('target-notice-unreadable', 'unreadable', { text: backoff.text })
-				return
-			default:
-				exhaustive(backoff)
-		}
-	}
-
-	private logNotice(
-		name: LogEventName,
-		kind: 'leaving' | 'backoff' | 'unreadable',
-		facts: Readonly<Record<string, LogValue>>,
-	): void {
-		const { context, place, request } = this
-		const { target } = place
-		context.metrics.count('stallwing_target_notices_total', `kind="${kind}"`)
-		context.log({
-			name,
-			fields: {
-				target: target.name,
-				life: lifeOf(target),
-				service: target.service,
-				request: request.id,
-				status: this.head?.status ?? 0,
-				targetRevision: target.revision,
-				targetListAgeMs: roundAge(context.targetListAgeMs()),
-				...facts,
-			},
-		})
-	}
-
-	private noteCold(head: AnswerHead, now: number): void {
-		const told = head.headers[this.context.dialect.headers.coldMs]
-		const coldMs = typeof told === 'string' && told !== '' ? Number(told) : Number.NaN
-		if (coldMs >= 0) this.handle?.noteCold(coldMs, now)
-	}
-
 	private endWhole(head: AnswerHead, body: Buffer): void {
 		const { dialect } = this.context
 		const wrongTarget = head.status === dialect.wrongTargetStatus
@@ -320,7 +256,7 @@
 				events: this.answer.events,
 				fingerprint: outcome.kind === 'unknown' ? this.content.fingerprint : '',
 				saidLeaving: this.notice?.leaving ?? false,
-				saidBackoff: describeBackoff(this.notice),
+				saidBackoff: this.notice ? describeBackoff(this.notice.backoff) : '',
 			},
 		})
 		const wasClosed = outcome.kind === 'unknown' && !this.gaveUp
@@ -338,21 +274,6 @@
 	}
 }
 
-/** For a log line: ms, or the words that were not understood. */
-function describeBackoff(notice: TargetNotice | undefined): string {
-	const backoff = notice?.backoff ?? { kind: 'none' }
-	switch (backoff.kind) {
-		case 'none':
-			return ''
-		case 'asked':
-			return String(backoff.ms)
-		case 'unreadable':
-			return `not understood: ${backoff.text}`
-		default:
-			return exhaustive(backoff)
-	}
-}
-
 function isSuccess(head: AnswerHead): boolean {
 	return head.status >= 200 && head.status < 300
 }
--- a/packages/gateway/src/lib/Exchange.ts
+++ b/packages/gateway/src/lib/Exchange.ts
@@ -15,6 +15,7 @@
 import { AnswerWriter } from './AnswerWriter.js'
 import { Attempt, type AttemptEnd } from './Attempt.js'
 import { isRepeatable, readCallerRequest, type CallerRequest } from './CallerRequest.js'
+import { closedService } from './closedService.js'
 import type { GatewayContext, TrafficInForce } from './GatewayContext.js'
 import { answerTimes, choiceLine, endLine, resumeLine } from './exchangeLines.js'
 import { judgeRun } from './judgeRun.js'
@@ -31,8 +32,6 @@
  * requests on, in ms: it costs one more pass of the event loop, and what is on time is hardly ever left by then.
  */
 const LATE_MS = 25
-/** Pause asked for where all targets of a service lie in cordoned zones, in ms: operators take seconds at least. */
-const CORDON_PAUSE_MS = 1_000
 /** Time before a limit at which the answer of our own leaves, in ms. */
 const LIMIT_MARGIN_MS = 5
 /**
@@ -43,12 +42,6 @@
 /** Least time that is worth handing on to a target, in ms. */
 const LEAST_TIME_MS = 10
 
-/** Why no target takes a request, and when the first one will, in ms from now, as far as is known. */
-interface ClosedDetail {
-	readonly detail: string
-	readonly opensInMs: number | undefined
-}
-
 /** One request of a caller, from its head to the end of its answer. */
 export class Exchange {
 	private readonly arrivedAt: number
@@ -125,21 +118,12 @@
 
 	/** Refuses the request at once where no target of its service takes work. */
 	private isClosed(request: CallerRequest): boolean {
-		const closed = this.closedService(request)
+		const closed = closedService(this.context, request)
 		if (!closed) return false
 		this.refuse('no-target', closed.detail, closed.opensInMs)
 		return true
 	}
 
-	/** Why no target takes the request now, and when the first one will; undefined where one does. */
-	private closedService(request: CallerRequest): ClosedDetail | undefined {
-		const { board, mayRunIn, now } = this.context
-		const closed = board.closedCause(request.service, now(), (zone) => mayRunIn(zone, request))
-		if (!closed) return undefined
-		const opensInMs = closed.cause === 'cordoned' ? CORDON_PAUSE_MS : closed.opensInMs
-		return { detail: `${request.service}: ${closed.cause}`, opensInMs }
-	}
-
 	/** Ends the exchange where the request is known to end targets, or may do so and runs already. */
 	private isHeldBack(content: RequestContent): boolean {
 		const heldBack = this.context.crashes.heldBack(content, this.sent === 0)
@@ -369,7 +353,7 @@
 			return
 		}
 		// The last target that took work may have turned this very request away.
-		const closed = this.request && this.closedService(this.request)
+		const closed = this.request && closedService(this.context, this.request)
 		const detail = closed ? `${cause}; ${closed.detail}` : cause
 		this.refuse('no-target', detail, closed?.opensInMs)
 	}
--- a/packages/gateway/src/lib/Gateway.ts
+++ b/packages/gateway/src/lib/Gateway.ts
@@ -10,7 +10,6 @@
 import type { PrefixFollower } from '@stallwing/store'
 import { AllowanceClient } from './AllowanceClient.js'
 import { CordonDirectory } from './CordonDirectory.js'
-import { CrashProtection } from './CrashProtection.js'
 import { describeError } from './describeError.js'
 import { Exchange } from './Exchange.js'
 import type { GatewayContext, TrafficInForce } from './GatewayContext.js'
@@ -19,17 +18,15 @@
 import { FleetRoster } from './FleetRoster.js'
 import type { GatewayOptions, GatewayPorts } from './GatewayOptions.js'
 import { GatewayReport, type GatewayStatus } from './GatewayReport.js'
-import { LeavingSharing } from './LeavingSharing.js'
 import { LoopDelay } from './LoopDelay.js'
 import { PeerClient } from './PeerClient.js'
-import { PeerDatagrams } from './PeerDatagrams.js'
 import { PeerServer } from './PeerServer.js'
+import { PeerSharing } from './PeerSharing.js'
 import { ReadinessServer } from './ReadinessServer.js'
 import { ServiceLimits } from './ServiceLimits.js'
 import { TargetDirectory } from './TargetDirectory.js'
 import { TargetPools } from './TargetPools.js'
 import { TrafficDirectory, type TokenBudgets } from './TrafficDirectory.js'
-import { WorkSharing } from './WorkSharing.js'
 import { listenOn } from './listenOn.js'
 import { watchMsFor } from './watchMsFor.js'
 import { sleep } from './sleep.js'
@@ -64,10 +61,7 @@
 	private readonly callers: Server
 	private readonly readiness: ReadinessServer
 	private readonly peers: PeerServer
-	private readonly datagrams = new PeerDatagrams()
-	private readonly workSharing: WorkSharing
-	private readonly crashes: CrashProtection
-	private readonly leaving: LeavingSharing
+	private readonly sharing: PeerSharing
 	private readonly followers: PrefixFollower[]
 	private readonly timers: NodeJS.Timeout[] = []
 	private open = 0
@@ -80,14 +74,16 @@
 			prefix: options.documents.boxPrefix,
 			listPrefix: options.documents.fleetPrefix,
 			onListed: (items) =>
-				this.crashes.adopt(items.find(({ key }) => key === options.documents.quarantineKey)),
+				this.sharing.crashes.adopt(
+					items.find(({ key }) => key === options.documents.quarantineKey),
+				),
 			self: { box: options.box, zone: options.zone, address, cores: options.cores },
 			sleep,
 			random: options.random,
 			log: options.log,
 		})
 		const peers = new PeerClient(options.box, options.now, (work) =>
-			this.workSharing.noteFleetWork(work),
+			this.sharing.work.noteFleetWork(work),
 		)
 		this.board = new TargetBoard({
 			coldGate: new ColdStartGate({
@@ -134,26 +130,17 @@
 		this.pools = new TargetPools(options.now, () =>
 			options.metrics.count('stallwing_connections_opened_total'),
 		)
-		this.crashes = new CrashProtection({
-			...options,
-			key: options.documents.quarantineKey,
+		this.sharing = new PeerSharing({
+			gateway: options,
 			board: this.board,
-			pool: (target) => this.pools.of(target),
-			datagrams: this.datagrams,
-			peers: () => this.roster.others,
-		})
-		this.leaving = new LeavingSharing({
-			...options,
-			board: this.board,
-			datagrams: this.datagrams,
-			peers: () => this.roster.others,
-			onHeard: ({ name }) => this.pools.dropIdle(name),
+			pools: this.pools,
+			roster: this.roster,
 		})
 		this.targets = new TargetDirectory({
 			board: this.board,
 			readTarget: (item) => options.documents.readTarget(item),
 			onDropped: (target) => this.pools.drop(target.name),
-			onEnded: (restarted, gone) => this.crashes.noteListed(restarted, gone),
+			onEnded: (restarted, gone) => this.sharing.crashes.noteListed(restarted, gone),
 			listAgeMs: () => this.targetListAgeMs,
 			answeredMs: () => this.feed.answeredMs(options.documents.targetsPrefix),
 			now: options.now,
@@ -188,19 +175,11 @@
 		this.readiness = new ReadinessServer(() => this.ready, options.log)
 		this.peers = new PeerServer({
 			lend: (account, request) => this.allowance.lend(account, request),
-			fleetWork: (asker) => (this.roster.isLarge ? this.workSharing.fleetWork(asker) : []),
+			fleetWork: (asker) => (this.roster.isLarge ? this.sharing.work.fleetWork(asker) : []),
 			accept: (account, tokens, budgetsAt) => this.allowance.accept(account, tokens, budgetsAt),
 			isOpen: () => !this.context.stopping,
 			changes: (prefix, after, waitMs) => this.feed.answer(prefix, after, waitMs),
 		})
-		this.workSharing = new WorkSharing({
-			datagrams: this.datagrams,
-			box: options.box,
-			board: this.board,
-			peers: () => this.roster.workPeers,
-			isHub: () => this.roster.isLarge && this.roster.isLender,
-			now: options.now,
-		})
 		this.followers = [this.followConfig(), this.followTargets()]
 	}
 
@@ -216,9 +195,7 @@
 		const callers = await listenOn(this.callers, this.options.listen.callers)
 		const readiness = await this.readiness.listen(this.options.listen.readiness)
 		await this.peers.listen(this.options.listen.peers)
-		await this.datagrams.start(this.options.listen.peers)
-		this.workSharing.start()
-		this.crashes.start()
+		await this.sharing.start()
 		for (const follower of this.followers) void follower.run()
 		this.loopDelay.start()
 		void this.roster.run()
@@ -252,17 +229,14 @@
 		this.roster.stop()
 		this.loopDelay.stop()
 		for (const timer of this.timers) clearInterval(timer)
-		this.workSharing.stop()
-		this.crashes.stop()
-		this.leaving.stop()
-		this.datagrams.stop()
+		this.sharing.stop()
 		this.options.log({ name: 'stop-done', fields: { open: this.open } })
 	}
 
 	private sweep(): void {
 		this.pools.sweep()
 		this.targets.maintain()
-		this.crashes.maintain()
+		this.sharing.crashes.maintain()
 	}
 
 	/** Waits until no request is open, at most until a point in time. */
@@ -291,7 +265,7 @@
 
 	/** Lets a quarantined request run again, at all boxes. False where nothing is held against it. */
 	release(fingerprint: string): boolean {
-		return this.crashes.release(brandId<RequestFingerprint>(fingerprint))
+		return this.sharing.crashes.release(brandId<RequestFingerprint>(fingerprint))
 	}
 
 	private makeContext(): GatewayContext {
@@ -302,7 +276,7 @@
 			dialect: options.dialect,
 			board: this.board,
 			allowance: this.allowance,
-			crashes: this.crashes,
+			crashes: this.sharing.crashes,
 			metrics: options.metrics,
 			traffic: undefined,
 			repeatLimits: options.repeatLimits,
@@ -322,7 +296,7 @@
 			isLapsed: (target) => this.targets.isLapsed(target),
 			onSaidLeaving: (target) => {
 				this.pools.dropIdle(target.name)
-				this.leaving.tell(target)
+				this.sharing.leaving.tell(target)
 			},
 			repeats: (service) => this.limits.repeats(service),
 			delayMs: () => this.loopDelay.ms,
--- a/packages/gateway/src/lib/GatewayReport.ts
+++ b/packages/gateway/src/lib/GatewayReport.ts
@@ -1,4 +1,4 @@
-import type { BoxName, TargetBoard, ZoneName } from '@stallwing/core'
+import type { BoxName, NoticedTarget, TargetBoard, ZoneName } from '@stallwing/core'
 import type { AllowanceClient } from './AllowanceClient.js'
 import type { QuarantineStatus } from './CrashProtection.js'
 import type { FeedRelay } from './FeedRelay.js'
@@ -45,6 +45,8 @@
 	readonly targets: number
 	readonly coldTargets: number
 	readonly cordonedZones: readonly CordonStatus[]
+	/** Targets that get no work of this box because of what they said of themselves. */
+	readonly noticedTargets: readonly NoticedTarget[]
 	/** Requests that end their targets, and aren't sent to any. */
 	readonly quarantined: readonly QuarantineStatus[]
 	/** Requests under way. */
@@ -67,6 +69,7 @@
 			targets: board.size,
 			coldTargets: board.coldCount(now),
 			cordonedZones: this.cordons(now),
+			noticedTargets: board.noticedTargets(now),
 			quarantined: context.crashes.status,
 			open: open(),
 		}
@@ -85,6 +88,11 @@
 			stallwing_suspect_requests: context.crashes.suspects,
 			stallwing_quarantined_requests: status.quarantined.length,
 			stallwing_targets_cold: status.coldTargets,
+			stallwing_targets_said_leaving: countOf(
+				status.noticedTargets,
+				(row) => row.leavingForMs !== undefined,
+			),
+			stallwing_targets_in_backoff: countOf(status.noticedTargets, (row) => row.backoffMs > 0),
 			stallwing_targets_word_age_ms: roundAge(feed.ageMs(targetsPrefix)),
 			stallwing_configuration_version: status.configuration,
 			stallwing_configuration_age_ms: traffic ? Math.round(context.worldNow() - traffic.since) : -1,
@@ -115,3 +123,7 @@
 		return roundAge(this.parts.feed.ageMs(this.parts.configPrefix))
 	}
 }
+
+function countOf<T>(rows: readonly T[], isCounted: (row: T) => boolean): number {
+	return rows.filter(isCounted).length
+}
--- a/packages/gateway/src/lib/LeavingSharing.ts
+++ b/packages/gateway/src/lib/LeavingSharing.ts
@@ -70,7 +70,7 @@
 	private hear(target: TargetStart): void {
 		const { board, log, metrics, now, onHeard } = this.options
 		if (!board.isListedAsReady(target) || !board.noteLeaving(target, now())) return
-		metrics.count('stallwing_target_notices_total', 'kind="leaving-heard"')
+		metrics.count('stallwing_target_notices_total', 'event="target-heard-leaving"')
 		log({ name: 'target-heard-leaving', fields: { target: target.name, life: lifeOf(target) } })
 		onHeard(target)
 	}
--- a/packages/gateway/src/lib/readTargetNotice.test.ts
+++ b/packages/gateway/src/lib/readTargetNotice.test.ts
@@ -1,12 +1,14 @@
 import * as fc from 'fast-check'
 import { describe, expect, it } from 'vitest'
+import { DIALECT } from './testBox.js'
 import { readTargetNotice, type BackoffNotice } from './readTargetNotice.js'
 
-const NAMES = { leaving: { header: 'leaving', value: 'yes' } }
-const WRONG_TARGET = 421
+const WRONG_TARGET = DIALECT.wrongTargetStatus
+const LOAD = { running: 3, waiting: 0, slots: 8 }
 
 function read(status: number, headers: Record<string, string | string[]>) {
-	return readTargetNotice({ status, headers, rawHeaders: [] }, NAMES, WRONG_TARGET)
+	const dialect = { ...DIALECT, readLoad: () => LOAD }
+	return readTargetNotice({ status, headers, rawHeaders: [] }, dialect)
 }
 
 function backoff(status: number, text: string): BackoffNotice {
@@ -28,8 +30,24 @@
 	})
 
 	it('takes nothing from an answer of another target', () => {
-		const notice = read(WRONG_TARGET, { leaving: 'yes', 'retry-after': '3' })
-		expect(notice).toEqual({ leaving: false, backoff: { kind: 'none' } })
+		const all = { leaving: 'yes', 'retry-after': '3', load: '3,0,8', 'cold-ms': '500' }
+		expect(read(WRONG_TARGET, all)).toEqual({
+			leaving: false,
+			backoff: { kind: 'none' },
+			load: undefined,
+			coldMs: undefined,
+		})
+		expect(read(503, all)).toEqual({
+			leaving: true,
+			backoff: { kind: 'asked', ms: 3_000 },
+			load: LOAD,
+			coldMs: 500,
+		})
+	})
+
+	it('reads no cold time that is none', () => {
+		for (const text of ['', '-1', 'soon', 'NaN'])
+			expect(read(200, { 'cold-ms': text }).coldMs).toBeUndefined()
 	})
 
 	it('reads whole seconds and parts of them from answers that turn a request away', () => {
--- a/packages/gateway/src/lib/readTargetNotice.ts
+++ b/packages/gateway/src/lib/readTargetNotice.ts
@@ -1,4 +1,5 @@
-import type { TargetHeaders } from './Dialect.js'
+import { exhaustive, type TargetLoad } from '@stallwing/core'
+import type { Dialect } from './Dialect.js'
 import type { AnswerHead } from './sendToTarget.js'
 
 /**
@@ -17,8 +18,19 @@
 	/** The target ends soon and takes no new work. */
 	readonly leaving: boolean
 	readonly backoff: BackoffNotice
+	/** Undefined where it told none. */
+	readonly load: TargetLoad | undefined
+	/** For how much longer it is slow after its start, in ms; undefined where it did not say. */
+	readonly coldMs: number | undefined
 }
 
+/** An answer of another target than the one that was meant says nothing of that one. */
+const NO_NOTICE: TargetNotice = {
+	leaving: false,
+	backoff: { kind: 'none' },
+	load: undefined,
+	coldMs: undefined,
+}
 /** The standard header of HTTP, in seconds; a date is not understood, as targets send none. */
 const RETRY_AFTER = 'retry-after'
 /** Statuses of answers that turn a request away, on which the header speaks of the target's load. */
@@ -29,18 +41,35 @@
 /** Characters of a header that is not understood that a log line holds. */
 const MOST_LOGGED_CHARS = 40
 
-/**
- * Reads what an answer says of its target. An answer that says another target stands there (`wrongTargetStatus`) tells
- * nothing of the one that was meant.
- */
+/** Reads all that an answer says of its target. */
 export function readTargetNotice(
 	head: AnswerHead,
-	names: TargetHeaders,
-	wrongTargetStatus: number,
+	dialect: Pick<Dialect, 'headers' | 'readLoad' | 'wrongTargetStatus'>,
 ): TargetNotice {
-	if (head.status === wrongTargetStatus) return { leaving: false, backoff: { kind: 'none' } }
+	if (head.status === dialect.wrongTargetStatus) return NO_NOTICE
+	const names = dialect.headers
+	const load = head.headers[names.load]
 	const told = valuesOf(head.headers[names.leaving.header])
-	return { leaving: told.includes(names.leaving.value), backoff: readBackoff(head) }
+	return {
+		leaving: told.includes(names.leaving.value),
+		backoff: readBackoff(head),
+		load: typeof load === 'string' ? dialect.readLoad(load) : undefined,
+		coldMs: readColdMs(head.headers[names.coldMs]),
+	}
+}
+
+/** For a log line: ms, or the words that were not understood. */
+export function describeBackoff(backoff: BackoffNotice): string {
+	switch (backoff.kind) {
+		case 'none':
+			return ''
+		case 'asked':
+			return String(backoff.ms)
+		case 'unreadable':
+			return `not understood: ${backoff.text}`
+		default:
+			return exhaustive(backoff)
+	}
 }
 
 function readBackoff({ status, headers }: AnswerHead): BackoffNotice {
@@ -51,6 +80,12 @@
 	return { kind: 'unreadable', text: String(text).slice(0, MOST_LOGGED_CHARS) }
 }
 
+function readColdMs(header: string | string[] | undefined): number | undefined {
+	if (typeof header !== 'string' || header === '') return undefined
+	const coldMs = Number(header)
+	return coldMs >= 0 ? coldMs : undefined
+}
+
 /** Values of a header, which may occur more than once. */
 function valuesOf(header: string | string[] | undefined): readonly string[] {
 	if (header === undefined) return []
--- /dev/null
+++ b/packages/gateway/src/lib/takeTargetNotice.ts
@@ -0,0 +1,82 @@
+import {
+	exhaustive,
+	lifeOf,
+	type AttemptHandle,
+	type LogEventName,
+	type LogValue,
+	type Place,
+} from '@stallwing/core'
+import type { CallerRequest } from './CallerRequest.js'
+import type { GatewayContext } from './GatewayContext.js'
+import { roundAge } from './roundAge.js'
+import type { BackoffNotice, TargetNotice } from './readTargetNotice.js'
+
+/** The attempt whose answer speaks. */
+interface AnsweredAttempt {
+	readonly handle: AttemptHandle
+	readonly place: Place
+	readonly request: CallerRequest
+}
+
+/**
+ * Takes what a target says of itself to the board, from the head of any answer on: the list may be out of date while
+ * the store is away, and a target that turns requests away at once would look the cheapest of all.
+ */
+export function takeTargetNotice(
+	context: GatewayContext,
+	attempt: AnsweredAttempt,
+	notice: TargetNotice,
+): void {
+	const { handle, place } = attempt
+	const now = context.now()
+	if (notice.load) handle.noteLoad(notice.load, now)
+	if (notice.coldMs !== undefined) handle.noteCold(notice.coldMs, now)
+	takeBackoff(context, attempt, notice.backoff, now)
+	if (!notice.leaving || !handle.noteLeaving(now)) return
+	logNotice(context, attempt, 'target-said-leaving', {})
+	context.onSaidLeaving(place.target)
+}
+
+function takeBackoff(
+	context: GatewayContext,
+	attempt: AnsweredAttempt,
+	backoff: BackoffNotice,
+	now: number,
+): void {
+	switch (backoff.kind) {
+		case 'none':
+			return
+		case 'asked': {
+			const endsInMs = Math.round(attempt.handle.noteBackoff(backoff.ms, now) - now)
+			logNotice(context, attempt, 'target-backoff', { askedMs: backoff.ms, endsInMs })
+			return
+		}
+		case 'unreadable':
+			logNotice(context, attempt, 'target-notice-unreadable', { text: backoff.text })
+			return
+		default:
+			exhaustive(backoff)
+	}
+}
+
+function logNotice(
+	context: GatewayContext,
+	{ place, request }: AnsweredAttempt,
+	name: LogEventName,
+	facts: Readonly<Record<string, LogValue>>,
+): void {
+	const { target } = place
+	context.metrics.count('stallwing_target_notices_total', `event="${name}"`)
+	context.log({
+		name,
+		fields: {
+			target: target.name,
+			life: lifeOf(target),
+			service: target.service,
+			request: request.id,
+			targetRevision: target.revision,
+			targetListAgeMs: roundAge(context.targetListAgeMs()),
+			...facts,
+		},
+	})
+}
