A new life takes over only what was said after its start; a closed service is found at its first open target

Cause, found in reading: with a backoff that a new life asked for, its predecessor's word of leaving went over to it; and each request filtered all targets of its service by zone before the first open one was looked for. Change: both words are compared with the start on their own; the filter runs only where no target is open. The test of the first fails without the change.

--- a/packages/core/src/lib/placement/TargetAdmission.ts
+++ b/packages/core/src/lib/placement/TargetAdmission.ts
@@ -129,10 +129,15 @@
 		this.coldGate?.forget(name)
 	}
 
-	/** Why none of the targets of a service takes new work; undefined where one does. */
-	closedCause(targets: readonly TargetState[], now: Millis): ClosedService | undefined {
-		if (targets.some((target) => this.admits(target, now))) return undefined
-		const lasting = targets.filter((target) => !target.leaving)
+	/** Why none of the targets of a service, in zones where a request may run, takes new work; undefined where one does. */
+	closedCause(
+		targets: readonly TargetState[],
+		now: Millis,
+		mayRunIn: (zone: ZoneName) => boolean,
+	): ClosedService | undefined {
+		const isUsable = ({ entry }: TargetState): boolean => mayRunIn(entry.zone)
+		if (targets.some((target) => isUsable(target) && this.admits(target, now))) return undefined
+		const lasting = targets.filter((target) => isUsable(target) && !target.leaving)
 		if (lasting.length === 0) return { cause: 'none', opensInMs: undefined }
 		const inService = lasting.filter((target) => this.isInService(target))
 		if (inService.length === 0) return { cause: 'cordoned', opensInMs: undefined }
--- a/packages/core/src/lib/placement/TargetBoard.ts
+++ b/packages/core/src/lib/placement/TargetBoard.ts
@@ -78,8 +78,7 @@
 		mayRunIn: PlaceQuery['mayRunIn'] = () => true,
 	): ClosedService | undefined {
 		const listed = this.byService.get(service) ?? []
-		const usable = listed.filter(({ entry }) => mayRunIn(entry.zone))
-		return this.admission.closedCause(usable, now)
+		return this.admission.closedCause(listed, now, mayRunIn)
 	}
 
 	/**
--- a/packages/core/src/lib/placement/TargetNotices.test.ts
+++ b/packages/core/src/lib/placement/TargetNotices.test.ts
@@ -95,6 +95,18 @@
 		expect(chosen(board, 21_000)).toBeUndefined()
 	})
 
+	it('gets work again where only the life before said it, and the new one asked for a backoff', () => {
+		const board = boardOf(entry('a', { bornAt: WALL }))
+		const handle = sendTo(board, 'a', 0)
+		handle.noteLeaving(10)
+		handle.noteBackoff(3_000, 20_000)
+		board.replace([entry('a', { bornAt: WALL + 10_000 })], 21_000, WALL + 21_000)
+		expect(chosen(board, 22_999)).toBeUndefined()
+		expect(board.closedCause(SERVICE, 22_999)?.cause).toBe('backoff')
+		handle.noteByte(23_000)
+		expect(chosen(board, 23_000)).toBe('a')
+	})
+
 	it('is no longer the home of a prompt', () => {
 		const board = boardOf(entry('a'), entry('bb'), entry('ccc'))
 		const work = promptOf('session')
--- a/packages/core/src/lib/placement/TargetNotices.ts
+++ b/packages/core/src/lib/placement/TargetNotices.ts
@@ -7,8 +7,8 @@
 	readonly leavingSince: Millis | undefined
 	/** It asked this box to send nothing until then. */
 	readonly backoffUntil: Millis
-	/** When it last said any of this. */
-	readonly saidAt: Millis
+	/** When it last asked for that. */
+	readonly backoffSaidAt: Millis
 }
 
 /** A notice, and since when its target has not been listed; undefined where it is. */
@@ -35,7 +35,7 @@
 export const NOTHING_SAID: TargetNotice = {
 	leavingSince: undefined,
 	backoffUntil: Number.NEGATIVE_INFINITY,
-	saidAt: Number.NEGATIVE_INFINITY,
+	backoffSaidAt: Number.NEGATIVE_INFINITY,
 }
 
 /**
@@ -58,7 +58,7 @@
 	/** It said that it leaves. */
 	noteLeaving(life: TargetLife, now: Millis): TargetNotice {
 		const before = this.of(life)
-		return this.hold(life, { ...before, leavingSince: before.leavingSince ?? now, saidAt: now })
+		return this.hold(life, { ...before, leavingSince: before.leavingSince ?? now })
 	}
 
 	/** It asked for so much time without requests. Of times that overlap, the later end holds. */
@@ -66,7 +66,7 @@
 		const before = this.of(life)
 		const until = now + Math.min(ms, LONGEST_BACKOFF_MS)
 		const backoffUntil = Math.max(before.backoffUntil, until)
-		return this.hold(life, { ...before, backoffUntil, saidAt: now })
+		return this.hold(life, { ...before, backoffUntil, backoffSaidAt: now })
 	}
 
 	/**
@@ -74,9 +74,16 @@
 	 * was said by the new life: its answers came before its entry, as they do while the store is away.
 	 */
 	noteRestart(from: TargetStart, to: TargetStart, ageMs: Millis, now: Millis): void {
-		const notice = this.held.get(lifeOf(from))
-		if (!notice || notice.saidAt < now - ageMs + CLOCK_TOLERANCE_MS) return
-		this.hold(lifeOf(to), notice)
+		const {
+			leavingSince = Number.NEGATIVE_INFINITY,
+			backoffSaidAt,
+			backoffUntil,
+		} = this.of(lifeOf(from))
+		const surelyBorn = now - ageMs + CLOCK_TOLERANCE_MS
+		const life = lifeOf(to)
+		if (leavingSince >= surelyBorn) this.noteLeaving(life, leavingSince)
+		if (backoffSaidAt >= surelyBorn)
+			this.noteBackoff(life, backoffUntil - backoffSaidAt, backoffSaidAt)
 	}
 
 	/** Lets go of what was said by targets that have not been listed for long. */
