--- a/packages/core/src/lib/placement/backoffModel.test.ts
+++ b/packages/core/src/lib/placement/backoffModel.test.ts
@@ -1,4 +1,5 @@
 import { describe, expect, it } from 'vitest'
+import { randomOf } from '../testRandom.js'
 import { playOverload, type OverloadOptions } from './backoffModel.js'
 
 const SEEDS = [1, 2, 3]
@@ -38,14 +39,6 @@
 	return served / asked
 }
 
-function randomOf(seed: number): () => number {
-	let state = seed
-	return () => {
-		state = (Math.imul(state, 1_664_525) + 1_013_904_223) >>> 0
-		return state / 2 ** 32
-	}
-}
-
 describe('a service that is over its capacity for 3 s', () => {
 	it.each([
 		['plain requests', PLAIN],
--- a/packages/core/src/lib/quarantine/crashModel.test.ts
+++ b/packages/core/src/lib/quarantine/crashModel.test.ts
@@ -1,5 +1,6 @@
 import fc from 'fast-check'
 import { describe, expect, it } from 'vitest'
+import { randomOf } from '../testRandom.js'
 import { playCrashes, type CrashModelOptions, type CrashModelResult } from './crashModel.js'
 
 const TARGETS = 12
@@ -30,14 +31,6 @@
 	fc.assert(property, { numRuns: RUNS, seed: 7 })
 }
 
-function randomOf(seed: number): () => number {
-	let state = seed
-	return () => {
-		state = (Math.imul(state, 1_664_525) + 1_013_904_223) >>> 0
-		return state / 2 ** 32
-	}
-}
-
 describe('requests that end targets, beside others', () => {
 	it('are stopped after a few targets where there is one, and under 1 in 100 tries of others are refused', () => {
 		play(fc.integer({ min: 0, max: 1 }), (result) => {
