--- a/packages/gateway/src/lib/Exchange.ts
+++ b/packages/gateway/src/lib/Exchange.ts
@@ -15,6 +15,7 @@
 import { AnswerWriter } from './AnswerWriter.js'
 import { Attempt, type AttemptEnd } from './Attempt.js'
 import { isRepeatable, readCallerRequest, type CallerRequest } from './CallerRequest.js'
+import { chargeFor } from './chargeFor.js'
 import { closedService } from './closedService.js'
 import type { GatewayContext, TrafficInForce } from './GatewayContext.js'
 import { answerTimes, choiceLine, endLine, resumeLine } from './exchangeLines.js'
@@ -327,22 +328,19 @@
 			this.breakOff(`status ${end.status} inside a stream`)
 			return
 		}
-		this.reservation.settle(this.chargeOf(request, end))
+		this.reservation.settle(
+			chargeFor(request, {
+				tokensPerEvent: this.context.traffic?.index.service(request.service)?.tokensPerEvent,
+				isOneStream: this.sent <= 1 && !end.whole,
+				events: this.answer.events,
+			}),
+		)
 		if (end.whole) this.answer.whole(end.whole.head, end.whole.body)
 		else this.answer.endStream()
 		const times = answerTimes(this.answer, request.route, this.arrivedAt, this.firstSentAt)
 		this.noteEnd('request-answered', { status: end.status, ...times })
 	}
 
-	/** Tokens that an answered request is charged: what came out where one target made all of it. */
-	private chargeOf(request: CallerRequest, end: AttemptEnd): number {
-		const perEvent = this.context.traffic?.index.service(request.service)?.tokensPerEvent
-		const { work } = request
-		if (!work || perEvent === undefined || this.sent > 1 || end.whole) return Infinity
-		const out = Math.min(work.maxOutputTokens, this.answer.events * perEvent)
-		return work.inputTokens + out
-	}
-
 	private giveUp(cause: string): void {
 		if (this.answer.begun) {
 			this.breakOff(cause)
