Read again: one look-up of a listed life on the board, one interface of header names

Three places of TargetBoard compared a listed target's life by hand; an interface of one field was left over from the first reader of notices. Moved only; no test is changed.

--- a/packages/core/src/lib/placement/TargetBoard.ts
+++ b/packages/core/src/lib/placement/TargetBoard.ts
@@ -182,8 +182,13 @@
 
 	/** True where the list calls this life of the target ready, whatever it says itself. */
 	isListedAsReady(target: TargetStart): boolean {
-		const entry = this.targets.get(target.name)?.entry
-		return entry !== undefined && !entry.leaving && lifeOf(entry) === lifeOf(target)
+		return this.stateOf(target)?.entry.leaving === false
+	}
+
+	/** What is believed of this life of a target, where it is the one that is listed. */
+	private stateOf(target: TargetStart): TargetState | undefined {
+		const state = this.targets.get(target.name)
+		return state && lifeOf(state.entry) === lifeOf(target) ? state : undefined
 	}
 
 	serviceOf(target: TargetName): ServiceName | undefined {
@@ -285,8 +290,8 @@
 
 	/** Takes what a life said, where it is the one that is listed. */
 	private takeNotice(target: TargetStart, notice: TargetNotice): void {
-		const state = this.targets.get(target.name)
-		if (state && lifeOf(state.entry) === lifeOf(target)) state.notice = notice
+		const state = this.stateOf(target)
+		if (state) state.notice = notice
 	}
 
 	private noteFirstByte(
@@ -335,9 +340,8 @@
 
 	/** Looks again at what may have changed since the choice, while a connection was made. */
 	private maySend(chosen: TargetEntry, attempt: OpenAttempt, now: Millis): boolean {
-		const state = this.targets.get(chosen.name)
-		if (!state || lifeOf(state.entry) !== lifeOf(chosen)) return false
-		if (!this.admission.isOpen(state, now)) return false
+		const state = this.stateOf(chosen)
+		if (!state || !this.admission.isOpen(state, now)) return false
 		if (attempt.countedCold) return true
 		if (!this.admission.bearsOneMore(state, now)) return false
 		this.admission.count(state, now)
--- a/packages/gateway/src/lib/Dialect.ts
+++ b/packages/gateway/src/lib/Dialect.ts
@@ -8,14 +8,8 @@
 	readonly what: string
 }
 
-/** Headers of answers in which a target speaks of itself, all in lower case. */
-export interface TargetHeaders {
-	/** With this value: the target ends soon and takes no new work. */
-	readonly leaving: { readonly header: string; readonly value: string }
-}
-
 /** Names of headers, all in lower case. */
-export interface HeaderNames extends TargetHeaders {
+export interface HeaderNames {
 	/** Identifies one try of a caller; a target sends it back. */
 	readonly requestId: string
 	/** How long the caller, or what is left for a target, will wait, in ms. */
@@ -36,6 +30,8 @@
 	readonly load: string
 	/** On an answer: for how much longer the target is slow after a start, in ms. */
 	readonly coldMs: string
+	/** On an answer, with this value: the target ends soon and takes no new work. */
+	readonly leaving: { readonly header: string; readonly value: string }
 }
 
 /** How callers and targets spell what the gateway means. @public */
