Sight: the line of an ended attempt tells which rate the answer named

Cause: whether a box read a target's rate and kept it alone, or did not read it, no line could tell. Now the head of an answer is read for it (typed: silent, none, named, unreadable), and nothing is decided by it yet. An answer of another target, or one without the mark of the target, says nothing of the rate. Evidence: readTargetNotice.test.ts (rates whole, in parts, 0, huge, twice, rubbish).

--- a/internal/bench/src/lib/gatewayWorld.ts
+++ b/internal/bench/src/lib/gatewayWorld.ts
@@ -124,6 +124,7 @@
 		load: 'load',
 		coldMs: 'cold-ms',
 		leaving: { header: 'leaving', value: 'yes' },
+		requestRate: 'request-rate',
 	},
 	fleetHeaders: new Set(['authorization', 'account', 'expected-target', 'deadline-ms', 'rank']),
 	lowestRank: 9,
--- a/packages/gateway/src/lib/Attempt.ts
+++ b/packages/gateway/src/lib/Attempt.ts
@@ -10,7 +10,12 @@
 import type { CallerRequest } from './CallerRequest.js'
 import type { GatewayContext } from './GatewayContext.js'
 import type { RequestContent } from './RequestContent.js'
-import { describeBackoff, readTargetNotice, type TargetNotice } from './readTargetNotice.js'
+import {
+	describeBackoff,
+	describeRate,
+	readTargetNotice,
+	type TargetNotice,
+} from './readTargetNotice.js'
 import {
 	sendToTarget,
 	type AnswerHead,
@@ -257,6 +262,7 @@
 				fingerprint: outcome.kind === 'unknown' ? this.content.fingerprint : '',
 				saidLeaving: this.notice?.leaving ?? false,
 				saidBackoff: this.notice ? describeBackoff(this.notice.backoff) : '',
+				saidRate: this.notice ? describeRate(this.notice.rate) : '',
 			},
 		})
 		const wasClosed = outcome.kind === 'unknown' && !this.gaveUp
--- a/packages/gateway/src/lib/Dialect.ts
+++ b/packages/gateway/src/lib/Dialect.ts
@@ -32,6 +32,8 @@
 	readonly coldMs: string
 	/** On an answer, with this value: the target ends soon and takes no new work. */
 	readonly leaving: { readonly header: string; readonly value: string }
+	/** On an answer: the requests a second that the target takes from all boxes together. */
+	readonly requestRate: string
 }
 
 /** How callers and targets spell what the gateway means. @public */
--- a/packages/gateway/src/lib/readTargetNotice.test.ts
+++ b/packages/gateway/src/lib/readTargetNotice.test.ts
@@ -1,7 +1,7 @@
 import * as fc from 'fast-check'
 import { describe, expect, it } from 'vitest'
 import { DIALECT } from './testBox.js'
-import { readTargetNotice, type BackoffNotice } from './readTargetNotice.js'
+import { readTargetNotice, type BackoffNotice, type RateNotice } from './readTargetNotice.js'
 
 const WRONG_TARGET = DIALECT.wrongTargetStatus
 const LOAD = { running: 3, waiting: 0, slots: 8 }
@@ -15,6 +15,10 @@
 	return read(status, { 'retry-after': text }).backoff
 }
 
+function rate(text: string | string[], status = 200): RateNotice {
+	return read(status, { 'request-rate': text }).rate
+}
+
 describe('readTargetNotice', () => {
 	it('takes the word that a target leaves from answers of all kinds, also where it stands twice', () => {
 		for (const status of [200, 400, 429, 500, 503])
@@ -30,16 +34,24 @@
 	})
 
 	it('takes nothing from an answer of another target', () => {
-		const all = { leaving: 'yes', 'retry-after': '3', load: '3,0,8', 'cold-ms': '500' }
+		const all = {
+			leaving: 'yes',
+			'retry-after': '3',
+			load: '3,0,8',
+			'cold-ms': '500',
+			'request-rate': '2',
+		}
 		expect(read(WRONG_TARGET, all)).toEqual({
 			leaving: false,
 			backoff: { kind: 'none' },
+			rate: { kind: 'silent' },
 			load: undefined,
 			coldMs: undefined,
 		})
 		expect(read(503, all)).toEqual({
 			leaving: true,
 			backoff: { kind: 'asked', ms: 3_000 },
+			rate: { kind: 'named', perSecond: 2 },
 			load: LOAD,
 			coldMs: 500,
 		})
@@ -71,6 +83,41 @@
 			expect(backoff(503, text)).toEqual({ kind: 'unreadable', text })
 	})
 
+	it('reads the requests a second that a target takes, from answers of all kinds', () => {
+		for (const status of [200, 400, 429, 500, 503])
+			expect(rate('1.3', status)).toEqual({ kind: 'named', perSecond: 1.3 })
+		for (const [text, perSecond] of [
+			['0', 0],
+			['0.25', 0.25],
+			[' 7 ', 7],
+			['999999999', 999_999_999],
+			['4, 3', 3],
+		] as const)
+			expect(rate(text)).toEqual({ kind: 'named', perSecond })
+		expect(rate(['5', '2'])).toEqual({ kind: 'named', perSecond: 2 })
+	})
+
+	it('tells which rate it does not understand', () => {
+		for (const text of [
+			'',
+			'-1',
+			'few',
+			'1e3',
+			'.5',
+			'1.',
+			'NaN',
+			'Infinity',
+			'2, few',
+			'9'.repeat(10),
+		])
+			expect(rate(text)).toEqual({ kind: 'unreadable', text })
+	})
+
+	it('takes the end of a rate only from an answer that bears the mark of the target', () => {
+		expect(read(200, { 'target-mark': 't' }).rate).toEqual({ kind: 'none' })
+		expect(read(502, {}).rate).toEqual({ kind: 'silent' })
+	})
+
 	it('never yields a time that is not a finite number of ms, whatever the header holds', () => {
 		fc.assert(
 			fc.property(fc.string(), (text) => {
--- a/packages/gateway/src/lib/readTargetNotice.ts
+++ b/packages/gateway/src/lib/readTargetNotice.ts
@@ -1,5 +1,5 @@
 import { exhaustive, type TargetLoad } from '@stallwing/core'
-import type { Dialect } from './Dialect.js'
+import type { Dialect, HeaderNames } from './Dialect.js'
 import type { AnswerHead } from './sendToTarget.js'
 
 /**
@@ -13,11 +13,25 @@
 	| { readonly kind: 'asked'; readonly ms: number }
 	| { readonly kind: 'unreadable'; readonly text: string }
 
+/**
+ * The requests a second that a target takes from all boxes together, for as long as its answers name it.
+ * - `silent`: the answer is none of this target, so that what it named before stands.
+ * - `none`: it names no such rate, or no longer.
+ * - `named`: it takes so many.
+ * - `unreadable`: it names one in words that are not understood; what it named before stands.
+ */
+export type RateNotice =
+	| { readonly kind: 'silent' }
+	| { readonly kind: 'none' }
+	| { readonly kind: 'named'; readonly perSecond: number }
+	| { readonly kind: 'unreadable'; readonly text: string }
+
 /** What the head of an answer says of its target, beside the answer. */
 export interface TargetNotice {
 	/** The target ends soon and takes no new work. */
 	readonly leaving: boolean
 	readonly backoff: BackoffNotice
+	readonly rate: RateNotice
 	/** Undefined where it told none. */
 	readonly load: TargetLoad | undefined
 	/** For how much longer it is slow after its start, in ms; undefined where it did not say. */
@@ -28,6 +42,7 @@
 const NO_NOTICE: TargetNotice = {
 	leaving: false,
 	backoff: { kind: 'none' },
+	rate: { kind: 'silent' },
 	load: undefined,
 	coldMs: undefined,
 }
@@ -35,8 +50,8 @@
 const RETRY_AFTER = 'retry-after'
 /** Statuses of answers that turn a request away, on which the header speaks of the target's load. */
 const TURNED_AWAY: ReadonlySet<number> = new Set([429, 503])
-/** Whole seconds or parts of them, as the platform writes them. */
-const SECONDS = /^\d{1,9}(\.\d{1,9})?$/
+/** Whole numbers or decimals, as the platform writes seconds and rates. */
+const DECIMAL = /^\d{1,9}(\.\d{1,9})?$/
 const SECOND_MS = 1_000
 /** Characters of a header that is not understood that a log line holds. */
 const MOST_LOGGED_CHARS = 40
@@ -53,6 +68,7 @@
 	return {
 		leaving: told.includes(names.leaving.value),
 		backoff: readBackoff(head),
+		rate: readRate(head, names),
 		load: typeof load === 'string' ? dialect.readLoad(load) : undefined,
 		coldMs: readColdMs(head.headers[names.coldMs]),
 	}
@@ -72,11 +88,36 @@
 	}
 }
 
+/** For a log line: requests a second, or the words that were not understood. */
+export function describeRate(rate: RateNotice): string {
+	switch (rate.kind) {
+		case 'silent':
+		case 'none':
+			return ''
+		case 'named':
+			return String(rate.perSecond)
+		case 'unreadable':
+			return `not understood: ${rate.text}`
+		default:
+			return exhaustive(rate)
+	}
+}
+
 function readBackoff({ status, headers }: AnswerHead): BackoffNotice {
 	const text = headers[RETRY_AFTER]
 	if (text === undefined || !TURNED_AWAY.has(status)) return { kind: 'none' }
 	const [first = ''] = valuesOf(text)
-	if (SECONDS.test(first)) return { kind: 'asked', ms: Number(first) * SECOND_MS }
+	if (DECIMAL.test(first)) return { kind: 'asked', ms: Number(first) * SECOND_MS }
+	return { kind: 'unreadable', text: String(text).slice(0, MOST_LOGGED_CHARS) }
+}
+
+/** The lowest counts where it is named more than once. */
+function readRate({ headers }: AnswerHead, names: HeaderNames): RateNotice {
+	const text = headers[names.requestRate]
+	if (text === undefined) return { kind: headers[names.mark] === undefined ? 'silent' : 'none' }
+	const values = valuesOf(text)
+	if (values.every((value) => DECIMAL.test(value)))
+		return { kind: 'named', perSecond: Math.min(...values.map(Number)) }
 	return { kind: 'unreadable', text: String(text).slice(0, MOST_LOGGED_CHARS) }
 }
 
--- a/packages/gateway/src/lib/testBox.ts
+++ b/packages/gateway/src/lib/testBox.ts
@@ -35,6 +35,7 @@
 		load: 'load',
 		coldMs: 'cold-ms',
 		leaving: { header: 'leaving', value: 'yes' },
+		requestRate: 'request-rate',
 	},
 	fleetHeaders: new Set([
 		'authorization',
