--- a/packages/gateway/src/lib/testNoticeFleet.ts
+++ b/packages/gateway/src/lib/testNoticeFleet.ts
@@ -1,4 +1,5 @@
 import { MemoryStore, NotifyingTarget, type NotifyingAnswer } from '@stallwing/standins'
+import { freePort } from './freePort.js'
 import { sleep } from './sleep.js'
 import { DIALECT, TestBox, configOf, entryOf, type Answer } from './testBox.js'
 
@@ -37,8 +38,17 @@
 	readonly answer: Answer
 }
 
-/** Boxes over one store, which do not hear each other, and targets that the store lists as ready all the time. */
+/** What a {@link NoticeFleet} is made of. */
+export interface NoticeFleetOptions {
+	/** Number of boxes; {@link BOXES} where it is not said. */
+	readonly boxes?: number
+	/** Boxes hear each other, and have known each other for long. */
+	readonly areInTouch?: boolean
+}
+
+/** Boxes over one store, and targets that the store lists as ready all the time. */
 export class NoticeFleet {
+	private readonly boxCount: number
 	private readonly store = new MemoryStore({ now: () => performance.now(), sleep })
 	private boxes: readonly TestBox[] = []
 	private targets: readonly NotifyingTarget[] = []
@@ -46,7 +56,12 @@
 	private spokeAt = Infinity
 
 	/** `spoken`: what targets answer once they speak; the others answer well. */
-	constructor(private readonly spoken: Readonly<Record<string, NotifyingAnswer>>) {}
+	constructor(
+		private spoken: Readonly<Record<string, NotifyingAnswer>>,
+		private readonly options: NoticeFleetOptions = {},
+	) {
+		this.boxCount = options.boxes ?? BOXES
+	}
 
 	async start(): Promise<void> {
 		this.store.put('config/now', JSON.stringify(configOf(1)))
@@ -55,12 +70,19 @@
 			const entry = entryOf(`t${i}`, await target.start())
 			this.store.put(`targets/t${i}`, JSON.stringify(entry))
 		}
-		this.boxes = Array.from({ length: BOXES }, (_, i) => new TestBox(`box-${i}`, this.store))
+		this.boxes = await Promise.all(
+			Array.from({ length: this.boxCount }, (_, i) => this.makeBox(`box-${i}`)),
+		)
 		await Promise.all(this.boxes.map((box) => box.start()))
 		await Promise.all(this.boxes.map((box) => box.ready()))
 		this.spokeAt = performance.now()
 	}
 
+	/** From now on targets answer so. */
+	speak(spoken: Readonly<Record<string, NotifyingAnswer>>): void {
+		this.spoken = spoken
+	}
+
 	async stop(): Promise<void> {
 		for (const target of this.targets) target.stop()
 		await Promise.all(this.boxes.map((box) => box.stop()))
@@ -71,8 +93,8 @@
 		const until = performance.now() + forMs
 		const answers: Promise<void>[] = []
 		for (let i = 0; performance.now() < until; i++) {
-			const box = i % BOXES
-			const route = routes[Math.floor(i / BOXES) % routes.length] ?? ''
+			const box = i % this.boxCount
+			const route = routes[Math.floor(i / this.boxCount) % routes.length] ?? ''
 			answers.push(this.askOne(box, `${route}x`, `box-${box} ${i}`))
 			await sleep(PAUSE_MS)
 		}
@@ -119,6 +141,20 @@
 		return most
 	}
 
+	/** Times at which requests reached a target since targets speak, from boxes that had been told so long before. */
+	timesAt(name: string, toldMs: number): readonly number[] {
+		const requests = this.targets.find((target) => target.name === name)?.requests ?? []
+		const spoken = requests.filter(({ at }) => at >= this.spokeAt)
+		const toldAt = new Map<string, number>()
+		for (const { at, answer, requestId } of spoken) {
+			const box = idOf(requestId)
+			if (!toldAt.has(box) && namesRate(answer)) toldAt.set(box, at)
+		}
+		const isTold = ({ at, requestId }: { at: number; requestId: string }): boolean =>
+			at >= (toldAt.get(idOf(requestId)) ?? Infinity) + toldMs
+		return spoken.filter(isTold).map(({ at }) => at)
+	}
+
 	/** Requests that were not served although they came so long after targets began to speak. */
 	lateFailures(afterMs: number): number {
 		const late = this.asked.filter(({ at }) => at > this.spokeAt + afterMs)
@@ -150,11 +186,20 @@
 	private pairs(count: (requests: NotifyingTarget['requests']) => number): number {
 		let sum = 0
 		for (const target of this.targets)
-			for (let i = 0; i < BOXES; i++)
+			for (let i = 0; i < this.boxCount; i++)
 				sum += count(target.requests.filter(({ requestId }) => idOf(requestId) === `box-${i}`))
 		return sum
 	}
 
+	/** A box that hears others is listed already, as one that starts again. */
+	private async makeBox(name: string): Promise<TestBox> {
+		if (!this.options.areInTouch) return new TestBox(name, this.store)
+		const port = await freePort()
+		const member = { zone: 'z1', address: `127.0.0.1:${port}`, cores: 1 }
+		this.store.put(`box/${name}`, JSON.stringify(member))
+		return new TestBox(name, this.store, port)
+	}
+
 	private makeTarget(name: string): NotifyingTarget {
 		return new NotifyingTarget({
 			name,
@@ -177,3 +222,7 @@
 function asksForBackoff({ notice }: NotifyingAnswer): boolean {
 	return notice['retry-after'] !== undefined
 }
+
+function namesRate({ notice }: NotifyingAnswer): boolean {
+	return notice[DIALECT.headers.requestRate] !== undefined
+}
--- a/packages/standins/src/lib/NotifyingTarget.ts
+++ b/packages/standins/src/lib/NotifyingTarget.ts
@@ -40,9 +40,12 @@
 /** A target that says of itself in its answers what a test wants it to, and keeps what arrived. @public */
 export class NotifyingTarget {
 	readonly requests: NotifiedRequest[] = []
+	readonly name: string
 	private server: Server | undefined
 
-	constructor(private readonly options: NotifyingTargetOptions) {}
+	constructor(private readonly options: NotifyingTargetOptions) {
+		this.name = options.name
+	}
 
 	/** Returns its address. */
 	async start(): Promise<string> {
