A rate that ended does not come back by an older word of another box

What callers would have seen: a target that has recovered goes on unused by a box that hears an older word on its rate after it heard its end twice. Cause: the time of an end was kept only while a rate held, so that a word between two ends counted as newer than the first. Change: the time of the newest word is kept for each life that ever named a rate.

--- a/packages/core/src/lib/placement/TargetNotices.ts
+++ b/packages/core/src/lib/placement/TargetNotices.ts
@@ -91,7 +91,7 @@
 	 */
 	noteRate(life: TargetLife, perSecond: number | undefined, saidAt: Millis): TargetNotice {
 		const before = this.of(life)
-		const isNothing = perSecond === undefined && before.rate === undefined
+		const isNothing = perSecond === undefined && before.rateSaidAt === NOTHING_SAID.rateSaidAt
 		if (isNothing || saidAt < before.rateSaidAt) return before
 		const rate = perSecond === undefined ? undefined : { perSecond, saidAt }
 		return this.hold(life, { ...before, rate, rateSaidAt: saidAt })
