Headers of the platform that this version does not know are counted and logged once

A header of the platform's family that is neither read nor listed as of no use is told once by name, with its value and target (target-header-unknown).

--- a/internal/bench/src/lib/gatewayWorld.ts
+++ b/internal/bench/src/lib/gatewayWorld.ts
@@ -127,6 +127,8 @@
 		requestRate: 'request-rate',
 	},
 	fleetHeaders: new Set(['authorization', 'account', 'expected-target', 'deadline-ms', 'rank']),
+	ownHeader: /^own-/,
+	unreadHeaders: new Set(['own-instance']),
 	lowestRank: 9,
 	wrongTargetStatus: 421,
 	startLimits: LIMITS,
--- a/packages/core/src/lib/router/logEvents.ts
+++ b/packages/core/src/lib/router/logEvents.ts
@@ -135,6 +135,10 @@
 		number: 518,
 		text: 'Another box told the rate that a target named, or the end of it (-1)',
 	},
+	'target-header-unknown': {
+		number: 519,
+		text: 'An answer has a header of the platform that this version does not know',
+	},
 	'invariant-breach': {
 		number: 900,
 		text: 'An invariant would have been broken; the write was not made',
--- a/packages/gateway/src/lib/Attempt.ts
+++ b/packages/gateway/src/lib/Attempt.ts
@@ -120,6 +120,7 @@
 		this.firstByteMs = now - this.startedAt
 		this.head = head
 		this.notice = readTargetNotice(head, context.dialect)
+		context.newHeaders.note(head, place.target)
 		if (handle) takeTargetNotice(context, { handle, place, request }, this.notice)
 		if (isSuccess(head) && isEventStream(head)) this.beginStream(head)
 		this.watchSilence(this.patience().gapMs)
--- a/packages/gateway/src/lib/Dialect.ts
+++ b/packages/gateway/src/lib/Dialect.ts
@@ -41,6 +41,10 @@
 	readonly headers: HeaderNames
 	/** Headers that only the fleet may set for a target; a caller's are dropped. Lower case. */
 	readonly fleetHeaders: ReadonlySet<string>
+	/** Headers by which the platform's own programs speak to each other, lower case: a new one may be a word for a box. */
+	readonly ownHeader: RegExp
+	/** Those of them on answers that say nothing that a box needs. Lower case. */
+	readonly unreadHeaders: ReadonlySet<string>
 	/** The least urgent rank that a target knows. */
 	readonly lowestRank: number
 	/** Status by which a target says that it is not the one named. */
--- a/packages/gateway/src/lib/Gateway.ts
+++ b/packages/gateway/src/lib/Gateway.ts
@@ -18,6 +18,7 @@
 import type { GatewayOptions, GatewayPorts } from './GatewayOptions.js'
 import { GatewayReport, type GatewayStatus } from './GatewayReport.js'
 import { LoopDelay } from './LoopDelay.js'
+import { NewHeaders } from './NewHeaders.js'
 import { PeerClient } from './PeerClient.js'
 import { PeerServer } from './PeerServer.js'
 import { PeerSharing } from './PeerSharing.js'
@@ -297,6 +298,7 @@
 				this.pools.dropIdle(target.name)
 				this.sharing.leaving.tell(target)
 			},
+			newHeaders: new NewHeaders(options),
 			onSaidRate: (target, perSecond, isNews) => this.sharing.rates.note(target, perSecond, isNews),
 			repeats: (service) => this.limits.repeats(service),
 			delayMs: () => this.loopDelay.ms,
--- a/packages/gateway/src/lib/GatewayContext.ts
+++ b/packages/gateway/src/lib/GatewayContext.ts
@@ -16,6 +16,7 @@
 import type { ConnectionPool } from './ConnectionPool.js'
 import type { CrashProtection } from './CrashProtection.js'
 import type { Dialect } from './Dialect.js'
+import type { NewHeaders } from './NewHeaders.js'
 
 /** The configuration in force, with the revision of the store that brought it. */
 export interface TrafficInForce {
@@ -62,6 +63,8 @@
 	isLapsed(target: TargetName): boolean
 	/** A target said in an answer that it leaves, which is news to this box. */
 	onSaidLeaving(target: TargetEntry): void
+	/** Looks for headers of an answer that are not known. */
+	readonly newHeaders: NewHeaders
 	/** A target named a rate in an answer, or no longer does (undefined); `isNews`: another than this box knew. */
 	onSaidRate(target: TargetEntry, perSecond: number | undefined, isNews: boolean): void
 	repeats(service: ServiceName): RepeatBudget
--- a/packages/gateway/src/lib/closedService.ts
+++ b/packages/gateway/src/lib/closedService.ts
@@ -18,8 +18,8 @@
 ): ClosedDetail | undefined {
 	const closed = board.closedCause(request.service, now(), (zone) => mayRunIn(zone, request))
 	if (!closed) return undefined
-	const heldBack = describeRates(board.heldBack(request.service, now()))
-	const rates = closed.cause === 'rate' ? ` (${heldBack})` : ''
+	const heldBack = closed.cause === 'rate' ? board.heldBack(request.service, now()) : []
+	const rates = heldBack.length > 0 ? ` (${describeRates(heldBack)})` : ''
 	const opensInMs = closed.cause === 'cordoned' ? CORDON_PAUSE_MS : closed.opensInMs
 	return { detail: `${request.service}: ${closed.cause}${rates}`, opensInMs }
 }
--- a/packages/gateway/src/lib/testBox.ts
+++ b/packages/gateway/src/lib/testBox.ts
@@ -45,6 +45,8 @@
 		'rank',
 		'last-event-id',
 	]),
+	ownHeader: /^own-/,
+	unreadHeaders: new Set(['own-instance']),
 	lowestRank: 9,
 	wrongTargetStatus: 421,
 	startLimits: { headerBytes: 16_384, bodyBytes: 1_000, headerMs: 5_000, idleMs: 5_000 },
