Where boxes are more than the connections that a target takes, some boxes connect

What callers would have seen: with 499 boxes and targets that take 100 connections from all, connections are reset, and requests on them may have run, though each box kept its part. Cause: a bound over all boxes that each kept for itself: its part was one connection at least, 499 in all (75 of 20 in the test). Looked for as the same class as a rate that each box kept alone.

--- a/packages/gateway/src/lib/Gateway.ts
+++ b/packages/gateway/src/lib/Gateway.ts
@@ -149,11 +149,13 @@
 			log: options.log,
 		})
 		this.limits = new ServiceLimits({
+			self: options.box,
 			pools: this.pools,
 			serviceOf: (target) => this.board.serviceOf(target),
 			maxConnections: (service) =>
 				this.context.traffic?.index.service(service)?.maxConnections ?? Infinity,
 			boxes: () => this.roster.size,
+			boxNames: () => this.roster.boxes,
 		})
 		this.context = this.makeContext()
 		this.report = new GatewayReport({
--- a/packages/gateway/src/lib/ServiceLimits.ts
+++ b/packages/gateway/src/lib/ServiceLimits.ts
@@ -1,32 +1,67 @@
-import { RepeatBudget, type ServiceName, type TargetName } from '@stallwing/core'
+import {
+	RepeatBudget,
+	rendezvousRank,
+	type BoxName,
+	type ServiceName,
+	type TargetName,
+} from '@stallwing/core'
 import type { TargetPools } from './TargetPools.js'
 
 /** What {@link ServiceLimits} works with. */
 export interface ServiceLimitsOptions {
-	readonly pools: TargetPools
+	readonly self: BoxName
+	readonly pools: Pick<TargetPools, 'inUse'>
 	/** The service of a target; undefined where the target is not listed. */
 	readonly serviceOf: (target: TargetName) => ServiceName | undefined
 	/** Connections that a target of a service takes from all boxes; Infinity where none are stated. */
 	readonly maxConnections: (service: ServiceName) => number
 	/** Boxes that share what is limited for the fleet; never 0. */
 	readonly boxes: () => number
+	/** The boxes of the fleet: the same array for as long as they stay the same. */
+	readonly boxNames: () => readonly BoxName[]
 }
 
+/** Whether this box is one of those that may connect to a target. */
+interface Admittance {
+	readonly isAdmitted: boolean
+	/** The boxes, and how many of them may, by which that was found. */
+	readonly boxNames: readonly BoxName[]
+	readonly most: number
+}
+
+/** Targets for which it is kept whether this box may connect; with more it is found out anew. */
+const MOST_KNOWN = 10_000
+
 /** This box's share of what a service bears from the whole fleet. */
 export class ServiceLimits {
 	private readonly repeatBudgets = new Map<ServiceName, RepeatBudget>()
+	private readonly admittances = new Map<TargetName, Admittance>()
 
 	constructor(private readonly options: ServiceLimitsOptions) {}
 
 	/** True where the target takes no further connection from this box. */
 	isFull(target: TargetName): boolean {
 		const { boxes, maxConnections, pools, serviceOf } = this.options
-		const inUse = pools.inUse(target)
-		if (inUse === 0) return false
 		const service = serviceOf(target)
 		if (!service) return false
-		const share = Math.max(1, Math.floor(maxConnections(service) / boxes()))
-		return inUse >= share
+		const most = maxConnections(service)
+		const share = Math.floor(most / boxes())
+		if (share < 1) return pools.inUse(target) > 0 || !this.isAdmitted(target, most)
+		return pools.inUse(target) >= share
+	}
+
+	/**
+	 * Where a target takes fewer connections than there are boxes, the same ones for all have one each, by rendezvous.
+	 * One for each box would be 499 where 100 are taken: the target resets the rest, and what was sent there may have run.
+	 */
+	private isAdmitted(target: TargetName, most: number): boolean {
+		const boxNames = this.options.boxNames()
+		const known = this.admittances.get(target)
+		if (known?.boxNames === boxNames && known.most === most) return known.isAdmitted
+		const isAdmitted = rendezvousRank(target, this.options.self, boxNames, most) !== undefined
+		if (this.admittances.size >= MOST_KNOWN) this.admittances.clear()
+		this.admittances.set(target, { isAdmitted, boxNames, most })
+		return isAdmitted
 	}
 
 	/** This box's budget for sending requests of a service once more. */
