A box that never sends a request again lets go of the times of first tries

What operators would have seen: memory that grows by a number for each request, for as long as no request of a service has to be sent again (36,000 held after an hour of ten a second). Cause: old times were let go of only when a second try was asked for; found while each bound over all boxes was looked at for how it is divided. Change: they are let go of with each first try, by the window that is in force.

--- a/packages/core/src/lib/retry/RepeatBudget.ts
+++ b/packages/core/src/lib/retry/RepeatBudget.ts
@@ -21,9 +21,15 @@
 	private firsts: Millis[] = []
 	private repeats: Millis[] = []
 
-	noteFirst(now: Millis): void {
+	/** A request goes to a target for the first time. Older ones are let go of here: a repeat may never be asked for. */
+	noteFirst({ windowMs }: RepeatLimits, now: Millis): void {
 		this.firsts.push(now)
-		this.forget(now, Number.POSITIVE_INFINITY)
+		this.forget(now, windowMs)
+	}
+
+	/** First tries whose times are held. */
+	get size(): number {
+		return this.firsts.length
 	}
 
 	/** Takes one repeat out of the budget. False: none is left. */
--- a/packages/core/src/lib/retry/decideAfterAttempt.test.ts
+++ b/packages/core/src/lib/retry/decideAfterAttempt.test.ts
@@ -65,7 +65,7 @@
 		let requests = 0
 		for (let now = 0; now < 40_000; now += 20) {
 			const budget = budgets[(now / 20) % boxes]
-			budget?.noteFirst(now)
+			budget?.noteFirst(limits, now)
 			requests++
 			if (budget?.take(limits, boxes, now)) repeats.push(now)
 		}
--- a/packages/gateway/src/lib/Exchange.ts
+++ b/packages/gateway/src/lib/Exchange.ts
@@ -202,7 +202,7 @@
 		body: Buffer,
 		content: RequestContent,
 	): Promise<void> {
-		this.context.repeats(request.service).noteFirst(this.context.now())
+		this.context.repeats(request.service).noteFirst(this.context.repeatLimits, this.context.now())
 		while (!this.over) {
 			if (this.leftMs(request) < LEAST_TIME_MS) {
 				this.refuse(this.mayHaveRun ? 'timed-out' : 'too-late', 'no time is left')
