--- a/packages/gateway/src/lib/Exchange.ts
+++ b/packages/gateway/src/lib/Exchange.ts
@@ -26,6 +26,7 @@
 import { refusal, type RefusalKind } from './Refusal.js'
 import { RequestContent } from './RequestContent.js'
 import { sleep } from './sleep.js'
+import { TimeLimit } from './TimeLimit.js'
 import { TokenReservation } from './TokenReservation.js'
 
 /**
@@ -33,8 +34,6 @@
  * requests on, in ms: it costs one more pass of the event loop, and what is on time is hardly ever left by then.
  */
 const LATE_MS = 25
-/** Time before a limit at which the answer of our own leaves, in ms. */
-const LIMIT_MARGIN_MS = 5
 /**
  * How long a second try waits until it is known whether the first ended its target, in ms: a new connection tells
  * within two round trips, and a target behind a cut link tells nothing.
@@ -51,7 +50,7 @@
 	private readonly reservation: TokenReservation
 	private request: CallerRequest | undefined
 	private attempt: Attempt | undefined
-	private limitTimer: NodeJS.Timeout | undefined
+	private readonly limit: TimeLimit
 	/** Attempts of which bytes left this box. */
 	private sent = 0
 	/** When the request first went to a target; undefined until then. */
@@ -68,6 +67,7 @@
 		private readonly response: ServerResponse,
 	) {
 		this.arrivedAt = context.worldNow() - context.lateMs()
+		this.limit = new TimeLimit(context.worldNow, this.arrivedAt)
 		this.answer = new AnswerWriter(response, () => context.stopping, context.worldNow)
 		this.reservation = new TokenReservation(context.allowance)
 		response.on('close', () => this.callerLeft())
@@ -96,7 +96,7 @@
 		if (this.isClosed(read.right)) return
 		const content = new RequestContent(read.right, body)
 		if (this.isHeldBack(content)) return
-		this.startLimitTimer(read.right)
+		this.limit.start(read.right, () => this.limitReached())
 		if (!(await this.reserve(read.right))) return
 		await this.tryTargets(read.right, traffic, body, content)
 	}
@@ -162,17 +162,6 @@
 		}
 	}
 
-	/** Time that is left of the route's and the caller's limits, in ms. */
-	private leftMs(request: CallerRequest): number {
-		const limit = Math.min(request.route.timeoutMs, request.deadlineMs ?? Infinity)
-		return limit - (this.context.worldNow() - this.arrivedAt)
-	}
-
-	private startLimitTimer(request: CallerRequest): void {
-		const wait = Math.max(0, this.leftMs(request) - LIMIT_MARGIN_MS)
-		this.limitTimer = setTimeout(() => this.limitReached(), wait)
-	}
-
 	private limitReached(): void {
 		if (this.over) return
 		this.attempt?.cancel()
@@ -184,7 +173,7 @@
 		const { account, work } = request
 		if (!account || !work || account.tokenBudget === undefined) return true
 		const tokens = worstCaseTokens(work)
-		const patience = Math.min(this.leftMs(request), request.route.aimMs)
+		const patience = Math.min(this.limit.leftMs(request), request.route.aimMs)
 		const result = await this.reservation.take(account.name, tokens, patience)
 		if (this.over) {
 			this.reservation.settle(0)
@@ -204,7 +193,7 @@
 	): Promise<void> {
 		this.context.repeats(request.service).noteFirst(this.context.repeatLimits, this.context.now())
 		while (!this.over) {
-			if (this.leftMs(request) < LEAST_TIME_MS) {
+			if (this.limit.leftMs(request) < LEAST_TIME_MS) {
 				this.refuse(this.mayHaveRun ? 'timed-out' : 'too-late', 'no time is left')
 				return
 			}
@@ -215,7 +204,9 @@
 				this.giveUp('no target is open')
 				return
 			}
-			this.context.log(choiceLine(this.context, request, traffic, place, this.leftMs(request)))
+			this.context.log(
+				choiceLine(this.context, request, traffic, place, this.limit.leftMs(request)),
+			)
 			const beganAt = this.context.now()
 			const end = await this.runAttempt(request, place, body, content)
 			const judged = judgeRun(this.context.crashes, { content, target: place.target, beganAt, end })
@@ -270,7 +261,7 @@
 			content,
 			(waitedMs) => this.hasLeft(waitedMs),
 		)
-		const left = Math.floor(this.leftMs(request))
+		const left = Math.floor(this.limit.leftMs(request))
 		const resumeAfter = this.answer.lastEvent
 		const message = messageForTarget(
 			request,
@@ -318,7 +309,7 @@
 			sent: this.sent,
 			maxAttempts: request.route.maxAttempts,
 			mayHaveRun: this.mayHaveRun,
-			leftMs: this.leftMs(request),
+			leftMs: this.limit.leftMs(request),
 			takeRepeat: () => repeats.take(context.repeatLimits, context.boxes(), context.now()),
 		}
 	}
@@ -382,7 +373,7 @@
 	private noteEnd(name: LogEventName, facts: Readonly<Record<string, LogValue>>): void {
 		this.finish()
 		const { metrics, traffic } = this.context
-		const elapsed = this.context.worldNow() - this.arrivedAt
+		const elapsed = this.limit.elapsedMs
 		const route = this.request?.route.name ?? ''
 		metrics.count('stallwing_requests_total', `end="${name}",route="${route}"`)
 		if (name === 'request-answered') metrics.time('stallwing_answer_ms', elapsed)
@@ -401,6 +392,6 @@
 	private finish(): void {
 		this.over = true
 		this.endRun()
-		clearTimeout(this.limitTimer)
+		this.limit.stop()
 	}
 }
