Trials of a rate of 0 leave no debt for the rate that comes after it

What callers would have seen: a target that took nothing for a minute and then names one request a second gets none of a box for seven seconds. Cause: a trial took a token that a box with no share does not have, one more with each. Change: the tokens of a bucket do not fall below none. Evidence: namedRate.test.ts, the next turn after a minute of trials: 7 s later -> 1 s.

--- a/packages/core/src/lib/placement/FleetRateGate.ts
+++ b/packages/core/src/lib/placement/FleetRateGate.ts
@@ -89,7 +89,8 @@
 	/** Counts a request that goes to the target now. */
 	take(target: TargetName, rate: FleetRate, now: Millis): void {
 		const bucket = this.bucket(target, rate, now)
-		bucket.tokens--
+		// A trial goes without a token: taken as a debt, trials of minutes would hold back what is named afterwards.
+		bucket.tokens = Math.max(0, bucket.tokens - 1)
 		bucket.triedAt = now
 	}
 
--- a/packages/core/src/lib/placement/namedRate.test.ts
+++ b/packages/core/src/lib/placement/namedRate.test.ts
@@ -109,6 +109,14 @@
 		expect(other?.isOpen(TARGET, nextToNone, MINUTE_MS + 5_000)).toBe(true)
 	})
 
+	it('leaves no debt of trials behind for the rate that comes after it', () => {
+		const [gate] = gatesOf(1)
+		for (let now = 0; now <= MINUTE_MS; now += 10_000)
+			gate?.take(TARGET, namedRate({ perSecond: 0, saidAt: now - 10_000 }), now)
+		const next = namedRate({ perSecond: 1, saidAt: MINUTE_MS })
+		expect(gate?.opensAt(TARGET, next, MINUTE_MS)).toBeLessThanOrEqual(MINUTE_MS + 1_000)
+	})
+
 	it('is never tried before the box is known to the others', () => {
 		const boxes = [brandId<BoxName>('box-0')]
 		const gate = new FleetRateGate({
