--- a/packages/core/src/lib/placement/FleetRateGate.ts
+++ b/packages/core/src/lib/placement/FleetRateGate.ts
@@ -49,13 +49,15 @@
 interface Bucket {
 	/** This box is one of those that send to the target. */
 	isSender: boolean
+	/** Requests a second of this box; 0 where it is no sender. */
+	perSecond: number
 	/** The boxes, and the number of senders among them, by which that was found. */
 	boxes: readonly BoxName[]
 	senders: number
 	tokens: number
 	filledAt: Millis
-	/** When this box last tried one request without being a sender. */
-	triedAt: Millis
+	/** When this box last sent a request. */
+	sentAt: Millis
 }
 
 const SECOND_MS = 1_000
@@ -81,9 +83,8 @@
 	/** When this box may send the target one more request, as far as is known; Infinity: never. */
 	opensAt(target: TargetName, rate: FleetRate, now: Millis): Millis {
 		const bucket = this.bucket(target, rate, now)
-		const { perSecond } = this.division(rate)
-		if (!bucket.isSender || perSecond === 0) return this.trialAt(target, bucket, rate)
-		return now + (Math.max(0, 1 - bucket.tokens) / perSecond) * SECOND_MS
+		if (bucket.perSecond === 0) return this.trialAt(target, bucket, rate)
+		return now + (Math.max(0, 1 - bucket.tokens) / bucket.perSecond) * SECOND_MS
 	}
 
 	/** Counts a request that goes to the target now. */
@@ -91,7 +92,7 @@
 		const bucket = this.bucket(target, rate, now)
 		// A trial goes without a token: taken as a debt, trials of minutes would hold back what is named afterwards.
 		bucket.tokens = Math.max(0, bucket.tokens - 1)
-		bucket.triedAt = now
+		bucket.sentAt = now
 	}
 
 	/** A request that was counted did not leave. */
@@ -102,8 +103,8 @@
 
 	/** The part of this box in the rate. */
 	shareOf(target: TargetName, rate: FleetRate, now: Millis): RateShare {
-		const { isSender, tokens } = this.bucket(target, rate, now)
-		return { perSecond: isSender ? this.division(rate).perSecond : 0, tokens }
+		const { perSecond, tokens } = this.bucket(target, rate, now)
+		return { perSecond, tokens }
 	}
 
 	/** The rate no longer holds, or the target is gone. */
@@ -111,44 +112,47 @@
 		this.buckets.delete(target)
 	}
 
-	private division(rate: FleetRate): RateDivision {
-		return rate.divide(this.options.boxes().length)
-	}
-
+	/** The bucket of a target, filled up to now. */
 	private bucket(target: TargetName, rate: FleetRate, now: Millis): Bucket {
-		const boxes = this.options.boxes()
-		const { burst, isSpaced, perSecond, senders } = this.division(rate)
 		const bucket = this.buckets.get(target) ?? newBucket(now)
 		this.buckets.set(target, bucket)
-		if (bucket.boxes !== boxes || bucket.senders !== senders) {
-			const rank = rendezvousRank(target, this.options.self, boxes, senders)
-			if (rank !== undefined && !bucket.isSender && isSpaced)
-				bucket.tokens = 1 - (rank + 1) / senders
-			bucket.isSender = rank !== undefined
-			bucket.boxes = boxes
-			bucket.senders = senders
-		}
-		const filled = bucket.tokens + ((now - bucket.filledAt) / SECOND_MS) * perSecond
-		bucket.tokens = bucket.isSender ? Math.min(burst, filled) : 0
+		const division = rate.divide(this.options.boxes().length)
+		this.takeDivision(target, bucket, division)
+		bucket.perSecond = bucket.isSender ? division.perSecond : 0
+		const filled = bucket.tokens + ((now - bucket.filledAt) / SECOND_MS) * bucket.perSecond
+		bucket.tokens = bucket.isSender ? Math.min(division.burst, filled) : 0
 		bucket.filledAt = now
 		return bucket
 	}
 
+	/** Finds out whether this box is a sender, where the boxes or the number of senders changed. */
+	private takeDivision(target: TargetName, bucket: Bucket, division: RateDivision): void {
+		const boxes = this.options.boxes()
+		const { isSpaced, senders } = division
+		if (bucket.boxes === boxes && bucket.senders === senders) return
+		const rank = rendezvousRank(target, this.options.self, boxes, senders)
+		if (rank !== undefined && !bucket.isSender && isSpaced) bucket.tokens = 1 - (rank + 1) / senders
+		bucket.isSender = rank !== undefined
+		bucket.boxes = boxes
+		bucket.senders = senders
+	}
+
 	/** When a box that may not send tries one request. */
-	private trialAt(target: TargetName, { triedAt }: Bucket, { trial }: FleetRate): Millis {
+	private trialAt(target: TargetName, { sentAt }: Bucket, { trial }: FleetRate): Millis {
 		if (!trial) return Infinity
 		const part = fnv1a(`${target}\u0000${this.options.self}`) / HASH_RANGE
-		return Math.max(trial.dueAt, triedAt) + part * trial.spreadMs
+		return Math.max(trial.dueAt, sentAt) + part * trial.spreadMs
 	}
 }
 
 function newBucket(now: Millis): Bucket {
 	return {
 		isSender: false,
+		perSecond: 0,
 		boxes: [],
 		senders: 0,
 		tokens: 0,
 		filledAt: now,
-		triedAt: Number.NEGATIVE_INFINITY,
+		sentAt: Number.NEGATIVE_INFINITY,
 	}
 }
