--- a/internal/bench/src/lib/gatewayWorld.ts
+++ b/internal/bench/src/lib/gatewayWorld.ts
@@ -9,6 +9,7 @@
 	type ZoneName,
 } from '@stallwing/core'
 import type { Dialect, Documents } from '@stallwing/gateway'
+import { PLAIN_HEADERS, PLAIN_OWN_HEADER } from '@stallwing/standins'
 import * as E from 'fp-ts/lib/Either.js'
 
 const ENGINE = brandId<ServiceName>('engine')
@@ -112,22 +113,9 @@
 
 /** Names of headers as the bench's own targets and callers spell them. */
 export const BENCH_DIALECT: Dialect = {
-	headers: {
-		requestId: 'request-id',
-		deadline: 'deadline-ms',
-		account: 'account',
-		expectedTarget: 'expected-target',
-		rank: 'rank',
-		lastEvent: 'last-event-id',
-		mark: 'target-mark',
-		notRun: 'not-run',
-		load: 'load',
-		coldMs: 'cold-ms',
-		leaving: { header: 'leaving', value: 'yes' },
-		requestRate: 'request-rate',
-	},
+	headers: PLAIN_HEADERS,
 	fleetHeaders: new Set(['authorization', 'account', 'expected-target', 'deadline-ms', 'rank']),
-	ownHeader: /^own-/,
+	ownHeader: PLAIN_OWN_HEADER,
 	unreadHeaders: new Set(['own-instance']),
 	lowestRank: 9,
 	wrongTargetStatus: 421,
--- a/packages/gateway/src/lib/testBox.ts
+++ b/packages/gateway/src/lib/testBox.ts
@@ -14,7 +14,7 @@
 	type ZoneName,
 	type AccountName,
 } from '@stallwing/core'
-import { MemoryStore, type CallFate } from '@stallwing/standins'
+import { MemoryStore, PLAIN_HEADERS, PLAIN_OWN_HEADER, type CallFate } from '@stallwing/standins'
 import { Metrics } from '@stallwing/telemetry'
 import * as E from 'fp-ts/lib/Either.js'
 import type { Dialect } from './Dialect.js'
@@ -23,20 +23,7 @@
 import { sleep } from './sleep.js'
 
 export const DIALECT: Dialect = {
-	headers: {
-		requestId: 'request-id',
-		deadline: 'deadline-ms',
-		account: 'account',
-		expectedTarget: 'expected-target',
-		rank: 'rank',
-		lastEvent: 'last-event-id',
-		mark: 'target-mark',
-		notRun: 'not-run',
-		load: 'load',
-		coldMs: 'cold-ms',
-		leaving: { header: 'leaving', value: 'yes' },
-		requestRate: 'request-rate',
-	},
+	headers: PLAIN_HEADERS,
 	fleetHeaders: new Set([
 		'authorization',
 		'account',
@@ -45,7 +32,7 @@
 		'rank',
 		'last-event-id',
 	]),
-	ownHeader: /^own-/,
+	ownHeader: PLAIN_OWN_HEADER,
 	unreadHeaders: new Set(['own-instance']),
 	lowestRank: 9,
 	wrongTargetStatus: 421,
--- a/packages/standins/src/index.ts
+++ b/packages/standins/src/index.ts
@@ -20,3 +20,4 @@
 } from './lib/NotifyingTarget.js'
 export { startService, type ServiceOptions } from './lib/startService.js'
 export { NO_TARGET_FAULTS, type TargetFaults } from './lib/targetFaults.js'
+export { PLAIN_HEADERS, PLAIN_OWN_HEADER } from './lib/plainHeaders.js'
