--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -36,6 +36,7 @@
 } from './lib/identity/IdentityRecord.js'
 export { type Ticket } from './lib/identity/LogSender.js'
 export { WitnessCopy, type MoneyRow, type LogBatch } from './lib/identity/WitnessCopy.js'
+export { mostInWindow } from './lib/mostInWindow.js'
 export { rendezvous, rendezvousFirst, rendezvousRank } from './lib/identity/rendezvous.js'
 export {
 	brandId,
--- a/packages/core/src/lib/placement/coldRate.test.ts
+++ b/packages/core/src/lib/placement/coldRate.test.ts
@@ -1,6 +1,7 @@
 import fc from 'fast-check'
 import { describe, expect, it } from 'vitest'
 import { brandId, type BoxName, type TargetName } from '../ids.js'
+import { mostInWindow } from '../mostInWindow.js'
 import { coldRate, type ColdLimits, type ColdStart } from './coldRate.js'
 import { FleetRateGate } from './FleetRateGate.js'
 
@@ -73,22 +74,11 @@
 	return sent
 }
 
-/** The most that left in one second. */
-function mostInASecond(times: readonly number[]): number {
-	let most = 0
-	let first = 0
-	for (let last = 0; last < times.length; last++) {
-		while ((times[last] ?? 0) - (times[first] ?? 0) > SECOND_MS) first++
-		most = Math.max(most, last - first + 1)
-	}
-	return most
-}
-
 describe('the rate of a cold target', () => {
 	it('keeps the whole fleet below what a cold target may get in any second, without a word between boxes', () => {
 		fc.assert(
 			fc.property(runs, (run) => {
-				expect(mostInASecond(timesSent(run))).toBeLessThanOrEqual(MOST_IN_A_SECOND)
+				expect(mostInWindow(timesSent(run), SECOND_MS)).toBeLessThanOrEqual(MOST_IN_A_SECOND)
 			}),
 			{ seed: 37, numRuns: 60 },
 		)
--- a/packages/core/src/lib/placement/rateModel.ts
+++ b/packages/core/src/lib/placement/rateModel.ts
@@ -1,4 +1,5 @@
 import { brandId, type BoxName, type TargetName } from '../ids.js'
+import { mostInWindow } from '../mostInWindow.js'
 import type { Millis } from '../units.js'
 import { FleetRateGate, type FleetRate } from './FleetRateGate.js'
 
@@ -104,19 +105,8 @@
 	const alive = senders.filter(({ isDown }) => !isDown)
 	const sum = times.reduce((total, list) => total + list.length, 0)
 	return {
-		mostInAWindow: Math.max(...times.map(mostInAWindow)),
+		mostInAWindow: Math.max(...times.map((list) => mostInWindow(list, MODEL_WINDOW_MS))),
 		perSecond: sum / targets / (PLAYED_MS / SECOND_MS),
 		starved: alive.filter(({ sent }) => sent === 0).length / alive.length,
 	}
 }
-
-/** The most of these times that lie in one window. */
-function mostInAWindow(times: readonly Millis[]): number {
-	let most = 0
-	let first = 0
-	for (let last = 0; last < times.length; last++) {
-		while ((times[last] ?? 0) - (times[first] ?? 0) > MODEL_WINDOW_MS) first++
-		most = Math.max(most, last - first + 1)
-	}
-	return most
-}
--- a/packages/gateway/src/lib/targetRates.test.ts
+++ b/packages/gateway/src/lib/targetRates.test.ts
@@ -9,6 +9,7 @@
  * as old as the answer. With the rate read and divided among five of the seven boxes, this test counts 4 where it
  * counted 53; with the rate read, and 1.3 a second for each box, 37.
  */
+import { mostInWindow } from '@stallwing/core'
 import { afterEach, describe, expect, it } from 'vitest'
 import { DIALECT } from './testBox.js'
 import { GOOD, NoticeFleet, TARGETS } from './testNoticeFleet.js'
@@ -27,15 +28,9 @@
 const AT_ONCE_MS = 100
 const ROUTES = ['/once/', '/again/', '/resume/']
 
-/** The most of these times that lie in one window. */
-function mostInAWindow(times: readonly number[]): number {
-	let most = 0
-	let first = 0
-	for (let last = 0; last < times.length; last++) {
-		while ((times[last] ?? 0) - (times[first] ?? 0) > WINDOW_MS) first++
-		most = Math.max(most, last - first + 1)
-	}
-	return most
+/** The most requests of boxes that were told that reached a target in one window. */
+function mostIn(fleet: NoticeFleet, target: string): number {
+	return mostInWindow(fleet.timesAt(target, TOLD_MS), WINDOW_MS)
 }
 
 /** All targets name the rate. */
@@ -49,8 +44,8 @@
 		fleet = new NoticeFleet({ t0: NAMED, t1: NAMED }, { boxes: BOXES, areInTouch: true })
 		await fleet.start()
 		await fleet.ask(ROUTES, ASKED_MS)
-		expect(mostInAWindow(fleet.timesAt('t0', TOLD_MS))).toBeLessThanOrEqual(MOST_IN_A_WINDOW)
-		expect(mostInAWindow(fleet.timesAt('t1', TOLD_MS))).toBeLessThanOrEqual(MOST_IN_A_WINDOW)
+		expect(mostIn(fleet, 't0')).toBeLessThanOrEqual(MOST_IN_A_WINDOW)
+		expect(mostIn(fleet, 't1')).toBeLessThanOrEqual(MOST_IN_A_WINDOW)
 	})
 
 	it('get no more where all of a service name a rate and none is left to take the rest', async () => {
@@ -58,7 +53,7 @@
 		await fleet.start()
 		await fleet.ask(ROUTES, ASKED_MS)
 		for (const name of Object.keys(ALL))
-			expect(mostInAWindow(fleet.timesAt(name, TOLD_MS))).toBeLessThanOrEqual(MOST_IN_A_WINDOW)
+			expect(mostIn(fleet, name)).toBeLessThanOrEqual(MOST_IN_A_WINDOW)
 		const served = fleet.served(TOLD_MS)
 		expect(served).toBeGreaterThan(0.7 * TARGETS * RATE * ((ASKED_MS - TOLD_MS) / 1_000))
 		expect(fleet.slowestRefusalMs).toBeLessThan(AT_ONCE_MS)
--- a/packages/gateway/src/lib/testRateFleet.ts
+++ b/packages/gateway/src/lib/testRateFleet.ts
@@ -1,6 +1,7 @@
 import {
 	TargetBoard,
 	brandId,
+	mostInWindow,
 	type BoxName,
 	type LogEvent,
 	type TargetEntry,
@@ -90,10 +91,7 @@
 	/** The most requests that reached the target in a time after a moment, in ms. */
 	mostIn(windowMs: number, from = 0): number {
 		const times = this.requests.map(({ at }) => at).filter((at) => at >= from)
-		return Math.max(
-			0,
-			...times.map((start) => times.filter((at) => at >= start && at <= start + windowMs).length),
-		)
+		return mostInWindow(times, windowMs)
 	}
 
 	private arrive(): void {
