Callers refused because of rates come back when any box has a turn again

Cause: they were told to wait for the next turn of the box that refused them, 3.6 s for one of five senders at 1.4 a second; they come back on a new connection, mostly to another box. A rate of 0 for all targets tells the next trial, as before.

--- a/packages/core/src/lib/placement/TargetAdmission.ts
+++ b/packages/core/src/lib/placement/TargetAdmission.ts
@@ -37,6 +37,8 @@
 /** Rates that keep a request away, of which its log line tells. */
 const MOST_HELD_BACK = 3
 
+const SECOND_MS = 1_000
+
 /** What a {@link TargetAdmission} works with. */
 export interface AdmissionOptions {
 	/** Undefined: rates of cold targets, and those that targets name, do not count. */
@@ -171,7 +173,11 @@
 		const inService = lasting.filter((target) => this.isInService(target))
 		if (inService.length === 0) return { cause: 'cordoned', opensInMs: undefined }
 		const opensAt = inService.map((target) => this.opensAt(target, now))
-		return { cause: this.causeOf(inService, now), opensInMs: Math.min(...opensAt) - now }
+		const opensInMs = Math.min(...opensAt) - now
+		return {
+			cause: this.causeOf(inService, now),
+			opensInMs: Math.min(opensInMs, turnMs(inService)),
+		}
 	}
 
 	/** When a target takes work again, as far as it is known. */
@@ -188,3 +194,14 @@
 		return this.heldBack(inService, now).length > 0 ? 'rate' : 'cold'
 	}
 }
+
+/**
+ * Time in which some box of the fleet may send to one of the targets again, by the rates that they named, in ms. Callers
+ * who are refused come back on new connections, mostly to other boxes: told to wait for this box's own turn, 69 in 100
+ * are answered in time where 78 are with this, at 0.8 of what six targets take of seven boxes (`rateReturnModel.test.ts`).
+ */
+function turnMs(targets: readonly TargetState[]): Millis {
+	let perSecond = 0
+	for (const { notice } of targets) perSecond += notice.rate?.perSecond ?? 0
+	return perSecond === 0 ? Infinity : SECOND_MS / perSecond
+}
