--- a/packages/core/src/lib/placement/TargetBoard.ts
+++ b/packages/core/src/lib/placement/TargetBoard.ts
@@ -5,6 +5,7 @@
 import type { AttemptHandle } from './AttemptHandle.js'
 import type { ColdStart } from './coldRate.js'
 import type { NoticedTarget } from './NoticedTarget.js'
+import { noticedTargetOf } from './noticedTargetOf.js'
 import type { Place, PlaceQuery } from './Place.js'
 import {
 	isFreshWork,
@@ -15,6 +16,7 @@
 import { promptChains } from './PromptIndex.js'
 import { TargetAdmission, type AdmissionOptions, type ClosedService } from './TargetAdmission.js'
 import type { RateView } from './RateView.js'
+import { ServiceTimes } from './ServiceTimes.js'
 import type { TargetChanges } from './TargetChanges.js'
 import type { RateKind } from './TargetRates.js'
 import type { TargetEntry } from './TargetEntry.js'
@@ -24,9 +26,6 @@
 import type { TargetWork } from './TargetWork.js'
 import type { CordonChanges, ZoneCordon } from './ZoneCordons.js'
 
-const PLAIN_MS_START = 20
-const PLAIN_MS_WEIGHT = 0.05
-const MOST_COUNTED_PLAIN_MS = 500
 /** Times are compared only up to here: a long prompt tells more about a target than a short one. */
 const LEAST_EXPECTED_MS = 10
 
@@ -34,7 +33,7 @@
 export class TargetBoard {
 	private readonly targets = new Map<TargetName, TargetState>()
 	private readonly byService = new Map<ServiceName, TargetState[]>()
-	private readonly plainMs = new Map<ServiceName, Millis>()
+	private readonly plainTimes = new ServiceTimes()
 	private readonly admission: TargetAdmission
 	private readonly notices = new TargetNotices()
 
@@ -136,17 +135,9 @@
 
 	/** Targets that get less work, or none, because of what they said of themselves. */
 	noticedTargets(now: Millis): NoticedTarget[] {
-		const rows: NoticedTarget[] = []
-		for (const state of this.targets.values()) {
-			const { entry, notice } = state
-			const backoffMs = Math.max(0, notice.backoffUntil - now)
-			const { leavingSince } = notice
-			const rate = this.admission.rateOf(state, now)
-			if (leavingSince === undefined && backoffMs === 0 && !rate) continue
-			const leavingForMs = leavingSince === undefined ? undefined : now - leavingSince
-			rows.push({ target: entry.name, service: entry.service, leavingForMs, backoffMs, rate })
-		}
-		return rows
+		return [...this.targets.values()].flatMap((state) => {
+			return noticedTargetOf(state, this.admission.rateOf(state, now), now) ?? []
+		})
 	}
 
 	get size(): number {
@@ -356,10 +347,7 @@
 	): void {
 		const took = now - attempt.sentAt
 		state.noteSpeed(Math.max(LEAST_EXPECTED_MS, attempt.expectedMs), took)
-		if (attempt.unreadTokens > 0) return
-		const before = this.plainMs.get(service) ?? PLAIN_MS_START
-		const counted = Math.min(MOST_COUNTED_PLAIN_MS, took)
-		this.plainMs.set(service, before + PLAIN_MS_WEIGHT * (counted - before))
+		if (attempt.unreadTokens <= 0) this.plainTimes.note(service, took)
 	}
 
 	private placementRequest(
@@ -380,7 +368,7 @@
 			parts,
 			chains,
 			inputTokens: query.work && worstCaseTokens(query.work) > 0 ? query.work.inputTokens : 0,
-			plainMs: this.plainMs.get(query.service) ?? PLAIN_MS_START,
+			plainMs: this.plainTimes.of(query.service),
 			home: shared === undefined ? undefined : rendezvousFirst(shared, names),
 			usualFailures: Math.min(...candidates.map((state) => state.failures(now))),
 		}
