--- a/packages/gateway/src/lib/Gateway.ts
+++ b/packages/gateway/src/lib/Gateway.ts
@@ -65,6 +65,8 @@
 	private readonly followers: PrefixFollower[]
 	private readonly timers: NodeJS.Timeout[] = []
 	private open = 0
+	/** Connections that a target of the service with the fewest takes, by the configuration in force. */
+	private fewestConnections = Infinity
 
 	constructor(private readonly options: GatewayOptions) {
 		this.loopDelay = new LoopDelay(options.worldNow)
@@ -155,6 +157,7 @@
 			maxConnections: (service) =>
 				this.context.traffic?.index.service(service)?.maxConnections ?? Infinity,
 			boxes: () => this.roster.size,
+			fewestConnections: () => this.fewestConnections,
 			boxNames: () => this.roster.boxes,
 		})
 		this.context = this.makeContext()
@@ -356,6 +359,8 @@
 
 	private putInForce(traffic: TrafficInForce, tokens: TokenBudgets): void {
 		this.context.traffic = traffic
+		const { services } = traffic.index.config
+		this.fewestConnections = Math.min(...services.map(({ maxConnections }) => maxConnections))
 		this.applyLimits()
 		this.board.setColdStarts(traffic.index.coldStarts)
 		this.allowance.setBudgets({ at: traffic.revision, tokens })
--- a/packages/gateway/src/lib/ServiceLimits.test.ts
+++ b/packages/gateway/src/lib/ServiceLimits.test.ts
@@ -24,6 +24,7 @@
 			pools: { inUse: () => inUse },
 			serviceOf: () => SERVICE,
 			maxConnections: () => most,
+			fewestConnections: () => most,
 			boxes: () => boxes.length,
 			boxNames: () => boxes,
 		})
--- a/packages/gateway/src/lib/ServiceLimits.ts
+++ b/packages/gateway/src/lib/ServiceLimits.ts
@@ -15,6 +15,8 @@
 	readonly serviceOf: (target: TargetName) => ServiceName | undefined
 	/** Connections that a target of a service takes from all boxes; Infinity where none are stated. */
 	readonly maxConnections: (service: ServiceName) => number
+	/** Connections that a target of the service with the fewest takes; Infinity where none are stated. */
+	readonly fewestConnections: () => number
 	/** Boxes that share what is limited for the fleet; never 0. */
 	readonly boxes: () => number
 	/** The boxes of the fleet: the same array for as long as they stay the same. */
@@ -41,13 +43,16 @@
 
 	/** True where the target takes no further connection from this box. */
 	isFull(target: TargetName): boolean {
-		const { boxes, maxConnections, pools, serviceOf } = this.options
+		const { boxes, fewestConnections, maxConnections, pools, serviceOf } = this.options
+		const inUse = pools.inUse(target)
+		// Asked for each target at each choice: most have no request of this box.
+		if (inUse === 0 && boxes() <= fewestConnections()) return false
 		const service = serviceOf(target)
 		if (!service) return false
 		const most = maxConnections(service)
 		const share = Math.floor(most / boxes())
-		if (share < 1) return pools.inUse(target) > 0 || !this.isAdmitted(target, most)
-		return pools.inUse(target) >= share
+		if (share < 1) return inUse > 0 || !this.isAdmitted(target, most)
+		return inUse >= share
 	}
 
 	/**
