Tests that fail: a store that comes back from a copy hides configurations, words of targets and draws

Symptom: five configurations were confirmed in eight seconds after the return and no box put one in force. The stand-in of the store can copy itself and come back; boxes that share a budget are a module of their own, the tests unchanged.

--- a/packages/gateway/src/lib/AllowanceClient.test.ts
+++ b/packages/gateway/src/lib/AllowanceClient.test.ts
@@ -1,35 +1,19 @@
-import {
-	PROMISE_MS,
-	brandId,
-	type AccountName,
-	type BoxName,
-	type Budgets,
-	type Incarnation,
-} from '@stallwing/core'
-import { MemoryStore, type CallFate } from '@stallwing/standins'
-import type { KeyValueStore } from '@stallwing/store'
-import { Metrics } from '@stallwing/telemetry'
+import { PROMISE_MS } from '@stallwing/core'
 import fc from 'fast-check'
 import { afterEach, beforeEach, describe, expect, it, vi } from 'vitest'
-import { AllowanceClient } from './AllowanceClient.js'
-import { NOTHING_LENT, type Lenders } from './TokenLending.js'
-import { sleep } from './sleep.js'
+import { ACCOUNT, BOXES, MoneyFleet, START_MS, asks, pass } from './testMoneyFleet.js'
 
 /** Randomised days and their seed; by hand, more and others. */
 const RUNS = Number(process.env['MONEY_RUNS'] ?? 300)
 const SEED = Number(process.env['MONEY_SEED'] ?? 20261202)
-const ACCOUNT = brandId<AccountName>('acme')
 const BUDGET = 10_000
 /** A budget whose end is far: ceilings are at their widest. */
 const FAR_BUDGET = 30_000
 /** A budget that runs dry within a randomised run: only then does a token too many show. */
 const SMALL_BUDGET = 3_000
 const LOWERED_BUDGET = 1_200
-/** Time in which all boxes have claimed the right to draw: a claim waits for the age of its process. */
-const START_MS = 1_000
 /** Times for which machines are suspended, in ms. */
 const SUSPENDED_MS = [100, 700, 2_000, 3_600, 8_000, 30_000]
-const BOXES = ['box-1', 'box-2', 'box-3'] as const
 
 /** One thing that happens, after a pause. */
 interface Happening {
@@ -78,233 +62,6 @@
 	chargedPart: fc.constantFrom(0, 0.3, 1, 1, 1),
 })
 
-/** One process of a box. */
-interface Process {
-	client: AllowanceClient
-	dead: boolean
-	/** For how long its machine was suspended while it ran, in ms. */
-	suspendedMs: number
-	/** Resolves when its machine goes on; undefined while it runs. */
-	awake: Promise<void> | undefined
-}
-
-/** Some boxes that share one budget, in virtual time. */
-class Fleet {
-	spent = 0
-	/** Records of money that a box could not read. */
-	unreadable = 0
-	readonly store: MemoryStore
-	private readonly clients = new Map<string, Process>()
-	/** By how much the time of day of a box is off, in ms. */
-	private readonly timeOff = new Map<string, number>()
-	private readonly cut = new Set<string>()
-	private readonly calls = new Map<string, number>()
-	private stormy = false
-	private starts = 0
-	private fates = 0
-	private answers = 0
-	private budgets: Budgets
-
-	constructor(
-		private readonly budget: number,
-		private readonly fateSeed: number,
-		/** Boxes that draw; the others borrow all that they spend. */
-		private readonly drawing: readonly string[] = BOXES,
-		/** Every seventh answer of a lender is lost, and its tokens with it. */
-		private readonly losesAnswers = true,
-		/** Boxes whose answers to other boxes come late, and by how much, in ms. */
-		private readonly lateness: Readonly<Record<string, number>> = {},
-	) {
-		this.store = new MemoryStore({
-			now: () => Date.now(),
-			sleep,
-			fate: (caller) => this.fateOf(caller),
-			lateMs: () => 700 + (this.fates % 5) * 900,
-		})
-		this.budgets = { at: 1, tokens: { [ACCOUNT]: this.budget } }
-		for (const box of BOXES) this.start(box)
-	}
-
-	start(box: string): void {
-		const entry: Process = {
-			client: undefined as unknown as AllowanceClient,
-			dead: false,
-			suspendedMs: 0,
-			awake: undefined,
-		}
-		const steady = (): number => Date.now() - entry.suspendedMs
-		const address = `${box}:1`
-		const startedAt = Date.now()
-		entry.client = new AllowanceClient({
-			store: mortal(this.store.connect(box), entry),
-			key: 'allowance',
-			markKey: `mark/${box}`,
-			box: brandId<BoxName>(box),
-			holder: brandId<Incarnation>(`${box}-${this.starts++}`),
-			address,
-			lenders: this.lenders(box),
-			isLender: () => this.drawing.includes(box),
-			lenderAddresses: () =>
-				this.drawing.filter((other) => other !== box).map((other) => `${other}:1`),
-			metrics: new Metrics(),
-			now: steady,
-			wallTime: () => Date.now() + (this.timeOff.get(box) ?? 0),
-			aliveMs: () => steady() - startedAt,
-			random: () => 0.5,
-			sleep,
-			log: ({ fields }) => {
-				if (fields.fault === 'unreadable') this.unreadable++
-			},
-		})
-		entry.client.setBudgets(this.budgets)
-		this.clients.set(box, entry)
-		if (this.drawing.includes(box)) void entry.client.claim()
-	}
-
-	/** The process of a box is gone; a new one starts a little later. */
-	kill(box: string, downMs = 600): void {
-		const entry = this.clients.get(box)
-		if (!entry || entry.dead) return
-		entry.dead = true
-		setTimeout(() => this.start(box), downMs)
-	}
-
-	/** The machine of a box is suspended: its steady clock stands still, and it hears and does nothing. */
-	suspend(box: string, ms: number): void {
-		const entry = this.clients.get(box)
-		if (!entry || entry.dead || entry.awake) return
-		entry.awake = sleep(ms).then(() => {
-			entry.suspendedMs += ms
-			entry.awake = undefined
-		})
-	}
-
-	/** The time of day of a box is set. */
-	setTimeOfDay(box: string, byMs: number): void {
-		this.timeOff.set(box, byMs)
-	}
-
-	async stop(box: string): Promise<void> {
-		const entry = this.clients.get(box)
-		if (!entry || entry.dead) return
-		await entry.client.giveBack()
-		this.kill(box)
-	}
-
-	setBudgets(at: number, tokens: Readonly<Record<string, number>>): void {
-		this.budgets = { at, tokens }
-		for (const { client, dead } of this.clients.values())
-			if (!dead) client.setBudgets({ at, tokens })
-	}
-
-	setCut(box: string, cut: boolean): void {
-		if (cut) this.cut.add(box)
-		else this.cut.delete(box)
-	}
-
-	setStormy(stormy: boolean): void {
-		this.stormy = stormy
-	}
-
-	/** A request: what it reserved counts as spent until less is charged. */
-	async ask(box: string, tokens: number, chargedPart: number): Promise<boolean> {
-		const entry = this.clients.get(box)
-		if (!entry || entry.dead || entry.awake) return false
-		const result = await entry.client.reserve(ACCOUNT, tokens, 500)
-		if (result !== 'reserved' || entry.dead) return false
-		this.spent += tokens
-		setTimeout(() => {
-			if (entry.dead) return
-			const charged = Math.floor(tokens * chargedPart)
-			entry.client.settle(ACCOUNT, tokens, charged)
-			this.spent -= tokens - charged
-		}, 300)
-		return true
-	}
-
-	async maintain(): Promise<void> {
-		for (const { awake, client, dead } of this.clients.values())
-			if (!dead && !awake) void client.maintain()
-		await vi.advanceTimersByTimeAsync(0)
-	}
-
-	/** Calls of a box that reached the store. */
-	callsOf(box: string): number {
-		return this.calls.get(box) ?? 0
-	}
-
-	private fateOf(caller: string): CallFate {
-		this.fates++
-		this.calls.set(caller, (this.calls.get(caller) ?? 0) + 1)
-		if (this.cut.has(caller)) return 'lost'
-		if (!this.stormy) return 'served'
-		const fates: readonly CallFate[] = ['served', 'answer-lost', 'late', 'refused', 'served']
-		return fates[(this.fates * 7 + this.fateSeed) % fates.length] ?? 'served'
-	}
-
-	private lenders(self: string): Lenders {
-		const other = (address: string) => {
-			const entry = this.clients.get(address.replace(':1', ''))
-			return entry && !entry.dead && !entry.awake ? entry.client : undefined
-		}
-		return {
-			ask: async (address, account, request) => {
-				await sleep(2)
-				const answer = (await other(address)?.lend(account, request)) ?? NOTHING_LENT
-				await sleep(2 + (this.lateness[address.replace(':1', '')] ?? 0))
-				const isLost = this.losesAnswers && this.answers++ % 7 === 6
-				return isLost ? NOTHING_LENT : answer
-			},
-			isOpen: async (address) => other(address) !== undefined && address !== `${self}:1`,
-			give: async (address, account, tokens, budgetsAt) =>
-				other(address)?.accept(account, tokens, budgetsAt) ?? false,
-		}
-	}
-}
-
-/**
- * A store whose callers are gone once the process is: nothing more is sent, nothing comes back. While the machine is
- * suspended, calls and answers wait.
- */
-function mortal(store: KeyValueStore, process: Process): KeyValueStore {
-	const guard = <A extends unknown[], R>(call: (...args: A) => Promise<R>) => {
-		return async (...args: A): Promise<R> => {
-			await process.awake
-			if (process.dead) return new Promise<R>(() => undefined)
-			const result = await call(...args)
-			await process.awake
-			return process.dead ? new Promise<R>(() => undefined) : result
-		}
-	}
-	return {
-		list: guard(store.list),
-		watch: guard(store.watch),
-		write: guard(store.write),
-		lease: guard(store.lease),
-		read: guard(store.read),
-		readStale: guard(store.readStale),
-		ping: guard(store.ping),
-		listStale: guard(store.listStale),
-	}
-}
-
-async function pass(fleet: Fleet, ms: number): Promise<void> {
-	let left = ms
-	while (left > 0) {
-		const step = Math.min(left, 200)
-		await vi.advanceTimersByTimeAsync(step)
-		await fleet.maintain()
-		left -= step
-	}
-}
-
-/** Asks and waits for the result, in virtual time. */
-async function asks(fleet: Fleet, box: string, tokens: number): Promise<boolean> {
-	const result = fleet.ask(box, tokens, 1)
-	await pass(fleet, 1_500)
-	return result
-}
-
 describe('AllowanceClient', () => {
 	beforeEach(() => void vi.useFakeTimers())
 	afterEach(() => void vi.useRealTimers())
@@ -318,7 +75,7 @@
 			fc.array(happening, { minLength: 40, maxLength: 120 }),
 			fc.nat({ max: 1_000 }),
 			async (happenings, fateSeed) => {
-				const fleet = new Fleet(SMALL_BUDGET, fateSeed, drawing)
+				const fleet = new MoneyFleet(SMALL_BUDGET, fateSeed, drawing)
 				await pass(fleet, START_MS)
 				// What was spent or set aside when a budget was lowered below it can't be taken back.
 				let bound = SMALL_BUDGET
@@ -351,7 +108,7 @@
 		['each draws', BOXES],
 		['one draws for all', ['box-1']],
 	])('spends nearly all of a budget, wherever the requests arrive: %s', async (_name, drawing) => {
-		const fleet = new Fleet(BUDGET, 0, drawing, drawing === BOXES)
+		const fleet = new MoneyFleet(BUDGET, 0, drawing, drawing === BOXES)
 		await pass(fleet, START_MS)
 		for (let i = 0; i < 400; i++) {
 			void fleet.ask(BOXES[i % BOXES.length] ?? BOXES[0], 40, 1)
@@ -364,7 +121,7 @@
 		['a kill', 600],
 		['a loss of power', 2_200],
 	])('takes only the promised ceiling as spent after %s', async (_name, downMs) => {
-		const fleet = new Fleet(BUDGET, 0)
+		const fleet = new MoneyFleet(BUDGET, 0)
 		await pass(fleet, START_MS)
 		for (let i = 0; i < 100; i++) {
 			void fleet.ask(BOXES[i % BOXES.length] ?? BOXES[0], 90, 1)
@@ -382,7 +139,7 @@
 	})
 
 	it('takes all that was drawn as spent when the promise may have been over', async () => {
-		const fleet = new Fleet(BUDGET, 0)
+		const fleet = new MoneyFleet(BUDGET, 0)
 		await pass(fleet, START_MS)
 		expect(await asks(fleet, 'box-1', 500)).toBe(true)
 		fleet.setCut('box-1', true)
@@ -400,7 +157,7 @@
 
 	it('gives back what is free when it stops, and hands it over when the store is away', async () => {
 		for (const cut of [false, true]) {
-			const fleet = new Fleet(BUDGET, 0)
+			const fleet = new MoneyFleet(BUDGET, 0)
 			await pass(fleet, START_MS)
 			for (let i = 0; i < 20; i++) {
 				void fleet.ask('box-1', 100, 1)
@@ -419,7 +176,7 @@
 
 	it('keeps to a lowered budget, also for an account that was away in between', async () => {
 		for (const between of [undefined, {}]) {
-			const fleet = new Fleet(BUDGET, 0)
+			const fleet = new MoneyFleet(BUDGET, 0)
 			await pass(fleet, START_MS)
 			for (let i = 0; i < 10; i++) await asks(fleet, BOXES[i % BOXES.length] ?? BOXES[0], 100)
 			if (between) fleet.setBudgets(2, between)
@@ -434,7 +191,7 @@
 	})
 
 	it('keeps to a lowered budget where other boxes draw', async () => {
-		const fleet = new Fleet(BUDGET, 0, ['box-1'])
+		const fleet = new MoneyFleet(BUDGET, 0, ['box-1'])
 		await pass(fleet, START_MS)
 		for (let i = 0; i < 10; i++) void fleet.ask('box-3', 100, 0.2)
 		await pass(fleet, 100)
@@ -448,7 +205,7 @@
 	})
 
 	it('serves a box that does not draw through a cut of all boxes from the store', async () => {
-		const fleet = new Fleet(FAR_BUDGET, 0, ['box-1'], false)
+		const fleet = new MoneyFleet(FAR_BUDGET, 0, ['box-1'], false)
 		await pass(fleet, START_MS)
 		for (let i = 0; i < 60; i++) {
 			void fleet.ask('box-3', 20, 1)
@@ -464,7 +221,7 @@
 	})
 
 	it('goes to the next box where one is late, and keeps the tokens that come late', async () => {
-		const fleet = new Fleet(BUDGET, 0, ['box-1', 'box-2'], false, { 'box-1': 700 })
+		const fleet = new MoneyFleet(BUDGET, 0, ['box-1', 'box-2'], false, { 'box-1': 700 })
 		await pass(fleet, START_MS)
 		const began = Date.now()
 		const first = fleet.ask('box-3', 300, 1).then((got) => ({ got, after: Date.now() - began }))
@@ -480,7 +237,7 @@
 	})
 
 	it('claims nothing and calls the store for nothing where it does not draw', async () => {
-		const fleet = new Fleet(BUDGET, 0, ['box-1'])
+		const fleet = new MoneyFleet(BUDGET, 0, ['box-1'])
 		await pass(fleet, START_MS)
 		for (let i = 0; i < 10; i++) await asks(fleet, 'box-3', 50)
 		expect(fleet.spent).toBeGreaterThan(0)
@@ -488,7 +245,7 @@
 	})
 
 	it('writes little for requests that no draw can serve', async () => {
-		const fleet = new Fleet(BUDGET, 0, ['box-1', 'box-2'], false)
+		const fleet = new MoneyFleet(BUDGET, 0, ['box-1', 'box-2'], false)
 		await pass(fleet, START_MS)
 		for (let i = 0; i < 18; i++) {
 			void fleet.ask(BOXES[i % 2] ?? BOXES[0], 490, 1)
@@ -505,7 +262,7 @@
 	})
 
 	it('goes on drawing after a record that it could not read', async () => {
-		const fleet = new Fleet(BUDGET, 0)
+		const fleet = new MoneyFleet(BUDGET, 0)
 		await pass(fleet, START_MS)
 		const good = fleet.store.text('allowance') ?? ''
 		fleet.store.put('allowance', 'not a record')
@@ -517,7 +274,7 @@
 	})
 
 	it('answers at once when the store and the other boxes have nothing', async () => {
-		const fleet = new Fleet(100, 0)
+		const fleet = new MoneyFleet(100, 0)
 		await pass(fleet, START_MS)
 		expect(await asks(fleet, 'box-1', 60)).toBe(true)
 		const before = Date.now()
--- a/packages/gateway/src/lib/testFleet.ts
+++ b/packages/gateway/src/lib/testFleet.ts
@@ -7,6 +7,7 @@
 	type LogEvent,
 	type ServiceName,
 	type TargetName,
+	type TrafficConfig,
 	type ZoneName,
 } from '@stallwing/core'
 import { MemoryStore } from '@stallwing/standins'
@@ -22,6 +23,7 @@
 import { FeedRelay } from './FeedRelay.js'
 import type { FeedPeers } from './PeerFeeds.js'
 import { TargetDirectory } from './TargetDirectory.js'
+import { TrafficDirectory } from './TrafficDirectory.js'
 import { watchMsFor } from './watchMsFor.js'
 import { sleep } from './sleep.js'
 
@@ -39,6 +41,8 @@
 const SERVICE = brandId<ServiceName>('service')
 /** Zone of the targets whose names do not say another. */
 const ZONE = brandId<ZoneName>('zone')
+/** Where the configuration lies. */
+export const CONFIG_KEY = 'config/now'
 /** Below it lie the cordons of zones. */
 export const CORDON_PREFIX = 'config/cordon/'
 
@@ -60,7 +64,8 @@
 	readonly members: readonly FleetMember[]
 	/** Lines about cordons, of all boxes. */
 	readonly logged: LogEvent[] = []
-	private readonly versions = new Map<string, string>()
+	/** Configurations that a box put in force, in order. */
+	private readonly inForce = new Map<string, string[]>()
 	private readonly boards = new Map<string, TargetBoard>()
 	private readonly relays = new Map<string, FeedRelay>()
 	private readonly followers = new Map<string, PrefixFollower[]>()
@@ -95,7 +100,7 @@
 		for (const follower of this.followers.get(box) ?? []) follower.stop()
 		this.relays.get(box)?.stop()
 		this.followers.delete(box)
-		this.versions.delete(box)
+		this.inForce.delete(box)
 		const member = this.members.find((known) => known.box === box)
 		if (member) this.start(member)
 	}
@@ -131,7 +136,12 @@
 
 	/** The configuration that a box goes by. */
 	versionOf(box: string): string | undefined {
-		return this.versions.get(box)
+		return this.inForce.get(box)?.at(-1)
+	}
+
+	/** All configurations that a box went by, in order. */
+	versionsOf(box: string): readonly string[] {
+		return this.inForce.get(box) ?? []
 	}
 
 	private start(member: FleetMember): void {
@@ -171,9 +181,20 @@
 			now: () => Date.now(),
 			log: (event) => this.logged.push(event),
 		})
+		const traffic = new TrafficDirectory({
+			key: CONFIG_KEY,
+			readConfig: (value) => E.right(configOf(value.toString('utf8'))),
+			onTraffic: ({ index }) => {
+				const [service] = index.config.services
+				const text = service?.name ?? ''
+				this.inForce.set(box, [...this.versionsOf(box), text])
+			},
+			now: () => Date.now(),
+			log: () => undefined,
+		})
 		this.follow(box, relay, 'config/', (items) => {
 			cordons.takeItems(items)
-			this.versions.set(box, items.get('config/now')?.value.toString('utf8') ?? '')
+			traffic.takeItems(items)
 		})
 		this.follow(
 			box,
@@ -289,6 +310,19 @@
 	return name === undefined ? ZONE : brandId<ZoneName>(zone ?? '')
 }
 
+/** A configuration that a text stands for: its version is the number in the text, 0 where there is none. */
+function configOf(text: string): TrafficConfig {
+	const name = brandId<ServiceName>(text)
+	const version = Number(/\d+/.exec(text)?.[0] ?? 0)
+	return {
+		version,
+		routes: [],
+		services: [{ name, maxConnections: 1, tokensPerEvent: undefined, coldStart: undefined }],
+		accounts: undefined,
+		limits: { headerBytes: 1, bodyBytes: 1, headerMs: 1, idleMs: 1 },
+	}
+}
+
 const NO_ANSWER: StoreFault = { kind: 'no-answer', cause: 'cut off' }
 
 function memberOf(zone: string, index: number): FleetMember {
--- a/packages/standins/src/index.ts
+++ b/packages/standins/src/index.ts
@@ -8,7 +8,12 @@
 	type PlatformFaults,
 	type PlatformOptions,
 } from './lib/startPlatform.js'
-export { MemoryStore, type CallFate, type MemoryStoreOptions } from './lib/MemoryStore.js'
+export {
+	MemoryStore,
+	type CallFate,
+	type MemoryStoreCopy,
+	type MemoryStoreOptions,
+} from './lib/MemoryStore.js'
 export { DEFAULT_ENGINE_MODEL, type EngineModel } from './lib/EngineScheduler.js'
 export { DEFAULT_ENGINE_OPTIONS, startEngine, type EngineOptions } from './lib/startEngine.js'
 export { CrashingTarget, type CrashingTargetOptions } from './lib/CrashingTarget.js'
--- a/packages/standins/src/lib/MemoryStore.ts
+++ b/packages/standins/src/lib/MemoryStore.ts
@@ -44,6 +44,13 @@
 	readonly item: StoreItem | undefined
 }
 
+/** What a store holds at one moment. @public */
+export interface MemoryStoreCopy {
+	readonly items: ReadonlyMap<string, HeldItem>
+	readonly leases: ReadonlyMap<number, number>
+	readonly revision: number
+}
+
 const ANSWER_MS = 4
 const NO_ANSWER_MS = 400
 const POLL_MS = 20
@@ -54,8 +61,8 @@
  * @public
  */
 export class MemoryStore {
-	private readonly items = new Map<string, HeldItem>()
-	private readonly leases = new Map<number, number>()
+	private items = new Map<string, HeldItem>()
+	private leases = new Map<number, number>()
 	private history: LoggedChange[] = []
 	private compactedAt = 0
 	private revision = 0
@@ -104,6 +111,26 @@
 		this.compactedAt = this.revision
 	}
 
+	/** A copy of all that the store holds, for {@link restore}. */
+	copy(): MemoryStoreCopy {
+		return {
+			items: new Map(this.items),
+			leases: new Map(this.leases),
+			revision: this.revision,
+		}
+	}
+
+	/**
+	 * Comes back from a copy: what was written since is gone, leases too. Revisions go back and are given out
+	 * again; the changes before the copy are no longer told.
+	 */
+	restore({ items, leases, revision }: MemoryStoreCopy): void {
+		this.items = new Map(items)
+		this.leases = new Map(leases)
+		this.revision = revision
+		this.compact()
+	}
+
 	private async call<T>(
 		caller: string,
 		name: string,
@@ -151,7 +178,8 @@
 
 	private changes(prefix: string, after: number): E.Either<StoreFault, readonly StoreChange[]> {
 		this.expire()
-		if (after < this.compactedAt) return E.left({ kind: 'history-gone' })
+		const isKnown = after >= this.compactedAt && after <= this.revision
+		if (!isKnown) return E.left({ kind: 'history-gone' })
 		const changes = this.history
 			.filter((change) => change.revision > after && change.key.startsWith(prefix))
 			.map((change): StoreChange =>
