Targets and cordons outlive a store that comes back from a copy

What callers saw: requests sent to targets that had said they leave, or whose entries had gone, some seconds before the store came back; and for as long as revisions stayed below the old ones, words of targets went unheard. Cause: the list of the copy was taken as the newest word on each target, although boxes had been told later ones. Change: RestoredTargets corrects the list of a new era by what was known of each life: one that leaves goes on leaving, one that had gone is a remnant until targets that live have written theirs (4 s); one that the copy lacks is used for as long as after any return of the store. A cordon that the copy lacks is kept for 3 s. Followers tell the revision of what they hand on. Ruled out: holding the whole list back until it settles (targets that joined or left since would go unheard). Why it holds: what is kept is kept for a life and a bounded time; a new life, or a later entry, goes before it.

--- a/packages/core/src/lib/placement/LapsedTargets.ts
+++ b/packages/core/src/lib/placement/LapsedTargets.ts
@@ -39,6 +39,11 @@
 		this.reached = reached
 	}
 
+	/** The store came back from a copy: entries that it lacks are written anew by targets that live. */
+	noteRestored(now: Millis): void {
+		this.graceUntil = Math.max(this.graceUntil, now + LAPSE_GRACE_MS)
+	}
+
 	/**
 	 * Takes the newest list; returns the targets that are to be used. `unusable`: targets whose entries are there and
 	 * can't be used, which did not run out.
--- a/packages/gateway/src/lib/CordonDirectory.ts
+++ b/packages/gateway/src/lib/CordonDirectory.ts
@@ -2,6 +2,7 @@
 	brandId,
 	describeRevision,
 	type LogEvent,
+	type StoreRevision,
 	type TargetBoard,
 	type ZoneCordon,
 	type ZoneName,
@@ -21,20 +22,31 @@
 	readonly log: (event: LogEvent) => void
 }
 
+/** Time for which a cordon is kept that a store lacks which came back from a copy, in ms. */
+const KEPT_MS = 3_000
+
 /**
  * Takes the operator's cordons of availability zones from the store to the board. The key alone says it: what
  * is written below it is not read, so that a note that an operator left there does no harm. A zone that no
  * target is listed in is kept as well: targets may come.
  */
 export class CordonDirectory {
+	/** Cordons of the newest list. */
+	private listed: readonly ZoneCordon[] = []
+	/** Cordons that hold, those that are kept for a moment included. */
+	private held: readonly ZoneCordon[] = []
+	private era = 0
+	private keptUntil = Number.NEGATIVE_INFINITY
 	/** Keys that name no zone and were logged. */
 	private refused = new Set<string>()
 
 	constructor(private readonly options: CordonDirectoryOptions) {}
 
-	/** Takes all items of the list; those that are no cordons are left aside. */
-	takeItems(items: ReadonlyMap<string, StoreItem>): void {
-		const { board, now, prefix } = this.options
+	/** Takes all items of the list, as known up to a revision; those that are no cordons are left aside. */
+	takeItems(items: ReadonlyMap<string, StoreItem>, at: StoreRevision): void {
+		const { prefix } = this.options
+		if (at.era !== this.era) this.keptUntil = this.options.now() + KEPT_MS
+		this.era = at.era
 		const cordons: ZoneCordon[] = []
 		const refused = new Set<string>()
 		for (const { key, revision } of items.values()) {
@@ -43,10 +55,27 @@
 			if (zone) cordons.push({ zone, revision })
 			else refused.add(key)
 		}
-		const changes = board.replaceCordons(cordons, now())
+		this.listed = cordons
+		this.hold()
+		this.logRefused(refused)
+	}
+
+	/** Gives up what was kept for a moment. To be called some times a second. */
+	maintain(): void {
+		if (this.held.length > this.listed.length) this.hold()
+	}
+
+	/** A store that came back from a copy may lack a cordon, until the operator has written it again. */
+	private hold(): void {
+		const { board, now } = this.options
+		const zones = new Set(this.listed.map(({ zone }) => zone))
+		const missing = this.held.filter(({ zone, revision }) => {
+			return !zones.has(zone) && revision.era !== this.era && now() < this.keptUntil
+		})
+		this.held = [...this.listed, ...missing]
+		const changes = board.replaceCordons(this.held, now())
 		for (const cordon of changes.cordoned) this.logChange('zone-cordoned', cordon)
 		for (const cordon of changes.reopened) this.logChange('zone-reopened', cordon)
-		this.logRefused(refused)
 	}
 
 	private logChange(name: 'zone-cordoned' | 'zone-reopened', { zone, revision }: ZoneCordon): void {
--- a/packages/gateway/src/lib/Gateway.ts
+++ b/packages/gateway/src/lib/Gateway.ts
@@ -53,6 +53,7 @@
 	private readonly board: TargetBoard
 	private readonly pools: TargetPools
 	private readonly targets: TargetDirectory
+	private readonly cordons: CordonDirectory
 	private readonly limits: ServiceLimits
 	private readonly loopDelay: LoopDelay
 	private readonly store: EraStore
@@ -158,6 +159,13 @@
 			wallTime: options.wallTime,
 			log: options.log,
 		})
+		this.cordons = new CordonDirectory({
+			prefix: options.documents.cordonPrefix,
+			board: this.board,
+			listAgeMs: () => this.feed.ageMs(options.documents.configPrefix),
+			now: options.now,
+			log: options.log,
+		})
 		this.limits = new ServiceLimits({
 			self: options.box,
 			pools: this.pools,
@@ -263,6 +271,7 @@
 	private sweep(): void {
 		this.pools.sweep()
 		this.targets.maintain()
+		this.cordons.maintain()
 		this.sharing.crashes.maintain()
 	}
 
@@ -352,7 +361,7 @@
 	}
 
 	private followConfig(): PrefixFollower {
-		const { documents, now, worldNow, log } = this.options
+		const { documents, worldNow, log } = this.options
 		const directory = new TrafficDirectory({
 			key: documents.configKey,
 			readConfig: (value) => documents.readConfig(value),
@@ -360,20 +369,13 @@
 			now: worldNow,
 			log,
 		})
-		const cordons = new CordonDirectory({
-			prefix: documents.cordonPrefix,
-			board: this.board,
-			listAgeMs: () => this.feed.ageMs(documents.configPrefix),
-			now,
-			log,
-		})
 		return followStore({
 			feed: this.feed,
 			prefix: documents.configPrefix,
 			watchMs: this.watchMs,
-			onItems: (items) => {
+			onItems: (items, at) => {
 				directory.takeItems(items)
-				cordons.takeItems(items)
+				this.cordons.takeItems(items, at)
 			},
 			log,
 		})
@@ -403,7 +405,7 @@
 			feed: this.feed,
 			prefix: this.options.documents.targetsPrefix,
 			watchMs: this.watchMs,
-			onItems: (items) => targets.takeItems(items),
+			onItems: (items, at) => targets.takeItems(items, at),
 			onContact: (contact) => targets.noteContact(contact),
 			log: this.options.log,
 		})
--- a/packages/gateway/src/lib/TargetDirectory.ts
+++ b/packages/gateway/src/lib/TargetDirectory.ts
@@ -1,5 +1,7 @@
 import {
 	LapsedTargets,
+	NO_REVISION,
+	RestoredTargets,
 	describeRevision,
 	isSameRevision,
 	type LogEvent,
@@ -52,6 +54,9 @@
 	/** True once the targets have been listed. */
 	listed = false
 	private readonly lapsed = new LapsedTargets()
+	private readonly restored = new RestoredTargets()
+	/** Revision of the list. */
+	private at = NO_REVISION
 	/** Entries as they were last read, by key. */
 	private entries = new Map<string, TargetEntry>()
 	/** Entries that can't be read, by key. */
@@ -74,8 +79,8 @@
 		return this.lapsed.isLapsed(target)
 	}
 
-	/** Takes all items of the list. */
-	takeItems(items: ReadonlyMap<string, StoreItem>): void {
+	/** Takes all items of the list, as they are known up to a revision. */
+	takeItems(items: ReadonlyMap<string, StoreItem>, at: StoreRevision): void {
 		const entries = new Map<string, TargetEntry>()
 		const unreadable = new Map<string, UnreadableEntry>()
 		for (const item of items.values()) {
@@ -97,11 +102,9 @@
 		this.logUnreadable(unreadable)
 		this.entries = entries
 		this.unreadable = unreadable
-		const lapsedBefore = new Set(this.lapsed.lapsed.map((entry) => entry.name))
-		const unusable = [...unreadable.values()].flatMap(({ target }) => target ?? [])
-		this.use(this.lapsed.take([...entries.values()], this.options.worldNow(), unusable))
-		const lapsed = this.lapsed.lapsed.filter((entry) => !lapsedBefore.has(entry.name))
-		this.logAll('target-lapsed', lapsed)
+		if (at.era !== this.at.era) this.lapsed.noteRestored(this.options.worldNow())
+		this.at = at
+		this.useListed()
 		this.listed = true
 	}
 
@@ -113,7 +116,20 @@
 
 	/** Lets go of targets that are still missing. To be called some times a second. */
 	maintain(): void {
-		if (this.lapsed.lapsed.length > 0) this.use(this.lapsed.retake(this.options.worldNow()))
+		const now = this.options.worldNow()
+		if (this.restored.isDue(now)) this.useListed()
+		else if (this.lapsed.lapsed.length > 0) this.use(this.lapsed.retake(now))
+	}
+
+	/** Uses the targets of the list, and those whose entries ran out a moment ago. */
+	private useListed(): void {
+		const now = this.options.worldNow()
+		const entries = this.restored.take([...this.entries.values()], this.at, now)
+		const unusable = [...this.unreadable.values()].flatMap(({ target }) => target ?? [])
+		const lapsedBefore = new Set(this.lapsed.lapsed.map((entry) => entry.name))
+		this.use(this.lapsed.take(entries, now, unusable))
+		const lapsed = this.lapsed.lapsed.filter((entry) => !lapsedBefore.has(entry.name))
+		this.logAll('target-lapsed', lapsed)
 	}
 
 	private use(entries: readonly TargetEntry[]): void {
--- a/packages/gateway/src/lib/TargetDirectoryEntries.test.ts
+++ b/packages/gateway/src/lib/TargetDirectoryEntries.test.ts
@@ -48,7 +48,7 @@
 			const text = typeof entry === 'string' ? entry : JSON.stringify(entry)
 			return [key, { key, value: Buffer.from(text), revision: { era: 1, number: revision } }]
 		})
-		directory.takeItems(new Map(all))
+		directory.takeItems(new Map(all), { era: 1, number: 1 })
 	}
 
 	function isUsed(name: string): boolean {
--- a/packages/gateway/src/lib/followStore.ts
+++ b/packages/gateway/src/lib/followStore.ts
@@ -1,5 +1,5 @@
 import type { LogEvent } from '@stallwing/core'
-import { PrefixFollower, type StoreContact, type StoreItem } from '@stallwing/store'
+import { PrefixFollower, type FollowerOptions, type StoreContact } from '@stallwing/store'
 import type { FeedRelay } from './FeedRelay.js'
 
 /** What is followed, and who takes it. */
@@ -8,7 +8,7 @@
 	readonly prefix: string
 	/** Longest wait of one watch, in ms. */
 	readonly watchMs: number
-	readonly onItems: (items: ReadonlyMap<string, StoreItem>) => void
+	readonly onItems: FollowerOptions['onItems']
 	readonly onContact?: (contact: StoreContact) => void
 	readonly log: (event: LogEvent) => void
 }
--- a/packages/gateway/src/lib/restoredStore.test.ts
+++ b/packages/gateway/src/lib/restoredStore.test.ts
@@ -1,5 +1,5 @@
 import { afterEach, beforeEach, describe, expect, it, vi } from 'vitest'
-import { CONFIG_KEY, CONTACT_MS, TestFleet, randomOf } from './testFleet.js'
+import { CONFIG_KEY, CONTACT_MS, CORDON_PREFIX, TestFleet, randomOf } from './testFleet.js'
 
 // Seen: the store came back from a copy that was some seconds old. Boxes went on handling requests by a configuration
 // that had been replaced: five newer ones were confirmed in the next eight seconds, and no box put one in force. Each
@@ -124,6 +124,23 @@
 		expect(wrong).toEqual([])
 	})
 
+	it('reopens no zone that an operator cordoned in what was lost', async () => {
+		const wrong = await play(async (fleet, one) => {
+			const key = `${CORDON_PREFIX}zone`
+			await drill(fleet, one, () => fleet.store.put(key, ''))
+			const users = new Set<string>()
+			for (let ms = 0; ms < 2_000; ms += STEP_MS) {
+				if (ms === 1_000) fleet.store.put(key, '')
+				for (const box of await boxesAfter(fleet, STEP_MS, (one) => !fleet.uses(one, 'c')))
+					users.add(box)
+			}
+			fleet.store.remove(key)
+			const closed = await boxesAfter(fleet, BOUND_MS, (box) => fleet.uses(box, 'c'))
+			return [...[...users].map((box) => `${box} open`), ...closed.map((box) => `${box} closed`)]
+		})
+		expect(wrong).toEqual([])
+	})
+
 	it('hides no word of a target that leaves, and takes back none from before', async () => {
 		const wrong = await play(async (fleet, one) => {
 			await drill(fleet, one, () => {
--- a/packages/gateway/src/lib/testFleet.ts
+++ b/packages/gateway/src/lib/testFleet.ts
@@ -181,6 +181,7 @@
 			now: () => Date.now(),
 			log: (event) => this.logged.push(event),
 		})
+		this.timers.push(setInterval(() => cordons.maintain(), 250))
 		const traffic = new TrafficDirectory({
 			key: CONFIG_KEY,
 			readConfig: (value) => E.right(configOf(value.toString('utf8'))),
@@ -192,15 +193,15 @@
 			now: () => Date.now(),
 			log: () => undefined,
 		})
-		this.follow(box, relay, 'config/', (items) => {
-			cordons.takeItems(items)
+		this.follow(box, relay, 'config/', (items, at) => {
+			cordons.takeItems(items, at)
 			traffic.takeItems(items)
 		})
 		this.follow(
 			box,
 			relay,
 			'targets/',
-			(items) => directory.takeItems(items),
+			(items, at) => directory.takeItems(items, at),
 			(contact) => directory.noteContact(contact),
 		)
 	}
--- a/packages/store/src/lib/PrefixFollower.ts
+++ b/packages/store/src/lib/PrefixFollower.ts
@@ -1,4 +1,4 @@
-import { NO_REVISION, newestRevision } from '@stallwing/core'
+import { NO_REVISION, newestRevision, type StoreRevision } from '@stallwing/core'
 import * as E from 'fp-ts/lib/Either.js'
 import type { FollowedStore, StoreChange, StoreFault, StoreItem } from './KeyValueStore.js'
 
@@ -9,8 +9,8 @@
 	readonly waitMs: number
 	/** Pause after a failed call, in ms; doubled after each further one, up to {@link MOST_RETRY_FACTOR}. */
 	readonly retryMs: number
-	/** All items, after each change. */
-	readonly onItems: (items: ReadonlyMap<string, StoreItem>) => void
+	/** All items, after each change, and the revision up to which they are known. */
+	readonly onItems: (items: ReadonlyMap<string, StoreItem>, at: StoreRevision) => void
 	/** The store answers again, or does not; told once for each change, before the items that it brings. */
 	readonly onContact: (contact: StoreContact) => void
 	readonly sleep: (ms: number) => Promise<void>
@@ -72,7 +72,7 @@
 		this.after = result.right.at
 		this.listed = true
 		this.noteContact({ kind: 'reached' })
-		if (!this.stopped) this.options.onItems(this.items)
+		if (!this.stopped) this.options.onItems(this.items, this.after)
 		return undefined
 	}
 
@@ -82,7 +82,7 @@
 		if (E.isLeft(result)) return result.left
 		for (const change of result.right) this.apply(change)
 		this.noteContact({ kind: 'reached' })
-		if (result.right.length > 0 && !this.stopped) this.options.onItems(this.items)
+		if (result.right.length > 0 && !this.stopped) this.options.onItems(this.items, this.after)
 		return undefined
 	}
 
