--- a/internal/bench/src/gateway.ts
+++ b/internal/bench/src/gateway.ts
@@ -50,6 +50,7 @@
 	incarnation: brandId<Incarnation>('bench'),
 	listen: { callers: LOOPBACK, readiness: LOOPBACK, peers: { host: '127.0.0.1', port: 29_471 } },
 	store: store.connection('box-1'),
+	isFirstStart: true,
 	storeReadsPerSecond: 6_000,
 	documents: BENCH_DOCUMENTS,
 	dialect: BENCH_DIALECT,
--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -180,9 +180,12 @@
 export { type AllowanceView, AllowanceBook } from './lib/allowance/AllowanceBook.js'
 export {
 	EMPTY_ALLOWANCE_ROW,
-	drawnByOthers,
+	drawnAtMostByOthers,
+	hasUnheard,
 	spentByOthers,
+	isOfEra,
 	type AllowanceRow,
+	type BoxDraws,
 	isOverBudget,
 	richestBoxes,
 	secondsToEnd,
@@ -193,6 +196,7 @@
 	NEAR_END_SECONDS,
 	START_PROOF_MS,
 	isMarkLow,
+	mayLackDraws,
 	nextMark,
 	spentAtMost,
 	type SpendingMark,
@@ -205,7 +209,9 @@
 	watchersFor,
 } from './lib/allowance/chooseLenders.js'
 export { SpentWords } from './lib/allowance/SpentWords.js'
-export { isDrawOff, planClaim, planDraw, type Budgets } from './lib/allowance/planDraw.js'
+export { DrawWindow } from './lib/allowance/DrawWindow.js'
+export { mergeLostDraws } from './lib/allowance/mergeLostDraws.js'
+export { drawRoom, isDrawOff, planClaim, planDraw, type Budgets } from './lib/allowance/planDraw.js'
 export { TargetBoard } from './lib/placement/TargetBoard.js'
 export { type AttemptHandle } from './lib/placement/AttemptHandle.js'
 export { type Place, type PlaceQuery } from './lib/placement/Place.js'
--- a/packages/core/src/lib/allowance/AllowanceBook.ts
+++ b/packages/core/src/lib/allowance/AllowanceBook.ts
@@ -133,9 +133,9 @@
 	 * Takes tokens that another box has handed over: covered by the draw of that box. They are dropped
 	 * where the budget was lowered since the configuration under which that box held them.
 	 */
-	borrow(account: AccountName, tokens: number, budgetsAt: number): void {
+	borrow(account: AccountName, tokens: number, budgetsVersion: number): void {
 		const allowance = this.allowance(account)
-		if (budgetsAt >= allowance.loweredAt) allowance.used -= tokens
+		if (budgetsVersion >= allowance.loweredAt) allowance.used -= tokens
 	}
 
 	/**
@@ -151,24 +151,24 @@
 	 * A write with this draw succeeded, made under the configuration of a revision. Reading the draw is
 	 * not enough: an older write may still land. `isOver`: all draws together lie above the budget.
 	 */
-	confirm(account: AccountName, drawn: number, budgetsAt: number, isOver: boolean): void {
+	confirm(account: AccountName, drawn: number, budgetsVersion: number, isOver: boolean): void {
 		const allowance = this.allowance(account)
 		const floor = allowance.spentBefore + allowance.used
 		assertInvariant(drawn >= floor, 'slice-not-overdrawn', { account, drawn, floor })
 		allowance.drawn = drawn
 		allowance.isOver = isOver
-		if (budgetsAt >= allowance.frozenUntil) allowance.frozenUntil = 0
+		if (budgetsVersion >= allowance.frozenUntil) allowance.frozenUntil = 0
 	}
 
 	/**
 	 * The budget has been lowered: stops reservations until a draw under that configuration. A box that
 	 * does not draw gives up what it borrowed, for good: only a lender knows what the new budget bears.
 	 */
-	freeze(account: AccountName, budgetsAt: number): void {
+	freeze(account: AccountName, budgetsVersion: number): void {
 		const allowance = this.allowance(account)
-		allowance.loweredAt = budgetsAt
+		allowance.loweredAt = budgetsVersion
 		if (this.claimed) {
-			allowance.frozenUntil = budgetsAt
+			allowance.frozenUntil = budgetsVersion
 			return
 		}
 		allowance.used = Math.max(0, allowance.used)
--- a/packages/core/src/lib/allowance/AllowanceRow.ts
+++ b/packages/core/src/lib/allowance/AllowanceRow.ts
@@ -1,4 +1,5 @@
 import type { AccountName, BoxName, Incarnation } from '../ids.js'
+import { windowPartOf, windowTokens } from './DrawWindow.js'
 
 /** What one box has drawn, over all its incarnations. */
 export interface BoxDraws {
@@ -12,6 +13,12 @@
 	readonly spent: Readonly<Record<AccountName, number>>
 	/** Tokens a second asked of this box when this was written; a row of an older version has none. */
 	readonly rates?: Readonly<Record<AccountName, number>>
+	/** Era of the store in which the box itself wrote this; a row of an older version names none. */
+	readonly era?: number
+	/** Tokens by which the draws were raised within the window before this was written. */
+	readonly raised?: Readonly<Record<AccountName, number>>
+	/** Part of a budget by which the box raises its draw at most within a window. */
+	readonly windowPart?: number
 }
 
 /**
@@ -20,15 +27,67 @@
  * @public
  */
 export interface AllowanceRow {
-	/** Store revision of the newest configuration that a writer of this row knew. */
-	readonly budgetsAt: number
+	/**
+	 * Era of the store in which this record was begun, {@link UNKNOWN_ERA} where boxes may have drawn before; a record
+	 * of an older version names none.
+	 */
+	readonly era?: number
+	/** Version of the newest configuration that a writer of this row knew. */
+	readonly budgetsVersion: number
 	/** Token budgets by account under that configuration. */
 	readonly budgets: Readonly<Record<AccountName, number>>
 	readonly boxes: Readonly<Record<BoxName, BoxDraws>>
 }
 
+/** Older than all eras of the store. */
+export const UNKNOWN_ERA = -1
+
 /** The record before anybody has drawn. @public */
-export const EMPTY_ALLOWANCE_ROW: AllowanceRow = { budgetsAt: 0, budgets: {}, boxes: {} }
+export const EMPTY_ALLOWANCE_ROW: AllowanceRow = {
+	budgetsVersion: 0,
+	budgets: {},
+	boxes: {},
+}
+
+/** True where a box wrote its draws in this era: what it says is all that the box has drawn. @public */
+export function isOfEra(draws: BoxDraws, era: number): boolean {
+	return draws.era === undefined || draws.era === era
+}
+
+/**
+ * Tokens of an account that a box has drawn at most. What it wrote in an earlier era of the store may be a copy from
+ * before its last draws: those are bounded by its window.
+ */
+export function drawnAtMost(
+	draws: BoxDraws,
+	account: AccountName,
+	budget: number,
+	era: number,
+): number {
+	const drawn = draws.drawn[account] ?? 0
+	if (isOfEra(draws, era)) return drawn
+	return drawn + windowTokens(draws.windowPart ?? windowPartOf(1), budget)
+}
+
+/** Tokens of an account that all boxes other than `except` have drawn at most. @public */
+export function drawnAtMostByOthers(
+	row: AllowanceRow,
+	account: AccountName,
+	except: BoxName,
+	budget: number,
+	era: number,
+): number {
+	let sum = 0
+	for (const [box, draws] of Object.entries<BoxDraws>(row.boxes)) {
+		if (box !== except) sum += drawnAtMost(draws, account, budget, era)
+	}
+	return sum
+}
+
+/** True where some box has not written its draws since the store came back from a copy. @public */
+export function hasUnheard(row: AllowanceRow, era: number): boolean {
+	return Object.values<BoxDraws>(row.boxes).some((draws) => !isOfEra(draws, era))
+}
 
 /** Tokens of an account drawn by all boxes other than `except`. @public */
 export function drawnByOthers(row: AllowanceRow, account: AccountName, except: BoxName): number {
--- a/packages/core/src/lib/allowance/SpendingMark.ts
+++ b/packages/core/src/lib/allowance/SpendingMark.ts
@@ -1,7 +1,14 @@
-import type { AccountName, Incarnation } from '../ids.js'
+import { brandId, type AccountName, type BoxName, type Incarnation } from '../ids.js'
 import type { Millis } from '../units.js'
 import type { AllowanceView } from './AllowanceBook.js'
-import type { BoxDraws } from './AllowanceRow.js'
+import {
+	UNKNOWN_ERA,
+	drawnAtMost,
+	isOfEra,
+	type AllowanceRow,
+	type BoxDraws,
+} from './AllowanceRow.js'
+import { ownWindowPart } from './planDraw.js'
 
 /**
  * A box's promise not to spend beyond a ceiling for {@link PROMISE_MS}. It lies in the store under a
@@ -19,6 +26,8 @@
 	readonly wallTime: Millis
 	/** Ceilings by account, counted like the draws. */
 	readonly marks: Readonly<Record<AccountName, number>>
+	/** Era of the store in which it was written; an older version names none. */
+	readonly era?: number
 }
 
 /**
@@ -30,6 +39,14 @@
 export const START_PROOF_MS: Millis = 700
 /** Length of the lease under which a promise lies. */
 export const MARK_LEASE_MS: Millis = PROMISE_MS + START_PROOF_MS
+/** Draws of a box of which the record tells nothing, from an era that is over. */
+const NO_DRAWS: BoxDraws = {
+	holder: brandId<Incarnation>(''),
+	address: '',
+	drawn: {},
+	spent: {},
+	era: UNKNOWN_ERA,
+}
 /** Difference of two times of day of one machine that counts as none, in ms. */
 const WALL_SLACK_MS: Millis = 500
 /** Demand in advance that a ceiling allows while the budget is far from its end, in seconds. */
@@ -71,19 +88,59 @@
 	return allowed < LOW_PART * wanted
 }
 
+/** What a new process knows of the one before it. */
+export interface ClaimFacts {
+	readonly box: BoxName
+	readonly mark: SpendingMark | undefined
+	/** Time of day when the new one started, in ms: the earlier one had ended by then. */
+	readonly startedAt: Millis
+	/** Era of the store. */
+	readonly era: number
+	/** The budgets that hold. */
+	readonly budgets: Readonly<Record<AccountName, number>>
+	/** No process of any box ran before. */
+	readonly isFirstStart: boolean
+}
+
 /**
  * What the earlier incarnation of a box has spent at most: up to its ceilings where its promise
- * certainly still held when it ended, otherwise all that it drew. `startedAt` is the time of day when
- * the new one started: the earlier one had ended by then.
+ * certainly still held when it ended, otherwise all that it drew. A record from before the store came back from a copy
+ * may lack its last draws, and the ceilings that it promised.
  * @public
  */
 export function spentAtMost(
-	draws: BoxDraws | undefined,
-	mark: SpendingMark | undefined,
-	startedAt: Millis,
+	row: AllowanceRow,
+	facts: ClaimFacts,
+): Readonly<Record<AccountName, number>> {
+	const { box, budgets, era } = facts
+	const draws = row.boxes[box]
+	if (draws && isOfEra(draws, era)) return spentUnderPromise(draws, facts)
+	if (!draws && !mayLackDraws(row, facts)) return {}
+	const known: BoxDraws = draws ?? { ...NO_DRAWS, windowPart: ownWindowPart(row, box) }
+	const spent: Record<AccountName, number> = {}
+	for (const name of Object.keys({ ...budgets, ...known.drawn })) {
+		const account = name as AccountName
+		spent[account] = drawnAtMost(known, account, budgets[account] ?? 0, era)
+	}
+	return spent
+}
+
+/** True where a box of which the record tells nothing may have drawn all the same. @public */
+export function mayLackDraws(
+	row: AllowanceRow,
+	{ era, isFirstStart }: Pick<ClaimFacts, 'era' | 'isFirstStart'>,
+): boolean {
+	const isAbsent = Object.keys(row.boxes).length === 0
+	if (isAbsent) return !isFirstStart
+	return row.era !== undefined && row.era !== era
+}
+
+function spentUnderPromise(
+	draws: BoxDraws,
+	{ era, mark, startedAt }: ClaimFacts,
 ): Readonly<Record<AccountName, number>> {
-	const drawn = draws?.drawn ?? {}
-	if (!draws || !mark || mark.holder !== draws.holder) return drawn
+	const { drawn, holder } = draws
+	if (!mark || mark.holder !== holder || (mark.era ?? era) !== era) return drawn
 	const age = startedAt - mark.wallTime
 	if (age < -WALL_SLACK_MS || age > PROMISE_MS) return drawn
 	const spent: Record<AccountName, number> = {}
--- a/packages/core/src/lib/allowance/SpentWords.ts
+++ b/packages/core/src/lib/allowance/SpentWords.ts
@@ -6,7 +6,7 @@
 	/** Tokens that may be left at most, wherever they lie. */
 	readonly left: number
 	/** Store revision of the configuration under which that was told. */
-	readonly budgetsAt: number
+	readonly budgetsVersion: number
 	readonly at: Millis
 }
 
@@ -23,18 +23,18 @@
 	private readonly words = new Map<AccountName, SpentWord>()
 
 	/** Notes that no more than `left` is left of an account. */
-	note(account: AccountName, left: number, budgetsAt: number, now: Millis): void {
+	note(account: AccountName, left: number, budgetsVersion: number, now: Millis): void {
 		if (!Number.isFinite(left)) return
-		this.words.set(account, { left, budgetsAt, at: now })
+		this.words.set(account, { left, budgetsVersion, at: now })
 	}
 
 	/**
 	 * True where a request of so many tokens can't be had of other boxes. A word from before a newer
 	 * configuration says nothing: that may have raised the budget.
 	 */
-	isSpent(account: AccountName, tokens: number, budgetsAt: number, now: Millis): boolean {
+	isSpent(account: AccountName, tokens: number, budgetsVersion: number, now: Millis): boolean {
 		const word = this.words.get(account)
-		if (!word || word.budgetsAt < budgetsAt || now - word.at >= WORD_MS) return false
+		if (!word || word.budgetsVersion < budgetsVersion || now - word.at >= WORD_MS) return false
 		return tokens > word.left
 	}
 }
--- a/packages/core/src/lib/allowance/planDraw.ts
+++ b/packages/core/src/lib/allowance/planDraw.ts
@@ -1,11 +1,18 @@
 import type { AccountName, BoxName, Incarnation } from '../ids.js'
 import type { AllowanceView } from './AllowanceBook.js'
-import { drawnByOthers, type AllowanceRow } from './AllowanceRow.js'
+import {
+	UNKNOWN_ERA,
+	drawnAtMostByOthers,
+	drawnByOthers,
+	type AllowanceRow,
+	type BoxDraws,
+} from './AllowanceRow.js'
+import { windowPartOf, windowTokens } from './DrawWindow.js'
 
 /** Budgets under the configuration that a box has in force. @public */
 export interface Budgets {
-	/** Store revision of that configuration. */
-	readonly at: number
+	/** Version of that configuration. It outlasts a store that comes back from a copy, whose revisions do not. */
+	readonly version: number
 	readonly tokens: Readonly<Record<AccountName, number>>
 }
 
@@ -20,6 +27,10 @@
 	readonly waiting: Readonly<Record<AccountName, number>>
 	/** Give back all that is free: the box is stopping. */
 	readonly giveBack: boolean
+	/** Era of the store. */
+	readonly era: number
+	/** Tokens by which this box raised its draws within the window, by account. */
+	readonly raised: Readonly<Record<AccountName, number>>
 }
 
 /** Demand that a box holds in advance, in seconds: a cut from the store has to be lived through. */
@@ -33,7 +44,7 @@
 
 /** The budgets that hold: those of the newest configuration that the row or this box knows. */
 export function budgetsInForce(row: AllowanceRow, own: Budgets): Budgets {
-	if (row.budgetsAt > own.at) return { at: row.budgetsAt, tokens: row.budgets }
+	if (row.budgetsVersion > own.version) return { version: row.budgetsVersion, tokens: row.budgets }
 	return own
 }
 
@@ -73,14 +84,67 @@
 		spent[view.account] = view.floor
 		rates[view.account] = Math.round(view.tokensPerSecond)
 	}
+	const { box, holder, address, era } = request
+	const own: BoxDraws = {
+		holder,
+		address,
+		drawn,
+		spent,
+		rates,
+		era,
+		raised: raisedWith(row, request, drawn),
+		windowPart: ownWindowPart(row, box),
+	}
 	return {
-		budgetsAt: budgets.at,
+		...row,
+		// A record that is gone may have told of others.
+		era: isEmpty(row) ? UNKNOWN_ERA : row.era,
+		budgetsVersion: budgets.version,
 		budgets: budgets.tokens,
-		boxes: {
-			...row.boxes,
-			[request.box]: { holder: request.holder, address: request.address, drawn, spent, rates },
-		},
+		boxes: { ...row.boxes, [box]: own },
+	}
+}
+
+/** Part of a budget by which a box may raise its draw within a window. */
+export function ownWindowPart(row: AllowanceRow, box: BoxName): number {
+	return windowPartOf(Object.keys({ ...row.boxes, [box]: undefined }).length)
+}
+
+/** What is raised within the window once these draws are written. */
+function raisedWith(
+	row: AllowanceRow,
+	request: DrawRequest,
+	drawn: Readonly<Record<AccountName, number>>,
+): Readonly<Record<AccountName, number>> {
+	const raised: Record<AccountName, number> = { ...request.raised }
+	for (const view of request.views) {
+		const raise = raiseOf(row, request.box, view, drawn[view.account] ?? 0)
+		if (raise > 0) raised[view.account] = (raised[view.account] ?? 0) + raise
 	}
+	return raised
+}
+
+/** By how much a draw lies above what the record and the box itself knew of it. */
+function raiseOf(row: AllowanceRow, box: BoxName, view: AllowanceView, drawn: number): number {
+	return Math.max(0, drawn - knownDrawn(row, box, view))
+}
+
+/** Tokens by which a box may raise its draw of an account now: its window bounds that. @public */
+export function drawRoom(
+	row: AllowanceRow,
+	box: BoxName,
+	view: AllowanceView,
+	budget: number,
+	raised: Readonly<Record<AccountName, number>>,
+): number {
+	const window = windowTokens(ownWindowPart(row, box), budget)
+	const left = Math.max(0, window - (raised[view.account] ?? 0))
+	return Math.max(0, knownDrawn(row, box, view) + left - view.drawn)
+}
+
+/** A draw of which the record does not tell counts as raised: a copy of the store may lack it. */
+function knownDrawn(row: AllowanceRow, box: BoxName, view: AllowanceView): number {
+	return Math.min(view.drawn, row.boxes[box]?.drawn[view.account] ?? 0)
 }
 
 function nextDrawn(
@@ -90,15 +154,21 @@
 	budget: number,
 ): number {
 	if (request.giveBack) return view.floor
-	const others = drawnByOthers(row, view.account, request.box)
-	const highest = Math.max(view.floor, budget - others)
-	const own = Math.max(view.drawn, row.boxes[request.box]?.drawn[view.account] ?? 0)
+	const { box, era } = request
+	const { account } = view
+	const others = drawnAtMostByOthers(row, account, box, budget, era)
+	const own = Math.max(view.drawn, row.boxes[box]?.drawn[account] ?? 0)
 	const undrawn = Math.max(0, budget - others - own)
-	const waiting = request.waiting[view.account] ?? 0
+	const waiting = request.waiting[account] ?? 0
 	const boxes = Object.keys(row.boxes).length
 	const wanted = wantedTokens(view, undrawn + view.held, boxes)
 	const gentle = Math.min(wanted, Math.max(view.held, 0) + undrawn * LARGEST_PART)
-	return Math.min(highest, view.floor + Math.ceil(Math.max(gentle, waiting)))
+	const target = view.floor + Math.ceil(Math.max(gentle, waiting))
+	const room = drawRoom(row, box, view, budget, request.raised)
+	const raised = Math.min(budget - others, view.drawn + room)
+	// What others may have drawn beyond the record is no reason to give up what this box surely drew.
+	const kept = Math.min(view.drawn, budget - drawnByOthers(row, account, box))
+	return Math.max(view.floor, Math.min(target, Math.max(raised, kept)))
 }
 
 /**
@@ -114,8 +184,33 @@
 		readonly holder: Incarnation
 		readonly address: string
 		readonly spent: Readonly<Record<AccountName, number>>
+		readonly era: number
+		/** No process of any box ran before. */
+		readonly isFirstStart: boolean
 	},
 ): AllowanceRow {
-	const { box, holder, address, spent } = claim
-	return { ...row, boxes: { ...row.boxes, [box]: { holder, address, drawn: spent, spent } } }
+	const { box, holder, address, spent, era, isFirstStart } = claim
+	const begunIn = isFirstStart ? era : UNKNOWN_ERA
+	const raised = claimRaises(row.boxes[box], spent)
+	const windowPart = ownWindowPart(row, box)
+	const own: BoxDraws = { holder, address, drawn: spent, spent, era, raised, windowPart }
+	return { ...row, era: isEmpty(row) ? begunIn : row.era, boxes: { ...row.boxes, [box]: own } }
+}
+
+function isEmpty(row: AllowanceRow): boolean {
+	return Object.keys(row.boxes).length === 0
+}
+
+/** What is raised within the window of a box whose earlier incarnation wrote `before`. */
+function claimRaises(
+	before: BoxDraws | undefined,
+	spent: Readonly<Record<AccountName, number>>,
+): Readonly<Record<AccountName, number>> {
+	const raised: Record<AccountName, number> = { ...before?.raised }
+	for (const [name, tokens] of Object.entries<number>(spent)) {
+		const account = name as AccountName
+		const raise = tokens - (before?.drawn[account] ?? 0)
+		if (raise > 0) raised[account] = (raised[account] ?? 0) + raise
+	}
+	return raised
 }
--- a/packages/gateway/src/lib/AllowanceClient.ts
+++ b/packages/gateway/src/lib/AllowanceClient.ts
@@ -62,6 +62,11 @@
 		return this.drawer.claim()
 	}
 
+	/** The store came back from a copy. */
+	noteEra(): void {
+		void this.drawer.noteEra()
+	}
+
 	/** Takes the budgets of a new configuration. A lowered one is frozen until the next draw. */
 	setBudgets(budgets: Budgets): void {
 		this.state.setBudgets(budgets)
@@ -86,11 +91,11 @@
 			if (result === 'reserved') book.settle(account, attainable, 0)
 		}
 		const missing = tokens - Math.max(0, book.free(account))
-		if (this.lending.isKnownSpent(account, missing, this.state.budgets.at)) return 'spent'
+		if (this.lending.isKnownSpent(account, missing, this.state.budgets.version)) return 'spent'
 		const result = await this.lending.borrow(book, account, tokens)
 		if (result === 'reserved') return result
 		// What was gathered in vain is of more use at a lender.
-		if (!this.drawer.claimed) void this.lending.handOver(book, account, this.state.budgets.at)
+		if (!this.drawer.claimed) void this.lending.handOver(book, account, this.state.budgets.version)
 		return this.state.isSpent(account, tokens) ? 'spent' : result
 	}
 
@@ -110,7 +115,7 @@
 		this.options.log({ name: 'allowance-lent', fields: { account, ...request, lent, left } })
 		const free = Math.max(0, book.free(account))
 		const { nearlySpent, budgets } = this.state
-		return { lent, left, free, budgetsAt: budgets.at, nearlySpent }
+		return { lent, left, free, budgetsVersion: budgets.version, nearlySpent }
 	}
 
 	/** Ends a reservation. */
@@ -140,9 +145,9 @@
 	}
 
 	/** Takes over tokens of a box that stops while the store can't be reached. */
-	accept(account: AccountName, tokens: number, budgetsAt: number): boolean {
+	accept(account: AccountName, tokens: number, budgetsVersion: number): boolean {
 		if (this.closed) return false
-		this.state.book.borrow(account, tokens, budgetsAt)
+		this.state.book.borrow(account, tokens, budgetsVersion)
 		return true
 	}
 
@@ -151,7 +156,7 @@
 		const { book } = this.state
 		this.drawer.checkPromise()
 		for (const account of this.state.accounts)
-			await this.lending.handOver(book, account, this.state.budgets.at)
+			await this.lending.handOver(book, account, this.state.budgets.version)
 	}
 
 	/** What is held of each account, for metrics. */
--- a/packages/gateway/src/lib/AllowanceDrawer.ts
+++ b/packages/gateway/src/lib/AllowanceDrawer.ts
@@ -3,7 +3,9 @@
 	describeRevision,
 	isDrawOff,
 	isMarkLow,
+	isOfEra,
 	isOverBudget,
+	mayLackDraws,
 	nextMark,
 	planClaim,
 	planDraw,
@@ -12,6 +14,7 @@
 	type AllowanceRow,
 	type AllowanceView,
 	type BoxName,
+	type Budgets,
 	type Incarnation,
 	type LogEvent,
 	type SpendingMark,
@@ -33,6 +36,8 @@
 	readonly holder: Incarnation
 	/** Where other boxes reach this one. */
 	readonly address: string
+	/** No process of any box ran before. */
+	readonly isFirstStart: boolean
 	/** This box draws from the store; others ask such boxes. */
 	readonly isLender: () => boolean
 	readonly metrics: Metrics
@@ -53,6 +58,8 @@
 	readonly state: AllowanceState
 }
 
+type TokensByAccount = Readonly<Record<AccountName, number>>
+
 /** What the earlier incarnation had promised when this one looked. */
 interface FoundPromise {
 	readonly mark: SpendingMark | undefined
@@ -64,6 +71,11 @@
 const DRAW_PAUSE_MS = 1_800
 /** Age from which the shared record is read again, in ms. */
 const ROW_AGE_MS = 2_000
+/** The same for some time after the store came back from a copy, while some boxes have not written since. */
+const SETTLING_ROW_AGE_MS = 300
+const SETTLE_MS = 10_000
+/** Time that one write of the record takes, in ms. */
+const WRITE_MS = 10
 /** Pause of the maintenance after a failed call, in ms. */
 const FAULT_PAUSE_MS = 900
 const CONFLICT_TRIES = 8
@@ -83,6 +95,7 @@
 	private drawAgain = false
 	private drewAt = Number.NEGATIVE_INFINITY
 	private closed = false
+	private eraBeganAt = Number.NEGATIVE_INFINITY
 
 	constructor(private readonly options: AllowanceDrawerOptions) {
 		this.record = options.record
@@ -125,16 +138,34 @@
 		}
 		const { record } = this
 		if (!record.reached && record.sinceFaultMs < FAULT_PAUSE_MS) return
-		if (!record.reached || record.ageMs > ROW_AGE_MS) await record.refresh()
+		if (!record.reached || record.ageMs > this.longestAgeMs) await record.refresh()
 		if (record.reached && (this.needsDraw() || this.needsMark())) await this.draw()
 	}
 
+	/**
+	 * The store came back from a copy, and the record with it. What this box drew is written again at once: the others
+	 * count it at most until then. Boxes write one record, and wait for different times.
+	 */
+	async noteEra(): Promise<void> {
+		const { now, random, sleep } = this.options
+		this.eraBeganAt = now()
+		this.promise.noteEra()
+		await sleep(random() * this.state.drawers * WRITE_MS)
+		await this.draw()
+	}
+
+	/** Age from which the shared record is read again, in ms: what others write after a return frees tokens. */
+	private get longestAgeMs(): number {
+		const isSettling = this.options.now() - this.eraBeganAt < SETTLE_MS
+		return isSettling && this.record.hasUnheard ? SETTLING_ROW_AGE_MS : ROW_AGE_MS
+	}
+
 	/** What this box could have free of an account after a draw and with a higher ceiling. */
 	attainable(account: AccountName): number {
 		if (!this.mayDraw) return 0
 		const view = this.state.view(account)
 		if (!this.claimed || view.frozen) return Number.POSITIVE_INFINITY
-		return view.held + this.state.undrawn(view)
+		return view.held + this.state.drawable(view)
 	}
 
 	/** Waits for the next draw, which is made as soon as may be. */
@@ -150,13 +181,20 @@
 	}
 
 	private async claimOnce(): Promise<boolean> {
-		const { box, holder, address } = this.options
+		const { box, holder, address, isFirstStart } = this.options
 		const found = await this.findPromise()
 		if (E.isLeft(found)) return false
 		if (await this.record.read()) return false
-		const before = this.record.row.boxes[box]
-		const spent = spentAtMost(before, found.right.mark, found.right.startedAt)
-		const next = planClaim(this.record.row, { box, holder, address, spent })
+		const { era, row } = this.record
+		const before = row.boxes[box]
+		const budgets = largestBudgets(row, this.state.budgets)
+		const isUncertain = before ? !isOfEra(before, era) : mayLackDraws(row, { era, isFirstStart })
+		// How much may be missing is counted by the budgets: they come with the configuration.
+		if (isUncertain && Object.keys(budgets).length === 0) return false
+		const { mark, startedAt } = found.right
+		const facts = { box, mark, startedAt, era, budgets, isFirstStart }
+		const spent = spentAtMost(row, facts)
+		const next = planClaim(row, { box, holder, address, spent, era, isFirstStart })
 		const result = await this.record.write(next)
 		if (E.isLeft(result)) return false
 		// Another box wrote first, or a write of ours whose answer was lost: claiming again does no harm.
@@ -165,12 +203,18 @@
 			return this.claimOnce()
 		}
 		this.state.book.claim(spent)
-		this.logClaim(found.right, sum(before?.drawn), sum(spent))
+		this.noteRaises(next, {})
+		this.logClaim(found.right, isUncertain, sum(before?.drawn), sum(spent))
 		void this.draw()
 		return true
 	}
 
-	private logClaim(found: FoundPromise, drawnBefore: number, spentBefore: number): void {
+	private logClaim(
+		found: FoundPromise,
+		isUncertain: boolean,
+		drawnBefore: number,
+		spentBefore: number,
+	): void {
 		this.options.log({
 			name: 'allowance-claimed',
 			fields: {
@@ -178,6 +222,7 @@
 				revision: describeRevision(this.record.revision ?? NO_REVISION),
 				promise: found.mark?.holder ?? '',
 				promiseAgeMs: found.mark ? Math.round(found.startedAt - found.mark.wallTime) : -1,
+				isUncertain,
 				drawnBefore,
 				spentBefore,
 			},
@@ -196,9 +241,15 @@
 
 	private needsDraw(): boolean {
 		const views = this.state.views()
-		if (views.some((view) => view.frozen)) return true
+		if (views.some((view) => view.frozen) || !this.isHeard) return true
 		if (this.options.now() - this.drewAt < DRAW_PAUSE_MS) return false
-		return views.some((view) => isDrawOff(view, this.state.undrawn(view), this.state.drawers))
+		return views.some((view) => isDrawOff(view, this.state.drawable(view), this.state.drawers))
+	}
+
+	/** The record tells what this box drew, in the era of the store. */
+	private get isHeard(): boolean {
+		const own = this.record.row.boxes[this.options.box]
+		return own !== undefined && isOfEra(own, this.record.era)
 	}
 
 	private needsMark(): boolean {
@@ -265,7 +316,7 @@
 		return this.state.views().some((view) => {
 			const smallest = this.waiters.smallest(view.account)
 			if (smallest <= view.held) return false
-			if (smallest <= view.held + this.state.undrawn(view)) return true
+			if (smallest <= view.held + this.state.drawable(view)) return true
 			return isPauseOver && view.floor > this.toldSpent(view.account)
 		})
 	}
@@ -302,12 +353,14 @@
 	/** Writes this box's draws; with `giveBack`, all that is free goes back. */
 	async writeDraw(giveBack: boolean): Promise<StoreFault | undefined> {
 		for (let tries = 0; tries < CONFLICT_TRIES; tries++) {
-			const next = this.plan(giveBack)
+			const raised = this.state.window.raised(this.options.now())
+			const next = this.plan(giveBack, raised)
 			this.lower(next)
 			const result = await this.record.write(next)
 			if (E.isLeft(result)) return result.left
 			if (result.right === 'written') {
 				this.drewAt = this.options.now()
+				this.noteRaises(next, raised)
 				this.confirm(next)
 				return undefined
 			}
@@ -316,7 +369,7 @@
 		return { kind: 'refused', status: 412 }
 	}
 
-	private plan(giveBack: boolean): AllowanceRow {
+	private plan(giveBack: boolean, raised: TokensByAccount): AllowanceRow {
 		const { box, holder, address } = this.options
 		return planDraw(this.record.row, {
 			box,
@@ -326,22 +379,34 @@
 			views: this.state.views(),
 			waiting: this.waiters.tokens(),
 			giveBack,
+			era: this.record.era,
+			raised,
 		})
 	}
 
+	/** Counts in the window what a write raised beyond what was counted. */
+	private noteRaises(next: AllowanceRow, before: TokensByAccount): void {
+		const now = this.options.now()
+		const raised = next.boxes[this.options.box]?.raised ?? {}
+		for (const [name, tokens] of Object.entries<number>(raised)) {
+			const account = name as AccountName
+			this.state.window.note(account, tokens - (before[account] ?? 0), now)
+		}
+	}
+
 	private lower(next: AllowanceRow): void {
 		for (const [account, drawn] of this.ownDraws(next)) this.state.book.lower(account, drawn)
 	}
 
 	private confirm(next: AllowanceRow): void {
 		for (const [account, drawn] of this.ownDraws(next))
-			this.state.book.confirm(account, drawn, next.budgetsAt, isOverBudget(next, account))
+			this.state.book.confirm(account, drawn, next.budgetsVersion, isOverBudget(next, account))
 		this.options.metrics.count('stallwing_draws_total')
 		this.options.log({
 			name: 'allowance-drawn',
 			fields: {
 				revision: describeRevision(this.record.revision ?? NO_REVISION),
-				budgetsAt: next.budgetsAt,
+				budgetsVersion: next.budgetsVersion,
 				free: this.describe((view) => view.free),
 				undrawn: this.describe((view) => this.state.undrawn(view)),
 			},
@@ -363,6 +428,16 @@
 	}
 }
 
+/** The larger of the budgets that the record and the configuration tell. */
+function largestBudgets(row: AllowanceRow, own: Budgets): TokensByAccount {
+	const largest: Record<AccountName, number> = { ...row.budgets }
+	for (const [name, tokens] of Object.entries<number>(own.tokens)) {
+		const account = name as AccountName
+		largest[account] = Math.max(largest[account] ?? 0, tokens)
+	}
+	return largest
+}
+
 function sum(tokens: Readonly<Record<AccountName, number>> | undefined): number {
 	return Object.values<number>(tokens ?? {}).reduce((total, amount) => total + amount, 0)
 }
--- a/packages/gateway/src/lib/AllowanceRecord.ts
+++ b/packages/gateway/src/lib/AllowanceRecord.ts
@@ -2,7 +2,9 @@
 	EMPTY_ALLOWANCE_ROW,
 	NO_REVISION,
 	describeRevision,
+	hasUnheard,
 	isNewerRevision,
+	mergeLostDraws,
 	type AllowanceRow,
 	type LogEvent,
 	type StoreRevision,
@@ -29,6 +31,8 @@
 	revision: StoreRevision | undefined
 	/** The last call of this box was answered. */
 	reached = false
+	/** The record as it was before the store came back from a copy, until all boxes have written since. */
+	private lost: AllowanceRow | undefined
 	private seenAt = Number.NEGATIVE_INFINITY
 	private faultAt = Number.NEGATIVE_INFINITY
 
@@ -44,6 +48,16 @@
 		return this.options.now() - this.faultAt
 	}
 
+	/** Era of the store. */
+	get era(): number {
+		return this.options.store.era
+	}
+
+	/** Some boxes have not written their draws since the store came back from a copy. */
+	get hasUnheard(): boolean {
+		return hasUnheard(this.row, this.era)
+	}
+
 	/** Reads the newest state. */
 	async read(): Promise<StoreFault | undefined> {
 		const result = await this.options.store.read(this.options.key)
@@ -53,6 +67,7 @@
 
 	/** Reads a state that may be seconds old, and is cheap. */
 	async refresh(): Promise<StoreFault | undefined> {
+		if ((this.revision ?? NO_REVISION).era < this.era) return this.read()
 		const result = await this.options.store.readStale(this.options.key)
 		if (E.isLeft(result)) return this.noteFault(result.left)
 		if (result.right && isNewerRevision(result.right.revision, this.revision ?? NO_REVISION))
@@ -92,8 +107,11 @@
 		// What others drew stands nowhere else: without it this box draws nothing, rather than too much.
 		const row = item ? readAllowanceRow(item.value) : EMPTY_ALLOWANCE_ROW
 		if (!row) return this.noteFault({ kind: 'unreadable', cause: this.options.key })
-		this.row = row
+		const known = this.revision
 		this.revision = item?.revision
+		if (known && known.era < this.era) this.lost = this.row
+		this.row = this.lost ? mergeLostDraws(row, this.lost, this.era) : row
+		if (!this.hasUnheard) this.lost = undefined
 		this.noteSeen()
 		return undefined
 	}
--- a/packages/gateway/src/lib/AllowanceState.ts
+++ b/packages/gateway/src/lib/AllowanceState.ts
@@ -1,6 +1,8 @@
 import {
 	AllowanceBook,
-	drawnByOthers,
+	DrawWindow,
+	drawRoom,
+	drawnAtMostByOthers,
 	secondsToEnd,
 	spentByOthers,
 	type AccountName,
@@ -27,7 +29,9 @@
 /** What this box knows of the token budgets: the configuration, its own book, and the shared record. */
 export class AllowanceState {
 	readonly book = new AllowanceBook()
-	budgets: Budgets = { at: 0, tokens: {} }
+	budgets: Budgets = { version: 0, tokens: {} }
+	/** By how much this box raised its draws lately. */
+	readonly window = new DrawWindow()
 	/** The last budget of each account that ever had one. */
 	private readonly lastBudgets = new Map<AccountName, number>()
 
@@ -40,10 +44,10 @@
 			const before = this.lastBudgets.get(account) ?? 0
 			this.lastBudgets.set(account, tokens)
 			if (tokens >= before) continue
-			this.book.freeze(account, budgets.at)
+			this.book.freeze(account, budgets.version)
 			this.options.log({
 				name: 'allowance-frozen',
-				fields: { account, before, after: tokens, revision: budgets.at },
+				fields: { account, before, after: tokens, revision: budgets.version },
 			})
 		}
 		this.budgets = budgets
@@ -70,8 +74,17 @@
 	/** What nobody has drawn of an account, as far as this box knows. */
 	undrawn(view: AllowanceView): number {
 		const { box, record } = this.options
-		const others = drawnByOthers(record.row, view.account, box)
-		return Math.max(0, (this.budgets.tokens[view.account] ?? 0) - others - view.drawn)
+		const budget = this.budgets.tokens[view.account] ?? 0
+		const others = drawnAtMostByOthers(record.row, view.account, box, budget, record.era)
+		return Math.max(0, budget - others - view.drawn)
+	}
+
+	/** What this box could draw of an account now: its window bounds that as well. */
+	drawable(view: AllowanceView): number {
+		const { box, now, record } = this.options
+		const budget = this.budgets.tokens[view.account] ?? 0
+		const room = drawRoom(record.row, box, view, budget, this.window.raised(now()))
+		return Math.min(room, this.undrawn(view))
 	}
 
 	/** Time in which the fleet uses up what is left of an account, in seconds. */
@@ -84,7 +97,7 @@
 	leftAtMost(account: AccountName): number {
 		const { box, record } = this.options
 		const budget = this.budgets.tokens[account]
-		if (budget === undefined || record.row.budgetsAt > this.budgets.at)
+		if (budget === undefined || record.row.budgetsVersion > this.budgets.version)
 			return Number.POSITIVE_INFINITY
 		return budget - spentByOthers(record.row, account, box) - this.view(account).floor
 	}
--- a/packages/gateway/src/lib/Gateway.ts
+++ b/packages/gateway/src/lib/Gateway.ts
@@ -125,6 +125,7 @@
 			box: options.box,
 			holder: options.incarnation,
 			address,
+			isFirstStart: options.isFirstStart,
 			isLender: () => this.roster.isLender,
 			lenderAddresses: (account) => this.roster.lenderAddresses(account),
 			lenders: peers,
@@ -198,7 +199,8 @@
 		this.peers = new PeerServer({
 			lend: (account, request) => this.allowance.lend(account, request),
 			fleetWork: (asker) => (this.roster.isLarge ? this.sharing.work.fleetWork(asker) : []),
-			accept: (account, tokens, budgetsAt) => this.allowance.accept(account, tokens, budgetsAt),
+			accept: (account, tokens, budgetsVersion) =>
+				this.allowance.accept(account, tokens, budgetsVersion),
 			isOpen: () => !this.context.stopping,
 			changes: (prefix, after, waitMs) => this.feed.answer(prefix, after, waitMs),
 		})
@@ -266,6 +268,7 @@
 			revision: describeRevision(revision ?? NO_REVISION),
 		}
 		this.options.log({ name: 'store-era', fields })
+		if (before > 0) this.allowance.noteEra()
 	}
 
 	private sweep(): void {
@@ -387,7 +390,7 @@
 		this.fewestConnections = Math.min(...services.map(({ maxConnections }) => maxConnections))
 		this.applyLimits()
 		this.board.setColdStarts(traffic.index.coldStarts)
-		this.allowance.setBudgets({ at: traffic.revision.number, tokens })
+		this.allowance.setBudgets({ version: traffic.index.config.version, tokens })
 	}
 
 	private isConfigurationVouched(): boolean {
--- a/packages/gateway/src/lib/GatewayOptions.ts
+++ b/packages/gateway/src/lib/GatewayOptions.ts
@@ -36,6 +36,8 @@
 		readonly peers: ListenAddress
 	}
 	readonly store: StoreConnection
+	/** The fleet as a whole starts for the first time: no process of any box ran before. */
+	readonly isFirstStart: boolean
 	/** Reads a second that the store takes of all boxes together. */
 	readonly storeReadsPerSecond: number
 	readonly documents: Documents
--- a/packages/gateway/src/lib/PeerClient.ts
+++ b/packages/gateway/src/lib/PeerClient.ts
@@ -96,12 +96,12 @@
 		address: string,
 		account: AccountName,
 		tokens: number,
-		budgetsAt: number,
+		budgetsVersion: number,
 	): Promise<boolean> {
 		const query = new URLSearchParams({
 			account,
 			tokens: String(tokens),
-			budgetsAt: String(budgetsAt),
+			budgetsVersion: String(budgetsVersion),
 		})
 		return (await this.statusOf(address, 'POST', `${ACCEPT_PATH}?${query}`)) === 200
 	}
@@ -133,10 +133,10 @@
 		const work = fromWireWork(body.work)
 		if (work) this.onFleetWork(work)
 		const lent = typeof body.lent === 'number' ? body.lent : 0
-		const budgetsAt = typeof body.budgetsAt === 'number' ? body.budgetsAt : 0
+		const budgetsVersion = typeof body.budgetsVersion === 'number' ? body.budgetsVersion : 0
 		const left = typeof body.left === 'number' ? body.left : Number.POSITIVE_INFINITY
 		const free = typeof body.free === 'number' ? body.free : 0
-		return { lent, left, free, budgetsAt, nearlySpent: readNearlySpent(body.nearlySpent) }
+		return { lent, left, free, budgetsVersion, nearlySpent: readNearlySpent(body.nearlySpent) }
 	}
 }
 
--- a/packages/gateway/src/lib/PeerServer.ts
+++ b/packages/gateway/src/lib/PeerServer.ts
@@ -24,7 +24,7 @@
 	/** Work at targets of all boxes but one, to go with an answer to that one. */
 	fleetWork(asker: BoxName): readonly TargetWork[]
 	/** Takes tokens over that were held under the configuration of a revision; false where this box can't. */
-	accept(account: AccountName, tokens: number, budgetsAt: number): boolean
+	accept(account: AccountName, tokens: number, budgetsVersion: number): boolean
 	/** Whether this box would take tokens over. */
 	isOpen(): boolean
 	/** Changes below a prefix after a revision, as soon as there are any. */
@@ -86,8 +86,10 @@
 	}
 
 	private accept(account: AccountName, tokens: number, url: URL): boolean {
-		const budgetsAt = Number(url.searchParams.get('budgetsAt'))
-		return Number.isSafeInteger(budgetsAt) && this.handlers.accept(account, tokens, budgetsAt)
+		const budgetsVersion = Number(url.searchParams.get('budgetsVersion'))
+		return (
+			Number.isSafeInteger(budgetsVersion) && this.handlers.accept(account, tokens, budgetsVersion)
+		)
 	}
 
 	private async handle(message: IncomingMessage, response: ServerResponse): Promise<void> {
--- a/packages/gateway/src/lib/SpendingPromise.ts
+++ b/packages/gateway/src/lib/SpendingPromise.ts
@@ -67,6 +67,12 @@
 		return E.right(read.right ? readSpendingMark(read.right.value) : undefined)
 	}
 
+	/** The store came back from a copy: the record and its lease may be lost. No new process relies on it any more. */
+	noteEra(): void {
+		this.lease = undefined
+		this.leaseAt = Number.NEGATIVE_INFINITY
+	}
+
 	/** Writes the ceilings. They count once this succeeded. */
 	async write(
 		marks: Readonly<Record<AccountName, number>>,
@@ -75,7 +81,7 @@
 			const lease = await this.freshLease()
 			if (E.isLeft(lease)) return lease
 			const { store, key, holder } = this.options
-			const value = encode({ holder, wallTime: this.leaseWallTime, marks })
+			const value = encode({ holder, wallTime: this.leaseWallTime, marks, era: store.era })
 			const result = await store.write(key, value, this.revision, lease.right)
 			if (E.isLeft(result)) {
 				this.lease = undefined
--- a/packages/gateway/src/lib/TokenLending.test.ts
+++ b/packages/gateway/src/lib/TokenLending.test.ts
@@ -55,7 +55,7 @@
 					asked++
 					await sleep(5)
 					const nearlySpent = [{ account: other, left: 20 }]
-					return { ...NOTHING_LENT, left: 7, budgetsAt: 3, nearlySpent }
+					return { ...NOTHING_LENT, left: 7, budgetsVersion: 3, nearlySpent }
 				},
 			},
 			now: () => Date.now(),
@@ -85,7 +85,7 @@
 				ask: async (address, _account, { tokens, ahead }) => {
 					asked.push(ahead)
 					await sleep(address === 'a:1' ? 400 : 20)
-					return { ...NOTHING_LENT, lent: tokens + ahead, budgetsAt: 1 }
+					return { ...NOTHING_LENT, lent: tokens + ahead, budgetsVersion: 1 }
 				},
 			},
 			now: () => Date.now(),
@@ -113,7 +113,7 @@
 				ask: async (address, account, { tokens }) => {
 					asked.push(`${address} ${account}`)
 					await sleep(20)
-					return { ...NOTHING_LENT, lent: tokens, budgetsAt: 1 }
+					return { ...NOTHING_LENT, lent: tokens, budgetsVersion: 1 }
 				},
 			},
 			now: () => Date.now(),
--- a/packages/gateway/src/lib/TokenLending.ts
+++ b/packages/gateway/src/lib/TokenLending.ts
@@ -18,7 +18,7 @@
 	/** Tokens of the account that the lender still has free. */
 	readonly free: number
 	/** Store revision of the configuration under which the lender held the tokens. */
-	readonly budgetsAt: number
+	readonly budgetsVersion: number
 	/** Accounts that are nearly spent, with what may be left of each. */
 	readonly nearlySpent: readonly AccountLeft[]
 }
@@ -34,7 +34,7 @@
 	lent: 0,
 	left: Number.POSITIVE_INFINITY,
 	free: 0,
-	budgetsAt: 0,
+	budgetsVersion: 0,
 	nearlySpent: [],
 }
 
@@ -48,7 +48,12 @@
 	/** Whether a box answers at all. */
 	isOpen(address: string): Promise<boolean>
 	/** Gives tokens to one box. False: it may not have got them, and nobody else may get them. */
-	give(address: string, account: AccountName, tokens: number, budgetsAt: number): Promise<boolean>
+	give(
+		address: string,
+		account: AccountName,
+		tokens: number,
+		budgetsVersion: number,
+	): Promise<boolean>
 }
 
 /** What {@link TokenLending} works with. */
@@ -113,8 +118,8 @@
 	 * True where other boxes lately told that so much is not left of an account, under the configuration of a
 	 * revision or a newer one: a request that needs it from them is refused at once.
 	 */
-	isKnownSpent(account: AccountName, tokens: number, budgetsAt: number): boolean {
-		return this.spentWords.isSpent(account, tokens, budgetsAt, this.options.now())
+	isKnownSpent(account: AccountName, tokens: number, budgetsVersion: number): boolean {
+		return this.spentWords.isSpent(account, tokens, budgetsVersion, this.options.now())
 	}
 
 	private async run(
@@ -180,10 +185,10 @@
 	}
 
 	/** Gives what is free of an account, under the configuration of a revision, to the first box that answers. */
-	async handOver(book: AllowanceBook, account: AccountName, budgetsAt: number): Promise<void> {
+	async handOver(book: AllowanceBook, account: AccountName, budgetsVersion: number): Promise<void> {
 		const tokens = book.handOver(account)
 		if (tokens === 0) return
-		const to = await this.giveToFirst(account, tokens, budgetsAt)
+		const to = await this.giveToFirst(account, tokens, budgetsVersion)
 		this.options.log({ name: 'allowance-handed-over', fields: { account, tokens, to } })
 	}
 
@@ -197,7 +202,7 @@
 		this.unanswered.set(account, (this.unanswered.get(account) ?? 0) + 1)
 		const asked = this.options.lenders.ask(address, account, request).then((answer) => {
 			this.unanswered.set(account, (this.unanswered.get(account) ?? 0) - 1)
-			book.borrow(account, answer.lent, answer.budgetsAt)
+			book.borrow(account, answer.lent, answer.budgetsVersion)
 			const now = this.options.now()
 			this.leftovers.set(leftoverKey(address, account), { free: answer.free, at: now })
 			this.noteLeft(account, answer, now)
@@ -215,9 +220,10 @@
 	}
 
 	private noteLeft(account: AccountName, answer: LendAnswer, now: number): void {
-		const { budgetsAt, left, nearlySpent } = answer
-		this.spentWords.note(account, left, budgetsAt, now)
-		for (const other of nearlySpent) this.spentWords.note(other.account, other.left, budgetsAt, now)
+		const { budgetsVersion, left, nearlySpent } = answer
+		this.spentWords.note(account, left, budgetsVersion, now)
+		for (const other of nearlySpent)
+			this.spentWords.note(other.account, other.left, budgetsVersion, now)
 	}
 
 	/** Boxes to be asked: those that lately had too little come last, those that owe an answer are left out. */
@@ -239,7 +245,7 @@
 	private async giveToFirst(
 		account: AccountName,
 		tokens: number,
-		budgetsAt: number,
+		budgetsVersion: number,
 	): Promise<string> {
 		const { lenders } = this.options
 		for (const address of this.order(account)) {
@@ -248,7 +254,7 @@
 				this.closedUntil.set(address, this.options.now() + CLOSED_MS)
 				continue
 			}
-			return (await lenders.give(address, account, tokens, budgetsAt)) ? address : ''
+			return (await lenders.give(address, account, tokens, budgetsVersion)) ? address : ''
 		}
 		return ''
 	}
--- a/packages/gateway/src/lib/moneyDocuments.test.ts
+++ b/packages/gateway/src/lib/moneyDocuments.test.ts
@@ -6,7 +6,7 @@
 const CASES = Number(process.env['FUZZ_CASES'] ?? 2_000)
 
 const ROW = {
-	budgetsAt: 3,
+	budgetsVersion: 3,
 	budgets: { acme: 100 },
 	boxes: {
 		'box-1': { holder: 'h', address: '1.2.3.4:5', drawn: { acme: 10 }, spent: { acme: 2 } },
--- a/packages/gateway/src/lib/moneyDocuments.ts
+++ b/packages/gateway/src/lib/moneyDocuments.ts
@@ -5,16 +5,23 @@
 /** Reads the shared record of draws; undefined where the bytes are none. */
 export function readAllowanceRow(value: Buffer): AllowanceRow | undefined {
 	const row = readFields(value)
-	if (!row || !isAmount(row.budgetsAt) || !isAmounts(row.budgets) || !isFields(row.boxes))
-		return undefined
-	return Object.values(row.boxes).every(isBoxDraws) ? (row as unknown as AllowanceRow) : undefined
+	if (!row || !isAmounts(row.budgets) || !isFields(row.boxes)) return undefined
+	if (!Object.values(row.boxes).every(isBoxDraws) || !isNumberOrMissing(row.era)) return undefined
+	if (row.budgetsVersion !== undefined)
+		return isAmount(row.budgetsVersion) ? (row as unknown as AllowanceRow) : undefined
+	// An older version names a revision of the store instead, which no version compares with.
+	return isAmount(row.budgetsAt)
+		? ({ ...row, budgetsVersion: 0 } as unknown as AllowanceRow)
+		: undefined
 }
 
 /** Reads the ceilings that a box promised; undefined where the bytes are none. */
 export function readSpendingMark(value: Buffer): SpendingMark | undefined {
 	const mark = readFields(value)
 	if (!mark || typeof mark.holder !== 'string' || !isAmounts(mark.marks)) return undefined
-	return typeof mark.wallTime === 'number' ? (mark as unknown as SpendingMark) : undefined
+	return typeof mark.wallTime === 'number' && isNumberOrMissing(mark.era)
+		? (mark as unknown as SpendingMark)
+		: undefined
 }
 
 function readFields(value: Buffer): Fields | undefined {
@@ -31,7 +38,9 @@
 		return false
 	// A rate that is none counts as 0 where it is read: it must not stop all draws.
 	const areRates = draws.rates === undefined || isFields(draws.rates)
-	return isNumbers(draws.drawn) && isNumbers(draws.spent) && areRates
+	const areNumbers = isNumberOrMissing(draws.era) && isNumberOrMissing(draws.windowPart)
+	const areRaised = draws.raised === undefined || isAmounts(draws.raised)
+	return isNumbers(draws.drawn) && isNumbers(draws.spent) && areRates && areNumbers && areRaised
 }
 
 /** What a box has drawn and spent is below zero where it gave back more than it drew: others lent it tokens. */
@@ -39,6 +48,10 @@
 	return isFields(value) && Object.values(value).every((one) => Number.isFinite(one))
 }
 
+function isNumberOrMissing(value: unknown): boolean {
+	return value === undefined || Number.isFinite(value)
+}
+
 function isAmounts(value: unknown): boolean {
 	return isFields(value) && Object.values(value).every(isAmount)
 }
--- a/packages/gateway/src/lib/restoredAllowance.test.ts
+++ b/packages/gateway/src/lib/restoredAllowance.test.ts
@@ -1,12 +1,27 @@
 import type { MemoryStoreCopy } from '@stallwing/standins'
+import fc from 'fast-check'
 import { afterEach, beforeEach, describe, expect, it, vi } from 'vitest'
-import { BOXES, MoneyFleet, START_MS, pass } from './testMoneyFleet.js'
+import { ACCOUNT, BOXES, MoneyFleet, START_MS, pass } from './testMoneyFleet.js'
 
-// The store came back from a copy that was some seconds old, and the record of draws with it. What boxes had drawn
-// since stood nowhere: other boxes drew it again, and an account got more tokens than its budget.
+// Seen: beside configurations that went unheard, accounts could get more tokens than their budgets once the store had
+// come back from a copy that was some seconds old.
+// Came about: the record of draws went back with the store. What boxes had drawn since stood nowhere, and was drawn
+// again, also for a new process of a box that had been killed, by ceilings from before.
+// Cause: a draw counted for good once the store had acknowledged it.
+// Proof: 31,100 to 38,300 of 30,000 tokens in four of these eight stories on the code before, none above since, nor in
+// random days of losses, kills, cuts, suspensions and late writes.
 
 const BUDGET = 30_000
+/** A budget of which a box's window is a small part. */
+const LARGE_BUDGET = 300_000
+const LOWERED_BUDGET = 120_000
+/** Randomised days and their seed; by hand, more and others. */
+const RUNS = Number(process.env['MONEY_RUNS'] ?? 150)
+const SEED = Number(process.env['MONEY_SEED'] ?? 20261203)
 const STEP_MS = 50
+const COPY_EACH_MS = 500
+/** Copies that the store comes back from are younger than a window of draws. */
+const MOST_COPIES = 20
 /** Tokens that all boxes together are asked for in each step: the budget lasts 15 s. */
 const TOKENS_A_STEP = 100
 const AWAY_MS = 800
@@ -38,11 +53,71 @@
 	{ ...USUAL, name: 'two returns, one box is killed', returns: 2, killed: ['box-3'] },
 ]
 
+/**
+ * Part of a large budget that is spent at least. What a box that was killed may have drawn since the copy is not given
+ * out again: up to its window of 16 parts in 100.
+ */
+const LEAST_PARTS: Readonly<Record<string, number>> = {
+	'all boxes live': 0.97,
+	'the copy is older than all draws': 0.97,
+	'one box is killed': 0.8,
+	'all boxes are killed': 0.45,
+	'all are killed, the copy is older than all draws': 0.45,
+	'one box is cut off': 0.97,
+	'two returns': 0.97,
+	'two returns, one box is killed': 0.6,
+}
+
+/** One thing that happens, after a pause. */
+interface Happening {
+	readonly pauseMs: number
+	readonly box: number
+	readonly kind: (typeof KINDS)[number]
+	readonly amount: number
+}
+
+const KINDS = [
+	...(['ask', 'ask', 'ask', 'ask', 'ask', 'ask', 'ask', 'ask'] as const),
+	...(['kill', 'stop', 'suspend', 'cut', 'heal', 'heal', 'storm', 'calm'] as const),
+	...(['restore', 'restore', 'lower', 'raise'] as const),
+]
+
+const happening: fc.Arbitrary<Happening> = fc.record({
+	pauseMs: fc.constantFrom(1, 5, 40, 200, 900, 2_500),
+	box: fc.nat({ max: BOXES.length - 1 }),
+	kind: fc.constantFrom(...KINDS),
+	amount: fc.integer({ min: 1, max: 40 }),
+})
+
+/** Copies of the store, one each half second. */
+class Copies {
+	private readonly copies: MemoryStoreCopy[] = []
+
+	constructor(private readonly fleet: MoneyFleet) {
+		this.copies.push(fleet.store.copy())
+	}
+
+	/** Lets time pass. */
+	async pass(ms: number): Promise<void> {
+		for (let left = ms; left > 0; left -= COPY_EACH_MS) {
+			await pass(this.fleet, Math.min(left, COPY_EACH_MS))
+			this.copies.push(this.fleet.store.copy())
+		}
+	}
+
+	/** The store comes back from one of the last copies. */
+	restore(back: number): void {
+		const copy = this.copies.at(-Math.min(back, MOST_COPIES, this.copies.length))
+		if (copy) this.fleet.store.restore(copy)
+	}
+}
+
 /** Requests for some time, at the boxes in turn. */
 async function spendFor(fleet: MoneyFleet, ms: number): Promise<void> {
+	const tokens = (fleet.budget / BUDGET) * TOKENS_A_STEP
 	for (let passed = 0; passed < ms; passed += STEP_MS) {
 		const box = BOXES[(passed / STEP_MS) % BOXES.length] ?? BOXES[0]
-		void fleet.ask(box, TOKENS_A_STEP, 1)
+		void fleet.ask(box, tokens, 1)
 		await pass(fleet, STEP_MS)
 	}
 }
@@ -60,8 +135,8 @@
 }
 
 /** Tokens spent in all, of a budget that is asked for long beyond its end. */
-async function spentIn(drill: Drill): Promise<number> {
-	const fleet = new MoneyFleet(BUDGET, 0)
+async function spentIn(drill: Drill, budget: number): Promise<number> {
+	const fleet = new MoneyFleet(budget, 0)
 	const atStart = fleet.store.copy()
 	await pass(fleet, START_MS)
 	await spendFor(fleet, drill.copyAt)
@@ -86,9 +161,54 @@
 	it('gives no account more than its budget', async () => {
 		const over: string[] = []
 		for (const drill of DRILLS) {
-			const spent = await spentIn(drill)
+			const spent = await spentIn(drill, BUDGET)
 			if (spent > BUDGET) over.push(`${drill.name}: ${spent}`)
 		}
 		expect(over).toEqual([])
 	})
+
+	it('keeps what is not surely left of a large budget, and gives out the rest', async () => {
+		const wrong: string[] = []
+		for (const drill of DRILLS) {
+			const spent = await spentIn(drill, LARGE_BUDGET)
+			const least = (LEAST_PARTS[drill.name] ?? 1) * LARGE_BUDGET
+			if (spent > LARGE_BUDGET || spent < least) wrong.push(`${drill.name}: ${spent}`)
+		}
+		expect(wrong).toEqual([])
+	})
+
+	it.each([
+		['each draws', BOXES],
+		['two draw for all', ['box-1', 'box-2']],
+	])('never lets the boxes together spend more than the budget: %s', async (_name, drawing) => {
+		const days = fc.asyncProperty(
+			fc.array(happening, { minLength: 60, maxLength: 160 }),
+			fc.nat({ max: 1_000 }),
+			async (happenings, fateSeed) => {
+				const fleet = new MoneyFleet(LARGE_BUDGET, fateSeed, drawing)
+				const copies = new Copies(fleet)
+				await pass(fleet, START_MS)
+				let bound = LARGE_BUDGET
+				let version = 1
+				for (const { kind, box, amount, pauseMs } of happenings) {
+					const name = BOXES[box] ?? BOXES[0]
+					if (kind === 'ask') void fleet.ask(name, 200 * amount, 1)
+					else if (kind === 'kill') fleet.kill(name, 20 * amount)
+					else if (kind === 'stop') void fleet.stop(name)
+					else if (kind === 'suspend') fleet.suspend(name, 200 * amount)
+					else if (kind === 'cut' || kind === 'heal') fleet.setCut(name, kind === 'cut')
+					else if (kind === 'restore') copies.restore(amount)
+					else if (kind === 'lower' || kind === 'raise') {
+						const budget = kind === 'lower' ? LOWERED_BUDGET : LARGE_BUDGET
+						fleet.setBudgets(++version, { [ACCOUNT]: budget })
+						bound = Math.max(budget, fleet.spent)
+					} else fleet.setStormy(kind === 'storm')
+					await copies.pass(pauseMs)
+					expect(fleet.spent).toBeLessThanOrEqual(bound)
+				}
+				vi.clearAllTimers()
+			},
+		)
+		await fc.assert(days, { seed: SEED, numRuns: RUNS, endOnFailure: true })
+	})
 })
--- a/packages/gateway/src/lib/testBox.ts
+++ b/packages/gateway/src/lib/testBox.ts
@@ -178,6 +178,7 @@
 				peers: { ...LOOPBACK, port: this.peersPort },
 			},
 			store: this.store.connection(name),
+			isFirstStart: true,
 			storeReadsPerSecond: 2_000,
 			documents: {
 				configPrefix: 'config/',
--- a/packages/gateway/src/lib/testMoneyFleet.ts
+++ b/packages/gateway/src/lib/testMoneyFleet.ts
@@ -6,7 +6,7 @@
 	type Incarnation,
 } from '@stallwing/core'
 import { MemoryStore, type CallFate } from '@stallwing/standins'
-import type { KeyValueStore } from '@stallwing/store'
+import { EraStore, type KeyValueStore } from '@stallwing/store'
 import { Metrics } from '@stallwing/telemetry'
 import { vi } from 'vitest'
 import { AllowanceClient } from './AllowanceClient.js'
@@ -46,7 +46,7 @@
 	private budgets: Budgets
 
 	constructor(
-		private readonly budget: number,
+		readonly budget: number,
 		private readonly fateSeed: number,
 		/** Boxes that draw; the others borrow all that they spend. */
 		private readonly drawing: readonly string[] = BOXES,
@@ -61,7 +61,7 @@
 			fate: (caller) => this.fateOf(caller),
 			lateMs: () => 700 + (this.fates % 5) * 900,
 		})
-		this.budgets = { at: 1, tokens: { [ACCOUNT]: this.budget } }
+		this.budgets = { version: 1, tokens: { [ACCOUNT]: this.budget } }
 		for (const box of BOXES) this.start(box)
 	}
 
@@ -75,13 +75,20 @@
 		const steady = (): number => Date.now() - entry.suspendedMs
 		const address = `${box}:1`
 		const startedAt = Date.now()
+		const store = new EraStore(this.store.connection(box), {
+			onEra: ({ before }) => {
+				if (before > 0 && !entry.dead) entry.client.noteEra()
+			},
+			onUnnamed: () => undefined,
+		})
 		entry.client = new AllowanceClient({
-			store: mortal(this.store.connect(box), entry),
+			store: mortal(store, entry),
 			key: 'allowance',
 			markKey: `mark/${box}`,
 			box: brandId<BoxName>(box),
 			holder: brandId<Incarnation>(`${box}-${this.starts++}`),
 			address,
+			isFirstStart: this.starts <= BOXES.length,
 			lenders: this.lenders(box),
 			isLender: () => this.drawing.includes(box),
 			lenderAddresses: () =>
@@ -131,10 +138,10 @@
 		this.kill(box)
 	}
 
-	setBudgets(at: number, tokens: Readonly<Record<string, number>>): void {
-		this.budgets = { at, tokens }
+	setBudgets(version: number, tokens: Readonly<Record<string, number>>): void {
+		this.budgets = { version, tokens }
 		for (const { client, dead } of this.clients.values())
-			if (!dead) client.setBudgets({ at, tokens })
+			if (!dead) client.setBudgets({ version, tokens })
 	}
 
 	setCut(box: string, cut: boolean): void {
@@ -196,8 +203,8 @@
 				return isLost ? NOTHING_LENT : answer
 			},
 			isOpen: async (address) => other(address) !== undefined && address !== `${self}:1`,
-			give: async (address, account, tokens, budgetsAt) =>
-				other(address)?.accept(account, tokens, budgetsAt) ?? false,
+			give: async (address, account, tokens, budgetsVersion) =>
+				other(address)?.accept(account, tokens, budgetsVersion) ?? false,
 		}
 	}
 }
