Boxes and quarantined requests that a store lost with its copy are written again

What callers saw: nothing yet; after a return from a copy a new box would not have known those that had joined since, and a request that ends targets would have run again after a loss of power. Cause: each box wrote its item once, and a quarantine was written when it changed. Change: a box that hears of a new era looks for its item within 1.5 s and writes it where it is missing; a listing takes no box away that was known; what the store held of the quarantine counts as unknown in a new era.

--- a/packages/gateway/src/lib/FleetRoster.test.ts
+++ b/packages/gateway/src/lib/FleetRoster.test.ts
@@ -100,4 +100,21 @@
 		await vi.advanceTimersByTimeAsync(1_000)
 		for (const roster of rosters) expect(roster.workPeers).toHaveLength(roster.isLender ? 3 : 1)
 	})
+
+	it('is known again soon after the store came back without it, and forgets no other box', async () => {
+		start(0, 0)
+		await vi.advanceTimersByTimeAsync(3_000)
+		const copy = store.copy()
+		start(0, 1)
+		start(0, 2)
+		await vi.advanceTimersByTimeAsync(10_000)
+		store.restore(copy)
+		for (let ms = 0; ms < 10_000; ms += 100) {
+			await vi.advanceTimersByTimeAsync(100)
+			expect(rosters.map((roster) => roster.size)).toEqual([3, 3, 3])
+		}
+		const late = start(0, 3)
+		await vi.advanceTimersByTimeAsync(1_000)
+		expect(late.size).toBe(4)
+	})
 })
--- a/packages/gateway/src/lib/FleetRoster.ts
+++ b/packages/gateway/src/lib/FleetRoster.ts
@@ -41,6 +41,10 @@
 const JOIN_SETTLE_MS = 700
 const POLL_MS = 6_000
 const POLL_SPREAD_MS = 2_000
+/** Pause between two looks whether the store came back from a copy, in ms. */
+const LOST_POLL_MS = 500
+/** Time over which boxes spread that write their items again, in ms. */
+const JOIN_AGAIN_SPREAD_MS = 1_000
 /** Boxes that are assumed until the others are known: what is limited for the fleet is divided by them. */
 const BOXES_BEFORE_LISTED = 16
 /** Boxes up to which each tells all others what it does. */
@@ -49,6 +53,8 @@
 /** The boxes of the fleet. Each writes one item of the store, once; none is removed when a box fails. */
 export class FleetRoster {
 	private members: readonly FleetMember[] = []
+	/** Era of the store in which this box last wrote its item, or found it. */
+	private joinedIn = 0
 	private stopped = false
 	/** True once the other boxes are known. */
 	listed = false
@@ -72,7 +78,8 @@
 		const { sleep, random } = this.options
 		while (!this.stopped && !(await this.join())) await sleep(RETRY_MS)
 		while (!this.stopped) {
-			await sleep(POLL_MS + random() * POLL_SPREAD_MS)
+			await this.untilPoll(POLL_MS + random() * POLL_SPREAD_MS)
+			if (this.isLost && !(await this.joinAgain())) continue
 			const items = await this.options.store.listStale(this.options.listPrefix)
 			if (!E.isRight(items)) continue
 			this.adopt(items.right)
@@ -80,6 +87,26 @@
 		}
 	}
 
+	/** The store came back from a copy, which may lack the item of this box. */
+	private get isLost(): boolean {
+		return this.options.store.era !== this.joinedIn
+	}
+
+	/** Sleeps for some time, or until the store came back from a copy. */
+	private async untilPoll(ms: number): Promise<void> {
+		for (let slept = 0; slept < ms && !this.isLost && !this.stopped; slept += LOST_POLL_MS)
+			await this.options.sleep(Math.min(LOST_POLL_MS, ms - slept))
+	}
+
+	/** Writes the item of this box where the store lacks it. All boxes do that at once: they spread. */
+	private async joinAgain(): Promise<boolean> {
+		const { random, sleep } = this.options
+		await sleep(random() * JOIN_AGAIN_SPREAD_MS)
+		if ((await this.writeOwn()) !== undefined) return true
+		await sleep(RETRY_MS)
+		return false
+	}
+
 	stop(): void {
 		this.stopped = true
 	}
@@ -153,16 +180,22 @@
 		const value = encode(self)
 		const known = await store.read(key)
 		if (E.isLeft(known)) return this.logFault(known.left) || undefined
-		if (known.right?.value.equals(value)) return true
+		const { era } = store
+		if (known.right?.value.equals(value)) {
+			this.joinedIn = era
+			return true
+		}
 		const written = await store.write(key, value, known.right?.revision)
 		if (E.isLeft(written)) return this.logFault(written.left) || undefined
-		return written.right.kind === 'written' ? false : undefined
+		if (written.right.kind === 'conflict') return undefined
+		this.joinedIn = era
+		return false
 	}
 
 	private adopt(items: readonly StoreItem[]): void {
 		const { onListed, prefix } = this.options
 		onListed(items)
-		const members = items.flatMap((item) => decode(item, prefix) ?? [])
+		const members = this.withKnown(items.flatMap((item) => decode(item, prefix) ?? []))
 		const isSame = members.length === this.members.length
 		this.members = members
 		const boxes = members.map((member) => member.box).sort()
@@ -181,6 +214,12 @@
 		})
 	}
 
+	/** The listed boxes, and known ones that the list lacks: a store that came back from a copy may have lost them. */
+	private withKnown(listed: readonly FleetMember[]): readonly FleetMember[] {
+		const boxes = new Set(listed.map(({ box }) => box))
+		return [...listed, ...this.members.filter(({ box }) => !boxes.has(box))]
+	}
+
 	private logFault(fault: StoreFault): false {
 		this.options.log({ name: 'fleet-unknown', fields: { fault: fault.kind } })
 		return false
--- a/packages/gateway/src/lib/QuarantineStore.test.ts
+++ b/packages/gateway/src/lib/QuarantineStore.test.ts
@@ -6,6 +6,7 @@
 	type TargetLife,
 } from '@stallwing/core'
 import { MemoryStore, type CallFate } from '@stallwing/standins'
+import type { KeyValueStore } from '@stallwing/store'
 import { afterEach, beforeEach, describe, expect, it, vi } from 'vitest'
 import { QuarantineStore } from './QuarantineStore.js'
 import { sleep } from './sleep.js'
@@ -22,12 +23,12 @@
 	readonly logged: LogEvent[] = []
 	readonly kept: QuarantineStore
 
-	constructor(
-		private readonly store: MemoryStore,
-		private readonly name: string,
-	) {
+	private readonly store: KeyValueStore
+
+	constructor(store: MemoryStore, name: string) {
+		this.store = store.connect(name)
 		this.kept = new QuarantineStore({
-			store: store.connect(name),
+			store: this.store,
 			key: KEY,
 			quarantine: this.quarantine,
 			onHeard: () => undefined,
@@ -47,7 +48,7 @@
 
 	/** Reads the record of the fleet, as with the list of boxes, and writes what it lacks. */
 	async meet(): Promise<void> {
-		const listing = await this.store.connect(this.name).listStale(KEY)
+		const listing = await this.store.listStale(KEY)
 		this.kept.adopt(listing._tag === 'Right' ? listing.right[0] : undefined)
 		await this.kept.save()
 	}
@@ -126,4 +127,23 @@
 		await done(later.meet())
 		expect(later.stageOf('1')).toBe('quarantined')
 	})
+
+	it('is written again where the store came back without it', async () => {
+		const box = new Box(store, 'a')
+		const copies = [store.copy()]
+		box.crash('1', 3)
+		await done(box.meet())
+		copies.push(store.copy())
+		box.crash('2', 3)
+		await done(box.meet())
+		for (const copy of copies) {
+			store.restore(copy)
+			await vi.advanceTimersByTimeAsync(1_000)
+			await done(box.meet())
+			await done(box.meet())
+			const later = new Box(store, 'b')
+			await done(later.meet())
+			expect([later.stageOf('1'), later.stageOf('2')]).toEqual(['quarantined', 'quarantined'])
+		}
+	})
 })
--- a/packages/gateway/src/lib/QuarantineStore.ts
+++ b/packages/gateway/src/lib/QuarantineStore.ts
@@ -46,11 +46,14 @@
 	/** What the store holds, as far as this box knows. */
 	private stored: readonly CrashRecord[] = []
 	private isWriting = false
+	/** Era of the store in which it held that. */
+	private era = 0
 
 	constructor(private readonly options: QuarantineStoreOptions) {}
 
 	/** Takes the record of the fleet; undefined where there is none. */
 	adopt(item: StoreItem | undefined): void {
+		this.forgetLost()
 		if (!item || !isNewerRevision(item.revision, this.revision ?? NO_REVISION)) return
 		this.revision = item.revision
 		const { log, onHeard, quarantine } = this.options
@@ -70,6 +73,7 @@
 	/** Writes what the store lacks. To be called after each change, and now and then for writes that failed. */
 	async save(): Promise<void> {
 		if (this.isWriting) return
+		this.forgetLost()
 		this.isWriting = true
 		for (let tries = 0; tries < TRIES && this.lacking.length > 0; tries++) {
 			if (await this.write()) break
@@ -77,6 +81,15 @@
 		this.isWriting = false
 	}
 
+	/** A store that came back from a copy may lack what it held: this box writes what it knows again. */
+	private forgetLost(): void {
+		const { era } = this.options.store
+		if (era === this.era) return
+		this.era = era
+		this.stored = []
+		this.revision = undefined
+	}
+
 	/** Records of this box that say more than those of the store. */
 	private get lacking(): readonly CrashRecord[] {
 		const known = new Map(this.stored.map((record) => [record.fingerprint, record]))
