Claiming the right to draw and following documents are modules of their own; draws tell which boxes are unheard

Lines of draws name the boxes that have not written since the store came back, and what may still be drawn. After a return two boxes of each zone list each prefix once (7 and 75 boxes).

--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -181,7 +181,6 @@
 export {
 	EMPTY_ALLOWANCE_ROW,
 	drawnAtMostByOthers,
-	hasUnheard,
 	spentByOthers,
 	isOfEra,
 	type AllowanceRow,
@@ -189,6 +188,7 @@
 	isOverBudget,
 	richestBoxes,
 	secondsToEnd,
+	unheardBoxes,
 } from './lib/allowance/AllowanceRow.js'
 export {
 	PROMISE_MS,
--- a/packages/core/src/lib/allowance/AllowanceRow.ts
+++ b/packages/core/src/lib/allowance/AllowanceRow.ts
@@ -84,9 +84,10 @@
 	return sum
 }
 
-/** True where some box has not written its draws since the store came back from a copy. @public */
-export function hasUnheard(row: AllowanceRow, era: number): boolean {
-	return Object.values<BoxDraws>(row.boxes).some((draws) => !isOfEra(draws, era))
+/** Boxes that have not written their draws since the store came back from a copy. @public */
+export function unheardBoxes(row: AllowanceRow, era: number): readonly BoxName[] {
+	const rows = Object.entries<BoxDraws>(row.boxes).filter(([, draws]) => !isOfEra(draws, era))
+	return rows.map(([box]) => box as BoxName)
 }
 
 /** Tokens of an account drawn by all boxes other than `except`. @public */
--- a/packages/gateway/src/lib/AllowanceDrawer.ts
+++ b/packages/gateway/src/lib/AllowanceDrawer.ts
@@ -5,25 +5,21 @@
 	isMarkLow,
 	isOfEra,
 	isOverBudget,
-	mayLackDraws,
 	nextMark,
-	planClaim,
 	planDraw,
-	spentAtMost,
 	type AccountName,
 	type AllowanceRow,
 	type AllowanceView,
 	type BoxName,
-	type Budgets,
 	type Incarnation,
 	type LogEvent,
-	type SpendingMark,
 } from '@stallwing/core'
 import type { KeyValueStore, StoreFault } from '@stallwing/store'
 import type { Metrics } from '@stallwing/telemetry'
 import * as E from 'fp-ts/lib/Either.js'
 import type { AllowanceRecord } from './AllowanceRecord.js'
-import type { AllowanceState } from './AllowanceState.js'
+import { AllowanceClaimer } from './AllowanceClaimer.js'
+import type { AllowanceState, TokensByAccount } from './AllowanceState.js'
 import { DrawWaiters, type ReserveResult } from './DrawWaiters.js'
 import { SpendingPromise } from './SpendingPromise.js'
 
@@ -58,15 +54,6 @@
 	readonly state: AllowanceState
 }
 
-type TokensByAccount = Readonly<Record<AccountName, number>>
-
-/** What the earlier incarnation had promised when this one looked. */
-interface FoundPromise {
-	readonly mark: SpendingMark | undefined
-	/** Time of day when this incarnation started, in ms. */
-	readonly startedAt: number
-}
-
 /** Least time between two draws that no request waits for, in ms: boxes draw from one record. */
 const DRAW_PAUSE_MS = 1_800
 /** Age from which the shared record is read again, in ms. */
@@ -81,7 +68,6 @@
 const CONFLICT_TRIES = 8
 const CONFLICT_PAUSE_MS = 12
 const CLAIM_PAUSE_MS = 200
-const CLAIM_CONFLICT_PAUSE_MS = 40
 
 /** Claims the right to draw for this box, draws from the shared record, and promises ceilings. */
 export class AllowanceDrawer {
@@ -89,7 +75,7 @@
 	private readonly promise: SpendingPromise
 	private readonly record: AllowanceRecord
 	private readonly state: AllowanceState
-	private found: FoundPromise | undefined
+	private readonly claimer: AllowanceClaimer
 	private claiming = false
 	private drawing = false
 	private drawAgain = false
@@ -101,6 +87,7 @@
 		this.record = options.record
 		this.state = options.state
 		this.promise = new SpendingPromise({ ...options, key: options.markKey })
+		this.claimer = new AllowanceClaimer({ ...options, promise: this.promise })
 	}
 
 	/** True once this incarnation may draw. */
@@ -124,7 +111,10 @@
 		if (this.claiming) return
 		this.claiming = true
 		while (!this.claimed && !this.closed) {
-			if (await this.claimOnce()) return
+			if (await this.claimer.claim()) {
+				void this.draw()
+				return
+			}
 			await this.options.sleep(CLAIM_PAUSE_MS)
 		}
 	}
@@ -157,7 +147,7 @@
 	/** Age from which the shared record is read again, in ms: what others write after a return frees tokens. */
 	private get longestAgeMs(): number {
 		const isSettling = this.options.now() - this.eraBeganAt < SETTLE_MS
-		return isSettling && this.record.hasUnheard ? SETTLING_ROW_AGE_MS : ROW_AGE_MS
+		return isSettling && this.record.unheard.length > 0 ? SETTLING_ROW_AGE_MS : ROW_AGE_MS
 	}
 
 	/** What this box could have free of an account after a draw and with a higher ceiling. */
@@ -180,65 +170,6 @@
 		this.closed = true
 	}
 
-	private async claimOnce(): Promise<boolean> {
-		const { box, holder, address, isFirstStart } = this.options
-		const found = await this.findPromise()
-		if (E.isLeft(found)) return false
-		if (await this.record.read()) return false
-		const { era, row } = this.record
-		const before = row.boxes[box]
-		const budgets = largestBudgets(row, this.state.budgets)
-		const isUncertain = before ? !isOfEra(before, era) : mayLackDraws(row, { era, isFirstStart })
-		// How much may be missing is counted by the budgets: they come with the configuration.
-		if (isUncertain && Object.keys(budgets).length === 0) return false
-		const { mark, startedAt } = found.right
-		const facts = { box, mark, startedAt, era, budgets, isFirstStart }
-		const spent = spentAtMost(row, facts)
-		const next = planClaim(row, { box, holder, address, spent, era, isFirstStart })
-		const result = await this.record.write(next)
-		if (E.isLeft(result)) return false
-		// Another box wrote first, or a write of ours whose answer was lost: claiming again does no harm.
-		if (result.right === 'conflict') {
-			await this.options.sleep(this.options.random() * CLAIM_CONFLICT_PAUSE_MS)
-			return this.claimOnce()
-		}
-		this.state.book.claim(spent)
-		this.noteRaises(next, {})
-		this.logClaim(found.right, isUncertain, sum(before?.drawn), sum(spent))
-		void this.draw()
-		return true
-	}
-
-	private logClaim(
-		found: FoundPromise,
-		isUncertain: boolean,
-		drawnBefore: number,
-		spentBefore: number,
-	): void {
-		this.options.log({
-			name: 'allowance-claimed',
-			fields: {
-				holder: this.options.holder,
-				revision: describeRevision(this.record.revision ?? NO_REVISION),
-				promise: found.mark?.holder ?? '',
-				promiseAgeMs: found.mark ? Math.round(found.startedAt - found.mark.wallTime) : -1,
-				isUncertain,
-				drawnBefore,
-				spentBefore,
-			},
-		})
-	}
-
-	/** The promise of the earlier incarnation, read once: a later look would find its lease over. */
-	private async findPromise(): Promise<E.Either<StoreFault, FoundPromise>> {
-		if (this.found) return E.right(this.found)
-		const read = await this.promise.readPrevious()
-		if (E.isLeft(read)) return E.left(this.record.noteFault(read.left))
-		const startedAt = this.options.wallTime() - this.options.aliveMs()
-		this.found = { mark: read.right, startedAt }
-		return E.right(this.found)
-	}
-
 	private needsDraw(): boolean {
 		const views = this.state.views()
 		if (views.some((view) => view.frozen) || !this.isHeard) return true
@@ -360,7 +291,7 @@
 			if (E.isLeft(result)) return result.left
 			if (result.right === 'written') {
 				this.drewAt = this.options.now()
-				this.noteRaises(next, raised)
+				this.state.noteRaised(next.boxes[this.options.box], raised)
 				this.confirm(next)
 				return undefined
 			}
@@ -384,16 +315,6 @@
 		})
 	}
 
-	/** Counts in the window what a write raised beyond what was counted. */
-	private noteRaises(next: AllowanceRow, before: TokensByAccount): void {
-		const now = this.options.now()
-		const raised = next.boxes[this.options.box]?.raised ?? {}
-		for (const [name, tokens] of Object.entries<number>(raised)) {
-			const account = name as AccountName
-			this.state.window.note(account, tokens - (before[account] ?? 0), now)
-		}
-	}
-
 	private lower(next: AllowanceRow): void {
 		for (const [account, drawn] of this.ownDraws(next)) this.state.book.lower(account, drawn)
 	}
@@ -409,6 +330,8 @@
 				budgetsVersion: next.budgetsVersion,
 				free: this.describe((view) => view.free),
 				undrawn: this.describe((view) => this.state.undrawn(view)),
+				drawable: this.describe((view) => this.state.drawable(view)),
+				unheard: this.record.unheard.join(' '),
 			},
 		})
 	}
@@ -427,17 +350,3 @@
 		return accounts.map((account) => [account, drawn[account] ?? 0])
 	}
 }
-
-/** The larger of the budgets that the record and the configuration tell. */
-function largestBudgets(row: AllowanceRow, own: Budgets): TokensByAccount {
-	const largest: Record<AccountName, number> = { ...row.budgets }
-	for (const [name, tokens] of Object.entries<number>(own.tokens)) {
-		const account = name as AccountName
-		largest[account] = Math.max(largest[account] ?? 0, tokens)
-	}
-	return largest
-}
-
-function sum(tokens: Readonly<Record<AccountName, number>> | undefined): number {
-	return Object.values<number>(tokens ?? {}).reduce((total, amount) => total + amount, 0)
-}
--- a/packages/gateway/src/lib/AllowanceRecord.ts
+++ b/packages/gateway/src/lib/AllowanceRecord.ts
@@ -2,10 +2,11 @@
 	EMPTY_ALLOWANCE_ROW,
 	NO_REVISION,
 	describeRevision,
-	hasUnheard,
 	isNewerRevision,
 	mergeLostDraws,
+	unheardBoxes,
 	type AllowanceRow,
+	type BoxName,
 	type LogEvent,
 	type StoreRevision,
 } from '@stallwing/core'
@@ -53,9 +54,9 @@
 		return this.options.store.era
 	}
 
-	/** Some boxes have not written their draws since the store came back from a copy. */
-	get hasUnheard(): boolean {
-		return hasUnheard(this.row, this.era)
+	/** Boxes that have not written their draws since the store came back from a copy. */
+	get unheard(): readonly BoxName[] {
+		return unheardBoxes(this.row, this.era)
 	}
 
 	/** Reads the newest state. */
@@ -111,7 +112,7 @@
 		this.revision = item?.revision
 		if (known && known.era < this.era) this.lost = this.row
 		this.row = this.lost ? mergeLostDraws(row, this.lost, this.era) : row
-		if (!this.hasUnheard) this.lost = undefined
+		if (this.unheard.length === 0) this.lost = undefined
 		this.noteSeen()
 		return undefined
 	}
--- a/packages/gateway/src/lib/AllowanceState.ts
+++ b/packages/gateway/src/lib/AllowanceState.ts
@@ -7,6 +7,7 @@
 	spentByOthers,
 	type AccountName,
 	type AllowanceView,
+	type BoxDraws,
 	type BoxName,
 	type Budgets,
 	type LogEvent,
@@ -23,6 +24,9 @@
 	readonly log: (event: LogEvent) => void
 }
 
+/** Tokens by account. */
+export type TokensByAccount = Readonly<Record<AccountName, number>>
+
 /** Part of a budget below which boxes that borrow are told how little is left, with each answer. */
 const NEARLY_SPENT_PART = 0.02
 
@@ -87,6 +91,16 @@
 		return Math.min(room, this.undrawn(view))
 	}
 
+	/** Counts in the window what a write raised beyond what was counted. */
+	noteRaised(own: BoxDraws | undefined, before: TokensByAccount): void {
+		const now = this.options.now()
+		const raised = own?.raised ?? {}
+		for (const [name, tokens] of Object.entries<number>(raised)) {
+			const account = name as AccountName
+			this.window.note(account, tokens - (before[account] ?? 0), now)
+		}
+	}
+
 	/** Time in which the fleet uses up what is left of an account, in seconds. */
 	secondsLeft(view: AllowanceView): number {
 		const { box, record } = this.options
--- a/packages/gateway/src/lib/Gateway.ts
+++ b/packages/gateway/src/lib/Gateway.ts
@@ -15,7 +15,7 @@
 import { Exchange } from './Exchange.js'
 import type { GatewayContext, TrafficInForce } from './GatewayContext.js'
 import { FeedRelay } from './FeedRelay.js'
-import { followStore } from './followStore.js'
+import { followDocuments } from './followDocuments.js'
 import { FleetRoster } from './FleetRoster.js'
 import type { GatewayOptions, GatewayPorts } from './GatewayOptions.js'
 import { GatewayReport, type GatewayStatus } from './GatewayReport.js'
@@ -28,7 +28,7 @@
 import { ServiceLimits } from './ServiceLimits.js'
 import { TargetDirectory } from './TargetDirectory.js'
 import { TargetPools } from './TargetPools.js'
-import { TrafficDirectory, type TokenBudgets } from './TrafficDirectory.js'
+import type { TokenBudgets } from './TrafficDirectory.js'
 import { listenOn } from './listenOn.js'
 import { watchMsFor } from './watchMsFor.js'
 import { sleep } from './sleep.js'
@@ -204,7 +204,13 @@
 			isOpen: () => !this.context.stopping,
 			changes: (prefix, after, waitMs) => this.feed.answer(prefix, after, waitMs),
 		})
-		this.followers = [this.followConfig(), this.followTargets()]
+		this.followers = followDocuments({
+			gateway: options,
+			feed: this.feed,
+			cordons: this.cordons,
+			targets: this.targets,
+			onTraffic: (traffic, tokens) => this.putInForce(traffic, tokens),
+		})
 	}
 
 	/** True where this box can serve callers. */
@@ -363,27 +369,6 @@
 		this.callers.requestTimeout = 0
 	}
 
-	private followConfig(): PrefixFollower {
-		const { documents, worldNow, log } = this.options
-		const directory = new TrafficDirectory({
-			key: documents.configKey,
-			readConfig: (value) => documents.readConfig(value),
-			onTraffic: (traffic, tokens) => this.putInForce(traffic, tokens),
-			now: worldNow,
-			log,
-		})
-		return followStore({
-			feed: this.feed,
-			prefix: documents.configPrefix,
-			watchMs: this.watchMs,
-			onItems: (items, at) => {
-				directory.takeItems(items)
-				this.cordons.takeItems(items, at)
-			},
-			log,
-		})
-	}
-
 	private putInForce(traffic: TrafficInForce, tokens: TokenBudgets): void {
 		this.context.traffic = traffic
 		const { services } = traffic.index.config
@@ -402,18 +387,6 @@
 		return this.feed.ageMs(this.options.documents.configPrefix) < bound
 	}
 
-	private followTargets(): PrefixFollower {
-		const { targets } = this
-		return followStore({
-			feed: this.feed,
-			prefix: this.options.documents.targetsPrefix,
-			watchMs: this.watchMs,
-			onItems: (items, at) => targets.takeItems(items, at),
-			onContact: (contact) => targets.noteContact(contact),
-			log: this.options.log,
-		})
-	}
-
 	private get watchMs(): number {
 		return watchMsFor(this.options.contactMs)
 	}
--- a/packages/gateway/src/lib/restoredStore.test.ts
+++ b/packages/gateway/src/lib/restoredStore.test.ts
@@ -165,4 +165,28 @@
 		})
 		expect(wrong).toEqual([])
 	})
+
+	it.each([
+		[7, 1, 7],
+		[75, 3, 25],
+	])('is listed by few of %i boxes, and all keep to it in time', async (size, zoneCount, boxes) => {
+		const names = Array.from({ length: zoneCount }, (_, zone) => `zone${zone}`)
+		const zones = Object.fromEntries(names.map((name) => [name, boxes]))
+		zones['zone0'] = boxes - (zoneCount * boxes - size)
+		const fleet = await startFleet(zones, 1)
+		expect(fleet.members).toHaveLength(size)
+		const [usual] = DRILLS
+		if (!usual) throw new Error('no drill')
+		await drill(fleet, usual, () => fleet.store.put(CONFIG_KEY, 'version 2'))
+		const before = fleet.store.calls.get('list') ?? 0
+		fleet.store.put(CONFIG_KEY, 'version 2')
+		await vi.advanceTimersByTimeAsync(CONTACT_MS)
+		const lists = (fleet.store.calls.get('list') ?? 0) - before
+		fleet.store.put(CONFIG_KEY, 'version 3')
+		const late = await boxesAfter(fleet, BOUND_MS, (box) => fleet.versionOf(box) === 'version 3')
+		fleet.stop()
+		expect(late).toEqual([])
+		// Two boxes of a zone watch, two prefixes each.
+		expect(lists).toBeLessThanOrEqual(2 * 2 * zoneCount)
+	})
 })
