--- a/packages/gateway/src/lib/restoredStore.test.ts
+++ b/packages/gateway/src/lib/restoredStore.test.ts
@@ -9,7 +9,7 @@
 // no longer had, was told that the history is gone, and listed again, until revisions had passed those of before.
 // Cause: revisions were compared as bare numbers, as if they only rose.
 // Proof: the same story here, with 7 and 27 boxes. All were late on the code before; with revisions that carry the era
-// of the store none is. By the newest of the new era alone, two to five of seven boxes went back to the version of the
+// of the store none is. By the newest of the new era alone, four or five of seven boxes went back to the version of the
 // copy until it was written again; with the hold by version none does.
 
 /** Time in which a configuration, or the word of a target, has to be in force, in ms. */
