A draw is used once two other boxes know of it, in place of a window of draws

Cause: the window bounded what a lost record may lack, and with it each jump of demand. In a new era each box writes what it remembers with its own draws. A box that has not written is known where fewer than two others are silent, or have begun in this era; until then nothing is drawn. A new process waits 5 s for those that know; after that all that nobody drew counts as spent. The window is gone. Why it holds: what is used is known to boxes that live, and where it can't be shown that one of them spoke, nothing is drawn.

--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -179,9 +179,11 @@
 export { SECOND_MS, type Amount, type Millis } from './lib/units.js'
 export { type AllowanceView, AllowanceBook } from './lib/allowance/AllowanceBook.js'
 export {
+	DRAW_KNOWERS,
 	EMPTY_ALLOWANCE_ROW,
 	drawnAtMostByOthers,
 	spentByOthers,
+	isDrawKnown,
 	isOfEra,
 	type AllowanceRow,
 	type BoxDraws,
@@ -209,9 +211,8 @@
 	watchersFor,
 } from './lib/allowance/chooseLenders.js'
 export { SpentWords } from './lib/allowance/SpentWords.js'
-export { DrawWindow } from './lib/allowance/DrawWindow.js'
-export { mergeLostDraws } from './lib/allowance/mergeLostDraws.js'
-export { drawRoom, isDrawOff, planClaim, planDraw, type Budgets } from './lib/allowance/planDraw.js'
+export { largestOf, mergeLostDraws } from './lib/allowance/mergeLostDraws.js'
+export { isDrawOff, planClaim, planDraw, type Budgets } from './lib/allowance/planDraw.js'
 export { TargetBoard } from './lib/placement/TargetBoard.js'
 export { type AttemptHandle } from './lib/placement/AttemptHandle.js'
 export { type Place, type PlaceQuery } from './lib/placement/Place.js'
--- a/packages/core/src/lib/allowance/AllowanceRow.ts
+++ b/packages/core/src/lib/allowance/AllowanceRow.ts
@@ -1,5 +1,4 @@
 import type { AccountName, BoxName, Incarnation } from '../ids.js'
-import { windowPartOf, windowTokens } from './DrawWindow.js'
 
 /** What one box has drawn, over all its incarnations. */
 export interface BoxDraws {
@@ -15,10 +14,8 @@
 	readonly rates?: Readonly<Record<AccountName, number>>
 	/** Era of the store in which the box itself wrote this; a row of an older version names none. */
 	readonly era?: number
-	/** Tokens by which the draws were raised within the window before this was written. */
-	readonly raised?: Readonly<Record<AccountName, number>>
-	/** Part of a budget by which the box raises its draw at most within a window. */
-	readonly windowPart?: number
+	/** Era of the store in which the holder claimed the right to draw: it remembers what it was told since. */
+	readonly claimedIn?: number
 }
 
 /**
@@ -54,22 +51,24 @@
 	return draws.era === undefined || draws.era === era
 }
 
+/** Boxes that know of a draw before its own box uses it, or all others where there are fewer. */
+export const DRAW_KNOWERS = 2
+
 /**
- * Tokens of an account that a box has drawn at most. What it wrote in an earlier era of the store may be a copy from
- * before its last draws: those are bounded by its window.
+ * True where the record tells all that a box has drawn. A box that has not written in this era may have drawn more than
+ * a copy says; so may the earlier process of one that claims anew. Other boxes were told of it, and have written what
+ * they remember: all but those that have not written either, or have only begun in this era. Where fewer of these are
+ * than were told, one that knows has spoken.
  */
-export function drawnAtMost(
-	draws: BoxDraws,
-	account: AccountName,
-	budget: number,
-	era: number,
-): number {
-	const drawn = draws.drawn[account] ?? 0
-	if (isOfEra(draws, era)) return drawn
-	return drawn + windowTokens(draws.windowPart ?? windowPartOf(1), budget)
+export function isDrawKnown(row: AllowanceRow, box: BoxName, era: number): boolean {
+	const draws = row.boxes[box]
+	if (draws && isOfEra(draws, era)) return true
+	const others = Object.entries<BoxDraws>(row.boxes).filter(([name]) => name !== box)
+	const silent = others.filter(([, other]) => !isOfEra(other, era) || other.claimedIn === era)
+	return silent.length < Math.min(DRAW_KNOWERS, others.length)
 }
 
-/** Tokens of an account that all boxes other than `except` have drawn at most. @public */
+/** Tokens of an account that all boxes other than `except` have drawn at most: all of it where that isn't known. */
 export function drawnAtMostByOthers(
 	row: AllowanceRow,
 	account: AccountName,
@@ -77,11 +76,11 @@
 	budget: number,
 	era: number,
 ): number {
-	let sum = 0
-	for (const [box, draws] of Object.entries<BoxDraws>(row.boxes)) {
-		if (box !== except) sum += drawnAtMost(draws, account, budget, era)
-	}
-	return sum
+	const isKnown = unheardBoxes(row, era).every(
+		(box) => box === except || isDrawKnown(row, box, era),
+	)
+	const drawn = drawnByOthers(row, account, except)
+	return isKnown ? drawn : Math.max(drawn, budget)
 }
 
 /** Boxes that have not written their draws since the store came back from a copy. @public */
--- a/packages/core/src/lib/allowance/SpendingMark.ts
+++ b/packages/core/src/lib/allowance/SpendingMark.ts
@@ -1,14 +1,13 @@
-import { brandId, type AccountName, type BoxName, type Incarnation } from '../ids.js'
+import type { AccountName, BoxName, Incarnation } from '../ids.js'
 import type { Millis } from '../units.js'
 import type { AllowanceView } from './AllowanceBook.js'
 import {
-	UNKNOWN_ERA,
-	drawnAtMost,
+	drawnByOthers,
+	isDrawKnown,
 	isOfEra,
 	type AllowanceRow,
 	type BoxDraws,
 } from './AllowanceRow.js'
-import { ownWindowPart } from './planDraw.js'
 
 /**
  * A box's promise not to spend beyond a ceiling for {@link PROMISE_MS}. It lies in the store under a
@@ -39,14 +38,6 @@
 export const START_PROOF_MS: Millis = 700
 /** Length of the lease under which a promise lies. */
 export const MARK_LEASE_MS: Millis = PROMISE_MS + START_PROOF_MS
-/** Draws of a box of which the record tells nothing, from an era that is over. */
-const NO_DRAWS: BoxDraws = {
-	holder: brandId<Incarnation>(''),
-	address: '',
-	drawn: {},
-	spent: {},
-	era: UNKNOWN_ERA,
-}
 /** Difference of two times of day of one machine that counts as none, in ms. */
 const WALL_SLACK_MS: Millis = 500
 /** Demand in advance that a ceiling allows while the budget is far from its end, in seconds. */
@@ -105,22 +96,30 @@
 /**
  * What the earlier incarnation of a box has spent at most: up to its ceilings where its promise
  * certainly still held when it ended, otherwise all that it drew. A record from before the store came back from a copy
- * may lack its last draws, and the ceilings that it promised.
+ * may lack its last draws, and the ceilings that it promised: others may know of them.
  * @public
  */
 export function spentAtMost(
 	row: AllowanceRow,
 	facts: ClaimFacts,
 ): Readonly<Record<AccountName, number>> {
-	const { box, budgets, era } = facts
+	const { box, era } = facts
 	const draws = row.boxes[box]
 	if (draws && isOfEra(draws, era)) return spentUnderPromise(draws, facts)
 	if (!draws && !mayLackDraws(row, facts)) return {}
-	const known: BoxDraws = draws ?? { ...NO_DRAWS, windowPart: ownWindowPart(row, box) }
-	const spent: Record<AccountName, number> = {}
-	for (const name of Object.keys({ ...budgets, ...known.drawn })) {
+	if (isDrawKnown(row, box, era)) return draws?.drawn ?? {}
+	return withAllUndrawn(row, facts)
+}
+
+/** Nobody knows what the earlier incarnation drew last: all that the record doesn't give to others may be gone. */
+function withAllUndrawn(
+	row: AllowanceRow,
+	{ box, budgets }: ClaimFacts,
+): Readonly<Record<AccountName, number>> {
+	const spent: Record<AccountName, number> = { ...row.boxes[box]?.drawn }
+	for (const [name, budget] of Object.entries<number>(budgets)) {
 		const account = name as AccountName
-		spent[account] = drawnAtMost(known, account, budgets[account] ?? 0, era)
+		spent[account] = Math.max(spent[account] ?? 0, budget - drawnByOthers(row, account, box))
 	}
 	return spent
 }
--- a/packages/core/src/lib/allowance/planDraw.ts
+++ b/packages/core/src/lib/allowance/planDraw.ts
@@ -4,10 +4,11 @@
 	UNKNOWN_ERA,
 	drawnAtMostByOthers,
 	drawnByOthers,
+	isDrawKnown,
+	unheardBoxes,
 	type AllowanceRow,
 	type BoxDraws,
 } from './AllowanceRow.js'
-import { windowPartOf, windowTokens } from './DrawWindow.js'
 
 /** Budgets under the configuration that a box has in force. @public */
 export interface Budgets {
@@ -29,8 +30,8 @@
 	readonly giveBack: boolean
 	/** Era of the store. */
 	readonly era: number
-	/** Tokens by which this box raised its draws within the window, by account. */
-	readonly raised: Readonly<Record<AccountName, number>>
+	/** Era of the store in which this process claimed the right to draw. */
+	readonly claimedIn: number
 }
 
 /** Demand that a box holds in advance, in seconds: a cut from the store has to be lived through. */
@@ -92,8 +93,7 @@
 		spent,
 		rates,
 		era,
-		raised: raisedWith(row, request, drawn),
-		windowPart: ownWindowPart(row, box),
+		claimedIn: request.claimedIn,
 	}
 	return {
 		...row,
@@ -101,50 +101,18 @@
 		era: isEmpty(row) ? UNKNOWN_ERA : row.era,
 		budgetsVersion: budgets.version,
 		budgets: budgets.tokens,
-		boxes: { ...row.boxes, [box]: own },
+		boxes: { ...withKnownHeard(row, era), [box]: own },
 	}
 }
 
-/** Part of a budget by which a box may raise its draw within a window. */
-export function ownWindowPart(row: AllowanceRow, box: BoxName): number {
-	return windowPartOf(Object.keys({ ...row.boxes, [box]: undefined }).length)
-}
-
-/** What is raised within the window once these draws are written. */
-function raisedWith(
-	row: AllowanceRow,
-	request: DrawRequest,
-	drawn: Readonly<Record<AccountName, number>>,
-): Readonly<Record<AccountName, number>> {
-	const raised: Record<AccountName, number> = { ...request.raised }
-	for (const view of request.views) {
-		const raise = raiseOf(row, request.box, view, drawn[view.account] ?? 0)
-		if (raise > 0) raised[view.account] = (raised[view.account] ?? 0) + raise
+/** Boxes whose last draws are known count as heard from now on: later changes of the fleet can't undo that. */
+function withKnownHeard(row: AllowanceRow, era: number): AllowanceRow['boxes'] {
+	const boxes: Record<BoxName, BoxDraws> = { ...row.boxes }
+	for (const box of unheardBoxes(row, era)) {
+		const draws = row.boxes[box]
+		if (draws && isDrawKnown(row, box, era)) boxes[box] = { ...draws, era }
 	}
-	return raised
-}
-
-/** By how much a draw lies above what the record and the box itself knew of it. */
-function raiseOf(row: AllowanceRow, box: BoxName, view: AllowanceView, drawn: number): number {
-	return Math.max(0, drawn - knownDrawn(row, box, view))
-}
-
-/** Tokens by which a box may raise its draw of an account now: its window bounds that. @public */
-export function drawRoom(
-	row: AllowanceRow,
-	box: BoxName,
-	view: AllowanceView,
-	budget: number,
-	raised: Readonly<Record<AccountName, number>>,
-): number {
-	const window = windowTokens(ownWindowPart(row, box), budget)
-	const left = Math.max(0, window - (raised[view.account] ?? 0))
-	return Math.max(0, knownDrawn(row, box, view) + left - view.drawn)
-}
-
-/** A draw of which the record does not tell counts as raised: a copy of the store may lack it. */
-function knownDrawn(row: AllowanceRow, box: BoxName, view: AllowanceView): number {
-	return Math.min(view.drawn, row.boxes[box]?.drawn[view.account] ?? 0)
+	return boxes
 }
 
 function nextDrawn(
@@ -164,11 +132,9 @@
 	const wanted = wantedTokens(view, undrawn + view.held, boxes)
 	const gentle = Math.min(wanted, Math.max(view.held, 0) + undrawn * LARGEST_PART)
 	const target = view.floor + Math.ceil(Math.max(gentle, waiting))
-	const room = drawRoom(row, box, view, budget, request.raised)
-	const raised = Math.min(budget - others, view.drawn + room)
 	// What others may have drawn beyond the record is no reason to give up what this box surely drew.
 	const kept = Math.min(view.drawn, budget - drawnByOthers(row, account, box))
-	return Math.max(view.floor, Math.min(target, Math.max(raised, kept)))
+	return Math.max(view.floor, Math.min(target, Math.max(budget - others, kept)))
 }
 
 /**
@@ -191,26 +157,10 @@
 ): AllowanceRow {
 	const { box, holder, address, spent, era, isFirstStart } = claim
 	const begunIn = isFirstStart ? era : UNKNOWN_ERA
-	const raised = claimRaises(row.boxes[box], spent)
-	const windowPart = ownWindowPart(row, box)
-	const own: BoxDraws = { holder, address, drawn: spent, spent, era, raised, windowPart }
+	const own: BoxDraws = { holder, address, drawn: spent, spent, era, claimedIn: era }
 	return { ...row, era: isEmpty(row) ? begunIn : row.era, boxes: { ...row.boxes, [box]: own } }
 }
 
 function isEmpty(row: AllowanceRow): boolean {
 	return Object.keys(row.boxes).length === 0
 }
-
-/** What is raised within the window of a box whose earlier incarnation wrote `before`. */
-function claimRaises(
-	before: BoxDraws | undefined,
-	spent: Readonly<Record<AccountName, number>>,
-): Readonly<Record<AccountName, number>> {
-	const raised: Record<AccountName, number> = { ...before?.raised }
-	for (const [name, tokens] of Object.entries<number>(spent)) {
-		const account = name as AccountName
-		const raise = tokens - (before?.drawn[account] ?? 0)
-		if (raise > 0) raised[account] = (raised[account] ?? 0) + raise
-	}
-	return raised
-}
--- a/packages/core/src/lib/router/logEvents.ts
+++ b/packages/core/src/lib/router/logEvents.ts
@@ -52,6 +52,14 @@
 	'allowance-lent': { number: 213, text: 'Tokens were handed to another box' },
 	'allowance-borrowed': { number: 214, text: 'Tokens were asked of another box' },
 	'allowance-handed-over': { number: 215, text: 'A stopping box gave its tokens to another box' },
+	'allowance-untold': {
+		number: 216,
+		text: 'A draw was written that no other box knows of; it is not used yet',
+	},
+	'allowance-uncertain': {
+		number: 217,
+		text: 'The store came back from a copy, and too few boxes have written since that know what this one drew',
+	},
 	'view-changed': { number: 300, text: 'A new view of the zone is in force' },
 	'keeper-gained': { number: 301, text: 'This box became the keeper of its zone' },
 	'keeper-lost': { number: 302, text: 'This box is no longer the keeper of its zone' },
--- a/packages/gateway/src/lib/AllowanceClaimer.ts
+++ b/packages/gateway/src/lib/AllowanceClaimer.ts
@@ -1,6 +1,7 @@
 import {
 	NO_REVISION,
 	describeRevision,
+	isDrawKnown,
 	isOfEra,
 	mayLackDraws,
 	planClaim,
@@ -30,6 +31,11 @@
 }
 
 const CLAIM_CONFLICT_PAUSE_MS = 40
+/**
+ * Time that a new process waits for others to write what the one before it drew, in ms: after it, all that nobody is
+ * known to have drawn counts as spent.
+ */
+const KNOWERS_WAIT_MS = 5_000
 
 /** Claims the right to draw for this box: from then on an earlier process of it has lost that right. */
 export class AllowanceClaimer {
@@ -37,6 +43,8 @@
 	private readonly record: AllowanceRecord
 	private readonly state: AllowanceState
 	private found: FoundPromise | undefined
+	private uncertainSince: number | undefined
+	private claimedEra = 0
 
 	constructor(private readonly options: AllowanceClaimerOptions) {
 		this.promise = options.promise
@@ -44,6 +52,23 @@
 		this.state = options.state
 	}
 
+	/** Era of the store in which this process claimed. */
+	get claimedIn(): number {
+		return this.claimedEra
+	}
+
+	/** Others had the time to write what they remember of the earlier process. */
+	private get isWaitOver(): boolean {
+		const now = this.options.now()
+		if (this.uncertainSince === undefined) {
+			this.uncertainSince = now
+			const revision = describeRevision(this.record.revision ?? NO_REVISION)
+			const unheard = this.record.unheard.join(' ')
+			this.options.log({ name: 'allowance-uncertain', fields: { revision, unheard } })
+		}
+		return now - this.uncertainSince >= KNOWERS_WAIT_MS
+	}
+
 	/** Claims once; false where the store did not grant it. */
 	async claim(): Promise<boolean> {
 		const { box, holder, address, isFirstStart } = this.options
@@ -55,6 +80,7 @@
 		const isUncertain = before ? !isOfEra(before, era) : mayLackDraws(row, { era, isFirstStart })
 		// How much may be missing is counted by the budgets: they come with the configuration.
 		if (isUncertain && this.state.budgets.version === 0) return false
+		if (isUncertain && !isDrawKnown(row, box, era) && !this.isWaitOver) return false
 		const budgets = largestBudgets(row, this.state.budgets)
 		const { mark, startedAt } = found.right
 		const facts = { box, mark, startedAt, era, budgets, isFirstStart }
@@ -68,7 +94,7 @@
 			return this.claim()
 		}
 		this.state.book.claim(spent)
-		this.state.noteRaised(next.boxes[box], {})
+		this.claimedEra = era
 		this.logClaim(found.right, isUncertain, sum(before?.drawn), sum(spent))
 		return true
 	}
--- a/packages/gateway/src/lib/AllowanceClient.ts
+++ b/packages/gateway/src/lib/AllowanceClient.ts
@@ -8,6 +8,7 @@
 import { AllowanceDrawer, type DrawOptions } from './AllowanceDrawer.js'
 import { AllowanceRecord } from './AllowanceRecord.js'
 import { AllowanceState } from './AllowanceState.js'
+import { DrawTelling, type ToldDraws } from './DrawTelling.js'
 import type { ReserveResult } from './DrawWaiters.js'
 import {
 	NOTHING_LENT,
@@ -18,10 +19,12 @@
 } from './TokenLending.js'
 
 /** What an {@link AllowanceClient} works with. */
-export interface AllowanceClientOptions extends DrawOptions {
+export interface AllowanceClientOptions extends Omit<DrawOptions, 'telling'> {
 	/** Key of the shared record in the store. */
 	readonly key: string
 	readonly lenders: Lenders
+	/** Addresses of other boxes that keep the record, those to be told of draws first in front. */
+	readonly knowerAddresses: () => readonly string[]
 	/** Addresses of the boxes to be asked for tokens, in order, where this box does not draw. */
 	readonly lenderAddresses: (account: AccountName) => readonly string[]
 }
@@ -48,7 +51,17 @@
 	constructor(private readonly options: AllowanceClientOptions) {
 		this.record = new AllowanceRecord(options)
 		this.state = new AllowanceState({ ...options, record: this.record })
-		this.drawer = new AllowanceDrawer({ ...options, record: this.record, state: this.state })
+		const telling = new DrawTelling({
+			others: options.knowerAddresses,
+			tell: (address, told) => options.lenders.tellDraws(address, told),
+			sleep: options.sleep,
+		})
+		this.drawer = new AllowanceDrawer({
+			...options,
+			telling,
+			record: this.record,
+			state: this.state,
+		})
 		this.lending = new TokenLending({ ...options, order: (account) => this.lendersOf(account) })
 	}
 
@@ -62,6 +75,11 @@
 		return this.drawer.claim()
 	}
 
+	/** Another box told of its draws; false where they are of a history that is over. */
+	remember(told: ToldDraws): boolean {
+		return this.record.remember(told)
+	}
+
 	/** The store came back from a copy. */
 	noteEra(): void {
 		void this.drawer.noteEra()
--- a/packages/gateway/src/lib/AllowanceDrawer.ts
+++ b/packages/gateway/src/lib/AllowanceDrawer.ts
@@ -13,6 +13,7 @@
 	type BoxName,
 	type Incarnation,
 	type LogEvent,
+	type StoreRevision,
 } from '@stallwing/core'
 import type { KeyValueStore, StoreFault } from '@stallwing/store'
 import type { Metrics } from '@stallwing/telemetry'
@@ -20,6 +21,7 @@
 import type { AllowanceRecord } from './AllowanceRecord.js'
 import { AllowanceClaimer } from './AllowanceClaimer.js'
 import type { AllowanceState, TokensByAccount } from './AllowanceState.js'
+import type { DrawTelling } from './DrawTelling.js'
 import { DrawWaiters, type ReserveResult } from './DrawWaiters.js'
 import { SpendingPromise } from './SpendingPromise.js'
 
@@ -36,6 +38,8 @@
 	readonly isFirstStart: boolean
 	/** This box draws from the store; others ask such boxes. */
 	readonly isLender: () => boolean
+	/** Tells other boxes what this one has drawn. */
+	readonly telling: DrawTelling
 	readonly metrics: Metrics
 	/** Steady clock, in ms. */
 	readonly now: () => number
@@ -155,7 +159,7 @@
 		if (!this.mayDraw) return 0
 		const view = this.state.view(account)
 		if (!this.claimed || view.frozen) return Number.POSITIVE_INFINITY
-		return view.held + this.state.drawable(view)
+		return view.held + this.state.undrawn(view)
 	}
 
 	/** Waits for the next draw, which is made as soon as may be. */
@@ -174,7 +178,7 @@
 		const views = this.state.views()
 		if (views.some((view) => view.frozen) || !this.isHeard) return true
 		if (this.options.now() - this.drewAt < DRAW_PAUSE_MS) return false
-		return views.some((view) => isDrawOff(view, this.state.drawable(view), this.state.drawers))
+		return views.some((view) => isDrawOff(view, this.state.undrawn(view), this.state.drawers))
 	}
 
 	/** The record tells what this box drew, in the era of the store. */
@@ -247,7 +251,7 @@
 		return this.state.views().some((view) => {
 			const smallest = this.waiters.smallest(view.account)
 			if (smallest <= view.held) return false
-			if (smallest <= view.held + this.state.drawable(view)) return true
+			if (smallest <= view.held + this.state.undrawn(view)) return true
 			return isPauseOver && view.floor > this.toldSpent(view.account)
 		})
 	}
@@ -284,23 +288,20 @@
 	/** Writes this box's draws; with `giveBack`, all that is free goes back. */
 	async writeDraw(giveBack: boolean): Promise<StoreFault | undefined> {
 		for (let tries = 0; tries < CONFLICT_TRIES; tries++) {
-			const raised = this.state.window.raised(this.options.now())
-			const next = this.plan(giveBack, raised)
+			const next = this.plan(giveBack)
 			this.lower(next)
 			const result = await this.record.write(next)
 			if (E.isLeft(result)) return result.left
 			if (result.right === 'written') {
 				this.drewAt = this.options.now()
-				this.state.noteRaised(next.boxes[this.options.box], raised)
-				this.confirm(next)
-				return undefined
+				return this.confirmOnceKnown(next)
 			}
 			await this.options.sleep(this.options.random() * CONFLICT_PAUSE_MS * tries)
 		}
 		return { kind: 'refused', status: 412 }
 	}
 
-	private plan(giveBack: boolean, raised: TokensByAccount): AllowanceRow {
+	private plan(giveBack: boolean): AllowanceRow {
 		const { box, holder, address } = this.options
 		return planDraw(this.record.row, {
 			box,
@@ -311,10 +312,39 @@
 			waiting: this.waiters.tokens(),
 			giveBack,
 			era: this.record.era,
-			raised,
+			claimedIn: this.claimer.claimedIn,
 		})
 	}
 
+	/**
+	 * What was drawn is used once others know of it: the store may come back from a copy that lacks it. Without them it
+	 * stays drawn, and is told again with the next draw.
+	 */
+	private async confirmOnceKnown(next: AllowanceRow): Promise<StoreFault | undefined> {
+		const raised = this.raisedIn(next)
+		const { revision } = this.record
+		if (revision && Object.keys(raised).length > 0) {
+			const knowers = await this.options.telling.tell({ box: this.options.box, revision, raised })
+			if (!knowers) return this.noteUntold(revision)
+		}
+		this.confirm(next)
+		return undefined
+	}
+
+	private noteUntold(revision: StoreRevision): StoreFault {
+		const fields = { revision: describeRevision(revision) }
+		this.options.log({ name: 'allowance-untold', fields })
+		return { kind: 'no-answer', cause: 'no other box knows of the draw' }
+	}
+
+	/** Draws above those that this box may use already. */
+	private raisedIn(next: AllowanceRow): TokensByAccount {
+		const raised = this.ownDraws(next).filter(([account, drawn]) => {
+			return drawn > this.state.view(account).drawn
+		})
+		return Object.fromEntries(raised) as TokensByAccount
+	}
+
 	private lower(next: AllowanceRow): void {
 		for (const [account, drawn] of this.ownDraws(next)) this.state.book.lower(account, drawn)
 	}
@@ -330,7 +360,6 @@
 				budgetsVersion: next.budgetsVersion,
 				free: this.describe((view) => view.free),
 				undrawn: this.describe((view) => this.state.undrawn(view)),
-				drawable: this.describe((view) => this.state.drawable(view)),
 				unheard: this.record.unheard.join(' '),
 			},
 		})
--- a/packages/gateway/src/lib/AllowanceRecord.ts
+++ b/packages/gateway/src/lib/AllowanceRecord.ts
@@ -1,11 +1,14 @@
 import {
 	EMPTY_ALLOWANCE_ROW,
 	NO_REVISION,
+	brandId,
 	describeRevision,
 	isNewerRevision,
 	mergeLostDraws,
 	unheardBoxes,
+	largestOf,
 	type AllowanceRow,
+	type BoxDraws,
 	type BoxName,
 	type LogEvent,
 	type StoreRevision,
@@ -13,6 +16,7 @@
 import type { KeyValueStore, StoreFault, StoreItem } from '@stallwing/store'
 import type { Metrics } from '@stallwing/telemetry'
 import * as E from 'fp-ts/lib/Either.js'
+import type { ToldDraws } from './DrawTelling.js'
 import { readAllowanceRow } from './moneyDocuments.js'
 
 /** What an {@link AllowanceRecord} works with. */
@@ -25,6 +29,9 @@
 	readonly log: (event: LogEvent) => void
 }
 
+/** Draws of a box that is in no record that was seen. */
+const NO_DRAWS: BoxDraws = { holder: brandId(''), address: '', drawn: {}, spent: {}, era: 0 }
+
 /** The shared record of all draws in the store, as this box last saw it. */
 export class AllowanceRecord {
 	row: AllowanceRow = EMPTY_ALLOWANCE_ROW
@@ -34,6 +41,8 @@
 	reached = false
 	/** The record as it was before the store came back from a copy, until all boxes have written since. */
 	private lost: AllowanceRow | undefined
+	/** What other boxes told of their draws, since the record may not be read again before it is lost. */
+	private readonly told = new Map<BoxName, ToldDraws>()
 	private seenAt = Number.NEGATIVE_INFINITY
 	private faultAt = Number.NEGATIVE_INFINITY
 
@@ -92,6 +101,27 @@
 		return fault ? E.left(fault) : E.right('conflict')
 	}
 
+	/** Another box told of draws. False where they are of a history that is over. */
+	remember({ box, revision, raised }: ToldDraws): boolean {
+		if (revision.era < this.era) return false
+		const before = this.told.get(box)
+		const isSameEra = before?.revision.era === revision.era
+		const all = isSameEra ? { ...before.raised, ...raised } : raised
+		this.told.set(box, { box, revision, raised: all })
+		return true
+	}
+
+	/** The record as it was last seen, with the draws that others told since. */
+	private withTold({ era }: StoreRevision): AllowanceRow {
+		const boxes: Record<BoxName, BoxDraws> = { ...this.row.boxes }
+		for (const { box, raised, revision } of this.told.values()) {
+			if (revision.era !== era) continue
+			const seen = boxes[box] ?? NO_DRAWS
+			boxes[box] = { ...seen, drawn: largestOf(seen.drawn, raised) }
+		}
+		return { ...this.row, boxes }
+	}
+
 	/** A call of this box to the store failed. */
 	noteFault(fault: StoreFault): StoreFault {
 		this.reached = false
@@ -110,7 +140,7 @@
 		if (!row) return this.noteFault({ kind: 'unreadable', cause: this.options.key })
 		const known = this.revision
 		this.revision = item?.revision
-		if (known && known.era < this.era) this.lost = this.row
+		if (known && known.era < this.era) this.lost = this.withTold(known)
 		this.row = this.lost ? mergeLostDraws(row, this.lost, this.era) : row
 		if (this.unheard.length === 0) this.lost = undefined
 		this.noteSeen()
--- a/packages/gateway/src/lib/AllowanceState.ts
+++ b/packages/gateway/src/lib/AllowanceState.ts
@@ -1,13 +1,10 @@
 import {
 	AllowanceBook,
-	DrawWindow,
-	drawRoom,
 	drawnAtMostByOthers,
 	secondsToEnd,
 	spentByOthers,
 	type AccountName,
 	type AllowanceView,
-	type BoxDraws,
 	type BoxName,
 	type Budgets,
 	type LogEvent,
@@ -34,8 +31,6 @@
 export class AllowanceState {
 	readonly book = new AllowanceBook()
 	budgets: Budgets = { version: 0, tokens: {} }
-	/** By how much this box raised its draws lately. */
-	readonly window = new DrawWindow()
 	/** The last budget of each account that ever had one. */
 	private readonly lastBudgets = new Map<AccountName, number>()
 
@@ -83,24 +78,6 @@
 		return Math.max(0, budget - others - view.drawn)
 	}
 
-	/** What this box could draw of an account now: its window bounds that as well. */
-	drawable(view: AllowanceView): number {
-		const { box, now, record } = this.options
-		const budget = this.budgets.tokens[view.account] ?? 0
-		const room = drawRoom(record.row, box, view, budget, this.window.raised(now()))
-		return Math.min(room, this.undrawn(view))
-	}
-
-	/** Counts in the window what a write raised beyond what was counted. */
-	noteRaised(own: BoxDraws | undefined, before: TokensByAccount): void {
-		const now = this.options.now()
-		const raised = own?.raised ?? {}
-		for (const [name, tokens] of Object.entries<number>(raised)) {
-			const account = name as AccountName
-			this.window.note(account, tokens - (before[account] ?? 0), now)
-		}
-	}
-
 	/** Time in which the fleet uses up what is left of an account, in seconds. */
 	secondsLeft(view: AllowanceView): number {
 		const { box, record } = this.options
--- a/packages/gateway/src/lib/FleetRoster.ts
+++ b/packages/gateway/src/lib/FleetRoster.ts
@@ -69,6 +69,7 @@
 	/** Answers of {@link lenderAddresses}, for as long as the members stay the same. */
 	private watcherAddresses: readonly string[] | undefined
 	private workAddresses: readonly string[] | undefined
+	private lenderPeerAddresses: readonly string[] | undefined
 	private readonly lenders = new Map<AccountName, readonly string[]>()
 
 	constructor(private readonly options: FleetRosterOptions) {}
@@ -136,6 +137,25 @@
 		return this.watcherAddresses
 	}
 
+	/** Addresses of the other boxes that draw, those of other zones first: a zone may be lost as a whole. */
+	get lenderPeers(): readonly string[] {
+		this.lenderPeerAddresses ??= this.findLenderPeers()
+		return this.lenderPeerAddresses
+	}
+
+	private findLenderPeers(): readonly string[] {
+		const { box, zone } = this.options.self
+		const lenders = [...allLenders(this.members)].sort((a, b) => (a.box < b.box ? -1 : 1))
+		// Each begins after itself, so that not all tell the same boxes.
+		const own = lenders.findIndex((member) => member.box === box) + 1
+		const peers = [...lenders.slice(own), ...lenders.slice(0, own)].filter(
+			(member) => member.box !== box,
+		)
+		const elsewhere = peers.filter((member) => member.zone !== zone)
+		const near = peers.filter((member) => member.zone === zone)
+		return [...elsewhere, ...near].map((member) => member.address)
+	}
+
 	/** Addresses of all other boxes. */
 	get others(): readonly string[] {
 		const { box } = this.options.self
@@ -203,6 +223,7 @@
 		this.lenders.clear()
 		this.watcherAddresses = undefined
 		this.workAddresses = undefined
+		this.lenderPeerAddresses = undefined
 		const { box, zone } = this.options.self
 		this.isLender = lendersOfZone(members, zone).some((member) => member.box === box)
 		const lenders = allLenders(members).length
--- a/packages/gateway/src/lib/Gateway.ts
+++ b/packages/gateway/src/lib/Gateway.ts
@@ -127,6 +127,7 @@
 			address,
 			isFirstStart: options.isFirstStart,
 			isLender: () => this.roster.isLender,
+			knowerAddresses: () => this.roster.lenderPeers,
 			lenderAddresses: (account) => this.roster.lenderAddresses(account),
 			lenders: peers,
 			metrics: options.metrics,
@@ -201,6 +202,7 @@
 			fleetWork: (asker) => (this.roster.isLarge ? this.sharing.work.fleetWork(asker) : []),
 			accept: (account, tokens, budgetsVersion) =>
 				this.allowance.accept(account, tokens, budgetsVersion),
+			remember: (told) => this.allowance.remember(told),
 			isOpen: () => !this.context.stopping,
 			changes: (prefix, after, waitMs) => this.feed.answer(prefix, after, waitMs),
 		})
--- a/packages/gateway/src/lib/PeerClient.ts
+++ b/packages/gateway/src/lib/PeerClient.ts
@@ -7,12 +7,13 @@
 	type LendRequest,
 	type Lenders,
 } from './TokenLending.js'
+import type { ToldDraws } from './DrawTelling.js'
 import { decodeFeedAnswer } from './feedCodec.js'
 import type { FeedAnswer } from './answerFeed.js'
 import type { FeedPeers } from './PeerFeeds.js'
 import { parseAddress } from './parseAddress.js'
 import { fromWireWork } from './workCodec.js'
-import { ACCEPT_PATH, CHANGES_PATH, LEND_PATH, OPEN_PATH } from './PeerServer.js'
+import { ACCEPT_PATH, CHANGES_PATH, DRAWS_PATH, LEND_PATH, OPEN_PATH } from './PeerServer.js'
 
 /** Longest wait for an answer, in ms: what a box lends is not lost where it is late. */
 const ASK_MS = 1_500
@@ -88,6 +89,10 @@
 		}
 	}
 
+	async tellDraws(address: string, told: ToldDraws): Promise<boolean> {
+		return (await this.statusOf(address, 'POST', DRAWS_PATH, told)) === 200
+	}
+
 	async isOpen(address: string): Promise<boolean> {
 		return (await this.statusOf(address, 'GET', OPEN_PATH)) === 200
 	}
@@ -111,9 +116,10 @@
 		address: string,
 		method: 'GET' | 'POST',
 		path: string,
+		body?: unknown,
 	): Promise<number | undefined> {
 		try {
-			return (await this.caller(address).send({ method, path, timeoutMs: STATUS_MS })).status
+			return (await this.caller(address).send({ method, path, body, timeoutMs: STATUS_MS })).status
 		} catch {
 			return undefined
 		}
--- a/packages/gateway/src/lib/PeerServer.ts
+++ b/packages/gateway/src/lib/PeerServer.ts
@@ -2,6 +2,8 @@
 import { brandId, type AccountName, type BoxName, type TargetWork } from '@stallwing/core'
 import type { AskedRevision } from './FeedRelay.js'
 import { encodeFeedAnswer } from './feedCodec.js'
+import type { ToldDraws } from './DrawTelling.js'
+import { readToldDraws } from './readToldDraws.js'
 import type { FeedAnswer } from './answerFeed.js'
 import type { LendAnswer, LendRequest } from './TokenLending.js'
 import { toWireWork } from './workCodec.js'
@@ -14,6 +16,8 @@
 /** Path that tells whether a box takes tokens. */
 export const OPEN_PATH = '/open'
 
+/** Path on which a box tells what it has drawn. */
+export const DRAWS_PATH = '/draws'
 /** Path on which a box waits for changes in the store. */
 export const CHANGES_PATH = '/changes'
 
@@ -25,6 +29,8 @@
 	fleetWork(asker: BoxName): readonly TargetWork[]
 	/** Takes tokens over that were held under the configuration of a revision; false where this box can't. */
 	accept(account: AccountName, tokens: number, budgetsVersion: number): boolean
+	/** Takes what another box has drawn; false where that is of a history that is over. */
+	remember(told: ToldDraws): boolean
 	/** Whether this box would take tokens over. */
 	isOpen(): boolean
 	/** Changes below a prefix after a revision, as soon as there are any. */
@@ -98,6 +104,11 @@
 			response.writeHead(this.handlers.isOpen() ? 200 : 503).end()
 			return
 		}
+		if (url.pathname === DRAWS_PATH) {
+			const told = await readToldDraws(message)
+			response.writeHead(told && this.handlers.remember(told) ? 200 : 503).end()
+			return
+		}
 		if (url.pathname === CHANGES_PATH) {
 			await this.sendChanges(url, response)
 			return
--- a/packages/gateway/src/lib/TokenLending.test.ts
+++ b/packages/gateway/src/lib/TokenLending.test.ts
@@ -11,6 +11,7 @@
 function lendersWithOneOpen(open: string, given: Map<AccountName, number>): Lenders {
 	return {
 		ask: () => Promise.resolve(NOTHING_LENT),
+		tellDraws: () => Promise.resolve(true),
 		isOpen: async (address) => {
 			await sleep(address === open ? 2 : SILENCE_MS)
 			return address === open
--- a/packages/gateway/src/lib/TokenLending.ts
+++ b/packages/gateway/src/lib/TokenLending.ts
@@ -1,4 +1,5 @@
 import { SpentWords, type AccountName, type AllowanceBook, type LogEvent } from '@stallwing/core'
+import type { ToldDraws } from './DrawTelling.js'
 import { DrawWaiters, type ReserveResult } from './DrawWaiters.js'
 
 /** Tokens that a box asks another for. */
@@ -45,6 +46,8 @@
 	 * {@link NOTHING_LENT} where it does not answer. An answer may come late, and brings its tokens still.
 	 */
 	ask(address: string, account: AccountName, request: LendRequest): Promise<LendAnswer>
+	/** Tells one box of draws; false where it did not say that it keeps them. */
+	tellDraws(address: string, told: ToldDraws): Promise<boolean>
 	/** Whether a box answers at all. */
 	isOpen(address: string): Promise<boolean>
 	/** Gives tokens to one box. False: it may not have got them, and nobody else may get them. */
--- a/packages/gateway/src/lib/testMoneyFleet.ts
+++ b/packages/gateway/src/lib/testMoneyFleet.ts
@@ -88,6 +88,8 @@
 			box: brandId<BoxName>(box),
 			holder: brandId<Incarnation>(`${box}-${this.starts++}`),
 			address,
+			knowerAddresses: () =>
+				this.drawing.filter((other) => other !== box).map((other) => `${other}:1`),
 			isFirstStart: this.starts <= BOXES.length,
 			lenders: this.lenders(box),
 			isLender: () => this.drawing.includes(box),
@@ -202,6 +204,12 @@
 				const isLost = this.losesAnswers && this.answers++ % 7 === 6
 				return isLost ? NOTHING_LENT : answer
 			},
+			tellDraws: async (address, told) => {
+				await sleep(2)
+				const isTaken = other(address)?.remember(told) ?? false
+				await sleep(2)
+				return isTaken
+			},
 			isOpen: async (address) => other(address) !== undefined && address !== `${self}:1`,
 			give: async (address, account, tokens, budgetsVersion) =>
 				other(address)?.accept(account, tokens, budgetsVersion) ?? false,
