Only boxes that have claimed count as knowing of draws; one call at a time asks for an era; lists are gone through once

Cause of the first: a box that had not claimed took draws it was told of, and would not have written them in a new era: its own claim begins there without memory.

--- a/packages/core/src/lib/placement/RestoredTargets.ts
+++ b/packages/core/src/lib/placement/RestoredTargets.ts
@@ -25,7 +25,7 @@
 export class RestoredTargets {
 	private era = 0
 	private eraBeganAt: Millis = Number.NEGATIVE_INFINITY
-	private listed = new Set<TargetLife>()
+	private listed: ReadonlyMap<TargetLife, TargetEntry> = new Map()
 	/** Lives that a list told to be leaving, with the era of the entry that did. */
 	private readonly leaving = new Map<TargetLife, number>()
 	private readonly ended = new Map<TargetLife, EndedLife>()
@@ -39,22 +39,24 @@
 
 	/** The entries of a list that are to be used, as they hold. `at` is the revision of the list. */
 	take(entries: readonly TargetEntry[], at: StoreRevision, now: Millis): readonly TargetEntry[] {
-		if (at.era === this.era) this.noteEnded(entries, now)
+		const lives = new Map(entries.map((entry) => [lifeOf(entry), entry]))
+		if (at.era === this.era) this.noteEnded(lives, now)
 		else this.eraBeganAt = now
 		this.era = at.era
 		this.forget(now)
-		const used = entries.filter((entry) => !this.isRemnant(entry, now))
-		this.hasRemnants = used.length < entries.length
-		this.listed = new Set(used.map(lifeOf))
-		for (const life of this.listed) this.ended.delete(life)
-		return used.map((entry) => this.correct(entry))
+		for (const [life, entry] of lives) {
+			if (this.isRemnant(life, entry, now)) lives.delete(life)
+			else lives.set(life, this.correct(life, entry))
+		}
+		this.hasRemnants = lives.size < entries.length
+		for (const life of lives.keys()) this.ended.delete(life)
+		this.listed = lives
+		return [...lives.values()]
 	}
 
-	private noteEnded(entries: readonly TargetEntry[], now: Millis): void {
-		const present = new Set(entries.map(lifeOf))
-		for (const life of this.listed) {
-			if (present.has(life)) continue
-			this.ended.set(life, { era: this.era, at: now })
+	private noteEnded(lives: ReadonlyMap<TargetLife, TargetEntry>, now: Millis): void {
+		for (const life of this.listed.keys()) {
+			if (!lives.has(life)) this.ended.set(life, { era: this.era, at: now })
 		}
 	}
 
@@ -66,14 +68,13 @@
 		}
 	}
 
-	private isRemnant(entry: TargetEntry, now: Millis): boolean {
-		const ended = this.ended.get(lifeOf(entry))
+	private isRemnant(life: TargetLife, entry: TargetEntry, now: Millis): boolean {
+		const ended = this.ended.get(life)
 		if (!ended) return false
 		return ended.era !== entry.revision.era && now < this.eraBeganAt + REMNANT_MS
 	}
 
-	private correct(entry: TargetEntry): TargetEntry {
-		const life = lifeOf(entry)
+	private correct(life: TargetLife, entry: TargetEntry): TargetEntry {
 		const { era } = entry.revision
 		const saidIn = this.leaving.get(life)
 		if (!entry.leaving && saidIn !== undefined && saidIn !== era) return { ...entry, leaving: true }
--- a/packages/gateway/src/lib/AllowanceClaimer.ts
+++ b/packages/gateway/src/lib/AllowanceClaimer.ts
@@ -57,8 +57,8 @@
 		return this.claimedEra
 	}
 
-	/** Others had the time to write what they remember of the earlier process. */
-	private get isWaitOver(): boolean {
+	/** True once others had the time to write what they remember of the earlier process. */
+	private hasWaitedForOthers(): boolean {
 		const now = this.options.now()
 		if (this.uncertainSince === undefined) {
 			this.uncertainSince = now
@@ -80,7 +80,7 @@
 		const isUncertain = before ? !isOfEra(before, era) : mayLackDraws(row, { era, isFirstStart })
 		// How much may be missing is counted by the budgets: they come with the configuration.
 		if (isUncertain && this.state.budgets.version === 0) return false
-		if (isUncertain && !isDrawKnown(row, box, era) && !this.isWaitOver) return false
+		if (isUncertain && !isDrawKnown(row, box, era) && !this.hasWaitedForOthers()) return false
 		const budgets = largestBudgets(row, this.state.budgets)
 		const { mark, startedAt } = found.right
 		const facts = { box, mark, startedAt, era, budgets, isFirstStart }
--- a/packages/gateway/src/lib/AllowanceClient.ts
+++ b/packages/gateway/src/lib/AllowanceClient.ts
@@ -75,9 +75,12 @@
 		return this.drawer.claim()
 	}
 
-	/** Another box told of its draws; false where they are of a history that is over. */
+	/**
+	 * Another box told of its draws. False where they are of a history that is over, and before this box has claimed: it
+	 * would not count as one that may know of them.
+	 */
 	remember(told: ToldDraws): boolean {
-		return this.record.remember(told)
+		return this.drawer.claimed && this.record.remember(told)
 	}
 
 	/** The store came back from a copy. */
--- a/packages/gateway/src/lib/FeedRelay.ts
+++ b/packages/gateway/src/lib/FeedRelay.ts
@@ -88,6 +88,7 @@
 	private readonly peerFeeds: PeerFeeds
 	private readonly probes: StoreProbes
 	private readonly storeReturn: StoreReturn
+	private eraAsked: Promise<boolean> | undefined
 	private directUntil = Number.NEGATIVE_INFINITY
 	/** The store answered this box when it last went there itself. */
 	private isStoreOpen = false
@@ -183,8 +184,7 @@
 		const { now, store } = this.options
 		const feed = this.feeds.get(prefix) ?? new FeedState()
 		const after = { era: asked.era ?? feed.log.era, number: asked.number }
-		// Another box knows of a newer era: any answer of the store tells this one.
-		if (after.era > store.era) void store.ping()
+		if (after.era > store.era) this.askForEra()
 		return answerFeed(feed, {
 			after,
 			waitMs: Math.min(waitMs, RELAY_WAIT_MS),
@@ -193,6 +193,11 @@
 		})
 	}
 
+	/** Another box knows of a newer era: any answer of the store tells this one. One call at a time. */
+	private askForEra(): void {
+		this.eraAsked ??= this.options.store.ping().finally(() => (this.eraAsked = undefined))
+	}
+
 	/** The way of a box that watches: the store, and the other boxes that watch while that does not answer. */
 	private async watchOrAsk(
 		prefix: string,
