--- a/packages/gateway/src/lib/AllowanceDrawer.ts
+++ b/packages/gateway/src/lib/AllowanceDrawer.ts
@@ -137,8 +137,8 @@
 	}
 
 	/**
-	 * The store came back from a copy, and the record with it. What this box drew is written again at once: the others
-	 * count it at most until then. Boxes write one record, and wait for different times.
+	 * The store came back from a copy, and the record with it. What this box drew is written again at once: until then
+	 * the others draw nothing that it may hold. Boxes write one record, and wait for different times.
 	 */
 	async noteEra(): Promise<void> {
 		const { now, random, sleep } = this.options
--- a/packages/gateway/src/lib/AllowanceRecord.ts
+++ b/packages/gateway/src/lib/AllowanceRecord.ts
@@ -4,9 +4,9 @@
 	brandId,
 	describeRevision,
 	isNewerRevision,
+	largestOf,
 	mergeLostDraws,
 	unheardBoxes,
-	largestOf,
 	type AllowanceRow,
 	type BoxDraws,
 	type BoxName,
@@ -111,6 +111,13 @@
 		return true
 	}
 
+	/** What others told is in the record that was seen. */
+	private forgetTold(seen: StoreRevision): void {
+		for (const [box, { revision }] of this.told) {
+			if (revision.era === seen.era && !isNewerRevision(revision, seen)) this.told.delete(box)
+		}
+	}
+
 	/** The record as it was last seen, with the draws that others told since. */
 	private withTold({ era }: StoreRevision): AllowanceRow {
 		const boxes: Record<BoxName, BoxDraws> = { ...this.row.boxes }
@@ -140,6 +147,7 @@
 		if (!row) return this.noteFault({ kind: 'unreadable', cause: this.options.key })
 		const known = this.revision
 		this.revision = item?.revision
+		if (item) this.forgetTold(item.revision)
 		if (known && known.era < this.era) this.lost = this.withTold(known)
 		this.row = this.lost ? mergeLostDraws(row, this.lost, this.era) : row
 		if (this.unheard.length === 0) this.lost = undefined
--- a/packages/gateway/src/lib/Gateway.ts
+++ b/packages/gateway/src/lib/Gateway.ts
@@ -267,6 +267,8 @@
 
 	/** The followers of prefixes hear of it from the store; what else stands on the store is told here. */
 	private noteEra({ era, before, call }: EraChange): void {
+		// The first answer of the store says in which era this process began.
+		if (before === 0) return
 		const { index, revision } = this.context.traffic ?? {}
 		const fields = {
 			era,
@@ -276,7 +278,7 @@
 			revision: describeRevision(revision ?? NO_REVISION),
 		}
 		this.options.log({ name: 'store-era', fields })
-		if (before > 0) this.allowance.noteEra()
+		this.allowance.noteEra()
 	}
 
 	private sweep(): void {
