--- a/packages/gateway/src/lib/Gateway.test.ts
+++ b/packages/gateway/src/lib/Gateway.test.ts
@@ -1,11 +1,13 @@
 import type { ServerResponse } from 'node:http'
 import type { TargetEntry } from '@stallwing/core'
-import { afterEach, describe, expect, it } from 'vitest'
+import { afterEach, describe, expect, it, vi } from 'vitest'
 import { sleep } from './sleep.js'
 import { TestBox, configOf, type TargetHandler } from './testBox.js'
 
 /** Time in which a call that the store took before it went away is answered, in ms: several times its usual one. */
 const STORE_ANSWER_MS = 40
+/** Time in which a box has noticed what the store says, in ms: far more than it takes, for a busy machine. */
+const NOTICED_MS = 10_000
 
 const ok: TargetHandler = (_message, response) => response.end('ok')
 
@@ -213,6 +215,25 @@
 		expect(statuses.slice(10)).toEqual([402, 402, 402, 402])
 	})
 
+	it('keeps to its configuration and to the budget when the store comes back from a copy', async () => {
+		await running(['t1', ok])
+		const copy = box.store.copy()
+		box.configure(2)
+		const ask = async (id: string): Promise<number> =>
+			(await box.ask('/once/x', { id, headers: { tokens: '10' } })).status
+		for (let i = 0; i < 6; i++) expect(await ask(`before-${i}`)).toBe(200)
+		box.store.restore(copy)
+		const inEra = { configuration: 2, storeEra: 2 }
+		await vi.waitFor(() => expect(box.gateway.status()).toMatchObject(inEra), NOTICED_MS)
+		const statuses: number[] = []
+		for (let i = 0; i < 8; i++) statuses.push(await ask(`after-${i}`))
+		expect(statuses).toEqual([200, 200, 200, 200, 402, 402, 402, 402])
+		box.configure(3)
+		await vi.waitFor(() => expect(box.gateway.status().configuration).toBe(3), NOTICED_MS)
+		const lines = box.logged.map(({ name }) => name)
+		expect(lines).toEqual(expect.arrayContaining(['store-era', 'traffic-held']))
+	})
+
 	it('runs a request once at most that may not be repeated, and says that it may have run', async () => {
 		await running(
 			['t1', (_message, response) => response.socket?.destroy()],
