--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -179,7 +179,7 @@
 export { SECOND_MS, type Amount, type Millis } from './lib/units.js'
 export { type AllowanceView, AllowanceBook } from './lib/allowance/AllowanceBook.js'
 export {
-	DRAW_KNOWERS,
+	DRAW_WITNESSES,
 	EMPTY_ALLOWANCE_ROW,
 	drawnAtMostByOthers,
 	spentByOthers,
--- a/packages/core/src/lib/allowance/AllowanceRow.ts
+++ b/packages/core/src/lib/allowance/AllowanceRow.ts
@@ -52,7 +52,7 @@
 }
 
 /** Boxes that know of a draw before its own box uses it, or all others where there are fewer. */
-export const DRAW_KNOWERS = 2
+export const DRAW_WITNESSES = 2
 
 /**
  * True where the record tells all that a box has drawn. A box that has not written in this era may have drawn more than
@@ -65,7 +65,7 @@
 	if (draws && isOfEra(draws, era)) return true
 	const others = Object.entries<BoxDraws>(row.boxes).filter(([name]) => name !== box)
 	const silent = others.filter(([, other]) => !isOfEra(other, era) || other.claimedIn === era)
-	return silent.length < Math.min(DRAW_KNOWERS, others.length)
+	return silent.length < Math.min(DRAW_WITNESSES, others.length)
 }
 
 /** Tokens of an account that all boxes other than `except` have drawn at most: all of it where that isn't known. */
--- a/packages/gateway/src/lib/AllowanceClaimer.ts
+++ b/packages/gateway/src/lib/AllowanceClaimer.ts
@@ -35,7 +35,7 @@
  * Time that a new process waits for others to write what the one before it drew, in ms: after it, all that nobody is
  * known to have drawn counts as spent.
  */
-const KNOWERS_WAIT_MS = 5_000
+const WITNESS_WAIT_MS = 5_000
 
 /** Claims the right to draw for this box: from then on an earlier process of it has lost that right. */
 export class AllowanceClaimer {
@@ -66,7 +66,7 @@
 			const unheard = this.record.unheard.join(' ')
 			this.options.log({ name: 'allowance-uncertain', fields: { revision, unheard } })
 		}
-		return now - this.uncertainSince >= KNOWERS_WAIT_MS
+		return now - this.uncertainSince >= WITNESS_WAIT_MS
 	}
 
 	/** Claims once; false where the store did not grant it. */
--- a/packages/gateway/src/lib/AllowanceClient.ts
+++ b/packages/gateway/src/lib/AllowanceClient.ts
@@ -24,7 +24,7 @@
 	readonly key: string
 	readonly lenders: Lenders
 	/** Addresses of other boxes that keep the record, those to be told of draws first in front. */
-	readonly knowerAddresses: () => readonly string[]
+	readonly witnessAddresses: () => readonly string[]
 	/** Addresses of the boxes to be asked for tokens, in order, where this box does not draw. */
 	readonly lenderAddresses: (account: AccountName) => readonly string[]
 }
@@ -52,7 +52,7 @@
 		this.record = new AllowanceRecord(options)
 		this.state = new AllowanceState({ ...options, record: this.record })
 		const telling = new DrawTelling({
-			others: options.knowerAddresses,
+			others: options.witnessAddresses,
 			tell: (address, told) => options.lenders.tellDraws(address, told),
 			sleep: options.sleep,
 		})
--- a/packages/gateway/src/lib/AllowanceDrawer.ts
+++ b/packages/gateway/src/lib/AllowanceDrawer.ts
@@ -324,8 +324,8 @@
 		const raised = this.raisedIn(next)
 		const { revision } = this.record
 		if (revision && Object.keys(raised).length > 0) {
-			const knowers = await this.options.telling.tell({ box: this.options.box, revision, raised })
-			if (!knowers) return this.noteUntold(revision)
+			const isKnown = await this.options.telling.tell({ box: this.options.box, revision, raised })
+			if (!isKnown) return this.noteUntold(revision)
 		}
 		this.confirm(next)
 		return undefined
--- a/packages/gateway/src/lib/DrawTelling.ts
+++ b/packages/gateway/src/lib/DrawTelling.ts
@@ -1,4 +1,4 @@
-import { DRAW_KNOWERS, type AccountName, type BoxName, type StoreRevision } from '@stallwing/core'
+import { DRAW_WITNESSES, type AccountName, type BoxName, type StoreRevision } from '@stallwing/core'
 
 /** Draws that a box raised, as it tells them to others. */
 export interface ToldDraws {
@@ -19,7 +19,7 @@
 }
 
 /** Boxes that are told at once: one more than need to know, where one is away. */
-const TOLD_AT_ONCE = DRAW_KNOWERS + 1
+const TOLD_AT_ONCE = DRAW_WITNESSES + 1
 /** Time after which further boxes are told where too few have answered, in ms. */
 const PATIENCE_MS = 40
 /** Boxes that are told of one draw at most. */
@@ -30,7 +30,7 @@
 	constructor(private readonly options: DrawTellingOptions) {}
 
 	/**
-	 * True once {@link DRAW_KNOWERS} others know of the draws, or as many as answer. False where none does, although there
+	 * True once {@link DRAW_WITNESSES} others know of the draws, or as many as answer. False where none does, although there
 	 * are others.
 	 */
 	async tell(told: ToldDraws): Promise<boolean> {
@@ -39,8 +39,8 @@
 		let known = 0
 		for (let first = 0; first < others.length; first += TOLD_AT_ONCE) {
 			const some = others.slice(first, first + TOLD_AT_ONCE)
-			known += await this.tellSome(some, told, Math.min(DRAW_KNOWERS, others.length) - known)
-			if (known >= DRAW_KNOWERS) return true
+			known += await this.tellSome(some, told, Math.min(DRAW_WITNESSES, others.length) - known)
+			if (known >= DRAW_WITNESSES) return true
 		}
 		return known > 0
 	}
--- a/packages/gateway/src/lib/Gateway.ts
+++ b/packages/gateway/src/lib/Gateway.ts
@@ -127,7 +127,7 @@
 			address,
 			isFirstStart: options.isFirstStart,
 			isLender: () => this.roster.isLender,
-			knowerAddresses: () => this.roster.lenderPeers,
+			witnessAddresses: () => this.roster.lenderPeers,
 			lenderAddresses: (account) => this.roster.lenderAddresses(account),
 			lenders: peers,
 			metrics: options.metrics,
--- a/packages/gateway/src/lib/restoredAllowance.test.ts
+++ b/packages/gateway/src/lib/restoredAllowance.test.ts
@@ -19,6 +19,7 @@
 const RUNS = Number(process.env['MONEY_RUNS'] ?? 150)
 const SEED = Number(process.env['MONEY_SEED'] ?? 20261203)
 const STEP_MS = 50
+const SEVEN_BOXES = Array.from({ length: 7 }, (_, index) => `box-${index + 1}`)
 const COPY_EACH_MS = 500
 /** Copies that the store comes back from are younger than a window of draws. */
 const MOST_COPIES = 20
@@ -178,37 +179,45 @@
 	})
 
 	it.each([
-		['each draws', BOXES],
-		['two draw for all', ['box-1', 'box-2']],
-	])('never lets the boxes together spend more than the budget: %s', async (_name, drawing) => {
-		const days = fc.asyncProperty(
-			fc.array(happening, { minLength: 60, maxLength: 160 }),
-			fc.nat({ max: 1_000 }),
-			async (happenings, fateSeed) => {
-				const fleet = new MoneyFleet(LARGE_BUDGET, fateSeed, drawing)
-				const copies = new Copies(fleet)
-				await pass(fleet, START_MS)
-				let bound = LARGE_BUDGET
-				let version = 1
-				for (const { kind, box, amount, pauseMs } of happenings) {
-					const name = BOXES[box] ?? BOXES[0]
-					if (kind === 'ask') void fleet.ask(name, 200 * amount, 1)
-					else if (kind === 'kill') fleet.kill(name, 20 * amount)
-					else if (kind === 'stop') void fleet.stop(name)
-					else if (kind === 'suspend') fleet.suspend(name, 200 * amount)
-					else if (kind === 'cut' || kind === 'heal') fleet.setCut(name, kind === 'cut')
-					else if (kind === 'restore') copies.restore(amount)
-					else if (kind === 'lower' || kind === 'raise') {
-						const budget = kind === 'lower' ? LOWERED_BUDGET : LARGE_BUDGET
-						fleet.setBudgets(++version, { [ACCOUNT]: budget })
-						bound = Math.max(budget, fleet.spent)
-					} else fleet.setStormy(kind === 'storm')
-					await copies.pass(pauseMs)
-					expect(fleet.spent).toBeLessThanOrEqual(bound)
-				}
-				vi.clearAllTimers()
-			},
-		)
-		await fc.assert(days, { seed: SEED, numRuns: RUNS, endOnFailure: true })
-	})
+		['each draws', BOXES, BOXES],
+		['two draw for all', ['box-1', 'box-2'], BOXES],
+		['seven boxes', SEVEN_BOXES, SEVEN_BOXES],
+	])(
+		'never lets the boxes together spend more than the budget: %s',
+		async (_name, drawing, boxes) => {
+			const days = fc.asyncProperty(
+				fc.array(happening, { minLength: 60, maxLength: 160 }),
+				fc.nat({ max: 1_000 }),
+				async (happenings, fateSeed) => {
+					const fleet = new MoneyFleet(LARGE_BUDGET, fateSeed, drawing, true, {}, boxes)
+					const copies = new Copies(fleet)
+					await pass(fleet, START_MS)
+					let bound = LARGE_BUDGET
+					let version = 1
+					for (const { kind, box, amount, pauseMs } of happenings) {
+						const name = boxes[boxes === BOXES ? box : (box + amount) % boxes.length] ?? BOXES[0]
+						if (kind === 'ask') void fleet.ask(name, 200 * amount, 1)
+						else if (kind === 'kill') fleet.kill(name, 20 * amount)
+						else if (kind === 'stop') void fleet.stop(name)
+						else if (kind === 'suspend') fleet.suspend(name, 200 * amount)
+						else if (kind === 'cut' || kind === 'heal') fleet.setCut(name, kind === 'cut')
+						else if (kind === 'restore') {
+							const killed = boxes === BOXES ? 0 : amount % boxes.length
+							for (let i = 0; i < killed; i++)
+								fleet.kill(boxes[(box + 2 * i) % boxes.length] ?? '', 50 * amount)
+							copies.restore(amount)
+						} else if (kind === 'lower' || kind === 'raise') {
+							const budget = kind === 'lower' ? LOWERED_BUDGET : LARGE_BUDGET
+							fleet.setBudgets(++version, { [ACCOUNT]: budget })
+							bound = Math.max(budget, fleet.spent)
+						} else fleet.setStormy(kind === 'storm')
+						await copies.pass(pauseMs)
+						expect(fleet.spent).toBeLessThanOrEqual(bound)
+					}
+					vi.clearAllTimers()
+				},
+			)
+			await fc.assert(days, { seed: SEED, numRuns: RUNS, endOnFailure: true })
+		},
+	)
 })
--- a/packages/gateway/src/lib/testMoneyFleet.ts
+++ b/packages/gateway/src/lib/testMoneyFleet.ts
@@ -54,6 +54,7 @@
 		private readonly losesAnswers = true,
 		/** Boxes whose answers to other boxes come late, and by how much, in ms. */
 		private readonly lateness: Readonly<Record<string, number>> = {},
+		private readonly boxes: readonly string[] = BOXES,
 	) {
 		this.store = new MemoryStore({
 			now: () => Date.now(),
@@ -62,7 +63,7 @@
 			lateMs: () => 700 + (this.fates % 5) * 900,
 		})
 		this.budgets = { version: 1, tokens: { [ACCOUNT]: this.budget } }
-		for (const box of BOXES) this.start(box)
+		for (const box of boxes) this.start(box)
 	}
 
 	start(box: string): void {
@@ -88,9 +89,12 @@
 			box: brandId<BoxName>(box),
 			holder: brandId<Incarnation>(`${box}-${this.starts++}`),
 			address,
-			knowerAddresses: () =>
-				this.drawing.filter((other) => other !== box).map((other) => `${other}:1`),
-			isFirstStart: this.starts <= BOXES.length,
+			witnessAddresses: () => {
+				const own = this.drawing.indexOf(box)
+				const others = [...this.drawing.slice(own + 1), ...this.drawing.slice(0, own)]
+				return others.filter((other) => other !== box).map((other) => `${other}:1`)
+			},
+			isFirstStart: this.starts <= this.boxes.length,
 			lenders: this.lenders(box),
 			isLender: () => this.drawing.includes(box),
 			lenderAddresses: () =>
