--- a/packages/core/src/lib/router/logEvents.ts
+++ b/packages/core/src/lib/router/logEvents.ts
@@ -84,11 +84,11 @@
 		number: 320,
 		text: 'The machine was suspended, or its time of day was set forward: all that is believed is older',
 	},
-	'store-era': {
+	'store-restored': {
 		number: 321,
 		text: 'The store came back from a copy: what was written since is gone, and revisions start anew from there',
 	},
-	'store-era-unnamed': {
+	'era-unnamed': {
 		number: 322,
 		text: 'Answers of the store name no era any more; they count as of the last one',
 	},
--- a/packages/gateway/src/lib/Gateway.test.ts
+++ b/packages/gateway/src/lib/Gateway.test.ts
@@ -231,7 +231,7 @@
 		box.configure(3)
 		await vi.waitFor(() => expect(box.gateway.status().configuration).toBe(3), NOTICED_MS)
 		const lines = box.logged.map(({ name }) => name)
-		expect(lines).toEqual(expect.arrayContaining(['store-era', 'traffic-held']))
+		expect(lines).toEqual(expect.arrayContaining(['store-restored', 'traffic-held']))
 	})
 
 	it('runs a request once at most that may not be repeated, and says that it may have run', async () => {
--- a/packages/gateway/src/lib/Gateway.ts
+++ b/packages/gateway/src/lib/Gateway.ts
@@ -76,7 +76,7 @@
 		this.loopDelay = new LoopDelay(options.worldNow)
 		this.store = new EraStore(options.store, {
 			onEra: (change) => this.noteEra(change),
-			onUnnamed: (call) => options.log({ name: 'store-era-unnamed', fields: { call } }),
+			onUnnamed: (call) => options.log({ name: 'era-unnamed', fields: { call } }),
 		})
 		const address = `${options.listen.peers.host}:${options.listen.peers.port}`
 		this.roster = new FleetRoster({
@@ -269,15 +269,10 @@
 	private noteEra({ era, before, call }: EraChange): void {
 		// The first answer of the store says in which era this process began.
 		if (before === 0) return
-		const { index, revision } = this.context.traffic ?? {}
-		const fields = {
-			era,
-			before,
-			call,
-			configuration: index?.config.version ?? -1,
-			revision: describeRevision(revision ?? NO_REVISION),
-		}
-		this.options.log({ name: 'store-era', fields })
+		const { index, revision = NO_REVISION } = this.context.traffic ?? {}
+		const configuration = index?.config.version ?? -1
+		const fields = { era, before, call, configuration, revision: describeRevision(revision) }
+		this.options.log({ name: 'store-restored', fields })
 		this.allowance.noteEra()
 	}
 
