One reader of bodies, one larger-of-two and one check whether a record may lack draws

Read again: readToldDraws gathered a body as readBody does, AllowanceClaimer took the larger of two budgets as largestOf does, and whether a record may lack draws was worked out in two places, with the look for an empty record in a third. Behaviour as before, but that a body of another box that stalls for a second is given up. Tests unchanged.

--- a/packages/core/src/lib/allowance/AllowanceRow.ts
+++ b/packages/core/src/lib/allowance/AllowanceRow.ts
@@ -46,6 +46,11 @@
 	boxes: {},
 }
 
+/** True where no box is known to have claimed. */
+export function isEmptyRow(row: AllowanceRow): boolean {
+	return Object.keys(row.boxes).length === 0
+}
+
 /** True where a box wrote its draws in this era: what it says is all that the box has drawn. @public */
 export function isOfEra(draws: BoxDraws, era: number): boolean {
 	return draws.era === undefined || draws.era === era
--- a/packages/core/src/lib/allowance/SpendingMark.ts
+++ b/packages/core/src/lib/allowance/SpendingMark.ts
@@ -4,6 +4,7 @@
 import {
 	drawnByOthers,
 	isDrawKnown,
+	isEmptyRow,
 	isOfEra,
 	type AllowanceRow,
 	type BoxDraws,
@@ -105,8 +106,7 @@
 ): Readonly<Record<AccountName, number>> {
 	const { box, era } = facts
 	const draws = row.boxes[box]
-	if (draws && isOfEra(draws, era)) return spentUnderPromise(draws, facts)
-	if (!draws && !mayLackDraws(row, facts)) return {}
+	if (!mayLackDraws(row, facts)) return draws ? spentUnderPromise(draws, facts) : {}
 	if (isDrawKnown(row, box, era)) return draws?.drawn ?? {}
 	return withAllUndrawn(row, facts)
 }
@@ -124,13 +124,18 @@
 	return spent
 }
 
-/** True where a box of which the record tells nothing may have drawn all the same. @public */
+/**
+ * True where a box may have drawn more than the record tells: that is of an era before, or tells nothing of the box and
+ * was not begun in this era by a fleet that started for the first time.
+ * @public
+ */
 export function mayLackDraws(
 	row: AllowanceRow,
-	{ era, isFirstStart }: Pick<ClaimFacts, 'era' | 'isFirstStart'>,
+	{ box, era, isFirstStart }: Pick<ClaimFacts, 'box' | 'era' | 'isFirstStart'>,
 ): boolean {
-	const isAbsent = Object.keys(row.boxes).length === 0
-	if (isAbsent) return !isFirstStart
+	const draws = row.boxes[box]
+	if (draws) return !isOfEra(draws, era)
+	if (isEmptyRow(row)) return !isFirstStart
 	return row.era !== undefined && row.era !== era
 }
 
--- a/packages/core/src/lib/allowance/planDraw.ts
+++ b/packages/core/src/lib/allowance/planDraw.ts
@@ -5,6 +5,7 @@
 	drawnAtMostByOthers,
 	drawnByOthers,
 	isDrawKnown,
+	isEmptyRow,
 	unheardBoxes,
 	type AllowanceRow,
 	type BoxDraws,
@@ -98,7 +99,7 @@
 	return {
 		...row,
 		// A record that is gone may have told of others.
-		era: isEmpty(row) ? UNKNOWN_ERA : row.era,
+		era: isEmptyRow(row) ? UNKNOWN_ERA : row.era,
 		budgetsVersion: budgets.version,
 		budgets: budgets.tokens,
 		boxes: { ...withKnownHeard(row, era), [box]: own },
@@ -158,9 +159,5 @@
 	const { box, holder, address, spent, era, isFirstStart } = claim
 	const begunIn = isFirstStart ? era : UNKNOWN_ERA
 	const own: BoxDraws = { holder, address, drawn: spent, spent, era, claimedIn: era }
-	return { ...row, era: isEmpty(row) ? begunIn : row.era, boxes: { ...row.boxes, [box]: own } }
-}
-
-function isEmpty(row: AllowanceRow): boolean {
-	return Object.keys(row.boxes).length === 0
+	return { ...row, era: isEmptyRow(row) ? begunIn : row.era, boxes: { ...row.boxes, [box]: own } }
 }
--- a/packages/gateway/src/lib/AllowanceClaimer.ts
+++ b/packages/gateway/src/lib/AllowanceClaimer.ts
@@ -2,20 +2,18 @@
 	NO_REVISION,
 	describeRevision,
 	isDrawKnown,
-	isOfEra,
+	largestOf,
 	mayLackDraws,
 	planClaim,
 	spentAtMost,
 	type AccountName,
-	type AllowanceRow,
-	type Budgets,
 	type SpendingMark,
 } from '@stallwing/core'
 import type { StoreFault } from '@stallwing/store'
 import * as E from 'fp-ts/lib/Either.js'
 import type { AllowanceDrawerOptions } from './AllowanceDrawer.js'
 import type { AllowanceRecord } from './AllowanceRecord.js'
-import type { AllowanceState, TokensByAccount } from './AllowanceState.js'
+import type { AllowanceState } from './AllowanceState.js'
 import type { SpendingPromise } from './SpendingPromise.js'
 
 /** What an {@link AllowanceClaimer} works with. */
@@ -77,11 +75,11 @@
 		if (await this.record.read()) return false
 		const { era, row } = this.record
 		const before = row.boxes[box]
-		const isUncertain = before ? !isOfEra(before, era) : mayLackDraws(row, { era, isFirstStart })
+		const isUncertain = mayLackDraws(row, { box, era, isFirstStart })
 		// How much may be missing is counted by the budgets: they come with the configuration.
 		if (isUncertain && this.state.budgets.version === 0) return false
 		if (isUncertain && !isDrawKnown(row, box, era) && !this.hasWaitedForOthers()) return false
-		const budgets = largestBudgets(row, this.state.budgets)
+		const budgets = largestOf(row.budgets, this.state.budgets.tokens)
 		const { mark, startedAt } = found.right
 		const facts = { box, mark, startedAt, era, budgets, isFirstStart }
 		const spent = spentAtMost(row, facts)
@@ -130,16 +128,6 @@
 	}
 }
 
-/** The larger of the budgets that the record and the configuration tell. */
-function largestBudgets(row: AllowanceRow, own: Budgets): TokensByAccount {
-	const largest: Record<AccountName, number> = { ...row.budgets }
-	for (const [name, tokens] of Object.entries<number>(own.tokens)) {
-		const account = name as AccountName
-		largest[account] = Math.max(largest[account] ?? 0, tokens)
-	}
-	return largest
-}
-
 function sum(tokens: Readonly<Record<AccountName, number>> | undefined): number {
 	return Object.values<number>(tokens ?? {}).reduce((total, amount) => total + amount, 0)
 }
--- a/packages/gateway/src/lib/readToldDraws.ts
+++ b/packages/gateway/src/lib/readToldDraws.ts
@@ -1,20 +1,19 @@
 import type { IncomingMessage } from 'node:http'
 import type { ToldDraws } from './DrawTelling.js'
+import { readBody } from './readBody.js'
 
 /** Largest body that is read, in bytes: draws of thousands of accounts. */
 const MOST_BYTES = 256 * 1024
 
+/** Longest gap between two pieces of it, in ms: the box that tells has given up by then. */
+const IDLE_MS = 1_000
+
 /** Reads what another box told of its draws; undefined where the body is something else. */
 export async function readToldDraws(message: IncomingMessage): Promise<ToldDraws | undefined> {
+	const read = await readBody(message, MOST_BYTES, IDLE_MS)
+	if (read.kind !== 'whole') return undefined
 	try {
-		const chunks: Buffer[] = []
-		let bytes = 0
-		for await (const chunk of message as AsyncIterable<Buffer>) {
-			bytes += chunk.length
-			if (bytes > MOST_BYTES) return undefined
-			chunks.push(chunk)
-		}
-		const told = JSON.parse(Buffer.concat(chunks).toString('utf8')) as Partial<ToldDraws> | null
+		const told = JSON.parse(read.body.toString('utf8')) as Partial<ToldDraws> | null
 		return told && isToldDraws(told) ? told : undefined
 	} catch {
 		return undefined
