--- a/internal/bench/src/gateway.ts
+++ b/internal/bench/src/gateway.ts
@@ -43,7 +43,8 @@
 const gateway = new Gateway({
 	box: brandId<BoxName>('box-1'),
 	zone: brandId<ZoneName>('z1'),
-	cores: 1,
+	capacity: { cores: 1, memoryBytes: undefined, linkBytesPerSecond: undefined },
+	isUnderPressure: false,
 	regionOf: () => undefined,
 	incarnation: brandId<Incarnation>('bench'),
 	listen: { callers: LOOPBACK, readiness: LOOPBACK, peers: { host: '127.0.0.1', port: 29_471 } },
--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -256,6 +256,17 @@
 export { allowsRegion, type AllowedRegions } from './lib/traffic/allowsRegion.js'
 export { TrafficIndex } from './lib/traffic/TrafficIndex.js'
 export { shedFraction } from './lib/overload/shedFraction.js'
+export {
+	type BalanceDecision,
+	type BalanceReason,
+	type BoxLoad,
+	type PeerBoxLoad,
+} from './lib/balance/BoxLoad.js'
+export {
+	type AdmissionOutcome,
+	type AdmissionRefusalReason,
+	type AdmissionRequest,
+} from './lib/admission/AdmissionRequest.js'
 export {
 	incarnationOf,
 	type TargetIncarnation,
--- a/packages/core/src/lib/placement/TargetEntry.ts
+++ b/packages/core/src/lib/placement/TargetEntry.ts
@@ -24,4 +24,9 @@
 	readonly running: number
 	readonly waiting: number
 	readonly slots: number
+	/**
+	 * Time that work takes at the target at present, as a multiple of its usual time; undefined if not reported. It
+	 * changes many times a second.
+	 */
+	readonly currentSlowdown?: number
 }
--- a/packages/core/src/lib/traffic/TrafficConfig.ts
+++ b/packages/core/src/lib/traffic/TrafficConfig.ts
@@ -53,6 +53,10 @@
 	readonly maxConnections: number
 	/** Tokens per event of a stream; undefined for a service without tokens. */
 	readonly tokensPerEvent: number | undefined
+	/** Requests that one of its targets processes concurrently; undefined if not stated. */
+	readonly slots?: number | undefined
+	/** Tokens that fit into the memory of one of its targets, running and cached; undefined for a service without tokens. */
+	readonly memoryTokens?: number | undefined
 	/** Request limits of its targets after a start; undefined if there are none. */
 	readonly coldStart: ColdStart | undefined
 }
--- a/packages/gateway/src/index.ts
+++ b/packages/gateway/src/index.ts
@@ -5,11 +5,17 @@
 export { type StoreLayout } from './lib/StoreLayout.js'
 export { Gateway } from './lib/Gateway.js'
 export { newGatewayIncarnation } from './lib/newGatewayIncarnation.js'
-export { type GatewayOptions, type GatewayPorts } from './lib/GatewayOptions.js'
+export { type BoxCapacity, type GatewayOptions, type GatewayPorts } from './lib/GatewayOptions.js'
 export { type CordonStatus, type GatewayStatus } from './lib/GatewayReport.js'
 export { listenOn, type ListenAddress } from './lib/listenOn.js'
 export { serveOperators, type OperatorPages } from './lib/serveOperators.js'
-export { watchFile } from './lib/watchFile.js'
+export {
+	createProcessServices,
+	type GatewayClocks,
+	type ProcessServices,
+} from './lib/lifecycle/createProcessServices.js'
+export { operatorPagesOf } from './lib/lifecycle/operatorPagesOf.js'
+export { controlProcess, type ProcessControls } from './lib/lifecycle/controlProcess.js'
 export { isSocketAddress, parseAddress } from './lib/parseAddress.js'
 export {
 	SuspendAwareClock,
--- a/packages/gateway/src/lib/Exchange.ts
+++ b/packages/gateway/src/lib/Exchange.ts
@@ -3,7 +3,6 @@
 	decideAfterAttempt,
 	exhaustive,
 	incarnationOf,
-	shedFraction,
 	maxTotalTokens,
 	type AttemptFacts,
 	type LogValue,
@@ -16,6 +15,9 @@
 import { Attempt, type AttemptEnd } from './Attempt.js'
 import { isRepeatable, readCallerRequest, type CallerRequest } from './CallerRequest.js'
 import { chargeFor } from './chargeFor.js'
+import type { GateEntry } from './admission/RequestGate.js'
+import { findBodyRefusal } from './BodyGuard.js'
+import { findEarlyRefusal, type EarlyRefusal } from './findEarlyRefusal.js'
 import { findUnavailability } from './findUnavailability.js'
 import type { GatewayContext, ActiveTraffic } from './GatewayContext.js'
 import {
@@ -64,6 +66,7 @@
 	private mayHaveRun = false
 	/** Reports the end of the current run to the crash protection. */
 	private endRun: () => void = () => undefined
+	private gateEntry: GateEntry | undefined
 	private hasEnded = false
 
 	constructor(
@@ -75,7 +78,7 @@
 		this.timeLimit = new TimeLimit(context.suspendAwareNow, this.arrivedAt)
 		this.responseWriter = new ResponseWriter(
 			response,
-			() => context.isStopping,
+			() => context.shouldCloseConnection(message.socket),
 			context.suspendAwareNow,
 		)
 		this.reservation = new TokenReservation(context.allowance)
@@ -99,17 +102,29 @@
 			return
 		}
 		this.request = parsed.right
+		if (this.refuseEarly(this.findBodyRefusal(parsed.right))) return
 		const body = await this.readBody(traffic)
 		if (!body || this.hasEnded) return
-		if (this.refuseIfOverloaded(parsed.right)) return
-		if (this.refuseIfUnavailable(parsed.right)) return
+		if (this.refuseEarly(findEarlyRefusal(this.context, parsed.right))) return
 		const content = new RequestContent(parsed.right, body)
 		if (this.endIfQuarantined(content)) return
 		this.timeLimit.start(parsed.right, () => this.handleTimeLimit())
 		if (!(await this.reserve(parsed.right))) return
+		if (!(await this.waitForPlace(parsed.right))) return
 		await this.tryTargets(parsed.right, traffic, body, content)
 	}
 
+	private findBodyRefusal(request: CallerRequest): EarlyRefusal | undefined {
+		const contentLength = this.message.headers['content-length']
+		return findBodyRefusal(this.context.bodyGuards, request, contentLength)
+	}
+
+	/** Refuses the request if there is a reason to. Returns true if it did. */
+	private refuseEarly(refusal: EarlyRefusal | undefined): boolean {
+		if (refusal) this.refuse(refusal.kind, refusal.detail, refusal.availableInMs)
+		return refusal !== undefined
+	}
+
 	/** A refusal based on the configuration is final only if the configuration is current; otherwise callers may retry. */
 	private refusalKindFor(kind: RefusalKind): RefusalKind {
 		const dependsOnConfiguration = kind === 'no-route' || kind === 'no-key'
@@ -117,23 +132,6 @@
 		return 'configuration-old'
 	}
 
-	/** Refuses a share of the requests while this box is overloaded. Returns true if it refused this one. */
-	private refuseIfOverloaded(request: CallerRequest): boolean {
-		const delayMs = this.context.sustainedDelayMs()
-		const fraction = shedFraction(delayMs, request.work !== undefined)
-		if (fraction === 0 || this.context.random() >= fraction) return false
-		this.refuse('overloaded', `timers are ${Math.round(delayMs)} ms late`)
-		return true
-	}
-
-	/** Refuses the request if no target of its service accepts work. Returns true if it did. */
-	private refuseIfUnavailable(request: CallerRequest): boolean {
-		const unavailability = findUnavailability(this.context, request)
-		if (!unavailability) return false
-		this.refuse('no-target', unavailability.detail, unavailability.availableInMs)
-		return true
-	}
-
 	/**
 	 * Ends the exchange if the request is quarantined, or may crash its target and is already running elsewhere.
 	 * Returns true if it did.
@@ -157,24 +155,12 @@
 	}
 
 	private async readBody(traffic: ActiveTraffic): Promise<Buffer | undefined> {
-		const { maxBodyBytes, idleTimeoutMs } = traffic.index.config.limits
-		const result = await readBody(this.message, maxBodyBytes, idleTimeoutMs)
+		const result = await readBody(this.message, traffic.index.config.limits)
 		if (this.hasEnded) return undefined
-		switch (result.kind) {
-			case 'whole':
-				return result.body
-			case 'caller-left':
-				this.finish()
-				return undefined
-			case 'too-large':
-				this.refuse('body-too-large', `over ${maxBodyBytes} bytes`)
-				return undefined
-			case 'late':
-				this.refuse('body-late', `idle for ${idleTimeoutMs} ms`)
-				return undefined
-			default:
-				return exhaustive(result)
-		}
+		if (result.kind === 'whole') return result.body
+		if (result.kind === 'caller-left') this.finish()
+		else this.refuse(result.kind, result.detail)
+		return undefined
 	}
 
 	private handleTimeLimit(): void {
@@ -200,6 +186,17 @@
 		return false
 	}
 
+	/** Waits until the request may be sent to a target. Returns false if it ended the exchange. */
+	private async waitForPlace(request: CallerRequest): Promise<boolean> {
+		this.gateEntry = this.context.gate.enter(request, this.timeLimit.remainingMs(request))
+		const { outcome: pending } = this.gateEntry
+		const outcome = pending instanceof Promise ? await pending : pending
+		if (this.hasEnded) return false
+		if (outcome.kind === 'admitted') return true
+		this.refuse('no-place', outcome.reason, outcome.availableInMs)
+		return false
+	}
+
 	private async tryTargets(
 		request: CallerRequest,
 		traffic: ActiveTraffic,
@@ -432,6 +429,7 @@
 	private finish(): void {
 		this.hasEnded = true
 		this.endRun()
+		this.gateEntry?.leave()
 		this.timeLimit.stop()
 	}
 }
--- a/packages/gateway/src/lib/Gateway.ts
+++ b/packages/gateway/src/lib/Gateway.ts
@@ -9,6 +9,7 @@
 	type RequestFingerprint,
 } from '@stallwing/core'
 import { EraTrackingStore, type EraChange, type PrefixFollower } from '@stallwing/store'
+import { OPEN_GATE } from './admission/RequestGate.js'
 import { AllowanceClient } from './AllowanceClient.js'
 import { CordonDirectory } from './CordonDirectory.js'
 import { describeError } from './describeError.js'
@@ -29,6 +30,7 @@
 import { TargetDirectory } from './TargetDirectory.js'
 import { TargetPools } from './TargetPools.js'
 import type { TokenBudgets } from './TrafficDirectory.js'
+import { shutDownGracefully } from './lifecycle/shutDownGracefully.js'
 import { listenOn } from './listenOn.js'
 import { watchDurationMs } from './watchDurationMs.js'
 import { sleep } from './sleep.js'
@@ -37,15 +39,6 @@
 const WATCH_GRACE_MS = 500
 const ALLOWANCE_INTERVAL_MS = 400
 const MAINTENANCE_INTERVAL_MS = 250
-/**
- * Time until the load balancer stops sending callers to a box that is not ready, in ms. Requests after that are
- * refused, because they might not finish within the shutdown grace.
- */
-const READINESS_PROPAGATION_MS = 2_800
-/** Unspent tokens are returned at least this long before the end of the shutdown grace, in ms. */
-const TOKEN_RETURN_MARGIN_MS = 2_400
-const SHUTDOWN_MARGIN_MS = 300
-const SHUTDOWN_POLL_INTERVAL_MS = 50
 const KEEP_ALIVE_MARGIN_MS = 1_000
 
 /** Serves callers: follows configuration, targets and budgets, and sends each request to a target. @public */
@@ -87,7 +80,7 @@
 				this.sharing.crashProtection.applyStored(
 					items.find(({ key }) => key === options.storeLayout.quarantineKey),
 				),
-			self: { box: options.box, zone: options.zone, address, cores: options.cores },
+			self: { box: options.box, zone: options.zone, address, cores: options.capacity.cores },
 			sleep,
 			random: options.random,
 			log: options.log,
@@ -191,6 +184,7 @@
 			loopDelay: this.loopDelay,
 			configPrefix: options.storeLayout.configPrefix,
 			targetsPrefix: options.storeLayout.targetsPrefix,
+			parts: [],
 			openRequests: () => this.openRequests,
 			isReady: () => this.isReady,
 		})
@@ -240,21 +234,25 @@
 	/** Shuts down gracefully: refuses new requests and completes open ones as far as the grace allows. */
 	async stop(): Promise<void> {
 		if (this.context.isStopping) return
-		const startedAt = this.options.suspendAwareNow()
 		this.context.isStopping = true
 		this.options.log({ name: 'stop-begun', fields: { open: this.openRequests } })
-		const graceEndsAt = startedAt + this.options.shutdownGraceMs
-		await sleep(READINESS_PROPAGATION_MS)
+		const steps = {
+			refuseNewRequests: () => this.refuseNewRequests(),
+			returnTokens: () => this.allowance.returnUnspent(),
+			close: () => this.close(),
+			openRequests: () => this.openRequests,
+			now: this.options.suspendAwareNow,
+		}
+		await shutDownGracefully(steps, this.options.shutdownGraceMs)
+		this.options.log({ name: 'stop-done', fields: { open: this.openRequests } })
+	}
+
+	private refuseNewRequests(): void {
 		this.context.isRefusingRequests = true
 		this.callerServer.closeIdleConnections()
-		await this.waitUntilIdle(graceEndsAt - TOKEN_RETURN_MARGIN_MS)
-		// Returns tokens while the last responses still run, because the grace may end before they do.
-		const returnTimeoutMs = Math.max(
-			0,
-			graceEndsAt - SHUTDOWN_MARGIN_MS - this.options.suspendAwareNow(),
-		)
-		await Promise.race([this.allowance.returnUnspent(), sleep(returnTimeoutMs)])
-		await this.waitUntilIdle(graceEndsAt - SHUTDOWN_MARGIN_MS)
+	}
+
+	private close(): void {
 		this.callerServer.close()
 		this.callerServer.closeIdleConnections()
 		this.readinessServer.close()
@@ -266,7 +264,6 @@
 		this.loopDelay.stop()
 		for (const timer of this.timers) clearInterval(timer)
 		this.sharing.stop()
-		this.options.log({ name: 'stop-done', fields: { open: this.openRequests } })
 	}
 
 	/** Reports a new era of the store to the token budgets, which do not follow the store themselves. */
@@ -293,15 +290,6 @@
 		this.sharing.crashProtection.expireRecords()
 	}
 
-	/** Waits until no request is open, at most until the time `latest`. */
-	private async waitUntilIdle(latest: number): Promise<void> {
-		for (;;) {
-			const now = this.options.suspendAwareNow()
-			if (now >= latest || this.openRequests === 0) return
-			await sleep(SHUTDOWN_POLL_INTERVAL_MS)
-		}
-	}
-
 	/** Applies new retry limits when the settings are reloaded. */
 	setRetryLimits(limits: RetryLimits): void {
 		this.context.retryLimits = limits
@@ -332,6 +320,8 @@
 			allowance: this.allowance,
 			crashProtection: this.sharing.crashProtection,
 			metrics: options.metrics,
+			bodyGuards: [],
+			gate: OPEN_GATE,
 			traffic: undefined,
 			retryLimits: options.retryLimits,
 			isStopping: false,
@@ -356,6 +346,7 @@
 			onTargetRate: (target, perSecond, hasChanged) =>
 				this.sharing.rateSharing.share(target, perSecond, hasChanged),
 			retryBudget: (service) => this.serviceLimits.retryBudget(service),
+			shouldCloseConnection: () => this.context.isStopping,
 			sustainedDelayMs: () => this.loopDelay.sustainedMs,
 			currentDelayMs: () => this.loopDelay.currentMs,
 			boxCount: () => this.membership.size,
--- a/packages/gateway/src/lib/GatewayContext.ts
+++ b/packages/gateway/src/lib/GatewayContext.ts
@@ -1,3 +1,4 @@
+import type { Socket } from 'node:net'
 import type {
 	BoxName,
 	LogEvent,
@@ -12,6 +13,8 @@
 	ZoneName,
 } from '@stallwing/core'
 import type { Metrics } from '@stallwing/telemetry'
+import type { RequestGate } from './admission/RequestGate.js'
+import type { BodyGuard } from './BodyGuard.js'
 import type { AllowanceClient } from './AllowanceClient.js'
 import type { CallerRequest } from './CallerRequest.js'
 import type { ConnectionPool } from './ConnectionPool.js'
@@ -36,6 +39,10 @@
 	readonly allowance: AllowanceClient
 	readonly crashProtection: CrashProtection
 	readonly metrics: Metrics
+	/** Checked before the body of a request is read. */
+	readonly bodyGuards: readonly BodyGuard[]
+	/** Decides when a request may be sent to a target. */
+	readonly gate: RequestGate
 	/** Undefined until the first configuration is applied. Only `Gateway` writes it. */
 	traffic: ActiveTraffic | undefined
 	retryLimits: RetryLimits
@@ -72,6 +79,8 @@
 	 */
 	onTargetRate(target: TargetEntry, perSecond: number | undefined, hasChanged: boolean): void
 	retryBudget(service: ServiceName): RetryBudget
+	/** True if the connection of a caller should be closed after the current response. */
+	shouldCloseConnection(socket: Socket): boolean
 	/** Sustained delay of the event loop, in ms. */
 	sustainedDelayMs(): number
 	/** Current delay of the event loop, in ms: input may have waited that long before it is read. */
--- a/packages/gateway/src/lib/GatewayOptions.ts
+++ b/packages/gateway/src/lib/GatewayOptions.ts
@@ -18,14 +18,28 @@
 	readonly readiness: number
 }
 
+/** Resources of the machine that this box may use. @public */
+export interface BoxCapacity {
+	/** CPU time, in cores; 0 if unknown. */
+	readonly cores: number
+	/** Memory of the process, in bytes; undefined if not limited. */
+	readonly memoryBytes: number | undefined
+	/** Bytes per second that the link carries in each direction; undefined if not limited. */
+	readonly linkBytesPerSecond: number | undefined
+}
+
 /** Settings and dependencies of a gateway. @public */
 export interface GatewayOptions {
 	readonly box: BoxName
 	readonly zone: ZoneName
 	/** Region of a zone; undefined if unknown. */
 	readonly regionOf: (zone: ZoneName) => RegionName | undefined
-	/** CPU time that this box may use, in cores. */
-	readonly cores: number
+	readonly capacity: BoxCapacity
+	/**
+	 * The deployment states that its callers may bring more work than its targets can do: requests then queue at the
+	 * boxes, and the memory held for slow readers is bounded.
+	 */
+	readonly isUnderPressure: boolean
 	/** Unique for each start of the process. */
 	readonly incarnation: Incarnation
 	readonly listen: {
--- a/packages/gateway/src/lib/GatewayReport.ts
+++ b/packages/gateway/src/lib/GatewayReport.ts
@@ -12,6 +12,7 @@
 import type { GatewayContext } from './GatewayContext.js'
 import type { EventLoopDelay } from './EventLoopDelay.js'
 import type { TargetDirectory } from './TargetDirectory.js'
+import type { ReportedPart } from './ReportedPart.js'
 import { roundAge } from './roundAge.js'
 
 /** Sources of a {@link GatewayReport}. */
@@ -29,6 +30,7 @@
 	readonly configPrefix: string
 	/** Prefix of the list of targets in the store. */
 	readonly targetsPrefix: string
+	readonly parts: readonly ReportedPart[]
 	/** Requests in flight. */
 	readonly openRequests: () => number
 	/** True if this box can serve callers. */
@@ -62,6 +64,8 @@
 	readonly noticedTargets: readonly TargetNoticeStatus[]
 	/** Requests that crash their targets and are not sent to any. */
 	readonly quarantined: readonly QuarantineStatus[]
+	/** State of the parts that are in use, by name. */
+	readonly parts: Readonly<Record<string, unknown>>
 	/** Requests in flight. */
 	readonly open: number
 }
@@ -71,7 +75,7 @@
 	constructor(private readonly sources: GatewayReportSources) {}
 
 	status(): GatewayStatus {
-		const { registry, context, openRequests, isReady, storeEra } = this.sources
+		const { registry, context, openRequests, isReady, parts, storeEra } = this.sources
 		const now = context.now()
 		return {
 			box: context.box,
@@ -86,6 +90,7 @@
 			cordonedZones: this.cordonStatuses(now),
 			noticedTargets: registry.noticeStatuses(now),
 			quarantined: context.crashProtection.status,
+			parts: Object.fromEntries(parts.map((part) => [part.name, part.status()])),
 			open: openRequests(),
 		}
 	}
@@ -136,6 +141,7 @@
 			gauges[`stallwing_allowance_drawn_tokens${label}`] = view.drawn
 			gauges[`stallwing_allowance_free_tokens${label}`] = view.free
 		}
+		for (const part of this.sources.parts) Object.assign(gauges, part.gauges())
 		return gauges
 	}
 
--- a/packages/gateway/src/lib/Refusal.ts
+++ b/packages/gateway/src/lib/Refusal.ts
@@ -10,6 +10,7 @@
  * - `budget-unknown`: this box holds too few tokens of the budget and cannot draw more now.
  * - `no-target`: no target could accept the request.
  * - `stopping`: this box is shutting down and might not finish the request.
+ * - `no-place`: the targets have no place for the request in time, or a more urgent request took it.
  * - `overloaded`: this box is overloaded; another one may have capacity.
  * - `too-late`: too little time is left to start.
  * - `quarantined`: targets crashed while running this request, at this box or at others.
@@ -31,6 +32,7 @@
 	| 'budget-unknown'
 	| 'no-target'
 	| 'stopping'
+	| 'no-place'
 	| 'overloaded'
 	| 'too-late'
 	| 'quarantined'
@@ -52,6 +54,7 @@
 	'budget-unknown',
 	'no-target',
 	'stopping',
+	'no-place',
 	'overloaded',
 	'too-late',
 	'quarantined',
--- a/packages/gateway/src/lib/ResponseWriter.ts
+++ b/packages/gateway/src/lib/ResponseWriter.ts
@@ -24,7 +24,7 @@
 
 	constructor(
 		private readonly response: ServerResponse,
-		private readonly isStopping: () => boolean,
+		private readonly shouldCloseConnection: () => boolean,
 		/** Current time, in ms. */
 		private readonly now: () => number,
 	) {}
@@ -106,7 +106,8 @@
 
 	private writeHead(status: number, headers: string[]): void {
 		this.response.sendDate = false
-		if (this.isStopping() && !headers.includes('Connection')) headers.push('Connection', 'close')
+		if (this.shouldCloseConnection() && !headers.includes('Connection'))
+			headers.push('Connection', 'close')
 		this.response.writeHead(status, headers)
 	}
 }
--- a/packages/gateway/src/lib/readBody.ts
+++ b/packages/gateway/src/lib/readBody.ts
@@ -1,17 +1,16 @@
 import type { IncomingMessage } from 'node:http'
+import type { RequestLimits } from '@stallwing/core'
 
 /** Result of reading a body. */
 export type BodyResult =
 	| { readonly kind: 'whole'; readonly body: Buffer }
-	| { readonly kind: 'too-large' }
-	| { readonly kind: 'late' }
 	| { readonly kind: 'caller-left' }
+	| { readonly kind: 'body-too-large' | 'body-late'; readonly detail: string }
 
-/** Reads a complete body. Fails if no data arrives for `idleMs`, or if it exceeds `maxBytes`. */
+/** Reads a complete body. Fails if no data arrives for the idle timeout, or if it exceeds the maximum size. */
 export function readBody(
 	message: IncomingMessage,
-	maxBytes: number,
-	idleMs: number,
+	{ maxBodyBytes, idleTimeoutMs }: Pick<RequestLimits, 'maxBodyBytes' | 'idleTimeoutMs'>,
 ): Promise<BodyResult> {
 	return new Promise((resolve) => {
 		const chunks: Buffer[] = []
@@ -21,11 +20,13 @@
 			message.off('data', onData)
 			resolve(result)
 		}
-		const timer = setTimeout(() => finish({ kind: 'late' }), idleMs)
+		const handleTimeout = (): void =>
+			finish({ kind: 'body-late', detail: `idle for ${idleTimeoutMs} ms` })
+		const timer = setTimeout(handleTimeout, idleTimeoutMs)
 		const onData = (chunk: Buffer): void => {
 			bytes += chunk.length
-			if (bytes > maxBytes) {
-				finish({ kind: 'too-large' })
+			if (bytes > maxBodyBytes) {
+				finish({ kind: 'body-too-large', detail: `over ${maxBodyBytes} bytes` })
 				return
 			}
 			chunks.push(chunk)
--- a/packages/gateway/src/lib/readReplicatedDraws.ts
+++ b/packages/gateway/src/lib/readReplicatedDraws.ts
@@ -2,17 +2,18 @@
 import type { ReplicatedDraws } from './DrawReplicator.js'
 import { readBody } from './readBody.js'
 
-/** Maximum body size, in bytes: enough for the draws of thousands of accounts. */
-const MAX_BODY_BYTES = 256 * 1024
-
-/** Maximum time between two chunks of the body, in ms. The sending box has timed out by then. */
-const MAX_IDLE_MS = 1_000
+const LIMITS = {
+	/** Enough for the draws of thousands of accounts. */
+	maxBodyBytes: 256 * 1024,
+	/** The sending box has timed out by then. */
+	idleTimeoutMs: 1_000,
+}
 
 /** Reads the draws that another box sends; resolves to undefined if the body is incomplete or invalid. */
 export async function readReplicatedDraws(
 	message: IncomingMessage,
 ): Promise<ReplicatedDraws | undefined> {
-	const read = await readBody(message, MAX_BODY_BYTES, MAX_IDLE_MS)
+	const read = await readBody(message, LIMITS)
 	if (read.kind !== 'whole') return undefined
 	try {
 		const draws = JSON.parse(read.body.toString('utf8')) as Partial<ReplicatedDraws> | null
--- a/packages/gateway/src/lib/testBox.ts
+++ b/packages/gateway/src/lib/testBox.ts
@@ -69,6 +69,7 @@
 	'budget-unknown': 503,
 	'no-target': 503,
 	stopping: 503,
+	'no-place': 503,
 	overloaded: 503,
 	'too-late': 503,
 	quarantined: 503,
@@ -201,7 +202,8 @@
 		return new Gateway({
 			box: brandId<BoxName>(name),
 			zone: brandId<ZoneName>('z1'),
-			cores: 1,
+			capacity: { cores: 1, memoryBytes: undefined, linkBytesPerSecond: undefined },
+			isUnderPressure: false,
 			regionOf: (zone) => REGIONS[zone],
 			incarnation: brandId<Incarnation>(`first of ${name}`),
 			listen: {
