--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -262,6 +262,10 @@
 	type BoxLoad,
 	type PeerBoxLoad,
 } from './lib/balance/BoxLoad.js'
+export { BoxBalancer, type BalanceInput } from './lib/balance/BoxBalancer.js'
+export { LinkDelayEstimator } from './lib/balance/LinkDelayEstimator.js'
+export { canCarryBody, type LinkState } from './lib/balance/canCarryBody.js'
+export { workReportIntervalMs } from './lib/balance/workReportIntervalMs.js'
 export {
 	type AdmissionOutcome,
 	type AdmissionRefusalReason,
--- a/packages/core/src/lib/router/logEvents.ts
+++ b/packages/core/src/lib/router/logEvents.ts
@@ -115,6 +115,14 @@
 		number: 404,
 		text: 'The restored store has an older traffic configuration; the one in force remains',
 	},
+	'callers-moved': {
+		number: 405,
+		text: 'This box is overloaded and moves callers to other boxes; the event has the inputs and their age',
+	},
+	'box-load-unreadable': {
+		number: 406,
+		text: 'A load report of another box is invalid and is ignored; logged once for each sender',
+	},
 	'target-ejected': { number: 500, text: 'A failing target receives no requests for some time' },
 	'target-restored': { number: 501, text: 'An ejected target receives requests again' },
 	'target-leaving': { number: 502, text: 'A target is leaving and receives no new requests' },
