Report new connections to targets, boxes and the store

The bytes on the link of a box can only be counted if each socket is known when it opens. The listeners are optional; without one nothing is called.

--- a/packages/gateway/src/lib/ConnectionPool.ts
+++ b/packages/gateway/src/lib/ConnectionPool.ts
@@ -34,7 +34,7 @@
 		private readonly address: string,
 		private readonly timeouts: PoolTimeouts,
 		private readonly now: () => number,
-		private readonly onOpened: () => void,
+		private readonly onOpened: (socket: Socket) => void,
 	) {}
 
 	/** Open connections, in use or idle. */
@@ -139,7 +139,7 @@
 				clearTimeout(timer)
 				socket.off('error', fail)
 				socket.on('error', () => socket.destroy())
-				this.onOpened()
+				this.onOpened(socket)
 				resolve(socket)
 			})
 		})
--- a/packages/gateway/src/lib/PeerClient.ts
+++ b/packages/gateway/src/lib/PeerClient.ts
@@ -1,3 +1,4 @@
+import type { Socket } from 'node:net'
 import type { AccountName, BoxName, StoreRevision, TargetWork } from '@stallwing/core'
 import { HttpClient } from '@stallwing/store'
 import {
@@ -44,6 +45,8 @@
 		private readonly now: () => number,
 		/** Called with the work of all other boxes when a response contains it. */
 		private readonly onFleetWork: (work: readonly TargetWork[]) => void,
+		/** Called with each new connection; undefined if nothing counts its bytes. */
+		private readonly onConnection?: (socket: Socket) => void,
 	) {}
 
 	async requestTokens(
@@ -89,7 +92,7 @@
 		const path = `${CHANGES_PATH}?${new URLSearchParams(fields)}`
 		const timeoutMs = waitMs + CHANGES_TIMEOUT_MARGIN_MS
 		try {
-			const client = getOrCreateClient(this.changesClients, address, MAX_CHANGES_CONNECTIONS)
+			const client = this.getOrCreateClient(this.changesClients, address, MAX_CHANGES_CONNECTIONS)
 			const response = await client.send({ method: 'GET', path, timeoutMs })
 			return response.status === 200 ? decodeFeedResponse(response.text, after.era) : undefined
 		} catch {
@@ -140,7 +143,20 @@
 	}
 
 	private clientFor(address: string): HttpClient {
-		return getOrCreateClient(this.clients, address, MAX_CONNECTIONS)
+		return this.getOrCreateClient(this.clients, address, MAX_CONNECTIONS)
+	}
+
+	private getOrCreateClient(
+		clients: Map<string, HttpClient>,
+		address: string,
+		maxConnections: number,
+	): HttpClient {
+		const existing = clients.get(address)
+		if (existing) return existing
+		const client = new HttpClient({ ...parseAddress(address), maxConnections })
+		if (this.onConnection) client.onConnection(this.onConnection)
+		clients.set(address, client)
+		return client
 	}
 
 	/** @throws SyntaxError if the text is not valid JSON. */
@@ -164,15 +180,3 @@
 		left,
 	}))
 }
-
-function getOrCreateClient(
-	clients: Map<string, HttpClient>,
-	address: string,
-	maxConnections: number,
-): HttpClient {
-	const existing = clients.get(address)
-	if (existing) return existing
-	const client = new HttpClient({ ...parseAddress(address), maxConnections })
-	clients.set(address, client)
-	return client
-}
--- a/packages/gateway/src/lib/PeerServer.ts
+++ b/packages/gateway/src/lib/PeerServer.ts
@@ -1,4 +1,5 @@
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http'
+import type { Socket } from 'node:net'
 import { brandId, type AccountName, type BoxName, type TargetWork } from '@stallwing/core'
 import type { RequestedRevision } from './FeedRelay.js'
 import { encodeFeedResponse } from './feedCodec.js'
@@ -42,11 +43,16 @@
 export class PeerServer {
 	private readonly server: Server
 
-	constructor(private readonly handlers: PeerHandlers) {
+	/** `onConnection` is called with each new connection. */
+	constructor(
+		private readonly handlers: PeerHandlers,
+		onConnection?: (socket: Socket) => void,
+	) {
 		this.server = createServer(
 			{ keepAlive: true },
 			(request, response) => void this.handle(request, response),
 		)
+		if (onConnection) this.server.on('connection', onConnection)
 	}
 
 	async listen(address: ListenAddress): Promise<number> {
--- a/packages/gateway/src/lib/TargetPools.ts
+++ b/packages/gateway/src/lib/TargetPools.ts
@@ -1,3 +1,4 @@
+import type { Socket } from 'node:net'
 import type { TargetEntry, TargetName } from '@stallwing/core'
 import { ConnectionPool, type PoolTimeouts } from './ConnectionPool.js'
 
@@ -14,7 +15,8 @@
 
 	constructor(
 		private readonly now: () => number,
-		private readonly onOpened: () => void,
+		/** Called with each new connection. */
+		private readonly onOpened: (socket: Socket) => void,
 	) {}
 
 	poolFor(target: TargetEntry): ConnectionPool {
--- a/packages/store/src/lib/HttpClient.test.ts
+++ b/packages/store/src/lib/HttpClient.test.ts
@@ -41,6 +41,22 @@
 		expect(response.text).toBe('x'.repeat(CHUNKS))
 	})
 
+	it('reports each connection once, so that its bytes are not counted twice', async () => {
+		const startedClient = await start(CHUNKS)
+		const ports: (number | undefined)[] = []
+		startedClient.onConnection((socket) =>
+			socket.once('connect', () => ports.push(socket.localPort)),
+		)
+		const message = { method: 'GET', path: '/', timeoutMs: TIMEOUT_MS } as const
+		await startedClient.send(message)
+		await startedClient.send(message)
+		expect(ports).toHaveLength(1)
+		server?.closeAllConnections()
+		await startedClient.send(message)
+		expect(new Set(ports).size).toBe(2)
+		expect(ports).toHaveLength(2)
+	})
+
 	it('rejects a response that stalls', async () => {
 		const request = (await start(2)).send({ method: 'GET', path: '/', timeoutMs: TIMEOUT_MS })
 		await expect(request).rejects.toThrow('no answer')
--- a/packages/store/src/lib/HttpClient.ts
+++ b/packages/store/src/lib/HttpClient.ts
@@ -1,4 +1,5 @@
-import { Agent, request, type IncomingHttpHeaders } from 'node:http'
+import { Agent, request, type ClientRequest, type IncomingHttpHeaders } from 'node:http'
+import type { Socket } from 'node:net'
 
 /** Server address and connection limit of an {@link HttpClient}. @public */
 export interface HttpClientOptions {
@@ -38,11 +39,17 @@
  */
 export class HttpClient {
 	private readonly agent: Agent
+	private connectionListener: ((socket: Socket) => void) | undefined
 
 	constructor(private readonly options: HttpClientOptions) {
 		this.agent = new Agent({ keepAlive: true, maxSockets: options.maxConnections, noDelay: true })
 	}
 
+	/** Sets the listener that is called with each connection opened from now on. */
+	onConnection(listener: (socket: Socket) => void): void {
+		this.connectionListener = listener
+	}
+
 	/** Rejects if no complete response arrives in time; the server may have executed the request. */
 	send(message: HttpRequest): Promise<HttpResponse> {
 		const { host, port } = this.options
@@ -69,6 +76,7 @@
 				reject(error)
 			}
 			outgoing.on('error', fail)
+			if (this.connectionListener) reportNewConnection(outgoing, this.connectionListener)
 			outgoing.on('response', (response) => {
 				const chunks: Buffer[] = []
 				response.on('data', (chunk: Buffer) => {
@@ -95,3 +103,10 @@
 		this.agent.destroy()
 	}
 }
+
+/** Calls the listener if the request opens a connection, which is still connecting when it is assigned. */
+function reportNewConnection(outgoing: ClientRequest, listener: (socket: Socket) => void): void {
+	outgoing.once('socket', (socket) => {
+		if (socket.connecting) listener(socket)
+	})
+}
--- a/packages/store/src/lib/StoreConnection.ts
+++ b/packages/store/src/lib/StoreConnection.ts
@@ -1,3 +1,4 @@
+import type { Socket } from 'node:net'
 import type { Either } from 'fp-ts/lib/Either.js'
 import type {
 	StoreChange,
@@ -37,6 +38,8 @@
 	read(key: string, isStale: boolean): Promise<EraResponse<StoreItem<number> | undefined>>
 	/** Cheap read of an absent key. */
 	ping(): Promise<EraResponse<unknown>>
+	/** Sets the listener that is called with each network connection opened from now on, if there are any. */
+	onConnection?(listener: (socket: Socket) => void): void
 }
 
 const MAX_ERA_DIGITS = 15
