Gateway: measure the link and move callers to other boxes

One account can fill the link of a small box while other boxes of its zone are idle. Where the settings specify a link, a box now counts its traffic by class, reports its load to its zone, leaves readiness and closes connections of the largest callers as the balancer decides, refuses bodies that a full link cannot carry, and sends work reports less often. With no link there is no timer, message or metric.

--- a/packages/gateway/src/lib/FleetMembership.test.ts
+++ b/packages/gateway/src/lib/FleetMembership.test.ts
@@ -102,6 +102,20 @@
 			expect(membership.workPeers).toHaveLength(membership.isLender ? 3 : 1)
 	})
 
+	it('knows the other boxes of its own zone', async () => {
+		expect(start(0, 0).zoneSize).toBe(1)
+		for (const [zone, box] of [
+			[0, 1],
+			[0, 2],
+			[1, 0],
+		] as const)
+			start(zone, box)
+		await vi.advanceTimersByTimeAsync(1_000)
+		const [first] = memberships
+		expect([...(first?.zonePeers ?? [])].sort()).toEqual(['10.0.0.1:1', '10.0.0.2:1'])
+		expect(first?.zoneSize).toBe(3)
+	})
+
 	it('registers again after a restore of the store without its item, and keeps known boxes', async () => {
 		start(0, 0)
 		await vi.advanceTimersByTimeAsync(3_000)
--- a/packages/gateway/src/lib/FleetMembership.ts
+++ b/packages/gateway/src/lib/FleetMembership.ts
@@ -162,6 +162,19 @@
 		return this.members.filter((member) => member.box !== box).map((member) => member.address)
 	}
 
+	/** Addresses of the other boxes of the zone of this box. */
+	get zonePeers(): readonly string[] {
+		const { box, zone } = this.options.self
+		return this.members
+			.filter((member) => member.zone === zone && member.box !== box)
+			.map((member) => member.address)
+	}
+
+	/** Number of boxes in the zone of this box, which is included. */
+	get zoneSize(): number {
+		return this.zonePeers.length + 1
+	}
+
 	/** True if the fleet is too large for every box to report its work to all others; lenders then collect the reports. */
 	get isLarge(): boolean {
 		return this.members.length > MAX_FULL_MESH_BOXES
--- a/packages/gateway/src/lib/Gateway.ts
+++ b/packages/gateway/src/lib/Gateway.ts
@@ -1,16 +1,16 @@
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http'
 import {
-	NO_REVISION,
 	TargetRegistry,
 	allowsRegion,
 	brandId,
-	describeRevision,
 	type RetryLimits,
 	type RequestFingerprint,
 } from '@stallwing/core'
 import { EraTrackingStore, type EraChange, type PrefixFollower } from '@stallwing/store'
 import { OPEN_GATE } from './admission/RequestGate.js'
 import { AllowanceClient } from './AllowanceClient.js'
+import { createBoxLoadControl, type BoxLoadControl } from './balance/BoxLoadControl.js'
+import { createPeerHandlers } from './createPeerHandlers.js'
 import { CordonDirectory } from './CordonDirectory.js'
 import { describeError } from './describeError.js'
 import { Exchange } from './Exchange.js'
@@ -32,6 +32,7 @@
 import type { TokenBudgets } from './TrafficDirectory.js'
 import { shutDownGracefully } from './lifecycle/shutDownGracefully.js'
 import { listenOn } from './listenOn.js'
+import { storeRestoredEvent } from './storeRestoredEvent.js'
 import { watchDurationMs } from './watchDurationMs.js'
 import { sleep } from './sleep.js'
 
@@ -59,6 +60,7 @@
 	private readonly readinessServer: ReadinessServer
 	private readonly peerServer: PeerServer
 	private readonly sharing: PeerSharing
+	private readonly boxLoad: BoxLoadControl | undefined
 	private readonly followers: PrefixFollower[]
 	private readonly timers: NodeJS.Timeout[] = []
 	private openRequests = 0
@@ -85,8 +87,18 @@
 			random: options.random,
 			log: options.log,
 		})
-		const peers = new PeerClient(options.box, options.now, (work) =>
-			this.sharing.workSharing.noteFleetWork(work),
+		this.boxLoad = createBoxLoadControl({
+			gateway: options,
+			membership: this.membership,
+			loopDelay: this.loopDelay,
+			isReady: () => this.isReady,
+			isStopping: () => this.context.isStopping,
+		})
+		const peers = new PeerClient(
+			options.box,
+			options.now,
+			(work) => this.sharing.workSharing.noteFleetWork(work),
+			this.boxLoad?.trackBoxSocket,
 		)
 		this.registry = new TargetRegistry({
 			rateLimits: {
@@ -132,15 +144,17 @@
 			sleep,
 			log: options.log,
 		})
-		this.pools = new TargetPools(options.now, () =>
-			options.metrics.count('stallwing_connections_opened_total'),
-		)
+		this.pools = new TargetPools(options.now, (socket) => {
+			options.metrics.count('stallwing_connections_opened_total')
+			this.boxLoad?.trackTargetSocket(socket)
+		})
 		this.sharing = new PeerSharing({
 			gateway: options,
 			store: this.store,
 			registry: this.registry,
 			pools: this.pools,
 			membership: this.membership,
+			boxLoad: this.boxLoad,
 		})
 		this.targets = new TargetDirectory({
 			registry: this.registry,
@@ -184,23 +198,23 @@
 			loopDelay: this.loopDelay,
 			configPrefix: options.storeLayout.configPrefix,
 			targetsPrefix: options.storeLayout.targetsPrefix,
-			parts: [],
+			parts: this.boxLoad ? [this.boxLoad] : [],
 			openRequests: () => this.openRequests,
 			isReady: () => this.isReady,
 		})
 		this.callerServer = createServer({ keepAlive: true, noDelay: true, maxHeaderSize: 65_536 })
 		this.callerServer.on('request', (message, response) => this.handleRequest(message, response))
+		this.boxLoad?.watchCallers(this.callerServer)
 		this.applyLimits()
 		this.readinessServer = new ReadinessServer(() => this.isReady, options.log)
-		this.peerServer = new PeerServer({
-			lend: (account, request) => this.allowance.lend(account, request),
-			fleetWork: (box) => (this.membership.isLarge ? this.sharing.workSharing.fleetWork(box) : []),
-			acceptTokens: (account, tokens, budgetsVersion) =>
-				this.allowance.acceptTokens(account, tokens, budgetsVersion),
-			storeDraws: (draws) => this.allowance.receiveDraws(draws),
+		const peerHandlers = createPeerHandlers({
+			allowance: this.allowance,
+			membership: this.membership,
+			workSharing: this.sharing.workSharing,
+			feed: this.feed,
 			canAcceptTokens: () => !this.context.isStopping,
-			waitForChanges: (prefix, after, waitMs) => this.feed.handleRequest(prefix, after, waitMs),
 		})
+		this.peerServer = new PeerServer(peerHandlers, this.boxLoad?.trackBoxSocket)
 		this.followers = followDocuments({
 			gateway: options,
 			feed: this.feed,
@@ -214,7 +228,8 @@
 	get isReady(): boolean {
 		const { traffic, isStopping } = this.context
 		const hasJoinedFleet = this.membership.isFleetKnown && this.allowance.isReady
-		return traffic !== undefined && this.targets.isListed && hasJoinedFleet && !isStopping
+		if (isStopping || !(this.boxLoad?.isReady ?? true)) return false
+		return traffic !== undefined && this.targets.isListed && hasJoinedFleet
 	}
 
 	/** Starts to listen and to follow the store. @throws if an address cannot be listened on. */
@@ -267,19 +282,10 @@
 	}
 
 	/** Reports a new era of the store to the token budgets, which do not follow the store themselves. */
-	private handleEraChange({ era, previousEra, call }: EraChange): void {
+	private handleEraChange(change: EraChange): void {
 		// The first response of the store only sets the era in which this process starts.
-		if (previousEra === 0) return
-		const { index, revision = NO_REVISION } = this.context.traffic ?? {}
-		const configuration = index?.config.version ?? -1
-		const fields = {
-			era,
-			before: previousEra,
-			call,
-			configuration,
-			revision: describeRevision(revision),
-		}
-		this.options.log({ name: 'store-restored', fields })
+		if (change.previousEra === 0) return
+		this.options.log(storeRestoredEvent(change, this.context.traffic))
 		this.allowance.onEraChange()
 	}
 
@@ -320,7 +326,7 @@
 			allowance: this.allowance,
 			crashProtection: this.sharing.crashProtection,
 			metrics: options.metrics,
-			bodyGuards: [],
+			bodyGuards: this.boxLoad?.bodyGuards ?? [],
 			gate: OPEN_GATE,
 			traffic: undefined,
 			retryLimits: options.retryLimits,
@@ -346,9 +352,10 @@
 			onTargetRate: (target, perSecond, hasChanged) =>
 				this.sharing.rateSharing.share(target, perSecond, hasChanged),
 			retryBudget: (service) => this.serviceLimits.retryBudget(service),
-			shouldCloseConnection: () => this.context.isStopping,
+			shouldCloseConnection: (socket) =>
+				this.context.isStopping || this.boxLoad?.shouldClose(socket) === true,
 			sustainedDelayMs: () => this.loopDelay.sustainedMs,
-			currentDelayMs: () => this.loopDelay.currentMs,
+			currentDelayMs: () => Math.max(this.loopDelay.currentMs, this.boxLoad?.linkDelayMs ?? 0),
 			boxCount: () => this.membership.size,
 		}
 	}
@@ -380,18 +387,14 @@
 	}
 
 	private isConfigurationCurrent(): boolean {
-		const { configurationPropagationLimitMs } = this.options
+		const { configurationPropagationLimitMs, contactMs } = this.options
 		// Without dependent boxes, a healthy watch may be silent for longer than the limit.
 		const limitMs = this.membership.hasFollowers
 			? configurationPropagationLimitMs
-			: Math.max(configurationPropagationLimitMs, this.watchMs + WATCH_GRACE_MS)
+			: Math.max(configurationPropagationLimitMs, watchDurationMs(contactMs) + WATCH_GRACE_MS)
 		return this.feed.confirmationAgeMs(this.options.storeLayout.configPrefix) < limitMs
 	}
 
-	private get watchMs(): number {
-		return watchDurationMs(this.options.contactMs)
-	}
-
 	private get targetListAgeMs(): number {
 		return this.feed.confirmationAgeMs(this.options.storeLayout.targetsPrefix)
 	}
--- a/packages/gateway/src/lib/GatewayContext.ts
+++ b/packages/gateway/src/lib/GatewayContext.ts
@@ -83,7 +83,7 @@
 	shouldCloseConnection(socket: Socket): boolean
 	/** Sustained delay of the event loop, in ms. */
 	sustainedDelayMs(): number
-	/** Current delay of the event loop, in ms: input may have waited that long before it is read. */
+	/** Current delay of the event loop and of the link, in ms: input may have waited that long before it is read. */
 	currentDelayMs(): number
 	/** Number of boxes that share the limits of the fleet, estimated until they are listed; never 0. */
 	boxCount(): number
--- a/packages/gateway/src/lib/PeerSharing.ts
+++ b/packages/gateway/src/lib/PeerSharing.ts
@@ -1,5 +1,6 @@
 import type { KeyValueStore } from '@stallwing/store'
 import type { TargetRegistry } from '@stallwing/core'
+import type { BoxLoadControl } from './balance/BoxLoadControl.js'
 import { CrashProtection } from './CrashProtection.js'
 import type { FleetMembership } from './FleetMembership.js'
 import type { GatewayOptions } from './GatewayOptions.js'
@@ -16,11 +17,13 @@
 	readonly registry: TargetRegistry
 	readonly pools: TargetPools
 	readonly membership: FleetMembership
+	/** Undefined if the settings specify no link. */
+	readonly boxLoad: BoxLoadControl | undefined
 }
 
 /**
  * Everything that boxes share by datagram: work in progress at targets, requests that crash targets, leaving
- * targets and the rates that targets advertise.
+ * targets, the rates that targets advertise, and the load of boxes.
  */
 export class PeerSharing {
 	readonly crashProtection: CrashProtection
@@ -29,16 +32,20 @@
 	readonly workSharing: WorkSharing
 	private readonly datagrams = new PeerDatagrams()
 	private readonly address: ListenAddress
+	private readonly boxLoad: BoxLoadControl | undefined
 
-	constructor({ registry, gateway, pools, membership, store }: PeerSharingOptions) {
+	constructor(options: PeerSharingOptions) {
+		const { registry, gateway, pools, membership, store, boxLoad } = options
 		const { datagrams } = this
 		this.address = gateway.listen.peers
+		this.boxLoad = boxLoad
 		this.workSharing = new WorkSharing({
 			datagrams,
 			box: gateway.box,
 			registry,
 			peers: () => membership.workPeers,
 			isHub: () => membership.isLarge && membership.isLender,
+			sendIntervalMs: () => boxLoad?.workReportIntervalMs,
 			now: gateway.now,
 		})
 		this.crashProtection = new CrashProtection({
@@ -63,15 +70,18 @@
 			datagrams,
 			peers: () => membership.otherAddresses,
 		})
+		boxLoad?.useDatagrams(datagrams)
 	}
 
 	async start(): Promise<void> {
 		await this.datagrams.start(this.address)
 		this.workSharing.start()
 		this.crashProtection.start()
+		this.boxLoad?.start()
 	}
 
 	stop(): void {
+		this.boxLoad?.stop()
 		this.workSharing.stop()
 		this.crashProtection.stop()
 		this.leavingSharing.stop()
--- a/packages/gateway/src/lib/WorkSharing.ts
+++ b/packages/gateway/src/lib/WorkSharing.ts
@@ -10,6 +10,8 @@
 	readonly peers: () => readonly string[]
 	/** Returns true if this box sends the work of the boxes that report to it together with its own. */
 	readonly isHub: () => boolean
+	/** Interval between reports, in ms; {@link SEND_INTERVAL_MS} if undefined. */
+	readonly sendIntervalMs?: () => number | undefined
 	/** Monotonic clock, in ms. */
 	readonly now: () => number
 }
@@ -31,6 +33,8 @@
 	private readonly hubs = new Set<BoxName>()
 	private timer: NodeJS.Timeout | undefined
 	private lastMessage = ''
+	/** Time since the last report, in timer ticks. */
+	private waitedTicks = 0
 	private lastSentAt = Number.NEGATIVE_INFINITY
 
 	constructor(private readonly options: WorkSharingOptions) {
@@ -38,7 +42,7 @@
 	}
 
 	start(): void {
-		this.timer = setInterval(() => this.sendWork(), SEND_INTERVAL_MS)
+		this.timer = setInterval(() => this.tick(), SEND_INTERVAL_MS)
 	}
 
 	stop(): void {
@@ -56,6 +60,14 @@
 		this.options.registry.notePeerWork(FLEET_SENDER, work, this.options.now())
 	}
 
+	private tick(): void {
+		const intervalMs = this.options.sendIntervalMs?.() ?? SEND_INTERVAL_MS
+		this.waitedTicks++
+		if (this.waitedTicks * SEND_INTERVAL_MS < intervalMs) return
+		this.waitedTicks = 0
+		this.sendWork()
+	}
+
 	private sendWork(): void {
 		const { box, registry, now, peers } = this.options
 		const isHub = this.options.isHub()
--- /dev/null
+++ b/packages/gateway/src/lib/createPeerHandlers.ts
@@ -0,0 +1,32 @@
+import type { AllowanceClient } from './AllowanceClient.js'
+import type { FeedRelay } from './FeedRelay.js'
+import type { FleetMembership } from './FleetMembership.js'
+import type { PeerHandlers } from './PeerServer.js'
+import type { WorkSharing } from './WorkSharing.js'
+
+/** What answers the requests of other boxes. */
+export interface PeerHandlerSources {
+	readonly allowance: AllowanceClient
+	readonly membership: FleetMembership
+	readonly workSharing: WorkSharing
+	readonly feed: FeedRelay
+	readonly canAcceptTokens: () => boolean
+}
+
+export function createPeerHandlers({
+	allowance,
+	membership,
+	workSharing,
+	feed,
+	canAcceptTokens,
+}: PeerHandlerSources): PeerHandlers {
+	return {
+		lend: (account, request) => allowance.lend(account, request),
+		fleetWork: (box) => (membership.isLarge ? workSharing.fleetWork(box) : []),
+		acceptTokens: (account, tokens, budgetsVersion) =>
+			allowance.acceptTokens(account, tokens, budgetsVersion),
+		storeDraws: (draws) => allowance.receiveDraws(draws),
+		canAcceptTokens,
+		waitForChanges: (prefix, after, waitMs) => feed.handleRequest(prefix, after, waitMs),
+	}
+}
--- a/packages/gateway/src/lib/testBox.ts
+++ b/packages/gateway/src/lib/testBox.ts
@@ -182,7 +182,7 @@
 	private readonly servers: Server[] = []
 	/** Connections accepted by the targets. */
 	readonly targetSockets = new Set<Socket>()
-	private port = 0
+	port = 0
 	private readinessPort = 0
 	readonly gateway: Gateway
 
@@ -191,6 +191,7 @@
 		name = 'box',
 		store?: MemoryStore,
 		private readonly peersPort = 0,
+		private readonly linkBytesPerSecond?: number,
 	) {
 		this.store =
 			store ??
@@ -202,7 +203,7 @@
 		return new Gateway({
 			box: brandId<BoxName>(name),
 			zone: brandId<ZoneName>('z1'),
-			capacity: { cores: 1, memoryBytes: undefined, linkBytesPerSecond: undefined },
+			capacity: { cores: 1, memoryBytes: undefined, linkBytesPerSecond: this.linkBytesPerSecond },
 			isUnderPressure: false,
 			regionOf: (zone) => REGIONS[zone],
 			incarnation: brandId<Incarnation>(`first of ${name}`),
