Gateway: count the wait on a full link as time that a request has waited

A request that waits on a full link looked new to the box and was sent to a target although its time had passed. The delay learned from the send times of load reports now counts as waiting time, and as waiting bytes for the check of bodies, while at least half of the link is used.

--- a/packages/gateway/src/lib/balance/BoxLoadControl.test.ts
+++ b/packages/gateway/src/lib/balance/BoxLoadControl.test.ts
@@ -4,10 +4,12 @@
 import { MemoryStore } from '@stallwing/standins'
 import { Metrics } from '@stallwing/telemetry'
 import { afterEach, beforeEach, describe, expect, it, vi } from 'vitest'
+import { findBodyRefusal } from '../BodyGuard.js'
+import type { CallerRequest } from '../CallerRequest.js'
 import type { DatagramHandler, PeerDatagrams } from '../PeerDatagrams.js'
 import { sleep } from '../sleep.js'
 import { encodeBoxLoad } from './boxLoadCodec.js'
-import type { BoxLoadControl} from './BoxLoadControl.js';
+import type { BoxLoadControl } from './BoxLoadControl.js'
 import { createBoxLoadControl } from './BoxLoadControl.js'
 
 const ZONE = brandId<ZoneName>('z1')
@@ -80,7 +82,7 @@
 		return readiness
 	}
 
-	function reportLoad(box: string, linkUse: number): void {
+	function reportLoad(box: string, linkUse: number, delayMs = 0): void {
 		const load = {
 			box: brandId<BoxName>(box),
 			zone: ZONE,
@@ -89,7 +91,7 @@
 			loopDelayMs: 0,
 			isReady: true,
 		}
-		datagrams.receive(encodeBoxLoad(load, Date.now()))
+		datagrams.receive(encodeBoxLoad(load, Date.now() - delayMs))
 	}
 
 	it('does not exist where the settings specify no link', () => {
@@ -136,6 +138,36 @@
 		expect(logEvents).toEqual([])
 	})
 
+	describe('with reports that arrive late', () => {
+		/** Runs for a time in which the delay of others' reports grows by 200 ms at each step up to its maximum. */
+		function runWithDelay(ms: number, linkUse: number, maxDelayMs: number): void {
+			for (let elapsedMs = 0; elapsedMs < ms; elapsedMs += 250) {
+				const delayMs = Math.min(maxDelayMs, 2 + (elapsedMs / 250) * 200)
+				for (const box of ['b', 'c']) reportLoad(box, 0.9, delayMs)
+				run(250, linkUse, undefined)
+			}
+		}
+
+		it('learns how long input waits on a full link, and counts it as bytes that wait', () => {
+			runWithDelay(3_000, 0.9, 2)
+			expect(control.linkDelayMs).toBe(0)
+			runWithDelay(2_000, 0.95, 802)
+			expect(control.linkDelayMs).toBe(800)
+			// 80,000 bytes wait, which takes longer than half of the latency goal.
+			const request = { route: { latencyGoalMs: 1_200 } } as CallerRequest
+			expect(findBodyRefusal(control.bodyGuards, request, '500')?.kind).toBe('overloaded')
+			runWithDelay(2_000, 0.95, 2)
+			expect(control.linkDelayMs).toBe(0)
+			expect(findBodyRefusal(control.bodyGuards, request, '500')).toBeUndefined()
+		})
+
+		it('assumes no delay while its own link has capacity, whatever others send', () => {
+			runWithDelay(3_000, 0.4, 2)
+			runWithDelay(5_000, 0.4, 5_000)
+			expect(control.linkDelayMs).toBe(0)
+		})
+	})
+
 	it('sends work reports less often while the link is used', () => {
 		const intervals = [0.3, 0.7, 0.95].map((use) => {
 			run(2_000, use, undefined)
--- a/packages/gateway/src/lib/balance/BoxLoadControl.ts
+++ b/packages/gateway/src/lib/balance/BoxLoadControl.ts
@@ -6,6 +6,7 @@
 	workReportIntervalMs,
 	type BalanceDecision,
 	type BoxLoad,
+	type LinkState,
 	type PeerBoxLoad,
 } from '@stallwing/core'
 import type { BodyGuard } from '../BodyGuard.js'
@@ -35,6 +36,13 @@
 
 /** Interval of measurements and decisions, in ms. */
 const TICK_INTERVAL_MS = 250
+const SECOND_MS = 1_000
+
+/**
+ * Link use below which no delay of the link is assumed. Input waits only at a full link, whose payload is less than its
+ * nominal rate, in particular with many small packets; a delay seen at lower use has another cause, such as a slow sender.
+ */
+const MIN_USE_FOR_DELAY = 0.5
 
 const WITHIN_LIMITS: BalanceDecision = { isReady: true, closeShare: 0, reason: 'within-limits' }
 
@@ -60,6 +68,8 @@
 	private readonly linkDelay = new LinkDelayEstimator()
 	private sharing: BoxLoadSharing | undefined
 	private decision = WITHIN_LIMITS
+	/** Time that input waits on the link before this box can read it, at the last tick, in ms. */
+	private inputDelayMs = 0
 	/** Time for which this box was out of readiness so that callers move, in ms. */
 	private outMs = 0
 	private lastTickAt: number
@@ -73,7 +83,7 @@
 		this.lastTickAt = now()
 		this.meter = new LinkMeter(linkBytesPerSecond, now)
 		this.callers = new CallerConnections(now)
-		this.bodyGuard = new LinkBodyGuard(() => this.meter.state)
+		this.bodyGuard = new LinkBodyGuard(() => this.linkState)
 		this.bodyGuards = [this.bodyGuard]
 		this.balancer = new BoxBalancer({ box, zone })
 		store.onConnection?.((socket) => this.meter.track(socket, 'store'))
@@ -125,7 +135,7 @@
 
 	/** Time that input waits on the link before this box can read it, in ms. */
 	get linkDelayMs(): number {
-		return this.linkDelay.delayMs(this.options.gateway.now())
+		return this.inputDelayMs
 	}
 
 	/** True if the response that is about to start should close the connection of its caller. */
@@ -180,6 +190,8 @@
 		this.lastTickAt = now
 		this.meter.sample()
 		this.callers.sample()
+		const isLinkBusy = this.meter.state.use >= MIN_USE_FOR_DELAY
+		this.inputDelayMs = isLinkBusy ? this.linkDelay.delayMs(now) : 0
 		this.applyDecision(this.decide(now), now)
 		this.sharing?.share(this.ownLoad)
 	}
@@ -228,6 +240,13 @@
 		gateway.log({ name: 'callers-moved', fields: { step, ...describeMove(move), ...marked } })
 	}
 
+	/** State of the link; the bytes that wait include those that have not reached this process. */
+	private get linkState(): LinkState {
+		const { state } = this.meter
+		const arrivingBytes = (this.inputDelayMs * this.linkBytesPerSecond) / SECOND_MS
+		return { ...state, pendingBytes: Math.round(state.pendingBytes + arrivingBytes) }
+	}
+
 	private get ownLoad(): BoxLoad {
 		const { gateway, loopDelay, isReady } = this.options
 		return {
--- a/packages/gateway/src/lib/balance/BoxLoadSharing.test.ts
+++ b/packages/gateway/src/lib/balance/BoxLoadSharing.test.ts
@@ -69,6 +69,16 @@
 		expect(reportsIn8s(loadOf('self', { isReady: false }))).toBe(16)
 	})
 
+	it('keeps its interval when timers fire early', () => {
+		sharing.share(loadOf('self', { linkUse: 0.6 }))
+		sent = []
+		for (let i = 0; i < 32; i++) {
+			now += 249.6
+			sharing.share(loadOf('self', { linkUse: 0.6 }))
+		}
+		expect(sent.length / 2).toBe(16)
+	})
+
 	it('reports a change of readiness at once, so that others do not leave at the same time', () => {
 		sharing.share(loadOf('self'))
 		sharing.share(loadOf('self', { isReady: false }))
--- a/packages/gateway/src/lib/balance/BoxLoadSharing.ts
+++ b/packages/gateway/src/lib/balance/BoxLoadSharing.ts
@@ -26,6 +26,8 @@
 const BUSY_INTERVAL_MS = 500
 /** Interval between other reports, in ms: three may be lost before the last one expires. */
 const IDLE_INTERVAL_MS = 2_000
+/** Amount by which a timer may fire early; otherwise a report that is just due would wait for the next tick, in ms. */
+const TIMER_TOLERANCE_MS = 50
 /** Link use above which a box reports at the shorter interval. */
 const BUSY_USE = 0.5
 /** Time for which a report is used, in ms. */
@@ -64,8 +66,8 @@
 		const { now, peers, datagrams } = this.options
 		const isBusy = load.linkUse > BUSY_USE || !load.isReady
 		const intervalMs = isBusy ? BUSY_INTERVAL_MS : IDLE_INTERVAL_MS
-		const isDue = now() - this.lastSentAt >= intervalMs || load.isReady !== this.wasReady
-		if (!isDue) return
+		const isDue = now() - this.lastSentAt >= intervalMs - TIMER_TOLERANCE_MS
+		if (!isDue && load.isReady === this.wasReady) return
 		this.lastSentAt = now()
 		this.wasReady = load.isReady
 		const bytes = encodeBoxLoad(load, now())
