--- a/packages/store/src/lib/HttpClient.test.ts
+++ b/packages/store/src/lib/HttpClient.test.ts
@@ -1,5 +1,5 @@
 import { createServer, type Server } from 'node:http'
-import type { AddressInfo } from 'node:net'
+import type { AddressInfo, Socket } from 'node:net'
 import { afterEach, describe, expect, it } from 'vitest'
 import { HttpClient } from './HttpClient.js'
 
@@ -41,6 +41,25 @@
 		expect(response.text).toBe('x'.repeat(CHUNKS))
 	})
 
+	it('reports each connection once, so that its bytes are not counted twice', async () => {
+		server = createServer((_request, serverResponse) => serverResponse.end('x'))
+		await new Promise<void>((resolve) => server?.listen(0, '127.0.0.1', resolve))
+		const { port } = server.address() as AddressInfo
+		client = new HttpClient({ host: '127.0.0.1', port, maxConnections: 1 })
+		const sockets: Socket[] = []
+		client.onConnection((socket) => sockets.push(socket))
+		const message = { method: 'GET', path: '/', timeoutMs: TIMEOUT_MS } as const
+		// The second one waits for the connection of the first.
+		await Promise.all([client.send(message), client.send(message)])
+		expect(sockets).toHaveLength(1)
+		const closed = new Promise((resolve) => sockets[0]?.once('close', resolve))
+		server.closeAllConnections()
+		await closed
+		await client.send(message)
+		expect(new Set(sockets).size).toBe(2)
+		expect(sockets).toHaveLength(2)
+	})
+
 	it('rejects a response that stalls', async () => {
 		const request = (await start(2)).send({ method: 'GET', path: '/', timeoutMs: TIMEOUT_MS })
 		await expect(request).rejects.toThrow('no answer')
