--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -267,6 +267,22 @@
 	type AdmissionRefusalReason,
 	type AdmissionRequest,
 } from './lib/admission/AdmissionRequest.js'
+export {
+	MemoryBudget,
+	type MemoryClass,
+	type MemoryLevel,
+	type MemoryLimits,
+} from './lib/memory/MemoryBudget.js'
+export { AnswerTurns, type WaitingAnswer } from './lib/memory/AnswerTurns.js'
+export { ReadProgress } from './lib/memory/ReadProgress.js'
+export {
+	displacementCostMs,
+	heldTokens,
+	memoryFit,
+	tokensToHold,
+	type EngineMemory,
+	type MemoryFit,
+} from './lib/memory/engineMemory.js'
 export {
 	incarnationOf,
 	type TargetIncarnation,
--- a/packages/core/src/lib/router/logEvents.ts
+++ b/packages/core/src/lib/router/logEvents.ts
@@ -42,6 +42,10 @@
 		number: 116,
 		text: 'The list of quarantined requests could not be stored; the write is retried',
 	},
+	'caller-cut-off': {
+		number: 120,
+		text: 'A caller that stopped reading its answer was disconnected',
+	},
 	'slice-asked': { number: 200, text: 'Tokens were requested from the zone leader' },
 	'slice-granted': { number: 201, text: 'Tokens were granted by the zone leader' },
 	'slice-returned': { number: 202, text: 'Idle tokens were returned to the zone' },
