Bound the memory that exchanges hold, and cut off callers that stop reading

Where the deployment states pressure and a memory limit, each exchange counts what it holds. Large bodies and then requests are refused before the limit, large answers are read one at a time while the budget is high and sent in pieces, and callers without progress for 4 s are reset. A target that reads nothing of a large body for 4 s has failed. A close-delimited response that is broken off ends with a reset, because a normal close would look complete.

--- a/packages/gateway/src/lib/Attempt.ts
+++ b/packages/gateway/src/lib/Attempt.ts
@@ -27,6 +27,12 @@
 } from './sendToTarget.js'
 import { applyTargetNotice } from './applyTargetNotice.js'
 
+/** A complete response with its body in several pieces. */
+export interface CompleteResponse {
+	readonly head: ResponseHead
+	readonly body: readonly Buffer[]
+}
+
 /** How an attempt ended, with the response if it may be forwarded. */
 export interface AttemptEnd {
 	readonly outcome: AttemptResult
@@ -35,7 +41,7 @@
 	/** The target closed the connection before the response was complete. */
 	readonly closedByTarget: boolean
 	/** A complete response that has not been forwarded yet. */
-	readonly completeResponse: { readonly head: ResponseHead; readonly body: Buffer } | undefined
+	readonly completeResponse: CompleteResponse | undefined
 }
 
 /** Maximum times that a target may be silent before the request is retried at another one. */
@@ -49,6 +55,11 @@
 const MIN_FIRST_BYTE_TIMEOUT_MS = 150
 const MIN_STREAM_FIRST_BYTE_TIMEOUT_MS = 800
 const IDLE_TIMEOUT_MS = 1_000
+/**
+ * Time after which a target that reads nothing of a request body has failed, in ms. Applies also to requests that must
+ * not be repeated: a body that is not read in this time would not be in time for its answer.
+ */
+const MAX_BODY_STALL_MS = 4_000
 /** First-byte timeout, as a multiple of the expected latency. */
 const FIRST_BYTE_TIMEOUT_FACTOR = 6
 
@@ -63,6 +74,9 @@
 	private splitter: EventSplitter | undefined
 	private chunks: Buffer[] = []
 	private bufferedBytes = 0
+	/** Time of the head, the last data, or the end of the last pause; undefined until a head arrives. */
+	private lastDataAt: number | undefined
+	private isPaused = false
 	private timeout: NodeJS.Timeout | undefined
 	private startedAt = 0
 	private firstByteMs = -1
@@ -86,6 +100,7 @@
 	/** Sends the request and forwards the events of its response. Never rejects. */
 	run(message: TargetRequest): Promise<AttemptEnd> {
 		this.startedAt = this.context.now()
+		this.responseWriter.memory?.beginAttempt()
 		this.handle = this.context.registry.beginAttempt(
 			this.placement,
 			this.request.work,
@@ -94,7 +109,12 @@
 		return new Promise((resolve) => {
 			this.resolve = resolve
 			this.startTimeout(this.timeouts().firstByteMs)
-			this.call = sendToTarget(this.context.poolFor(this.placement.target), message, this)
+			this.call = sendToTarget(
+				this.context.poolFor(this.placement.target),
+				message,
+				this,
+				this.responseWriter.memory && MAX_BODY_STALL_MS,
+			)
 		})
 	}
 
@@ -107,7 +127,7 @@
 		const isOverdue =
 			this.responseHead === undefined && this.elapsedMs() > this.timeouts().firstByteMs
 		if (isOverdue) this.closeIdleConnections()
-		this.release(isOverdue ? 'failed' : 'cancelled')
+		this.release(isOverdue || this.isStalled ? 'failed' : 'cancelled')
 		this.call?.abort()
 	}
 
@@ -127,6 +147,7 @@
 		if (!this.isResponseToThisRequest(head)) return false
 		handle?.noteByte(now)
 		this.firstByteMs = now - this.startedAt
+		this.lastDataAt = now
 		this.responseHead = head
 		this.notice = readTargetNotice(head, context.dialect)
 		context.unknownHeaders.inspect(head, placement.target)
@@ -137,7 +158,9 @@
 	}
 
 	onData(chunk: Buffer): void {
-		this.handle?.noteByte(this.context.now())
+		const now = this.context.now()
+		this.lastDataAt = now
+		this.handle?.noteByte(now)
 		this.timeout?.refresh()
 		if (this.splitter) {
 			this.forwardEvents(this.splitter, chunk)
@@ -145,7 +168,11 @@
 		}
 		this.bufferedBytes += chunk.length
 		if (this.bufferedBytes > MAX_BUFFERED_RESPONSE_BYTES) this.abort('answer too large')
-		else this.chunks.push(chunk)
+		else this.collect(chunk)
+	}
+
+	onBodyProgress(): void {
+		this.timeout?.refresh()
 	}
 
 	onEnd(): void {
@@ -163,7 +190,7 @@
 			this.end('good', { kind: 'answered', failed: false }, 'stream ended', undefined)
 			return
 		}
-		this.endWithCompleteResponse(head, Buffer.concat(this.chunks, this.bufferedBytes))
+		this.endWithCompleteResponse({ head, body: this.chunks })
 	}
 
 	onFailure({ kind, cause }: TargetFailure): void {
@@ -183,8 +210,9 @@
 		}
 	}
 
-	private endWithCompleteResponse(head: ResponseHead, body: Buffer): void {
+	private endWithCompleteResponse(response: CompleteResponse): void {
 		const { dialect } = this.context
+		const { head } = response
 		const isWrongTarget = head.status === dialect.wrongTargetStatus
 		if (isWrongTarget || head.headers[dialect.headers.notRun] !== undefined) {
 			const targetOutcome = isWrongTarget ? 'unreachable' : 'full'
@@ -193,7 +221,7 @@
 		}
 		const failed = head.status >= 500
 		const targetOutcome = failed ? 'failed' : 'good'
-		this.end(targetOutcome, { kind: 'answered', failed }, `status ${head.status}`, { head, body })
+		this.end(targetOutcome, { kind: 'answered', failed }, `status ${head.status}`, response)
 	}
 
 	/** True if the response belongs to this request and, for a success, comes from a target. */
@@ -220,8 +248,43 @@
 			isWritable = this.responseWriter.sendEvent(event)
 		}
 		if (isWritable) return
+		this.pause()
+		this.responseWriter.memory?.notePaused()
+		this.responseWriter.onDrain(() => {
+			this.responseWriter.memory?.noteResumed()
+			this.resume()
+		})
+	}
+
+	/** Keeps a piece of an answer that must be complete before it is forwarded, and waits if memory is scarce. */
+	private collect(chunk: Buffer): void {
+		const { memory } = this.responseWriter
+		if (memory?.isCallerGone) return
+		this.chunks.push(chunk)
+		memory?.holdAnswer(this.bufferedBytes)
+		if (memory && !memory.mayCollect(() => this.resume())) this.pause()
+	}
+
+	private pause(): void {
 		this.call?.pause()
-		this.responseWriter.onDrain(() => this.call?.resume())
+		// A target that is not read cannot be found silent. Without bounded memory, the timeout ends the pause.
+		if (!this.responseWriter.memory) return
+		this.isPaused = true
+		clearTimeout(this.timeout)
+	}
+
+	private resume(): void {
+		this.call?.resume()
+		if (!this.isPaused || this.hasEnded) return
+		this.isPaused = false
+		this.lastDataAt = this.context.now()
+		this.startTimeout(this.timeouts().idleMs)
+	}
+
+	/** The target has stopped sending an answer that it had begun. */
+	private get isStalled(): boolean {
+		if (!this.responseWriter.memory || this.lastDataAt === undefined || this.isPaused) return false
+		return this.context.now() - this.lastDataAt > this.timeouts().idleMs
 	}
 
 	private abort(cause: string): void {
@@ -263,10 +326,10 @@
 		targetOutcome: TargetOutcome,
 		outcome: AttemptResult,
 		cause: string,
-		completeResponse: AttemptEnd['completeResponse'],
+		completeResponse: CompleteResponse | undefined,
 	): void {
 		if (this.hasEnded) return
-		this.release(targetOutcome)
+		this.release(targetOutcome, completeResponse !== undefined)
 		this.context.metrics.count('stallwing_attempts_total', `outcome="${outcome.kind}"`)
 		this.context.log({
 			name: 'attempt-ended',
@@ -295,9 +358,10 @@
 		})
 	}
 
-	private release(targetOutcome: TargetOutcome): void {
+	private release(targetOutcome: TargetOutcome, isAnswerKept = false): void {
 		this.hasEnded = true
 		clearTimeout(this.timeout)
+		this.responseWriter.memory?.endAttempt(isAnswerKept)
 		if (!this.mayHaveSentBytes) this.handle?.noteUnsent()
 		this.handle?.end(targetOutcome, this.context.now())
 	}
--- a/packages/gateway/src/lib/Exchange.ts
+++ b/packages/gateway/src/lib/Exchange.ts
@@ -80,6 +80,7 @@
 			response,
 			() => context.shouldCloseConnection(message.socket),
 			context.suspendAwareNow,
+			context.memory?.open(message, response),
 		)
 		this.reservation = new TokenReservation(context.allowance)
 		response.on('close', () => this.handleDisconnect())
@@ -155,7 +156,8 @@
 	}
 
 	private async readBody(traffic: ActiveTraffic): Promise<Buffer | undefined> {
-		const result = await readBody(this.message, traffic.index.config.limits)
+		const { limits } = traffic.index.config
+		const result = await readBody(this.message, limits, this.responseWriter.memory)
 		if (this.hasEnded) return undefined
 		if (result.kind === 'whole') return result.body
 		if (result.kind === 'caller-left') this.finish()
--- a/packages/gateway/src/lib/Gateway.ts
+++ b/packages/gateway/src/lib/Gateway.ts
@@ -32,6 +32,7 @@
 import type { TokenBudgets } from './TrafficDirectory.js'
 import { shutDownGracefully } from './lifecycle/shutDownGracefully.js'
 import { listenOn } from './listenOn.js'
+import { createBoxMemory } from './memory/BoxMemory.js'
 import { watchDurationMs } from './watchDurationMs.js'
 import { sleep } from './sleep.js'
 
@@ -184,7 +185,7 @@
 			loopDelay: this.loopDelay,
 			configPrefix: options.storeLayout.configPrefix,
 			targetsPrefix: options.storeLayout.targetsPrefix,
-			parts: [],
+			parts: this.context.memory ? [this.context.memory] : [],
 			openRequests: () => this.openRequests,
 			isReady: () => this.isReady,
 		})
@@ -312,6 +313,7 @@
 
 	private makeContext(): GatewayContext {
 		const { options } = this
+		const memory = createBoxMemory(options)
 		return {
 			box: options.box,
 			zone: options.zone,
@@ -320,7 +322,8 @@
 			allowance: this.allowance,
 			crashProtection: this.sharing.crashProtection,
 			metrics: options.metrics,
-			bodyGuards: [],
+			memory,
+			bodyGuards: memory ? [memory] : [],
 			gate: OPEN_GATE,
 			traffic: undefined,
 			retryLimits: options.retryLimits,
--- a/packages/gateway/src/lib/GatewayContext.ts
+++ b/packages/gateway/src/lib/GatewayContext.ts
@@ -20,6 +20,7 @@
 import type { ConnectionPool } from './ConnectionPool.js'
 import type { CrashProtection } from './CrashProtection.js'
 import type { Dialect } from './Dialect.js'
+import type { BoxMemory } from './memory/BoxMemory.js'
 import type { UnknownHeaders } from './UnknownHeaders.js'
 
 /** The active configuration, with the store revision from which it was read. */
@@ -43,6 +44,8 @@
 	readonly bodyGuards: readonly BodyGuard[]
 	/** Decides when a request may be sent to a target. */
 	readonly gate: RequestGate
+	/** Undefined if memory is not bounded. */
+	readonly memory: BoxMemory | undefined
 	/** Undefined until the first configuration is applied. Only `Gateway` writes it. */
 	traffic: ActiveTraffic | undefined
 	retryLimits: RetryLimits
--- a/packages/gateway/src/lib/ResponseWriter.ts
+++ b/packages/gateway/src/lib/ResponseWriter.ts
@@ -1,6 +1,8 @@
 import type { ServerResponse } from 'node:http'
 import type { StreamEvent } from '@stallwing/core'
 import { responseHeadersToForward } from './CallerRequest.js'
+import type { ExchangeMemory } from './memory/ExchangeMemory.js'
+import { sendPieces } from './memory/sendPieces.js'
 import type { Refusal } from './Refusal.js'
 import type { ResponseHead } from './sendToTarget.js'
 
@@ -27,22 +29,28 @@
 		private readonly shouldCloseConnection: () => boolean,
 		/** Current time, in ms. */
 		private readonly now: () => number,
+		/** Memory that the exchange holds; undefined if memory is not bounded. */
+		readonly memory?: ExchangeMemory,
 	) {}
 
-	/** Forwards a complete response of a target. */
-	sendComplete(head: ResponseHead, body: Buffer): void {
+	/** Forwards a complete response of a target, of which the body is in several pieces. */
+	sendComplete(head: ResponseHead, body: readonly Buffer[]): void {
 		this.firstWriteAt = this.now()
 		const headers = responseHeadersToForward(head.rawHeaders)
-		if (!isSelfDelimiting(head)) this.delimitByClose(headers)
-		else if (mayHaveBody(head.status)) headers.push('Content-Length', String(body.length))
+		this.isSelfDelimiting = isSelfDelimiting(head)
+		const length = body.reduce((sum, piece) => sum + piece.length, 0)
+		if (!this.isSelfDelimiting) this.delimitByClose(headers)
+		else if (mayHaveBody(head.status)) headers.push('Content-Length', String(length))
 		this.writeHead(head.status, headers)
-		this.response.end(body)
+		if (this.memory) sendPieces(this.response, body, this.memory)
+		else this.response.end(Buffer.concat(body, length))
 	}
 
 	/** Forwards the head of a stream. */
 	startStream(head: ResponseHead): void {
 		this.isStreamStarted = true
 		this.isSelfDelimiting = isSelfDelimiting(head)
+		this.memory?.noteStreamStarted()
 		const headers = responseHeadersToForward(head.rawHeaders)
 		if (!this.isSelfDelimiting) this.delimitByClose(headers)
 		this.writeHead(head.status, headers)
@@ -92,6 +100,8 @@
 
 	/** Closes the connection, so that the response does not look complete. */
 	destroy(): void {
+		// Without framing, a normal close would mark the end of a complete response.
+		if (this.response.headersSent && !this.isSelfDelimiting) this.response.socket?.resetAndDestroy()
 		this.response.destroy()
 	}
 
--- a/packages/gateway/src/lib/readBody.ts
+++ b/packages/gateway/src/lib/readBody.ts
@@ -1,23 +1,34 @@
 import type { IncomingMessage } from 'node:http'
 import type { RequestLimits } from '@stallwing/core'
+import type { ExchangeMemory } from './memory/ExchangeMemory.js'
 
 /** Result of reading a body. */
 export type BodyResult =
 	| { readonly kind: 'whole'; readonly body: Buffer }
 	| { readonly kind: 'caller-left' }
-	| { readonly kind: 'body-too-large' | 'body-late'; readonly detail: string }
+	| { readonly kind: 'body-too-large' | 'body-late' | 'overloaded'; readonly detail: string }
 
-/** Reads a complete body. Fails if no data arrives for the idle timeout, or if it exceeds the maximum size. */
+/**
+ * Reads a complete body. Fails if no data arrives for the idle timeout, or if it exceeds the maximum size. The memory of
+ * a body with a stated length is held from the start, that of others as they grow.
+ */
 export function readBody(
 	message: IncomingMessage,
 	{ maxBodyBytes, idleTimeoutMs }: Pick<RequestLimits, 'maxBodyBytes' | 'idleTimeoutMs'>,
+	memory?: ExchangeMemory,
 ): Promise<BodyResult> {
 	return new Promise((resolve) => {
+		const statedBytes = Math.min(maxBodyBytes, Number(message.headers['content-length'] ?? 0))
+		memory?.holdBody(statedBytes)
 		const chunks: Buffer[] = []
 		let bytes = 0
+		let hasFinished = false
 		const finish = (result: BodyResult): void => {
+			if (hasFinished) return
+			hasFinished = true
 			clearTimeout(timer)
 			message.off('data', onData)
+			if (result.kind !== 'whole') memory?.holdBody(0)
 			resolve(result)
 		}
 		const handleTimeout = (): void =>
@@ -29,6 +40,13 @@
 				finish({ kind: 'body-too-large', detail: `over ${maxBodyBytes} bytes` })
 				return
 			}
+			if (memory && bytes > statedBytes) {
+				if (!memory.mayGrowBody(bytes)) {
+					finish({ kind: 'overloaded', detail: `memory: body of over ${bytes} bytes` })
+					return
+				}
+				memory.holdBody(bytes)
+			}
 			chunks.push(chunk)
 			timer.refresh()
 		}
--- a/packages/gateway/src/lib/sendToTarget.ts
+++ b/packages/gateway/src/lib/sendToTarget.ts
@@ -1,6 +1,7 @@
 import { request, type ClientRequest, type IncomingMessage } from 'node:http'
 import type { Socket } from 'node:net'
 import type { ConnectionPool } from './ConnectionPool.js'
+import { sendBodyInPieces } from './memory/sendBodyInPieces.js'
 
 /** A request as it is sent to a target. */
 export interface TargetRequest {
@@ -38,6 +39,8 @@
 	/** Returns false if the response belongs to another request; the connection is then closed. */
 	onHead(head: ResponseHead): boolean
 	onData(chunk: Buffer): void
+	/** Called when a part of a large request body has been passed to the kernel. */
+	onBodyProgress?(): void
 	/** Called when the response is complete. */
 	onEnd(): void
 	onFailure(failure: TargetFailure): void
@@ -51,13 +54,17 @@
 	abort(): void
 }
 
-/** Sends a request on a connection of the pool. Never throws; failures are passed to the listener. */
+/**
+ * Sends a request on a connection of the pool. Never throws; failures are passed to the listener. The call fails if the
+ * target reads nothing of the body for `bodyStallMs`; if that is undefined, the body is written at once.
+ */
 export function sendToTarget(
 	pool: ConnectionPool,
 	message: TargetRequest,
 	listener: ResponseListener,
+	bodyStallMs?: number,
 ): TargetCall {
-	const call = new PooledCall(pool, message, listener)
+	const call = new PooledCall(pool, message, listener, bodyStallMs)
 	void call.start()
 	return call
 }
@@ -68,11 +75,13 @@
 	private response: IncomingMessage | undefined
 	private hasEnded = false
 	private hasSocketError = false
+	private stopSendingBody: () => void = () => undefined
 
 	constructor(
 		private readonly pool: ConnectionPool,
 		private readonly message: TargetRequest,
 		private readonly listener: ResponseListener,
+		private readonly bodyStallMs: number | undefined,
 	) {}
 
 	async start(): Promise<void> {
@@ -107,6 +116,7 @@
 	abort(): void {
 		if (this.hasEnded) return
 		this.hasEnded = true
+		this.stopSendingBody()
 		this.request?.destroy()
 		if (this.request) this.socket?.destroy()
 	}
@@ -128,7 +138,16 @@
 		outgoing.on('error', (error) => this.fail('broken', describeFailure(error)))
 		outgoing.on('close', () => this.fail('broken', 'connection closed'))
 		outgoing.on('response', (response) => this.handleResponse(response))
-		outgoing.end(this.message.body)
+		if (this.bodyStallMs === undefined) outgoing.end(this.message.body)
+		else this.stopSendingBody = this.sendBody(outgoing, this.bodyStallMs)
+	}
+
+	private sendBody(outgoing: ClientRequest, stallMs: number): () => void {
+		return sendBodyInPieces(outgoing, this.message.body, {
+			stallMs,
+			onProgress: () => this.listener.onBodyProgress?.(),
+			onStalled: () => this.fail('broken', 'body not read'),
+		})
 	}
 
 	private handleResponse(response: IncomingMessage): void {
@@ -158,6 +177,7 @@
 			return
 		}
 		this.hasEnded = true
+		this.stopSendingBody()
 		this.releaseSocket(response)
 		this.listener.onEnd()
 	}
@@ -180,6 +200,7 @@
 	private fail(kind: TargetFailure['kind'], cause: string): void {
 		if (this.hasEnded) return
 		this.hasEnded = true
+		this.stopSendingBody()
 		this.request?.destroy()
 		this.socket?.destroy()
 		this.listener.onFailure({ kind, cause })
