Find stalled callers by the bytes that they acknowledge, and reset them at once

On loopback the kernel takes about 3.8 MB and then more only in steps of 1.4 MB, so a caller that reads 250 KB/s shows no progress for 5 s. While callers are suspect, their send queues in the kernel are read twice a second. resetAndDestroy alone waits for data that a stalled caller never reads. A paused attempt goes on once its caller has left.

--- a/packages/gateway/src/lib/Attempt.ts
+++ b/packages/gateway/src/lib/Attempt.ts
@@ -247,13 +247,11 @@
 			}
 			isWritable = this.responseWriter.sendEvent(event)
 		}
-		if (isWritable) return
+		const { memory } = this.responseWriter
+		if (isWritable || memory?.isCallerGone) return
 		this.pause()
-		this.responseWriter.memory?.notePaused()
-		this.responseWriter.onDrain(() => {
-			this.responseWriter.memory?.noteResumed()
-			this.resume()
-		})
+		memory?.notePaused(() => this.resume())
+		this.responseWriter.onDrain(() => (memory ?? this).resume())
 	}
 
 	/** Keeps a piece of an answer that must be complete before it is forwarded, and waits if memory is scarce. */
@@ -273,7 +271,8 @@
 		clearTimeout(this.timeout)
 	}
 
-	private resume(): void {
+	/** Reads on after a pause. */
+	resume(): void {
 		this.call?.resume()
 		if (!this.isPaused || this.hasEnded) return
 		this.isPaused = false
--- a/packages/gateway/src/lib/ResponseWriter.ts
+++ b/packages/gateway/src/lib/ResponseWriter.ts
@@ -2,6 +2,7 @@
 import type { StreamEvent } from '@stallwing/core'
 import { responseHeadersToForward } from './CallerRequest.js'
 import type { ExchangeMemory } from './memory/ExchangeMemory.js'
+import { resetConnection } from './memory/resetConnection.js'
 import { sendPieces } from './memory/sendPieces.js'
 import type { Refusal } from './Refusal.js'
 import type { ResponseHead } from './sendToTarget.js'
@@ -101,7 +102,7 @@
 	/** Closes the connection, so that the response does not look complete. */
 	destroy(): void {
 		// Without framing, a normal close would mark the end of a complete response.
-		if (this.response.headersSent && !this.isSelfDelimiting) this.response.socket?.resetAndDestroy()
+		if (this.response.headersSent && !this.isSelfDelimiting) resetConnection(this.response.socket)
 		this.response.destroy()
 	}
 
--- a/packages/gateway/src/lib/memory/BoxMemory.ts
+++ b/packages/gateway/src/lib/memory/BoxMemory.ts
@@ -6,7 +6,8 @@
 import type { EarlyRefusal } from '../findEarlyRefusal.js'
 import type { GatewayOptions } from '../GatewayOptions.js'
 import type { ReportedPart } from '../ReportedPart.js'
-import { ExchangeMemory } from './ExchangeMemory.js'
+import { ExchangeMemory, type Stall } from './ExchangeMemory.js'
+import { readSendQueues } from './readSendQueues.js'
 
 /** What the caller that was cut off did not read: the events of a stream, or a complete answer. */
 export type CutOffCause = 'unread-stream' | 'unread-answer'
@@ -15,6 +16,8 @@
 
 /** Interval at which the progress of all callers is checked, in ms. A cut-off is late by at most this time. */
 const CHECK_INTERVAL_MS = 250
+/** Interval at which the send queues of the kernel are read while callers are suspect, in ms: the list is long. */
+const QUEUE_READ_INTERVAL_MS = 500
 
 /** The memory that the exchanges of a box hold: refuses what does not fit, and disconnects callers that stopped reading. */
 export class BoxMemory implements BodyGuard, ReportedPart {
@@ -25,6 +28,7 @@
 	private readonly exchanges = new Map<ExchangeMemory, string>()
 	private readonly cutOffs: Record<CutOffCause, number> = { 'unread-stream': 0, 'unread-answer': 0 }
 	private timer: NodeJS.Timeout | undefined
+	private nextQueueReadAt = 0
 
 	constructor(
 		private readonly options: BoxMemoryOptions,
@@ -106,17 +110,22 @@
 			return
 		}
 		const now = this.options.now()
-		for (const [memory, requestId] of this.exchanges) {
-			const stall = memory.findStall(now)
-			if (stall) this.cutOff(memory, requestId, stall)
+		const suspects = [...this.exchanges.keys()].filter((memory) => memory.isSuspect(now))
+		if (suspects.length > 0 && now >= this.nextQueueReadAt) void this.cutOffStalled(suspects)
+	}
+
+	private async cutOffStalled(suspects: readonly ExchangeMemory[]): Promise<void> {
+		this.nextQueueReadAt = Infinity
+		const queues = await readSendQueues()
+		const now = this.options.now()
+		this.nextQueueReadAt = now + QUEUE_READ_INTERVAL_MS
+		for (const memory of suspects) {
+			const stall = memory.findStall(queues, now)
+			if (stall) this.cutOff(memory, this.exchanges.get(memory) ?? '', stall)
 		}
 	}
 
-	private cutOff(
-		memory: ExchangeMemory,
-		request: string,
-		{ unreadBytes, ageMs }: { unreadBytes: number; ageMs: number },
-	): void {
+	private cutOff(memory: ExchangeMemory, request: string, { unreadBytes, ageMs }: Stall): void {
 		const cause: CutOffCause = memory.isStream ? 'unread-stream' : 'unread-answer'
 		this.cutOffs[cause]++
 		this.options.log({
--- a/packages/gateway/src/lib/memory/ExchangeMemory.ts
+++ b/packages/gateway/src/lib/memory/ExchangeMemory.ts
@@ -1,4 +1,5 @@
 import type { IncomingMessage, ServerResponse } from 'node:http'
+import type { Socket } from 'node:net'
 import {
 	ReadProgress,
 	type AnswerTurns,
@@ -6,6 +7,8 @@
 	type MemoryClass,
 	type WaitingAnswer,
 } from '@stallwing/core'
+import { resetConnection } from './resetConnection.js'
+import { sendQueueOf, type SendQueues } from './readSendQueues.js'
 
 /** State of the box that its exchanges share. */
 export interface ExchangeMemoryOptions {
@@ -19,6 +22,14 @@
 	readonly onEnded: (memory: ExchangeMemory) => void
 }
 
+/** What a stalled caller has not read, and for how long. */
+export interface Stall {
+	readonly unreadBytes: number
+	readonly ageMs: number
+}
+
+/** Time in which the kernel takes no byte after which the acknowledged bytes are read, in ms. */
+const SUSPECT_MS = 500
 /** Heap that an exchange takes besides its headers: its objects, closures, timers and two connections, in bytes. */
 const EXCHANGE_BYTES = 24_000
 /** Headers are held as received and as forwarded. */
@@ -32,8 +43,10 @@
 		retries: 0,
 		answers: 0,
 	}
-	/** Set while an answer is being sent. */
-	private progress: ReadProgress | undefined
+	/** Progress of the bytes that the kernel takes; set while an answer is being sent. */
+	private taken: ReadProgress | undefined
+	/** Progress of the bytes that the caller acknowledges; set while the exchange is suspect. */
+	private acknowledged: ReadProgress | undefined
 	private pausedAt: number | undefined
 	private onResume: (() => void) | undefined
 	private openAttempts = 0
@@ -94,33 +107,30 @@
 
 	/** True if the answer may be read on. Otherwise it must be paused until `onResume` is called. */
 	mayCollect(onResume: () => void): boolean {
-		const { budget, turns, now } = this.options
+		const { budget, turns } = this.options
 		if (this.hasCallerLeft || budget.mayCollect(this.held.answers) || turns.mayRead(this))
 			return true
-		this.onResume = onResume
-		this.pausedAt ??= now()
+		this.notePaused(onResume)
 		return false
 	}
 
+	/** Continues an answer that is paused; does nothing if none is. */
 	resume(): void {
 		const { onResume } = this
 		this.onResume = undefined
-		this.noteResumed()
+		this.pausedAt = undefined
 		onResume?.()
 	}
 
-	/** Notes that reading from the target is paused, because the caller reads slowly. */
-	notePaused(): void {
+	/** Notes that reading from the target is paused. `onResume` is called at the latest when the caller has left. */
+	notePaused(onResume: () => void): void {
+		this.onResume = onResume
 		this.pausedAt ??= this.options.now()
 	}
 
-	noteResumed(): void {
-		this.pausedAt = undefined
-	}
-
 	/** Notes that an answer is being sent from now on. */
 	noteAnswerStarted(): void {
-		this.progress = new ReadProgress(this.options.now())
+		this.taken = new ReadProgress(this.options.now())
 	}
 
 	/** Notes that an answer is forwarded while it is received. */
@@ -135,22 +145,35 @@
 		this.holdUnread()
 	}
 
+	/** Counts what the caller has not read. Returns true if the kernel has taken none of it for some time. */
+	isSuspect(now: number): boolean {
+		const { taken, response } = this
+		if (!taken || !response.socket) return false
+		const unreadBytes = this.holdUnread()
+		taken.note(takenBytes(response.socket), unreadBytes, now)
+		if (taken.ageMs(now) >= SUSPECT_MS) return true
+		this.acknowledged = undefined
+		return false
+	}
+
 	/**
-	 * Checks how the caller reads, and counts what it has not read. Returns the unread bytes and the time since the last
-	 * progress in ms if the caller is stalled.
+	 * Checks whether the caller of a suspect exchange has stalled: bytes that it acknowledges show that it reads, long
+	 * before the kernel takes others.
 	 */
-	findStall(now: number): { readonly unreadBytes: number; readonly ageMs: number } | undefined {
-		const { progress, response } = this
-		if (!progress || !response.socket) return undefined
-		const { bytesWritten, writableLength } = response.socket
-		const unreadBytes = this.holdUnread()
-		if (!progress.note(bytesWritten - writableLength, unreadBytes, now)) return undefined
-		return { unreadBytes, ageMs: progress.ageMs(now) }
+	findStall(queues: SendQueues, now: number): Stall | undefined {
+		const { taken, response } = this
+		if (!taken || !response.socket) return undefined
+		const unreadBytes = this.unsentBytes + response.writableLength
+		const queuedBytes = sendQueueOf(response.socket, queues) ?? 0
+		this.acknowledged ??= new ReadProgress(now)
+		const acknowledgedBytes = takenBytes(response.socket) - queuedBytes
+		if (!this.acknowledged.note(acknowledgedBytes, unreadBytes, now)) return undefined
+		return { unreadBytes, ageMs: taken.ageMs(now) }
 	}
 
 	/** Disconnects the caller with a reset, so that no framing makes its answer look complete. */
 	cutOff(): void {
-		this.response.socket?.resetAndDestroy()
+		resetConnection(this.response.socket)
 	}
 
 	/** Counts what is passed to the connection or waits for it, and has not been taken by the kernel. */
@@ -162,7 +185,7 @@
 
 	private handleClose(): void {
 		this.hasCallerLeft = true
-		this.progress = undefined
+		this.taken = undefined
 		this.dropAnswer()
 		if (this.openAttempts === 0) this.release()
 	}
@@ -170,8 +193,7 @@
 	private dropAnswer(): void {
 		this.hold('answers', 0)
 		this.options.turns.end(this)
-		if (this.onResume) this.resume()
-		this.noteResumed()
+		this.resume()
 	}
 
 	private release(): void {
@@ -190,6 +212,11 @@
 	}
 }
 
+/** Bytes of a connection that the kernel has taken. */
+function takenBytes(socket: Socket): number {
+	return socket.bytesWritten - socket.writableLength
+}
+
 function headerBytes(message: IncomingMessage): number {
 	let bytes = message.url?.length ?? 0
 	for (const text of message.rawHeaders) bytes += text.length
--- /dev/null
+++ b/packages/gateway/src/lib/memory/testCallers.ts
@@ -0,0 +1,103 @@
+import { connect, createServer, type AddressInfo, type Socket } from 'node:net'
+import { trafficConfigOf, type TestBox } from '../testBox.js'
+
+/** A caller on a raw socket, which controls how fast it reads. */
+export interface RawCaller {
+	readonly socket: Socket
+	/** Everything that was read. */
+	text(): string
+	/** True if the connection ended with a reset. */
+	wasReset(): boolean
+}
+
+/** Body of a request, which may be sent only in part. */
+export interface RawBody {
+	readonly statedBytes: number
+	readonly sentBytes: number
+}
+
+/** Sends a request and reads nothing. */
+export async function sendAndReadNothing(
+	box: TestBox,
+	path: string,
+	{ statedBytes, sentBytes }: RawBody = { statedBytes: 0, sentBytes: 0 },
+): Promise<RawCaller> {
+	const socket = connect({ port: box.port, host: '127.0.0.1' })
+	const chunks: Buffer[] = []
+	let wasReset = false
+	socket.on('error', (error: NodeJS.ErrnoException) => (wasReset = error.code === 'ECONNRESET'))
+	await new Promise<void>((resolve) => socket.once('connect', resolve))
+	socket.pause()
+	socket.on('data', (chunk: Buffer) => void chunks.push(chunk))
+	socket.pause()
+	const head = `POST ${path} HTTP/1.1\r\nHost: a.example\r\nrequest-id: slow\r\nauthorization: key\r\n`
+	socket.write(`${head}content-length: ${statedBytes}\r\n\r\n`)
+	if (sentBytes > 0) socket.write(Buffer.alloc(sentBytes))
+	return { socket, text: () => Buffer.concat(chunks).toString('latin1'), wasReset: () => wasReset }
+}
+
+/** Reads `bytesPerSecond` until the returned function is called. */
+export function readSteadily(caller: RawCaller, bytesPerSecond: number): () => void {
+	const { socket } = caller
+	const intervalMs = 100
+	let allowedBytes = 0
+	const count = (chunk: Buffer): void => {
+		allowedBytes -= chunk.length
+		if (allowedBytes <= 0) socket.pause()
+	}
+	socket.on('data', count)
+	const timer = setInterval(() => {
+		allowedBytes += (bytesPerSecond * intervalMs) / 1_000
+		if (allowedBytes > 0) socket.resume()
+	}, intervalMs)
+	return () => {
+		clearInterval(timer)
+		socket.off('data', count)
+	}
+}
+
+/** Result of normal requests that run beside slow callers. */
+export interface NormalTraffic {
+	readonly sent: number
+	readonly served: number
+}
+
+/** Sends a small request every 50 ms until the returned function is called. */
+export function runNormalTraffic(
+	box: TestBox,
+	path = '/again/normal',
+): () => Promise<NormalTraffic> {
+	const answers: Promise<boolean>[] = []
+	const timer = setInterval(() => {
+		const answer = box.sendRequest(path, { id: `n-${answers.length}` })
+		answers.push(answer.then(({ status, isComplete }) => status === 200 && isComplete))
+	}, 50)
+	return async () => {
+		clearInterval(timer)
+		const results = await Promise.all(answers)
+		return { sent: results.length, served: results.filter(Boolean).length }
+	}
+}
+
+/** Starts a target that accepts connections and reads nothing. Returns its address and a function that closes it. */
+export async function startDeafTarget(): Promise<{ address: string; close: () => void }> {
+	const sockets = new Set<Socket>()
+	const server = createServer({ pauseOnConnect: true }, (socket) => {
+		sockets.add(socket.on('error', () => undefined))
+	})
+	await new Promise<void>((resolve) => server.listen(0, '127.0.0.1', resolve))
+	return {
+		address: `127.0.0.1:${(server.address() as AddressInfo).port}`,
+		close: () => {
+			for (const socket of sockets) socket.destroy()
+			server.close()
+		},
+	}
+}
+
+/** Activates a configuration that accepts bodies of up to `maxBodyBytes`. */
+export function configureWithBodies(box: TestBox, maxBodyBytes: number): void {
+	const config = trafficConfigOf(1)
+	const limits = { ...config.limits, maxBodyBytes }
+	box.store.put('config/now', JSON.stringify({ ...config, limits }))
+}
