--- a/packages/gateway/src/lib/memory/slowCallers.test.ts
+++ b/packages/gateway/src/lib/memory/slowCallers.test.ts
@@ -41,7 +41,8 @@
 			if (message.url?.includes('large')) response.end(LARGE_ANSWER)
 			else if (message.url?.includes('slow')) response.end(SLOW_ANSWER)
 			else if (message.url?.includes('unframed')) sendUnframed(response)
-			else if (message.url?.startsWith('/stream/')) streamEvents(response, openStreams)
+			else if (message.url?.startsWith('/stream/')) streamEvents(response, openStreams, Infinity)
+			else if (message.url?.startsWith('/once/')) streamEvents(response, openStreams, 4_000)
 			else response.end(`read ${body.length}`)
 		}
 		await box.addTarget('t-1', handler)
@@ -109,8 +110,8 @@
 	it('serves a caller that reads slowly but steadily to the end', async () => {
 		const before = cutOffEvents().length
 		const [caller] = await callersOf('/again/slow', 1)
-		// The kernel takes more bytes only every 5 s or so at this speed, which is later than a stalled caller is cut off.
-		const stop = readSteadily(caller!, 250_000)
+		// At this speed, the kernel takes more bytes later than a stalled caller is cut off.
+		const stop = readSteadily(caller!, 150_000)
 		await waitFor(() => status().exchanges === 1, 1_000)
 		await waitFor(() => status().exchanges === 0, 15_000)
 		expect(status().exchanges).toBe(0)
@@ -163,6 +164,16 @@
 		expect(status().heldBytes.bodies).toBe(0)
 	})
 
+	it('completes a run that must not be repeated after its caller was cut off', async () => {
+		const before = cutOffEvents().length
+		await callersOf('/once/events', 1)
+		await waitFor(() => cutOffEvents().length > before, CUT_OFF_MS)
+		await waitFor(() => status().exchanges === 0, 5_000)
+		expect(cutOffEvents().length).toBe(before + 1)
+		expect(status().exchanges).toBe(0)
+		expect(openStreams.size).toBe(0)
+	})
+
 	it('ends a response without framing with a reset if it cannot be completed', async () => {
 		const [caller] = await callersOf('/stream/unframed', 1)
 		caller?.socket.resume()
@@ -190,13 +201,15 @@
 	})
 })
 
-/** Sends events as fast as they are taken, until the connection is closed. */
-function streamEvents(response: ServerResponse, open: Set<ServerResponse>): void {
+/** Sends `count` events as fast as they are taken, until the connection is closed. */
+function streamEvents(response: ServerResponse, open: Set<ServerResponse>, count: number): void {
+	let sent = 0
 	open.add(response)
 	response.on('close', () => open.delete(response))
 	response.writeHead(200, { 'content-type': 'text/event-stream' })
 	const sendNext = (): void => {
-		while (!response.destroyed) if (!response.write(EVENT)) break
+		while (!response.destroyed && sent++ < count) if (!response.write(EVENT)) return
+		if (!response.writableEnded) response.end()
 	}
 	response.on('drain', sendNext)
 	sendNext()
