--- a/packages/gateway/src/lib/Gateway.ts
+++ b/packages/gateway/src/lib/Gateway.ts
@@ -22,6 +22,7 @@
 import { GatewayReport, type GatewayStatus } from './GatewayReport.js'
 import { EventLoopDelay } from './EventLoopDelay.js'
 import { UnknownHeaders } from './UnknownHeaders.js'
+import { presentOnly } from './presentOnly.js'
 import { PeerClient } from './PeerClient.js'
 import { PeerServer } from './PeerServer.js'
 import { PeerSharing } from './PeerSharing.js'
@@ -32,6 +33,7 @@
 import type { TokenBudgets } from './TrafficDirectory.js'
 import { shutDownGracefully } from './lifecycle/shutDownGracefully.js'
 import { listenOn } from './listenOn.js'
+import { createBoxMemory } from './memory/BoxMemory.js'
 import { storeRestoredEvent } from './storeRestoredEvent.js'
 import { watchDurationMs } from './watchDurationMs.js'
 import { sleep } from './sleep.js'
@@ -198,7 +200,7 @@
 			loopDelay: this.loopDelay,
 			configPrefix: options.storeLayout.configPrefix,
 			targetsPrefix: options.storeLayout.targetsPrefix,
-			parts: this.boxLoad ? [this.boxLoad] : [],
+			parts: presentOnly([this.boxLoad, this.context.memory]),
 			openRequests: () => this.openRequests,
 			isReady: () => this.isReady,
 		})
@@ -318,6 +320,7 @@
 
 	private makeContext(): GatewayContext {
 		const { options } = this
+		const memory = createBoxMemory(options)
 		return {
 			box: options.box,
 			zone: options.zone,
@@ -326,7 +329,8 @@
 			allowance: this.allowance,
 			crashProtection: this.sharing.crashProtection,
 			metrics: options.metrics,
-			bodyGuards: this.boxLoad?.bodyGuards ?? [],
+			memory,
+			bodyGuards: presentOnly([...(this.boxLoad?.bodyGuards ?? []), memory]),
 			gate: OPEN_GATE,
 			traffic: undefined,
 			retryLimits: options.retryLimits,
--- a/packages/gateway/src/lib/balance/linkDelay.test.ts
+++ b/packages/gateway/src/lib/balance/linkDelay.test.ts
@@ -21,7 +21,9 @@
 	beforeEach(async () => {
 		socket = createSocket('udp4')
 		peersPort = await freePort()
-		box = new TestBox('box', undefined, peersPort, LINK_BYTES_PER_SECOND)
+		box = new TestBox('box', undefined, peersPort, {
+			capacity: { cores: 1, memoryBytes: undefined, linkBytesPerSecond: LINK_BYTES_PER_SECOND },
+		})
 		await box.start()
 		box.configure()
 		await box.addTarget('t1', (_message, response) => response.end('ok'))
--- a/packages/gateway/src/lib/balance/movingCallers.test.ts
+++ b/packages/gateway/src/lib/balance/movingCallers.test.ts
@@ -108,7 +108,8 @@
 		const store = new MemoryStore({ now: () => performance.now(), sleep })
 		store.put('config/now', JSON.stringify(trafficConfigOf(1)))
 		const ports = await Promise.all(Array.from({ length: BOX_COUNT }, freePort))
-		boxes = ports.map((port, i) => new TestBox(`box-${i}`, store, port, linkBytesPerSecond))
+		const capacity = { cores: 1, memoryBytes: undefined, linkBytesPerSecond }
+		boxes = ports.map((port, i) => new TestBox(`box-${i}`, store, port, { capacity }))
 		await Promise.all(boxes.map((box) => box.start()))
 		for (const target of ['t1', 't2'])
 			await firstOf(boxes).addTarget(target, (_message, response) => response.end(ANSWER))
--- /dev/null
+++ b/packages/gateway/src/lib/memory/ExchangeMemory.ts
@@ -0,0 +1,224 @@
+import type { IncomingMessage, ServerResponse } from 'node:http'
+import type { Socket } from 'node:net'
+import {
+	ReadProgress,
+	type AnswerTurns,
+	type MemoryBudget,
+	type MemoryClass,
+	type WaitingAnswer,
+} from '@stallwing/core'
+import { resetConnection } from './resetConnection.js'
+import { sendQueueOf, type SendQueues } from './readSendQueues.js'
+
+/** State of the box that its exchanges share. */
+export interface ExchangeMemoryOptions {
+	readonly budget: MemoryBudget
+	readonly turns: AnswerTurns<ExchangeMemory>
+	/** Current time, in ms. */
+	readonly now: () => number
+	/** Called when bytes were released. */
+	readonly onReleased: () => void
+	/** Called once the exchange holds no memory any more. */
+	readonly onEnded: (memory: ExchangeMemory) => void
+}
+
+/** What a stalled caller has not read, and for how long. */
+export interface Stall {
+	readonly unreadBytes: number
+	readonly ageMs: number
+}
+
+/** Time in which the kernel takes no byte after which the acknowledged bytes are read, in ms. */
+const SUSPECT_MS = 500
+/** Heap that an exchange takes besides its headers: its objects, closures, timers and two connections, in bytes. */
+const EXCHANGE_BYTES = 24_000
+/** Headers are held as received and as forwarded. */
+const HEADER_COPIES = 2
+
+/** The memory that one exchange holds, and how its caller reads the answer. */
+export class ExchangeMemory implements WaitingAnswer {
+	private readonly held: Record<MemoryClass, number> = {
+		heads: 0,
+		bodies: 0,
+		retries: 0,
+		answers: 0,
+	}
+	/** Progress of the bytes that the kernel takes; set while an answer is being sent. */
+	private taken: ReadProgress | undefined
+	/** Progress of the bytes that the caller acknowledges; set while the exchange is suspect. */
+	private acknowledged: ReadProgress | undefined
+	private pausedAt: number | undefined
+	private onResume: (() => void) | undefined
+	private openAttempts = 0
+	private hasCallerLeft = false
+	/** Bytes of a complete answer that are not passed to the connection yet. */
+	private unsentBytes = 0
+	/** The answer is forwarded while it is received. */
+	isStream = false
+
+	constructor(
+		private readonly options: ExchangeMemoryOptions,
+		message: IncomingMessage,
+		private readonly response: ServerResponse,
+	) {
+		this.hold('heads', EXCHANGE_BYTES + HEADER_COPIES * headerBytes(message))
+		response.once('close', () => this.handleClose())
+	}
+
+	/** True once the response is complete or the caller has disconnected: what arrives for it is of no use. */
+	get isCallerGone(): boolean {
+		return this.hasCallerLeft
+	}
+
+	/** Time for which the exchange has been paused, in ms; undefined if it is not. */
+	pausedMs(now: number): number | undefined {
+		return this.pausedAt === undefined ? undefined : now - this.pausedAt
+	}
+
+	/** Holds `bytes` for the body of the request. */
+	holdBody(bytes: number): void {
+		this.hold('bodies', bytes)
+	}
+
+	/** True if a body of which the length is not stated may grow to `bytes`. */
+	mayGrowBody(bytes: number): boolean {
+		return this.options.budget.mayGrow(bytes)
+	}
+
+	/** Called when an attempt begins: the body is then kept only for a retry. */
+	beginAttempt(): void {
+		this.openAttempts++
+		const { bodies } = this.held
+		this.hold('bodies', 0)
+		this.hold('retries', this.held.retries + bodies)
+	}
+
+	/** Called when an attempt has ended. `isAnswerKept`: the answer that it collected will be sent. */
+	endAttempt(isAnswerKept: boolean): void {
+		this.openAttempts--
+		if (!isAnswerKept) this.dropAnswer()
+		if (this.hasCallerLeft && this.openAttempts === 0) this.release()
+	}
+
+	/** Holds `bytes` of the answer, collected or unread. */
+	holdAnswer(bytes: number): void {
+		if (!this.hasCallerLeft) this.hold('answers', bytes)
+	}
+
+	/** True if the answer may be read on. Otherwise it must be paused until `onResume` is called. */
+	mayCollect(onResume: () => void): boolean {
+		const { budget, turns } = this.options
+		if (this.hasCallerLeft || budget.mayCollect(this.held.answers) || turns.mayRead(this))
+			return true
+		this.notePaused(onResume)
+		return false
+	}
+
+	/** Continues an answer that is paused; does nothing if none is. */
+	resume(): void {
+		const { onResume } = this
+		this.onResume = undefined
+		this.pausedAt = undefined
+		onResume?.()
+	}
+
+	/** Notes that reading from the target is paused. `onResume` is called at the latest when the caller has left. */
+	notePaused(onResume: () => void): void {
+		this.onResume = onResume
+		this.pausedAt ??= this.options.now()
+	}
+
+	/** Notes that an answer is being sent from now on. */
+	noteAnswerStarted(): void {
+		this.taken = new ReadProgress(this.options.now())
+	}
+
+	/** Notes that an answer is forwarded while it is received. */
+	noteStreamStarted(): void {
+		this.isStream = true
+		this.noteAnswerStarted()
+	}
+
+	/** Notes that `bytes` of a complete answer are not passed to the connection yet. */
+	noteUnsent(bytes: number): void {
+		this.unsentBytes = bytes
+		this.holdUnread()
+	}
+
+	/** Counts what the caller has not read. Returns true if the kernel has taken none of it for some time. */
+	isSuspect(now: number): boolean {
+		const { taken, response } = this
+		if (!taken || !response.socket) return false
+		const unreadBytes = this.holdUnread()
+		taken.note(takenBytes(response.socket), unreadBytes, now)
+		if (taken.ageMs(now) >= SUSPECT_MS) return true
+		this.acknowledged = undefined
+		return false
+	}
+
+	/**
+	 * Checks whether the caller of a suspect exchange has stalled: bytes that it acknowledges show that it reads, long
+	 * before the kernel takes others.
+	 */
+	findStall(queues: SendQueues, now: number): Stall | undefined {
+		const { taken, response } = this
+		if (!taken || !response.socket) return undefined
+		const unreadBytes = this.unsentBytes + response.writableLength
+		const queuedBytes = sendQueueOf(response.socket, queues) ?? 0
+		this.acknowledged ??= new ReadProgress(now)
+		const acknowledgedBytes = takenBytes(response.socket) - queuedBytes
+		if (!this.acknowledged.note(acknowledgedBytes, unreadBytes, now)) return undefined
+		return { unreadBytes, ageMs: taken.ageMs(now) }
+	}
+
+	/** Disconnects the caller with a reset, so that no framing makes its answer look complete. */
+	cutOff(): void {
+		resetConnection(this.response.socket)
+	}
+
+	/** Counts what is passed to the connection or waits for it, and has not been taken by the kernel. */
+	private holdUnread(): number {
+		const bytes = this.unsentBytes + this.response.writableLength
+		this.holdAnswer(bytes)
+		return bytes
+	}
+
+	private handleClose(): void {
+		this.hasCallerLeft = true
+		this.taken = undefined
+		this.dropAnswer()
+		if (this.openAttempts === 0) this.release()
+	}
+
+	private dropAnswer(): void {
+		this.hold('answers', 0)
+		this.options.turns.end(this)
+		this.resume()
+	}
+
+	private release(): void {
+		this.hold('bodies', 0)
+		this.hold('retries', 0)
+		this.hold('heads', 0)
+		this.options.onEnded(this)
+	}
+
+	private hold(memoryClass: MemoryClass, bytes: number): void {
+		const change = bytes - this.held[memoryClass]
+		if (change === 0) return
+		this.held[memoryClass] = bytes
+		this.options.budget.add(memoryClass, change)
+		if (change < 0) this.options.onReleased()
+	}
+}
+
+/** Bytes of a connection that the kernel has taken. */
+function takenBytes(socket: Socket): number {
+	return socket.bytesWritten - socket.writableLength
+}
+
+function headerBytes(message: IncomingMessage): number {
+	let bytes = message.url?.length ?? 0
+	for (const text of message.rawHeaders) bytes += text.length
+	return bytes
+}
--- a/packages/gateway/src/lib/testBox.ts
+++ b/packages/gateway/src/lib/testBox.ts
@@ -25,6 +25,7 @@
 import type { Dialect } from './Dialect.js'
 import type { UnreadableDocument } from '@stallwing/store'
 import { Gateway } from './Gateway.js'
+import type { GatewayOptions } from './GatewayOptions.js'
 import { sleep } from './sleep.js'
 
 export const TEST_DIALECT: Dialect = {
@@ -191,7 +192,7 @@
 		name = 'box',
 		store?: MemoryStore,
 		private readonly peersPort = 0,
-		private readonly linkBytesPerSecond?: number,
+		private readonly options: Partial<GatewayOptions> = {},
 	) {
 		this.store =
 			store ??
@@ -203,7 +204,7 @@
 		return new Gateway({
 			box: brandId<BoxName>(name),
 			zone: brandId<ZoneName>('z1'),
-			capacity: { cores: 1, memoryBytes: undefined, linkBytesPerSecond: this.linkBytesPerSecond },
+			capacity: { cores: 1, memoryBytes: undefined, linkBytesPerSecond: undefined },
 			isUnderPressure: false,
 			regionOf: (zone) => REGIONS[zone],
 			incarnation: brandId<Incarnation>(`first of ${name}`),
@@ -245,6 +246,7 @@
 			wallTime: () => Date.now(),
 			uptimeMs: () => 1_000,
 			random: () => 0.5,
+			...this.options,
 		})
 	}
 
