Admission: requests queue at the boxes by rank and account while the targets have no free place

Targets queue first come, first served, so under heavy load urgent requests wait behind others, and all answers are late. Where the deployment states pressure, each box now admits requests at once while places are free. Otherwise it queues them by rank, and within a rank by weighted fair queueing over accounts, and starts them at its share of the rate at which places become free. Boxes share their demand by datagram while requests wait. Without pressure nothing changes.

--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -262,6 +262,17 @@
 	type BoxLoad,
 	type PeerBoxLoad,
 } from './lib/balance/BoxLoad.js'
+export {
+	ServiceAdmission,
+	type AdmissionDecision,
+	type AdmissionStatus,
+	type AdmissionStep,
+	type ServiceAdmissionOptions,
+} from './lib/admission/ServiceAdmission.js'
+export { type BoxDemand, type RankDemand } from './lib/admission/PlaceShare.js'
+export { type PlaceUse } from './lib/admission/PlaceUse.js'
+export { type QueuePolicy } from './lib/admission/ServiceQueue.js'
+export { WorkEstimator, type WorkEstimate } from './lib/admission/WorkEstimator.js'
 export {
 	type AdmissionOutcome,
 	type AdmissionRefusalReason,
--- /dev/null
+++ b/packages/core/src/lib/admission/PlaceShare.ts
@@ -0,0 +1,111 @@
+import type { Millis } from '../units.js'
+
+/** Work that callers bring to one box for one rank of a service, in ms of place time per ms. @public */
+export interface RankDemand {
+	readonly rank: number
+	readonly workPerMs: number
+}
+
+/** What one box needs of the places of a service. @public */
+export interface BoxDemand {
+	readonly ranks: readonly RankDemand[]
+	/** Work that callers usually bring to the box, in ms per ms. Boxes share scarce places in proportion to it. */
+	readonly usualWorkPerMs: number
+}
+
+interface ReceivedDemand {
+	readonly demand: BoxDemand
+	readonly receivedAt: Millis
+}
+
+/**
+ * Age from which the demand of another box is ignored while others report. Reports are at most half as far apart, so one
+ * may be lost.
+ */
+export const MAX_DEMAND_AGE_MS: Millis = 1_000
+/** Fraction of the places that is divided by usual work first, so that no box is left without a share. */
+const BASE_FRACTION = 0.1
+const MIN_WEIGHT = 1e-6
+
+/**
+ * Divides the places of a service among boxes: the most urgent rank first, within a rank by usual work, and what a box
+ * does not need goes to the others. A box that hears no other box keeps its last share.
+ */
+export class PlaceShare {
+	private readonly peers = new Map<string, ReceivedDemand>()
+	private lastShare: number | undefined
+
+	/** Records the demand of another box. */
+	note(box: string, demand: BoxDemand, now: Millis): void {
+		this.peers.set(box, { demand, receivedAt: now })
+	}
+
+	/** True if a report of another box has arrived recently. */
+	hearsPeers(now: Millis): boolean {
+		for (const { receivedAt } of this.peers.values())
+			if (now - receivedAt < MAX_DEMAND_AGE_MS) return true
+		return false
+	}
+
+	/** True if a report of another box has ever arrived. */
+	get hasHeardPeers(): boolean {
+		return this.lastShare !== undefined
+	}
+
+	/** Fraction of the places for a box with the demand `own`; undefined if no other box has ever reported. */
+	of(own: BoxDemand, placeWorkPerMs: number, now: Millis): number | undefined {
+		if (!this.hearsPeers(now)) return this.lastShare
+		const demands = [own]
+		for (const [box, { demand, receivedAt }] of this.peers) {
+			if (now - receivedAt < MAX_DEMAND_AGE_MS) demands.push(demand)
+			else this.peers.delete(box)
+		}
+		this.lastShare = shareOfFirst(demands, placeWorkPerMs)
+		return this.lastShare
+	}
+}
+
+/** Fraction of the places for the first of the boxes. */
+export function shareOfFirst(boxes: readonly BoxDemand[], placeWorkPerMs: number): number {
+	const weights = boxes.map(({ usualWorkPerMs }) => Math.max(MIN_WEIGHT, usualWorkPerMs))
+	const totalWeight = weights.reduce((sum, weight) => sum + weight, 0)
+	const base = (weights[0] ?? 0) / totalWeight
+	if (placeWorkPerMs <= 0) return base
+	const ranks = [...new Set(boxes.flatMap((box) => box.ranks.map(({ rank }) => rank)))]
+	ranks.sort((a, b) => a - b)
+	let left = placeWorkPerMs * (1 - BASE_FRACTION)
+	let granted = placeWorkPerMs * BASE_FRACTION * base
+	for (const rank of ranks) {
+		const needs = boxes.map(
+			(box) => box.ranks.find((demand) => demand.rank === rank)?.workPerMs ?? 0,
+		)
+		const grants = divideFairly(left, needs, weights)
+		granted += grants[0] ?? 0
+		left -= grants.reduce((sum, grant) => sum + grant, 0)
+	}
+	// Places that no box needs are divided by usual work.
+	granted += Math.max(0, left) * base
+	return Math.min(1, granted / placeWorkPerMs)
+}
+
+/** Weighted max-min fair division: each gets at most its need, and what one does not need goes to the others. */
+export function divideFairly(
+	amount: number,
+	needs: readonly number[],
+	weights: readonly number[],
+): number[] {
+	const grants = needs.map(() => 0)
+	const byLevel = needs
+		.map((need, index) => ({ index, need, weight: weights[index] ?? 1 }))
+		.filter(({ need }) => need > 0)
+		.sort((a, b) => a.need / a.weight - b.need / b.weight)
+	let left = Math.max(0, amount)
+	let leftWeight = byLevel.reduce((sum, { weight }) => sum + weight, 0)
+	for (const { index, need, weight } of byLevel) {
+		const grant = Math.min(need, (left * weight) / leftWeight)
+		grants[index] = grant
+		left -= grant
+		leftWeight -= weight
+	}
+	return grants
+}
--- a/packages/core/src/lib/placement/TargetRegistry.ts
+++ b/packages/core/src/lib/placement/TargetRegistry.ts
@@ -1,3 +1,5 @@
+import type { PlaceUse } from '../admission/PlaceUse.js'
+import { placeUseOf } from '../admission/placeUseOf.js'
 import { rendezvousFirst } from '../identity/rendezvous.js'
 import type { BoxName, ServiceName, TargetName, ZoneName } from '../ids.js'
 import { maxTotalTokens, type DeclaredWork } from '../traffic/DeclaredWork.js'
@@ -167,6 +169,12 @@
 		return rows
 	}
 
+	/** Places of the open targets of a service, and their use. */
+	placeUse(service: ServiceName, now: Millis, maxPerTarget = Infinity): PlaceUse {
+		const open = this.byService.get(service)?.filter((state) => this.admission.isOpen(state, now))
+		return placeUseOf(open ?? [], maxPerTarget, now)
+	}
+
 	/** Records the complete work report of another box: targets missing from it have no work of that box. */
 	notePeerWork(box: BoxName, rows: readonly TargetWork[], now: Millis): void {
 		const rowsByIncarnation = new Map(rows.map((row) => [row.incarnation, row]))
--- a/packages/core/src/lib/router/logEvents.ts
+++ b/packages/core/src/lib/router/logEvents.ts
@@ -42,6 +42,14 @@
 		number: 116,
 		text: 'The list of quarantined requests could not be stored; the write is retried',
 	},
+	'request-displaced': {
+		number: 117,
+		text: 'A waiting request was refused because a more urgent one took its place in the queue',
+	},
+	'service-contended': {
+		number: 118,
+		text: 'Requests of a service began to wait for a place, or no longer do',
+	},
 	'slice-asked': { number: 200, text: 'Tokens were requested from the zone leader' },
 	'slice-granted': { number: 201, text: 'Tokens were granted by the zone leader' },
 	'slice-returned': { number: 202, text: 'Idle tokens were returned to the zone' },
--- a/packages/gateway/src/lib/Gateway.ts
+++ b/packages/gateway/src/lib/Gateway.ts
@@ -9,7 +9,6 @@
 	type RequestFingerprint,
 } from '@stallwing/core'
 import { EraTrackingStore, type EraChange, type PrefixFollower } from '@stallwing/store'
-import { OPEN_GATE } from './admission/RequestGate.js'
 import { AllowanceClient } from './AllowanceClient.js'
 import { CordonDirectory } from './CordonDirectory.js'
 import { describeError } from './describeError.js'
@@ -184,7 +183,7 @@
 			loopDelay: this.loopDelay,
 			configPrefix: options.storeLayout.configPrefix,
 			targetsPrefix: options.storeLayout.targetsPrefix,
-			parts: [],
+			parts: this.sharing.admission.parts,
 			openRequests: () => this.openRequests,
 			isReady: () => this.isReady,
 		})
@@ -249,6 +248,7 @@
 
 	private refuseNewRequests(): void {
 		this.context.isRefusingRequests = true
+		this.sharing.admission.refuseWaiting()
 		this.callerServer.closeIdleConnections()
 	}
 
@@ -321,7 +321,7 @@
 			crashProtection: this.sharing.crashProtection,
 			metrics: options.metrics,
 			bodyGuards: [],
-			gate: OPEN_GATE,
+			gate: this.sharing.admission.gate,
 			traffic: undefined,
 			retryLimits: options.retryLimits,
 			isStopping: false,
@@ -376,6 +376,7 @@
 		this.lowestMaxConnections = Math.min(...services.map(({ maxConnections }) => maxConnections))
 		this.applyLimits()
 		this.registry.setColdStarts(traffic.index.coldStarts)
+		this.sharing.admission.setServices(services)
 		this.allowance.setBudgets({ version: traffic.index.config.version, tokens })
 	}
 
--- a/packages/gateway/src/lib/PeerSharing.ts
+++ b/packages/gateway/src/lib/PeerSharing.ts
@@ -1,5 +1,6 @@
 import type { KeyValueStore } from '@stallwing/store'
 import type { TargetRegistry } from '@stallwing/core'
+import { Admission } from './admission/Admission.js'
 import { CrashProtection } from './CrashProtection.js'
 import type { FleetMembership } from './FleetMembership.js'
 import type { GatewayOptions } from './GatewayOptions.js'
@@ -20,9 +21,10 @@
 
 /**
  * Everything that boxes share by datagram: work in progress at targets, requests that crash targets, leaving
- * targets and the rates that targets advertise.
+ * targets, the rates that targets advertise, and the demand for places of targets.
  */
 export class PeerSharing {
+	readonly admission: Admission
 	readonly crashProtection: CrashProtection
 	readonly leavingSharing: LeavingTargetSharing
 	readonly rateSharing: RateSharing
@@ -41,6 +43,13 @@
 			isHub: () => membership.isLarge && membership.isLender,
 			now: gateway.now,
 		})
+		this.admission = new Admission({
+			gateway,
+			registry,
+			datagrams,
+			boxCount: () => membership.size,
+			peers: () => membership.otherAddresses,
+		})
 		this.crashProtection = new CrashProtection({
 			...gateway,
 			store,
@@ -69,6 +78,7 @@
 		await this.datagrams.start(this.address)
 		this.workSharing.start()
 		this.crashProtection.start()
+		this.admission.start()
 	}
 
 	stop(): void {
@@ -76,6 +86,7 @@
 		this.crashProtection.stop()
 		this.leavingSharing.stop()
 		this.rateSharing.stop()
+		this.admission.stop()
 		this.datagrams.stop()
 	}
 }
--- a/packages/gateway/src/lib/testBox.ts
+++ b/packages/gateway/src/lib/testBox.ts
@@ -25,6 +25,7 @@
 import type { Dialect } from './Dialect.js'
 import type { UnreadableDocument } from '@stallwing/store'
 import { Gateway } from './Gateway.js'
+import type { GatewayOptions } from './GatewayOptions.js'
 import { sleep } from './sleep.js'
 
 export const TEST_DIALECT: Dialect = {
@@ -191,6 +192,7 @@
 		name = 'box',
 		store?: MemoryStore,
 		private readonly peersPort = 0,
+		private readonly changes: Partial<GatewayOptions> = {},
 	) {
 		this.store =
 			store ??
@@ -244,6 +246,7 @@
 			wallTime: () => Date.now(),
 			uptimeMs: () => 1_000,
 			random: () => 0.5,
+			...this.changes,
 		})
 	}
 
