Overloaded box: the least urgent requests are shed first where the deployment states pressure

A box that was late shed requests with declared work first, which in one deployment is the most urgent stream. Under pressure it now sheds by rank, then by size; with a single rank, or without pressure, the fractions are the same as before.

--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -255,7 +255,7 @@
 } from './lib/traffic/TrafficConfig.js'
 export { allowsRegion, type AllowedRegions } from './lib/traffic/allowsRegion.js'
 export { TrafficIndex } from './lib/traffic/TrafficIndex.js'
-export { shedFraction } from './lib/overload/shedFraction.js'
+export { shedFraction, shedFractionByRank, type ShedCandidate } from './lib/overload/shedFraction.js'
 export {
 	type BalanceDecision,
 	type BalanceReason,
--- a/packages/core/src/lib/overload/shedFraction.test.ts
+++ b/packages/core/src/lib/overload/shedFraction.test.ts
@@ -1,5 +1,5 @@
 import { describe, expect, it } from 'vitest'
-import { shedFraction } from './shedFraction.js'
+import { shedFraction, shedFractionByRank } from './shedFraction.js'
 
 describe('shedFraction', () => {
 	it('rejects nothing while timers fire on time', () => {
@@ -21,3 +21,33 @@
 		expect(previous.short).toBeGreaterThan(0.5)
 	})
 })
+
+describe('shedFractionByRank', () => {
+	const DELAYS = Array.from({ length: 40 }, (_, i) => i * 25)
+
+	it('equals shedFraction if there is one rank', () => {
+		for (const delayMs of DELAYS)
+			for (const isLongRequest of [true, false])
+				expect(
+					shedFractionByRank(delayMs, { rank: 0, leastUrgentRank: 0, isLongRequest }),
+				).toBeCloseTo(shedFraction(delayMs, isLongRequest))
+	})
+
+	it('sheds a less urgent short request before a more urgent long one, at every delay', () => {
+		for (const delayMs of DELAYS)
+			for (let rank = 0; rank < 4; rank++) {
+				const fractionOf = (candidateRank: number, isLongRequest: boolean): number =>
+					shedFractionByRank(delayMs, { rank: candidateRank, leastUrgentRank: 4, isLongRequest })
+				expect(fractionOf(rank + 1, false)).toBeGreaterThanOrEqual(fractionOf(rank, true))
+				expect(fractionOf(rank, true)).toBeGreaterThanOrEqual(fractionOf(rank, false))
+			}
+	})
+
+	it('sheds no short request of the most urgent rank while it still sheds only some of the others', () => {
+		const at = (rank: number) =>
+			shedFractionByRank(300, { rank, leastUrgentRank: 2, isLongRequest: false })
+		expect(at(2)).toBeGreaterThan(at(1))
+		expect(at(1)).toBeGreaterThan(0)
+		expect(at(0)).toBe(0)
+	})
+})
--- a/packages/core/src/lib/traffic/TrafficIndex.ts
+++ b/packages/core/src/lib/traffic/TrafficIndex.ts
@@ -10,6 +10,7 @@
 	private readonly accountsByName = new Map<AccountName, Account>()
 	private readonly servicesByName: ReadonlyMap<ServiceName, Service>
 	private readonly maxRouteRank: number
+	private readonly maxAccountRank: number
 
 	constructor(readonly config: TrafficConfig) {
 		for (const route of config.routes) this.addRoute(route)
@@ -17,6 +18,7 @@
 		for (const account of config.accounts ?? []) this.addAccount(account)
 		this.servicesByName = new Map(config.services.map((service) => [service.name, service]))
 		this.maxRouteRank = Math.max(0, ...config.routes.map((route) => route.rank))
+		this.maxAccountRank = Math.max(0, ...(config.accounts ?? []).map(({ rank }) => rank))
 	}
 
 	/** True if requests must carry the key of an account. */
@@ -63,6 +65,11 @@
 		return first.service
 	}
 
+	/** The largest rank that {@link rankOf} returns. */
+	get leastUrgentRank(): number {
+		return this.maxAccountRank * (this.maxRouteRank + 1) + this.maxRouteRank
+	}
+
 	/** Combines both ranks; the rank of the account takes precedence. */
 	rankOf(route: Route, account: Account | undefined): number {
 		return (account?.rank ?? 0) * (this.maxRouteRank + 1) + route.rank
--- a/packages/gateway/src/lib/Gateway.ts
+++ b/packages/gateway/src/lib/Gateway.ts
@@ -322,6 +322,7 @@
 			metrics: options.metrics,
 			bodyGuards: [],
 			gate: this.sharing.admission.gate,
+			isUnderPressure: options.isUnderPressure,
 			traffic: undefined,
 			retryLimits: options.retryLimits,
 			isStopping: false,
--- a/packages/gateway/src/lib/GatewayContext.ts
+++ b/packages/gateway/src/lib/GatewayContext.ts
@@ -43,6 +43,8 @@
 	readonly bodyGuards: readonly BodyGuard[]
 	/** Decides when a request may be sent to a target. */
 	readonly gate: RequestGate
+	/** See `GatewayOptions`. */
+	readonly isUnderPressure: boolean
 	/** Undefined until the first configuration is applied. Only `Gateway` writes it. */
 	traffic: ActiveTraffic | undefined
 	retryLimits: RetryLimits
--- a/packages/gateway/src/lib/findEarlyRefusal.ts
+++ b/packages/gateway/src/lib/findEarlyRefusal.ts
@@ -1,4 +1,4 @@
-import { shedFraction } from '@stallwing/core'
+import { shedFraction, shedFractionByRank } from '@stallwing/core'
 import type { CallerRequest } from './CallerRequest.js'
 import { findUnavailability } from './findUnavailability.js'
 import type { GatewayContext } from './GatewayContext.js'
@@ -21,7 +21,7 @@
 	request: CallerRequest,
 ): EarlyRefusal | undefined {
 	const delayMs = context.sustainedDelayMs()
-	const fraction = shedFraction(delayMs, request.work !== undefined)
+	const fraction = fractionToShed(context, request, delayMs)
 	if (fraction > 0 && context.random() < fraction) {
 		const detail = `timers are ${Math.round(delayMs)} ms late`
 		return { kind: 'overloaded', detail, availableInMs: 0 }
@@ -35,3 +35,14 @@
 		}
 	)
 }
+
+function fractionToShed(
+	{ dialect, isUnderPressure, traffic }: GatewayContext,
+	request: CallerRequest,
+	delayMs: number,
+): number {
+	const isLongRequest = request.work !== undefined
+	if (!isUnderPressure || !traffic) return shedFraction(delayMs, isLongRequest)
+	const leastUrgentRank = Math.min(dialect.leastUrgentRank, traffic.index.leastUrgentRank)
+	return shedFractionByRank(delayMs, { rank: request.rank, leastUrgentRank, isLongRequest })
+}
