--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -255,7 +255,11 @@
 } from './lib/traffic/TrafficConfig.js'
 export { allowsRegion, type AllowedRegions } from './lib/traffic/allowsRegion.js'
 export { TrafficIndex } from './lib/traffic/TrafficIndex.js'
-export { shedFraction } from './lib/overload/shedFraction.js'
+export {
+	shedFraction,
+	shedFractionByRank,
+	type ShedCandidate,
+} from './lib/overload/shedFraction.js'
 export {
 	type BalanceDecision,
 	type BalanceReason,
@@ -266,6 +270,17 @@
 export { LinkDelayEstimator } from './lib/balance/LinkDelayEstimator.js'
 export { canCarryBody, type LinkState } from './lib/balance/canCarryBody.js'
 export { workReportIntervalMs } from './lib/balance/workReportIntervalMs.js'
+export {
+	ServiceAdmission,
+	type AdmissionDecision,
+	type AdmissionStatus,
+	type AdmissionStep,
+	type ServiceAdmissionOptions,
+} from './lib/admission/ServiceAdmission.js'
+export { type BoxDemand, type RankDemand } from './lib/admission/PlaceShare.js'
+export { type PlaceUse } from './lib/admission/PlaceUse.js'
+export { type QueuePolicy } from './lib/admission/ServiceQueue.js'
+export { WorkEstimator, type WorkEstimate } from './lib/admission/WorkEstimator.js'
 export {
 	type AdmissionOutcome,
 	type AdmissionRefusalReason,
--- a/packages/gateway/src/lib/Gateway.ts
+++ b/packages/gateway/src/lib/Gateway.ts
@@ -7,7 +7,6 @@
 	type RequestFingerprint,
 } from '@stallwing/core'
 import { EraTrackingStore, type EraChange, type PrefixFollower } from '@stallwing/store'
-import { OPEN_GATE } from './admission/RequestGate.js'
 import { AllowanceClient } from './AllowanceClient.js'
 import { createBoxLoadControl, type BoxLoadControl } from './balance/BoxLoadControl.js'
 import { createPeerHandlers } from './createPeerHandlers.js'
@@ -200,7 +199,7 @@
 			loopDelay: this.loopDelay,
 			configPrefix: options.storeLayout.configPrefix,
 			targetsPrefix: options.storeLayout.targetsPrefix,
-			parts: presentOnly([this.boxLoad, this.context.memory]),
+			parts: presentOnly([this.boxLoad, this.context.memory, ...this.sharing.admission.parts]),
 			openRequests: () => this.openRequests,
 			isReady: () => this.isReady,
 		})
@@ -266,6 +265,7 @@
 
 	private refuseNewRequests(): void {
 		this.context.isRefusingRequests = true
+		this.sharing.admission.refuseWaiting()
 		this.callerServer.closeIdleConnections()
 	}
 
@@ -331,7 +331,8 @@
 			metrics: options.metrics,
 			memory,
 			bodyGuards: presentOnly([...(this.boxLoad?.bodyGuards ?? []), memory]),
-			gate: OPEN_GATE,
+			gate: this.sharing.admission.gate,
+			isUnderPressure: options.isUnderPressure,
 			traffic: undefined,
 			retryLimits: options.retryLimits,
 			isStopping: false,
@@ -387,6 +388,7 @@
 		this.lowestMaxConnections = Math.min(...services.map(({ maxConnections }) => maxConnections))
 		this.applyLimits()
 		this.registry.setColdStarts(traffic.index.coldStarts)
+		this.sharing.admission.setServices(services)
 		this.allowance.setBudgets({ version: traffic.index.config.version, tokens })
 	}
 
--- a/packages/gateway/src/lib/GatewayContext.ts
+++ b/packages/gateway/src/lib/GatewayContext.ts
@@ -46,6 +46,8 @@
 	readonly gate: RequestGate
 	/** Undefined if memory is not bounded. */
 	readonly memory: BoxMemory | undefined
+	/** See `GatewayOptions`. */
+	readonly isUnderPressure: boolean
 	/** Undefined until the first configuration is applied. Only `Gateway` writes it. */
 	traffic: ActiveTraffic | undefined
 	retryLimits: RetryLimits
--- a/packages/gateway/src/lib/PeerSharing.ts
+++ b/packages/gateway/src/lib/PeerSharing.ts
@@ -1,5 +1,6 @@
 import type { KeyValueStore } from '@stallwing/store'
 import type { TargetRegistry } from '@stallwing/core'
+import { Admission } from './admission/Admission.js'
 import type { BoxLoadControl } from './balance/BoxLoadControl.js'
 import { CrashProtection } from './CrashProtection.js'
 import type { FleetMembership } from './FleetMembership.js'
@@ -23,9 +24,10 @@
 
 /**
  * Everything that boxes share by datagram: work in progress at targets, requests that crash targets, leaving
- * targets, the rates that targets advertise, and the load of boxes.
+ * targets, the rates that targets advertise, the load of boxes, and the demand for places of targets.
  */
 export class PeerSharing {
+	readonly admission: Admission
 	readonly crashProtection: CrashProtection
 	readonly leavingSharing: LeavingTargetSharing
 	readonly rateSharing: RateSharing
@@ -48,6 +50,13 @@
 			sendIntervalMs: () => boxLoad?.workReportIntervalMs,
 			now: gateway.now,
 		})
+		this.admission = new Admission({
+			gateway,
+			registry,
+			datagrams,
+			boxCount: () => membership.size,
+			peers: () => membership.otherAddresses,
+		})
 		this.crashProtection = new CrashProtection({
 			...gateway,
 			store,
@@ -78,6 +87,7 @@
 		this.workSharing.start()
 		this.crashProtection.start()
 		this.boxLoad?.start()
+		this.admission.start()
 	}
 
 	stop(): void {
@@ -86,6 +96,7 @@
 		this.crashProtection.stop()
 		this.leavingSharing.stop()
 		this.rateSharing.stop()
+		this.admission.stop()
 		this.datagrams.stop()
 	}
 }
