Callers that left before their connection was accepted: look before the first request is sent

Their connections waited about a second to be accepted; request and end of the connection then arrived together, and the end is read one iteration of the event loop after the request. The check waited for that iteration only where the process itself was late.

--- a/packages/gateway/src/lib/Exchange.ts
+++ b/packages/gateway/src/lib/Exchange.ts
@@ -28,7 +28,7 @@
 } from './exchangeEvents.js'
 import { reportRunEnd } from './reportRunEnd.js'
 import { buildTargetRequest } from './buildTargetRequest.js'
-import { nextEventLoopIteration } from './nextEventLoopIteration.js'
+import { waitForPendingDisconnect } from './waitForPendingDisconnect.js'
 import { readBody } from './readBody.js'
 import { createRefusal, type RefusalKind } from './Refusal.js'
 import { RequestContent } from './RequestContent.js'
@@ -36,11 +36,6 @@
 import { TimeLimit } from './TimeLimit.js'
 import { TokenReservation } from './TokenReservation.js'
 
-/**
- * Minimum delay of this process, or wait for a connection, after which it waits for an iteration of the event loop before
- * it checks whether the caller has disconnected, in ms.
- */
-const MIN_DELAY_FOR_DISCONNECT_CHECK_MS = 25
 /**
  * Maximum wait of a retry until it is known whether the previous attempt crashed its target, in ms. A new connection
  * shows this within two round trips; a target behind a network partition never answers.
@@ -247,8 +242,8 @@
 	 * a connection. A delayed process may have read the request some time before it reads the end of the connection.
 	 */
 	private async hasCallerDisconnected(waitedMs = 0): Promise<boolean> {
-		if (Math.max(waitedMs, this.context.currentDelayMs()) >= MIN_DELAY_FOR_DISCONNECT_CHECK_MS)
-			await nextEventLoopIteration()
+		const delayMs = Math.max(waitedMs, this.context.currentDelayMs())
+		await waitForPendingDisconnect(this.message.socket, delayMs)
 		// Node emits `close` on the response some iterations after it has read the end of the connection.
 		if (this.message.socket.readableEnded) this.handleDisconnect()
 		return this.hasEnded
--- a/packages/gateway/src/lib/Gateway.test.ts
+++ b/packages/gateway/src/lib/Gateway.test.ts
@@ -166,6 +166,15 @@
 		expect(cancelled).toHaveLength(5)
 	})
 
+	it('drops a request whose caller disconnected before its connection was accepted', async () => {
+		await startBox(['t1', respondOk])
+		for (let i = 0; i < 10; i++) {
+			await box.connectAndDisconnect(`r-${i}`)
+			await sleep(100)
+		}
+		expect(box.receivedRequests).toEqual([])
+	})
+
 	it('drops a request whose caller disconnected while a delayed process connected to the target', async () => {
 		await startBox(['t1', respondOk])
 		for (let i = 0; i < 10; i++) {
--- a/packages/gateway/src/lib/testBox.ts
+++ b/packages/gateway/src/lib/testBox.ts
@@ -334,6 +334,19 @@
 		})
 	}
 
+	/** Opens a connection, sends a request and disconnects before the gateway has read anything. */
+	async connectAndDisconnect(id: string): Promise<void> {
+		const socket = connect({ port: this.port, host: '127.0.0.1' })
+		await new Promise<void>((resolve) => {
+			socket.once('connect', () => {
+				const head = `GET /again/x HTTP/1.1\r\nHost: a.example\r\nrequest-id: ${id}\r\n`
+				socket.write(`${head}authorization: key\r\n\r\n`)
+				socket.destroy()
+				resolve()
+			})
+		})
+	}
+
 	/** Sends a request and disconnects immediately. The process is blocked meanwhile, and reads both at once. */
 	async sendAndDisconnect(id: string): Promise<void> {
 		const socket = connect({ port: this.port, host: '127.0.0.1' })
