Saturated link: do not blame targets and lenders for what waits at the own link

Change: while the link is saturated, a connection may take 1,200 ms, its failure does not eject the target, and a lender is asked again at once. A box is overloaded after two measurements instead of three.

--- a/packages/core/src/lib/balance/BoxBalancer.ts
+++ b/packages/core/src/lib/balance/BoxBalancer.ts
@@ -24,10 +24,10 @@
 }
 
 /**
- * Requests arrive in groups, so a single measurement over the limits says little. The load balancer needs two more
- * seconds to react, in which the queue of a full link grows on.
+ * Two measurements in a row: use is measured over a second, and the load balancer needs two more seconds to react, in
+ * which the queue of a full link grows on.
  */
-const OVERLOAD_MS: Millis = 500
+const OVERLOAD_MS: Millis = 250
 /** The load balancer probes every second and takes a box out after two misses. */
 const CLOSE_AFTER_MS: Millis = 2_200
 /**
--- a/packages/gateway/src/lib/Attempt.ts
+++ b/packages/gateway/src/lib/Attempt.ts
@@ -200,7 +200,13 @@
 				return
 			case 'not-reached':
 				this.mayHaveSentBytes = false
-				this.end('unreachable', { kind: 'not-sent' }, cause, undefined)
+				// Behind a saturated link, a target that could not be reached in time may be fine.
+				this.end(
+					this.context.isLinkSaturated() ? 'cancelled' : 'unreachable',
+					{ kind: 'not-sent' },
+					cause,
+					undefined,
+				)
 				return
 			case 'withdrawn':
 				this.end('cancelled', { kind: 'not-sent' }, cause, undefined)
--- a/packages/gateway/src/lib/ConnectionPool.ts
+++ b/packages/gateway/src/lib/ConnectionPool.ts
@@ -3,7 +3,7 @@
 
 /** Timeouts of a {@link ConnectionPool}, in ms. */
 export interface PoolTimeouts {
-	readonly connectTimeoutMs: number
+	readonly connectTimeoutMs: () => number
 	/** Time after a response before its connection is reused, so that unexpected extra bytes are detected first. */
 	readonly reuseDelayMs: number
 	/** Time after which an idle connection is closed if the target sends no keep-alive timeout. */
@@ -132,7 +132,7 @@
 			}
 			const timer = setTimeout(
 				() => fail(new Error('connect timed out')),
-				this.timeouts.connectTimeoutMs,
+				this.timeouts.connectTimeoutMs(),
 			)
 			socket.once('error', fail)
 			socket.once('connect', () => {
--- a/packages/gateway/src/lib/Gateway.ts
+++ b/packages/gateway/src/lib/Gateway.ts
@@ -100,6 +100,7 @@
 			options.now,
 			(work) => this.sharing.workSharing.noteFleetWork(work),
 			this.boxLoad?.trackBoxSocket,
+			this.boxLoad?.isLinkSaturated,
 		)
 		this.registry = new TargetRegistry({
 			rateLimits: {
@@ -145,10 +146,14 @@
 			sleep,
 			log: options.log,
 		})
-		this.pools = new TargetPools(options.now, (socket) => {
-			options.metrics.count('stallwing_connections_opened_total')
-			this.boxLoad?.trackTargetSocket(socket)
-		})
+		this.pools = new TargetPools(
+			options.now,
+			(socket) => {
+				options.metrics.count('stallwing_connections_opened_total')
+				this.boxLoad?.trackTargetSocket(socket)
+			},
+			this.boxLoad?.isLinkSaturated,
+		)
 		this.sharing = new PeerSharing({
 			gateway: options,
 			store: this.store,
@@ -359,6 +364,7 @@
 			retryBudget: (service) => this.serviceLimits.retryBudget(service),
 			shouldCloseConnection: (socket) =>
 				this.context.isStopping || this.boxLoad?.shouldClose(socket) === true,
+			isLinkSaturated: this.boxLoad?.isLinkSaturated ?? (() => false),
 			sustainedDelayMs: () => this.loopDelay.sustainedMs,
 			currentDelayMs: () => Math.max(this.loopDelay.currentMs, this.boxLoad?.linkDelayMs ?? 0),
 			boxCount: () => this.membership.size,
--- a/packages/gateway/src/lib/GatewayContext.ts
+++ b/packages/gateway/src/lib/GatewayContext.ts
@@ -86,6 +86,8 @@
 	retryBudget(service: ServiceName): RetryBudget
 	/** True if the connection of a caller should be closed after the current response. */
 	shouldCloseConnection(socket: Socket): boolean
+	/** True while the link of this box delays what it waits for. */
+	isLinkSaturated(): boolean
 	/** Sustained delay of the event loop, in ms. */
 	sustainedDelayMs(): number
 	/** Current delay of the event loop and of the link, in ms: input may have waited that long before it is read. */
--- a/packages/gateway/src/lib/PeerClient.ts
+++ b/packages/gateway/src/lib/PeerClient.ts
@@ -47,6 +47,8 @@
 		private readonly onFleetWork: (work: readonly TargetWork[]) => void,
 		/** Called with each new connection; undefined if nothing counts its bytes. */
 		private readonly onConnection?: (socket: Socket) => void,
+		/** True while the link of this box delays all responses. */
+		private readonly isLinkSaturated: () => boolean = () => false,
 	) {}
 
 	async requestTokens(
@@ -70,9 +72,11 @@
 			return this.parseLendResponse(response.text)
 		} catch {
 			// Tokens of a lost response stay counted as spent at the lender, so they cannot be spent twice.
-			// If this box was overloaded for longer than the timeout, the other box may be fine.
-			if (this.now() - startedAt < LEND_TIMEOUT_MS + LOCAL_DELAY_TOLERANCE_MS)
-				this.backoffUntil.set(address, this.now() + BACKOFF_MS)
+			// If this box or its link was overloaded, the other box may be fine.
+			const isLocalDelay =
+				this.isLinkSaturated() ||
+				this.now() - startedAt >= LEND_TIMEOUT_MS + LOCAL_DELAY_TOLERANCE_MS
+			if (!isLocalDelay) this.backoffUntil.set(address, this.now() + BACKOFF_MS)
 			return EMPTY_LEND_RESPONSE
 		}
 	}
--- a/packages/gateway/src/lib/TargetPools.ts
+++ b/packages/gateway/src/lib/TargetPools.ts
@@ -2,8 +2,11 @@
 import type { TargetEntry, TargetName } from '@stallwing/core'
 import { ConnectionPool, type PoolTimeouts } from './ConnectionPool.js'
 
-const POOL_TIMEOUTS: PoolTimeouts = {
-	connectTimeoutMs: 300,
+const CONNECT_TIMEOUT_MS = 300
+/** Callers give up when a request is not read for a second, so input does not wait longer on a saturated link. */
+const SATURATED_CONNECT_TIMEOUT_MS = 1_200
+
+const POOL_TIMEOUTS: Omit<PoolTimeouts, 'connectTimeoutMs'> = {
 	reuseDelayMs: 20,
 	defaultIdleTimeoutMs: 1_500,
 	idleTimeoutMarginMs: 1_000,
@@ -11,18 +14,27 @@
 
 /** The connection pools of this box, by target name, because another target may later get the same address. */
 export class TargetPools {
+	private readonly timeouts: PoolTimeouts
 	private readonly pools = new Map<TargetName, ConnectionPool>()
 
 	constructor(
 		private readonly now: () => number,
 		/** Called with each new connection. */
 		private readonly onOpened: (socket: Socket) => void,
-	) {}
+		/** True while the link of this box delays all responses. */
+		isLinkSaturated: () => boolean = () => false,
+	) {
+		this.timeouts = {
+			...POOL_TIMEOUTS,
+			connectTimeoutMs: () =>
+				isLinkSaturated() ? SATURATED_CONNECT_TIMEOUT_MS : CONNECT_TIMEOUT_MS,
+		}
+	}
 
 	poolFor(target: TargetEntry): ConnectionPool {
 		const existing = this.pools.get(target.name)
 		if (existing) return existing
-		const pool = new ConnectionPool(target.address, POOL_TIMEOUTS, this.now, this.onOpened)
+		const pool = new ConnectionPool(target.address, this.timeouts, this.now, this.onOpened)
 		this.pools.set(target.name, pool)
 		return pool
 	}
--- a/packages/gateway/src/lib/balance/BoxLoadControl.ts
+++ b/packages/gateway/src/lib/balance/BoxLoadControl.ts
@@ -44,6 +44,13 @@
  */
 const MIN_USE_FOR_DELAY = 0.5
 
+/**
+ * Link use and input delay from which late responses say nothing about those that sent them: they wait at this box's
+ * own link.
+ */
+const SATURATED_USE = 0.85
+const SATURATED_DELAY_MS = 100
+
 const WITHIN_LIMITS: BalanceDecision = { isReady: true, closeShare: 0, reason: 'within-limits' }
 
 /** Creates the load control of a box; undefined if the settings specify no link. */
@@ -138,6 +145,10 @@
 		return this.inputDelayMs
 	}
 
+	/** True if what this box waits for may be late because of its own link. */
+	readonly isLinkSaturated = (): boolean =>
+		this.meter.state.use >= SATURATED_USE || this.inputDelayMs >= SATURATED_DELAY_MS
+
 	/** True if the response that is about to start should close the connection of its caller. */
 	shouldClose(socket: Socket): boolean {
 		return this.callers.shouldClose(socket)
--- a/packages/gateway/src/lib/sendToTarget.test.ts
+++ b/packages/gateway/src/lib/sendToTarget.test.ts
@@ -29,7 +29,7 @@
 
 function createPool(address: string): ConnectionPool {
 	const timeouts = {
-		connectTimeoutMs: 2_000,
+		connectTimeoutMs: () => 2_000,
 		reuseDelayMs: 0,
 		defaultIdleTimeoutMs: 60_000,
 		idleTimeoutMarginMs: 1_000,
