Link budget: a box admits what its link carries

Change: the bytes of an exchange (body, head, mean answer) are booked before its body is read; it is refused at once where they would wait for over half of its latency goal.

--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -268,6 +268,7 @@
 } from './lib/balance/BoxLoad.js'
 export { BoxBalancer, type BalanceInput } from './lib/balance/BoxBalancer.js'
 export { LinkDelayEstimator } from './lib/balance/LinkDelayEstimator.js'
+export { LinkBudget, type ExchangeBytes } from './lib/balance/LinkBudget.js'
 export { canCarryBody, type LinkState } from './lib/balance/canCarryBody.js'
 export { workReportIntervalMs } from './lib/balance/workReportIntervalMs.js'
 export {
--- a/packages/gateway/src/lib/balance/BoxLoadControl.ts
+++ b/packages/gateway/src/lib/balance/BoxLoadControl.ts
@@ -90,7 +90,12 @@
 		this.lastTickAt = now()
 		this.meter = new LinkMeter(linkBytesPerSecond, now)
 		this.callers = new CallerConnections(now)
-		this.bodyGuard = new LinkBodyGuard(() => this.linkState)
+		this.bodyGuard = new LinkBodyGuard({
+			linkBytesPerSecond,
+			link: () => this.linkState,
+			sentToCallers: () => this.meter.bytesOf('callers').sent,
+			now,
+		})
 		this.bodyGuards = [this.bodyGuard]
 		this.balancer = new BoxBalancer({ box, zone })
 		store.onConnection?.((socket) => this.meter.track(socket, 'store'))
