Count what is read ahead of paused answers, and end large answers once too many wait for memory

With 500 callers that read nothing of 16 MB each and a limit of 250 MB, the box peaked at 290 MB, mostly in what had been read ahead of 490 paused answers. Now at most a tenth of the budget may be read ahead of answers that wait; others end as failed.

--- a/packages/core/src/lib/memory/MemoryBudget.test.ts
+++ b/packages/core/src/lib/memory/MemoryBudget.test.ts
@@ -9,7 +9,7 @@
 	it('leaves room for the idle process and for buffers that are not reclaimed yet', () => {
 		for (const processBytes of [160_000_000, 210_000_000, 250_000_000, 602_000_000]) {
 			const budget = new MemoryBudget({ processBytes, heapBytes: 110_000_000 })
-			expect(budget.bufferLimit * 2).toBeLessThanOrEqual(processBytes - 85_000_000)
+			expect(budget.bufferLimit * 2.5).toBeLessThanOrEqual(processBytes - 85_000_000)
 			expect(budget.heapLimit).toBeLessThanOrEqual(110_000_000 / 2)
 		}
 	})
--- a/packages/core/src/lib/memory/MemoryBudget.ts
+++ b/packages/core/src/lib/memory/MemoryBudget.ts
@@ -28,9 +28,9 @@
 const IDLE_PROCESS_BYTES = 85_000_000
 /**
  * Share of the remaining memory that may be held in buffers. Buffers that are no longer referenced stay allocated until
- * the next garbage collection, which needs about as much again under load.
+ * the next garbage collection, and the allocator does not return all of what it frees.
  */
-const BUFFER_SHARE = 0.5
+const BUFFER_SHARE = 0.4
 /** Share of the heap for exchanges; configuration, targets and the log use the rest. */
 const HEAP_SHARE = 0.5
 /** A box with less memory than the idle process needs still serves small requests. */
@@ -38,6 +38,8 @@
 /** Fractions of the budget from which the levels apply. */
 const HIGH_FRACTION = 0.6
 const FULL_FRACTION = 0.8
+/** Share of the budget for answers that wait: they hold memory, and those that wait long miss their goals anyway. */
+const WAITING_SHARE = 0.1
 /** Bodies up to this size are accepted until the budget is full: nearly all requests are smaller. */
 const LARGE_BODY_BYTES = 65_536
 /** Counts the bytes that the exchanges of a box hold, and decides what it still accepts. @public */
@@ -103,6 +105,11 @@
 		return use < (bodyBytes > LARGE_BODY_BYTES ? HIGH_FRACTION : 1)
 	}
 
+	/** True if another answer may wait, of which `waitingBytes` of all that wait are read ahead. */
+	mayWait(waitingBytes: number): boolean {
+		return waitingBytes < this.bufferLimit * WAITING_SHARE
+	}
+
 	/** True if `bytes` of a large answer may be reserved, so that it can be read without waiting for its turn. */
 	mayReserve(bytes: number): boolean {
 		return this.useWith(bytes) < HIGH_FRACTION
--- a/packages/gateway/src/lib/Attempt.ts
+++ b/packages/gateway/src/lib/Attempt.ts
@@ -266,8 +266,13 @@
 	private holdCollected(): void {
 		const statedBytes = Number(this.responseHead?.headers['content-length'] ?? 0)
 		const onResume = (): void => this.resume()
-		if (this.responseWriter.memory?.collect(this.bufferedBytes, statedBytes, onResume) === false)
-			this.pause()
+		const step = this.responseWriter.memory?.collect(this.bufferedBytes, statedBytes, onResume)
+		if (step === 'wait') this.pause()
+		if (step !== 'end') return
+		this.isAborted = true
+		this.call?.abort()
+		// The target is not at fault, but it may have run the request.
+		this.end('cancelled', { kind: 'unknown' }, 'no memory for the answer', undefined)
 	}
 
 	private pause(): void {
--- a/packages/gateway/src/lib/memory/ExchangeMemory.ts
+++ b/packages/gateway/src/lib/memory/ExchangeMemory.ts
@@ -22,6 +22,14 @@
 	readonly onEnded: (memory: ExchangeMemory) => void
 }
 
+/**
+ * What to do with an answer that is collected:
+ * - `read`: read on.
+ * - `wait`: pause it until it is resumed.
+ * - `end`: there is no memory for it, and too many wait already.
+ */
+export type CollectStep = 'read' | 'wait' | 'end'
+
 /** What a stalled caller has not read, and for how long. */
 export interface Stall {
 	readonly unreadBytes: number
@@ -34,6 +42,8 @@
 const EXCHANGE_BYTES = 24_000
 /** Answers up to this size are read without waiting; it is the size of one read from a socket. */
 const LARGE_ANSWER_BYTES = 65_536
+/** Read from the target before reading stops: one read from the socket, partly passed on. */
+const READ_AHEAD_BYTES = 65_536
 /** Part of an answer of unknown length that is reserved at a time. */
 const RESERVED_STEP_BYTES = 1_000_000
 /** Headers are held as received and as forwarded. */
@@ -55,6 +65,8 @@
 	private onResume: (() => void) | undefined
 	private openAttempts = 0
 	private hasCallerLeft = false
+	/** Bytes of the answer that are held, without what is read ahead. */
+	private answerBytes = 0
 	private collectedBytes = 0
 	/** Length of the answer that is collected; 0 if not known. */
 	private statedBytes = 0
@@ -111,25 +123,27 @@
 
 	/**
 	 * Holds `bytes` of an answer that is collected until it is complete; `statedBytes` is its length if the target states
-	 * it, else 0. Returns true if it may be read on. Otherwise it must be paused until `onResume` is called.
+	 * it, else 0.
 	 */
-	collect(bytes: number, statedBytes: number, onResume: () => void): boolean {
-		if (this.hasCallerLeft) return true
+	collect(bytes: number, statedBytes: number, onResume: () => void): CollectStep {
+		if (this.hasCallerLeft) return 'read'
 		this.collectedBytes = bytes
 		this.statedBytes = statedBytes
-		this.hold('answers', Math.max(bytes, this.reservedBytes))
+		this.holdAnswer(Math.max(bytes, this.reservedBytes))
 		const isSmall = Math.max(bytes, statedBytes) <= LARGE_ANSWER_BYTES
-		if (isSmall || bytes < this.reservedBytes || this.options.turns.mayRead(this)) return true
+		const { budget, turns } = this.options
+		if (isSmall || bytes < this.reservedBytes || turns.mayRead(this)) return 'read'
+		if (!budget.mayWait(turns.waitingCount * READ_AHEAD_BYTES)) return 'end'
 		this.notePaused(onResume)
-		return false
+		return 'wait'
 	}
 
 	/** Reserves what the answer still needs; a part of it if its length is not known. */
 	reserve(): boolean {
 		const bytes = Math.max(this.statedBytes, this.collectedBytes + RESERVED_STEP_BYTES)
-		if (!this.options.budget.mayReserve(bytes - this.held.answers)) return false
+		if (!this.options.budget.mayReserve(bytes - this.answerBytes)) return false
 		this.reservedBytes = bytes
-		this.hold('answers', bytes)
+		this.holdAnswer(bytes)
 		return true
 	}
 
@@ -138,6 +152,7 @@
 		const { onResume } = this
 		this.onResume = undefined
 		this.pausedAt = undefined
+		this.holdAnswer(this.answerBytes)
 		onResume?.()
 	}
 
@@ -145,6 +160,7 @@
 	notePaused(onResume: () => void): void {
 		this.onResume = onResume
 		this.pausedAt ??= this.options.now()
+		this.holdAnswer(this.answerBytes)
 	}
 
 	/** Notes that an answer is being sent from now on. */
@@ -198,7 +214,7 @@
 	/** Counts what is passed to the connection or waits for it, and has not been taken by the kernel. */
 	private holdUnread(): number {
 		const bytes = this.unsentBytes + this.response.writableLength
-		if (!this.hasCallerLeft) this.hold('answers', bytes)
+		this.holdAnswer(bytes)
 		return bytes
 	}
 
@@ -211,7 +227,7 @@
 
 	private dropAnswer(): void {
 		this.reservedBytes = 0
-		this.hold('answers', 0)
+		this.answerBytes = 0
 		this.options.turns.end(this)
 		this.resume()
 	}
@@ -223,6 +239,13 @@
 		this.options.onEnded(this)
 	}
 
+	/** Holds `bytes` of the answer, and what is read ahead of it while it is paused. */
+	private holdAnswer(bytes: number): void {
+		this.answerBytes = this.hasCallerLeft ? 0 : bytes
+		const isPaused = this.pausedAt !== undefined
+		this.hold('answers', this.answerBytes + (isPaused ? READ_AHEAD_BYTES : 0))
+	}
+
 	private hold(memoryClass: MemoryClass, bytes: number): void {
 		const change = bytes - this.held[memoryClass]
 		if (change === 0) return
--- a/packages/gateway/src/lib/memory/memoryLimit.test.ts
+++ b/packages/gateway/src/lib/memory/memoryLimit.test.ts
@@ -18,6 +18,9 @@
 const MAX_BODY_BYTES = 4_000_000
 const LARGE_ANSWER = Buffer.alloc(16_000_000, 'x')
 const EVENT = `data: ${'x'.repeat(1_000)}\n\n`
+/** Events per tick that all streams send together: the box must not be short of processor time. */
+const EVENTS_PER_TICK = 3_000
+const TICK_MS = 50
 const HEAD = 'Host: a.example\r\nauthorization: key\r\n'
 
 interface BoxStatus {
@@ -41,7 +44,7 @@
 				response.setHeader('target-mark', 't-0')
 				if (message.url?.includes('large')) response.end(LARGE_ANSWER)
 				else if (message.url?.includes('waiting')) setTimeout(() => response.end('late'), 15_000)
-				else if (message.url?.startsWith('/stream/')) streamEvents(response, 1)
+				else if (message.url?.startsWith('/stream/')) streamEvents(response)
 				else response.end(`read ${bytes}`)
 			})
 		})
@@ -113,7 +116,10 @@
 		const megabytes = (bytes: number): number => Math.round(bytes / 1e6)
 		const { cutOffs, heldBytes, level } = status?.memory ?? {}
 		const figures = { peak: megabytes(peakBytes()), now: megabytes(rssBytes()), traffic }
-		console.log(name, JSON.stringify({ ...figures, open: status?.open, cutOffs, heldBytes, level }))
+		console.log(
+			name,
+			JSON.stringify({ ...figures, open: status?.open, failures, cutOffs, heldBytes, level }),
+		)
 	}
 
 	it('stays under its limit with callers that read nothing of a large answer', async () => {
@@ -162,24 +168,34 @@
 	})
 })
 
-/** Sends `bytes` of an event at a time, as fast as the events are taken. */
-function streamEvents(response: ServerResponse, intervalMs: number): void {
+/** Sends events until the connection is closed, as far as they are taken. */
+function streamEvents(response: ServerResponse): void {
 	response.writeHead(200, { 'content-type': 'text/event-stream' })
 	const timer = setInterval(() => {
-		while (!response.destroyed && !response.writableNeedDrain) response.write(EVENT)
-	}, intervalMs)
+		for (let sent = 0; sent < EVENTS_PER_TICK / CALLERS; sent++)
+			if (!response.destroyed && !response.writableNeedDrain) response.write(EVENT)
+	}, TICK_MS)
 	response.on('close', () => clearInterval(timer))
 }
 
+const failures: Record<string, number> = {}
+
 function sendNormal(port: number, id: string): Promise<boolean> {
 	return new Promise((resolve) => {
 		const headers = { host: 'a.example', authorization: 'key', 'request-id': id }
+		const fail = (cause: string): void => {
+			failures[cause] = (failures[cause] ?? 0) + 1
+			resolve(false)
+		}
 		const outgoing = request({ port, path: '/again/normal', method: 'POST', headers })
-		outgoing.on('error', () => resolve(false))
+		outgoing.on('error', () => fail('not connected'))
 		outgoing.on('response', (response) => {
 			response.resume()
-			response.on('error', () => resolve(false))
-			response.on('end', () => resolve(response.statusCode === 200 && response.complete))
+			response.on('error', () => fail('broken'))
+			response.on('end', () => {
+				if (response.statusCode === 200 && response.complete) resolve(true)
+				else fail(`status ${response.statusCode}`)
+			})
 		})
 		outgoing.end()
 	})
