--- a/packages/gateway/src/lib/memory/ExchangeMemory.ts
+++ b/packages/gateway/src/lib/memory/ExchangeMemory.ts
@@ -8,7 +8,7 @@
 	type WaitingAnswer,
 } from '@stallwing/core'
 import { resetConnection } from './resetConnection.js'
-import { sendQueueOf, type SendQueues } from './readSendQueues.js'
+import { connectionKeyOf, type SendQueues } from './readSendQueues.js'
 
 /** State of the box that its exchanges share. */
 export interface ExchangeMemoryOptions {
@@ -61,6 +61,8 @@
 	private taken: ReadProgress | undefined
 	/** Progress of the bytes that the caller acknowledges; set while the exchange is suspect. */
 	private acknowledged: ReadProgress | undefined
+	/** Key of the connection of the caller; set once the exchange is suspect. */
+	private connectionKey: string | undefined
 	private pausedAt: number | undefined
 	private onResume: (() => void) | undefined
 	private openAttempts = 0
@@ -199,7 +201,8 @@
 		const { taken, response } = this
 		if (!taken || !response.socket) return undefined
 		const unreadBytes = this.unsentBytes + response.writableLength
-		const queuedBytes = sendQueueOf(response.socket, queues) ?? 0
+		this.connectionKey ??= connectionKeyOf(response.socket)
+		const queuedBytes = queues.get(this.connectionKey) ?? 0
 		this.acknowledged ??= new ReadProgress(now)
 		const acknowledgedBytes = takenBytes(response.socket) - queuedBytes
 		if (!this.acknowledged.note(acknowledgedBytes, unreadBytes, now)) return undefined
--- a/packages/gateway/src/lib/memory/readSendQueues.ts
+++ b/packages/gateway/src/lib/memory/readSendQueues.ts
@@ -6,10 +6,15 @@
 
 /** Connections of this machine over IPv4, with the lengths of their queues. */
 const CONNECTIONS_FILE = '/proc/self/net/tcp'
-/** Columns of the file; addresses and lengths are in hexadecimal. */
-const LOCAL_COLUMN = 1
-const REMOTE_COLUMN = 2
-const QUEUES_COLUMN = 4
+/**
+ * Each line is the number of the entry and a colon, followed by columns of fixed width, in hexadecimal: both addresses,
+ * the state and the lengths of the queues. These are offsets from the colon.
+ */
+const ADDRESSES_START = 2
+const ADDRESSES_END = 29
+const SEND_QUEUE_START = 33
+const SEND_QUEUE_END = 41
+const EMPTY_QUEUE = '00000000'
 
 /** Reads the send queues of all connections; empty where the system does not show them. Never rejects. */
 export async function readSendQueues(): Promise<SendQueues> {
@@ -20,24 +25,24 @@
 	}
 }
 
+/** Parses the list without splitting it into columns: it has thousands of lines while callers are stalled. */
 export function parseSendQueues(text: string): SendQueues {
 	const queues = new Map<string, number>()
-	for (const line of text.split('\n').slice(1)) {
-		const columns = line.trim().split(/\s+/)
-		const [local, remote, lengths] = [LOCAL_COLUMN, REMOTE_COLUMN, QUEUES_COLUMN].map(
-			(column) => columns[column],
-		)
-		if (!local || !remote || !lengths) continue
-		queues.set(`${local} ${remote}`, Number.parseInt(lengths, 16))
+	for (let end = text.indexOf('\n'); end >= 0; end = text.indexOf('\n', end + 1)) {
+		const colon = text.indexOf(':', end)
+		if (colon < 0) break
+		const length = text.slice(colon + SEND_QUEUE_START, colon + SEND_QUEUE_END)
+		const addresses = text.slice(colon + ADDRESSES_START, colon + ADDRESSES_END)
+		if (length !== EMPTY_QUEUE) queues.set(addresses, Number.parseInt(length, 16))
 	}
 	return queues
 }
 
-/** Length of the send queue of a connection, in bytes; undefined if not known. */
-export function sendQueueOf(socket: Socket, queues: SendQueues): number | undefined {
+/** Key of a connection in {@link SendQueues}. A queue that is empty or not known has no entry. */
+export function connectionKeyOf(socket: Socket): string {
 	const local = encodeAddress(socket.localAddress, socket.localPort)
 	const remote = encodeAddress(socket.remoteAddress, socket.remotePort)
-	return queues.get(`${local} ${remote}`)
+	return `${local} ${remote}`
 }
 
 /** Address as in the file: the bytes of the IPv4 address in reverse order, and the port. */
