--- a/packages/gateway/src/lib/Attempt.ts
+++ b/packages/gateway/src/lib/Attempt.ts
@@ -154,6 +154,7 @@
 		if (handle) applyTargetNotice(context, { handle, placement, request }, this.notice)
 		if (isSuccess(head.status) && isEventStream(head)) this.startStream(head)
 		this.startTimeout(this.timeouts().idleMs)
+		if (!this.splitter) this.holdCollected()
 		return true
 	}
 
@@ -265,8 +266,19 @@
 		const { memory } = this.responseWriter
 		if (memory?.isCallerGone) return
 		this.chunks.push(chunk)
-		memory?.holdAnswer(this.bufferedBytes)
-		if (memory && !memory.mayCollect(() => this.resume())) this.pause()
+		this.holdCollected()
+	}
+
+	private holdCollected(): void {
+		const statedBytes = Number(this.responseHead?.headers['content-length'] ?? 0)
+		const onResume = (): void => this.resume()
+		const step = this.responseWriter.memory?.collect(this.bufferedBytes, statedBytes, onResume)
+		if (step === 'wait') this.pause()
+		if (step !== 'end') return
+		this.isAborted = true
+		this.call?.abort()
+		// The target is not at fault, but it may have run the request.
+		this.end('cancelled', { kind: 'unknown' }, 'no memory for the answer', undefined)
 	}
 
 	private pause(): void {
--- a/packages/gateway/src/lib/memory/ExchangeMemory.ts
+++ b/packages/gateway/src/lib/memory/ExchangeMemory.ts
@@ -8,7 +8,7 @@
 	type WaitingAnswer,
 } from '@stallwing/core'
 import { resetConnection } from './resetConnection.js'
-import { sendQueueOf, type SendQueues } from './readSendQueues.js'
+import { connectionKeyOf, type SendQueues } from './readSendQueues.js'
 
 /** State of the box that its exchanges share. */
 export interface ExchangeMemoryOptions {
@@ -22,6 +22,14 @@
 	readonly onEnded: (memory: ExchangeMemory) => void
 }
 
+/**
+ * What to do with an answer that is collected:
+ * - `read`: read on.
+ * - `wait`: pause it until it is resumed.
+ * - `end`: there is no memory for it, and too many wait already.
+ */
+export type CollectStep = 'read' | 'wait' | 'end'
+
 /** What a stalled caller has not read, and for how long. */
 export interface Stall {
 	readonly unreadBytes: number
@@ -32,6 +40,12 @@
 const SUSPECT_MS = 500
 /** Heap that an exchange takes besides its headers: its objects, closures, timers and two connections, in bytes. */
 const EXCHANGE_BYTES = 24_000
+/** Answers up to this size are read without waiting; it is the size of one read from a socket. */
+const LARGE_ANSWER_BYTES = 65_536
+/** Read from the target before reading stops: one read from the socket, partly passed on. */
+const READ_AHEAD_BYTES = 65_536
+/** Part of an answer of unknown length that is reserved at a time. */
+const RESERVED_STEP_BYTES = 1_000_000
 /** Headers are held as received and as forwarded. */
 const HEADER_COPIES = 2
 
@@ -47,10 +61,19 @@
 	private taken: ReadProgress | undefined
 	/** Progress of the bytes that the caller acknowledges; set while the exchange is suspect. */
 	private acknowledged: ReadProgress | undefined
+	/** Key of the connection of the caller; set once the exchange is suspect. */
+	private connectionKey: string | undefined
 	private pausedAt: number | undefined
 	private onResume: (() => void) | undefined
 	private openAttempts = 0
 	private hasCallerLeft = false
+	/** Bytes of the answer that are held, without what is read ahead. */
+	private answerBytes = 0
+	private collectedBytes = 0
+	/** Length of the answer that is collected; 0 if not known. */
+	private statedBytes = 0
+	/** Bytes up to which the answer may be collected without waiting. */
+	private reservedBytes = 0
 	/** Bytes of a complete answer that are not passed to the connection yet. */
 	private unsentBytes = 0
 	/** The answer is forwarded while it is received. */
@@ -100,18 +123,30 @@
 		if (this.hasCallerLeft && this.openAttempts === 0) this.release()
 	}
 
-	/** Holds `bytes` of the answer, collected or unread. */
-	holdAnswer(bytes: number): void {
-		if (!this.hasCallerLeft) this.hold('answers', bytes)
-	}
-
-	/** True if the answer may be read on. Otherwise it must be paused until `onResume` is called. */
-	mayCollect(onResume: () => void): boolean {
+	/**
+	 * Holds `bytes` of an answer that is collected until it is complete; `statedBytes` is its length if the target states
+	 * it, else 0.
+	 */
+	collect(bytes: number, statedBytes: number, onResume: () => void): CollectStep {
+		if (this.hasCallerLeft) return 'read'
+		this.collectedBytes = bytes
+		this.statedBytes = statedBytes
+		this.holdAnswer(Math.max(bytes, this.reservedBytes))
+		const isSmall = Math.max(bytes, statedBytes) <= LARGE_ANSWER_BYTES
 		const { budget, turns } = this.options
-		if (this.hasCallerLeft || budget.mayCollect(this.held.answers) || turns.mayRead(this))
-			return true
+		if (isSmall || bytes < this.reservedBytes || turns.mayRead(this)) return 'read'
+		if (!budget.mayWait(turns.waitingCount * READ_AHEAD_BYTES)) return 'end'
 		this.notePaused(onResume)
-		return false
+		return 'wait'
+	}
+
+	/** Reserves what the answer still needs; a part of it if its length is not known. */
+	reserve(): boolean {
+		const bytes = Math.max(this.statedBytes, this.collectedBytes + RESERVED_STEP_BYTES)
+		if (!this.options.budget.mayReserve(bytes - this.answerBytes)) return false
+		this.reservedBytes = bytes
+		this.holdAnswer(bytes)
+		return true
 	}
 
 	/** Continues an answer that is paused; does nothing if none is. */
@@ -119,6 +154,7 @@
 		const { onResume } = this
 		this.onResume = undefined
 		this.pausedAt = undefined
+		this.holdAnswer(this.answerBytes)
 		onResume?.()
 	}
 
@@ -126,6 +162,7 @@
 	notePaused(onResume: () => void): void {
 		this.onResume = onResume
 		this.pausedAt ??= this.options.now()
+		this.holdAnswer(this.answerBytes)
 	}
 
 	/** Notes that an answer is being sent from now on. */
@@ -164,7 +201,8 @@
 		const { taken, response } = this
 		if (!taken || !response.socket) return undefined
 		const unreadBytes = this.unsentBytes + response.writableLength
-		const queuedBytes = sendQueueOf(response.socket, queues) ?? 0
+		this.connectionKey ??= connectionKeyOf(response.socket)
+		const queuedBytes = queues.get(this.connectionKey) ?? 0
 		this.acknowledged ??= new ReadProgress(now)
 		const acknowledgedBytes = takenBytes(response.socket) - queuedBytes
 		if (!this.acknowledged.note(acknowledgedBytes, unreadBytes, now)) return undefined
@@ -191,7 +229,8 @@
 	}
 
 	private dropAnswer(): void {
-		this.hold('answers', 0)
+		this.reservedBytes = 0
+		this.answerBytes = 0
 		this.options.turns.end(this)
 		this.resume()
 	}
@@ -203,6 +242,13 @@
 		this.options.onEnded(this)
 	}
 
+	/** Holds `bytes` of the answer, and what is read ahead of it while it is paused. */
+	private holdAnswer(bytes: number): void {
+		this.answerBytes = this.hasCallerLeft ? 0 : bytes
+		const isPaused = this.pausedAt !== undefined
+		this.hold('answers', this.answerBytes + (isPaused ? READ_AHEAD_BYTES : 0))
+	}
+
 	private hold(memoryClass: MemoryClass, bytes: number): void {
 		const change = bytes - this.held[memoryClass]
 		if (change === 0) return
