--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -271,13 +271,13 @@
 export { LinkBudget, type ExchangeBytes } from './lib/balance/LinkBudget.js'
 export { canCarryBody, type LinkState } from './lib/balance/canCarryBody.js'
 export { workReportIntervalMs } from './lib/balance/workReportIntervalMs.js'
+export { ServiceAdmission } from './lib/admission/ServiceAdmission.js'
 export {
-	ServiceAdmission,
 	type AdmissionDecision,
 	type AdmissionStatus,
 	type AdmissionStep,
 	type ServiceAdmissionOptions,
-} from './lib/admission/ServiceAdmission.js'
+} from './lib/admission/AdmissionDecision.js'
 export { type BoxDemand, type RankDemand } from './lib/admission/PlaceShare.js'
 export { type PlaceUse } from './lib/admission/PlaceUse.js'
 export { type QueuePolicy } from './lib/admission/ServiceQueue.js'
