Speeds: model of targets that report their current slowdown

The fourth figure of the load header was dropped, and a short slowdown was learned as a lasting one. It is now decoded; for targets that send it, the cost uses a lasting factor times a momentary factor that decays with its age, and near-equal targets are chosen at random by free capacity. Targets that never send it are chosen as before, without a random number.

A figure that is not a positive number is counted and logged once per target (520).

--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -234,6 +234,8 @@
 export { ExpiredTargets } from './lib/placement/ExpiredTargets.js'
 export { type TargetEntry, type TargetLoad } from './lib/placement/TargetEntry.js'
 export { type TargetOutcome } from './lib/placement/TargetState.js'
+export { type SpeedEstimate } from './lib/placement/TargetSpeed.js'
+export { type TargetSpeedReport, type TargetSpeedStatus } from './lib/placement/TargetSpeeds.js'
 export { RetryBudget, type RetryLimits } from './lib/retry/RetryBudget.js'
 export {
 	decideAfterAttempt,
--- a/packages/core/src/lib/placement/AttemptHandle.ts
+++ b/packages/core/src/lib/placement/AttemptHandle.ts
@@ -14,7 +14,8 @@
 	noteByte(now: Millis): void
 	/** Records the remaining cold phase that the target reported. */
 	noteCold(coldMs: Millis, now: Millis): void
-	noteLoad(load: TargetLoad, now: Millis): void
+	/** True if the current slowdown of the target could not be parsed, for the first time at this target. */
+	noteLoad(load: TargetLoad, now: Millis): boolean
 	/** Records that the target announced that it is leaving. True if this was not known yet. */
 	noteLeaving(now: Millis): boolean
 	/** Records a backoff that the target requested. Returns when the backoff ends. */
--- a/packages/core/src/lib/placement/Placement.ts
+++ b/packages/core/src/lib/placement/Placement.ts
@@ -18,6 +18,8 @@
 	readonly mayRunIn: (zone: ZoneName) => boolean
 	/** True if this box has an idle connection to the target. */
 	readonly hasIdleConnection: (target: TargetName) => boolean
+	/** Random numbers in [0, 1). Without them, the target with the lowest cost is always chosen. */
+	readonly random?: () => number
 }
 
 /** The chosen target and the facts behind the choice. @public */
--- a/packages/core/src/lib/placement/TargetEntry.ts
+++ b/packages/core/src/lib/placement/TargetEntry.ts
@@ -29,4 +29,6 @@
 	 * changes many times a second.
 	 */
 	readonly currentSlowdown?: number
+	/** Text of a current slowdown that could not be parsed; undefined if it could, or was not reported. */
+	readonly unreadableSlowdown?: string
 }
--- a/packages/core/src/lib/placement/TargetRegistry.ts
+++ b/packages/core/src/lib/placement/TargetRegistry.ts
@@ -3,16 +3,13 @@
 import { maxTotalTokens, type DeclaredWork } from '../traffic/DeclaredWork.js'
 import type { Millis } from '../units.js'
 import type { AttemptHandle } from './AttemptHandle.js'
+import { AttemptSpeed, MIN_EXPECTED_MS } from './AttemptSpeed.js'
+import { chooseCandidate } from './chooseCandidate.js'
 import type { ColdStart } from './coldRateLimit.js'
 import type { TargetNoticeStatus } from './TargetNoticeStatus.js'
 import { targetNoticeStatusOf } from './targetNoticeStatusOf.js'
 import type { Placement, PlacementQuery } from './Placement.js'
-import {
-	isPeerWorkFresh,
-	placementCost,
-	type PlacementCost,
-	type PlacementRequest,
-} from './placementCost.js'
+import { isPeerWorkFresh, type PlacementRequest } from './placementCost.js'
 import { promptPrefixKeys } from './PrefixCacheIndex.js'
 import { TargetAdmission, type AdmissionOptions, type ClosedService } from './TargetAdmission.js'
 import type { RateLimitStatus } from './RateLimitStatus.js'
@@ -27,13 +24,11 @@
 	type TargetIdentity,
 } from './TargetIncarnation.js'
 import { TargetNotices, type TargetNotice } from './TargetNotices.js'
+import { TargetSpeeds } from './TargetSpeeds.js'
 import { TargetState, type OpenAttempt } from './TargetState.js'
 import type { TargetWork } from './TargetWork.js'
 import type { CordonChanges, ZoneCordon } from './ZoneCordons.js'
 
-/** Lower bound for expected times in slowdown measurements: very short times say little about a target. */
-const MIN_EXPECTED_MS = 10
-
 /** The state of all targets as this box knows it; chooses the target of each request. @public */
 export class TargetRegistry {
 	private readonly targets = new Map<TargetName, TargetState>()
@@ -41,6 +36,8 @@
 	private readonly plainLatencies = new ServiceLatencies()
 	private readonly admission: TargetAdmission
 	private readonly notices = new TargetNotices()
+	/** Speeds of the targets that report their current slowdown. */
+	readonly speeds = new TargetSpeeds(this.targets)
 
 	/** Without rate limits, cold targets only cost more and receive requests without limit. */
 	constructor(options: AdmissionOptions = {}) {
@@ -111,7 +108,7 @@
 			}
 			if (!known || isRestart) {
 				const notice = this.notices.of(incarnationOf(entry))
-				this.targets.set(entry.name, new TargetState(entry, now, notice))
+				this.targets.set(entry.name, this.speeds.start(new TargetState(entry, now, notice), now))
 				added.push(entry)
 				continue
 			}
@@ -208,11 +205,7 @@
 		const listed = this.byService.get(query.service) ?? []
 		const candidates = this.candidates(listed, query, now)
 		const request = this.placementRequest(query, listed, candidates, now)
-		let best: { state: TargetState; cost: PlacementCost } | undefined
-		for (const state of candidates) {
-			const cost = placementCost(state, request, now)
-			if (!best || cost.ms < best.cost.ms) best = { state, cost }
-		}
+		const best = chooseCandidate(candidates, request, query.random, now)
 		if (!best) return undefined
 		return {
 			target: best.state.entry,
@@ -261,6 +254,7 @@
 		state: TargetState | undefined,
 	): AttemptHandle {
 		const service = placement.target.service
+		const speed = state && new AttemptSpeed(state, placement.cost, attempt.sentAt)
 		return {
 			target: placement.target.name,
 			expectedMs: attempt.expectedMs,
@@ -270,9 +264,14 @@
 				state.lastByteAt = now
 				if (attempt.hasFirstByte) return
 				attempt.hasFirstByte = true
+				speed?.noteFirstByte(now)
 				this.noteFirstByte(service, attempt, state, now)
 			},
-			noteLoad: (load, now) => state?.noteLoad(load, now),
+			noteLoad: (load, now) => {
+				const isUnreadable = state?.noteLoad(load, now) ?? false
+				speed?.noteLoad(now)
+				return isUnreadable
+			},
 			noteCold: (coldMs, now) => state?.noteCold(coldMs, now),
 			noteLeaving: (now) => this.noteLeaving(placement.target, now),
 			noteBackoff: (ms, now) => this.noteBackoff(placement.target, ms, now),
@@ -285,6 +284,7 @@
 			},
 			end: (outcome, now) => {
 				if (!state?.openAttempts.delete(attempt)) return
+				speed?.end(outcome, now)
 				state.noteOutcome(outcome, now)
 			},
 		}
@@ -356,7 +356,7 @@
 		now: Millis,
 	): void {
 		const tookMs = now - attempt.sentAt
-		state.noteLatency(Math.max(MIN_EXPECTED_MS, attempt.expectedMs), tookMs)
+		state.speed.noteLatency(Math.max(MIN_EXPECTED_MS, attempt.expectedMs), tookMs)
 		if (attempt.prefillTokens <= 0) this.plainLatencies.record(service, tookMs)
 	}
 
--- a/packages/core/src/lib/placement/TargetState.ts
+++ b/packages/core/src/lib/placement/TargetState.ts
@@ -5,6 +5,7 @@
 import type { TargetEntry, TargetLoad } from './TargetEntry.js'
 import type { TargetNotice } from './TargetNotices.js'
 import type { RateLimitKind } from './TargetRateLimits.js'
+import { TargetSpeed } from './TargetSpeed.js'
 
 /** An attempt in flight at a target. */
 export interface OpenAttempt {
@@ -36,11 +37,6 @@
 /** Ejection time of a target after the first failed connection, in ms; doubles with each further one. */
 const INITIAL_EJECTION_MS = 250
 const MAX_EJECTION_MS = 3_000
-const SLOWDOWN_WEIGHT = 0.04
-/** Caps a single measurement: a request can be late because of the long prompts of other requests. */
-const MAX_SLOWDOWN_SAMPLE = 4
-const MIN_SLOWDOWN = 0.5
-const MAX_SLOWDOWN = 6
 
 /** The state of one target as this box knows it, from its own requests and from reports of the target and other boxes. */
 export class TargetState {
@@ -52,8 +48,7 @@
 	ejectedUntil: Millis = Number.NEGATIVE_INFINITY
 	/** Latest work report of each other box. */
 	readonly peerWork = new Map<BoxName, PeerWork>()
-	/** Smoothed ratio of the measured to the expected time to first byte. */
-	slowdown = 1
+	readonly speed = new TargetSpeed()
 	/** End of the cold phase that the target last reported. */
 	private reportedColdUntil: Millis
 	/** End of the cold phase assumed after a cordon of its zone was lifted. */
@@ -130,16 +125,14 @@
 		}
 	}
 
-	noteLoad(load: TargetLoad, now: Millis): void {
+	/** True if the current slowdown could not be parsed, for the first time at this target. */
+	noteLoad(load: TargetLoad, now: Millis): boolean {
 		this.load = load
 		this.loadReportedAt = now
-	}
-
-	/** Updates the slowdown from a measured time to first byte. */
-	noteLatency(expectedMs: Millis, tookMs: Millis): void {
-		const ratio = Math.min(MAX_SLOWDOWN_SAMPLE, tookMs / Math.max(1, expectedMs))
-		const next = this.slowdown + SLOWDOWN_WEIGHT * (ratio - this.slowdown)
-		this.slowdown = Math.min(MAX_SLOWDOWN, Math.max(MIN_SLOWDOWN, next))
+		if (load.unreadableSlowdown !== undefined) return this.speed.noteUnreadableReport()
+		if (load.currentSlowdown === undefined) this.speed.noteNoReport()
+		else this.speed.noteReport(load.currentSlowdown, now)
+		return false
 	}
 
 	private updateFailureRate(result: number, now: Millis): void {
--- a/packages/core/src/lib/placement/placementCost.ts
+++ b/packages/core/src/lib/placement/placementCost.ts
@@ -1,6 +1,7 @@
 import type { TargetName, ZoneName } from '../ids.js'
 import type { PromptPart } from '../traffic/DeclaredWork.js'
 import type { Millis } from '../units.js'
+import type { SpeedEstimate } from './TargetSpeed.js'
 import type { PeerWork, TargetState } from './TargetState.js'
 
 /** Properties of a request that determine what it costs at a target. */
@@ -28,9 +29,17 @@
 	readonly expectedMs: Millis
 	/** Prompt tokens that the target has to process because they are not in its prefix cache. */
 	readonly prefillTokens: number
+	/** Undefined for a target that does not report its current slowdown. */
+	readonly speed?: SpeedCost
 }
 
-/** Prefill throughput of an engine of normal speed; `TargetState.slowdown` corrects it per target. */
+/** The speed of a target as it entered its cost. */
+export interface SpeedCost extends SpeedEstimate {
+	/** Free slots of a target of normal speed that do as much work in the same time as those of this target. */
+	readonly freeCapacity: number
+}
+
+/** Prefill throughput of an engine of normal speed; `TargetSpeed` corrects it per target. */
 const PREFILL_TOKENS_PER_MS = 35
 /** Extra cost of processing shared prompt tokens again, as a multiple of their prefill time. */
 const REPEATED_PREFILL_WEIGHT = 3
@@ -68,7 +77,8 @@
 			? engineMs(target, prefillTokens, now)
 			: plainServiceMs(target, request.plainMs, now)
 	const coldFactor = target.coldUntil > now ? COLD_FACTOR : 1
-	const processing = expectedMs * target.slowdown * coldFactor
+	const slowdown = target.speed.slowdown(now)
+	const processing = expectedMs * slowdown * coldFactor
 	const repeatedPrefill =
 		(REPEATED_PREFILL_WEIGHT * sharedPrefillTokens(request, prefillTokens)) / PREFILL_TOKENS_PER_MS
 	const failures =
@@ -77,7 +87,10 @@
 	const connection = request.hasIdleConnection(target.entry.name) ? 0 : NEW_CONNECTION_COST_MS
 	const ms =
 		processing + repeatedPrefill + failures + crossZone + connection + overdueMs(target, now)
-	return { ms, expectedMs, prefillTokens }
+	const estimate = target.speed.estimate(now)
+	if (!estimate) return { ms, expectedMs, prefillTokens }
+	const speed = { ...estimate, freeCapacity: freeSlots(target, now) / slowdown }
+	return { ms, expectedMs, prefillTokens, speed }
 }
 
 /** Delay of the most overdue first byte of a target, in ms. The target may be down, unreachable or hung. */
@@ -86,7 +99,8 @@
 	for (const attempt of target.openAttempts) {
 		if (attempt.hasFirstByte) continue
 		const since = Math.max(attempt.sentAt, target.lastByteAt)
-		const grace = OVERDUE_GRACE_MS + OVERDUE_FACTOR * attempt.expectedMs * target.slowdown
+		const grace =
+			OVERDUE_GRACE_MS + OVERDUE_FACTOR * attempt.expectedMs * target.speed.slowdown(now)
 		overdue = Math.max(overdue, now - since - grace)
 	}
 	return overdue
@@ -155,6 +169,14 @@
 	return now - work.receivedAt < MAX_PEER_WORK_AGE_MS
 }
 
+/** Slots without a request according to the target and all boxes. At least one, so that no target is ruled out. */
+function freeSlots(target: TargetState, now: Millis): number {
+	const slots = target.load?.slots ?? target.entry.slots
+	const reported = decayed((target.load?.running ?? 0) + (target.load?.waiting ?? 0), target, now)
+	const open = target.openAttempts.size + totalPeerWork(target, now).openRequests
+	return Math.max(1, slots - Math.max(reported, open))
+}
+
 function plainServiceMs(target: TargetState, plainMs: Millis, now: Millis): Millis {
 	const slots = Math.max(1, target.load?.slots ?? target.entry.slots)
 	const reported = decayed((target.load?.running ?? 0) + (target.load?.waiting ?? 0), target, now)
--- a/packages/core/src/lib/router/logEvents.ts
+++ b/packages/core/src/lib/router/logEvents.ts
@@ -177,6 +177,10 @@
 		number: 519,
 		text: 'An answer has a header of the platform that this version does not know',
 	},
+	'target-slowdown-unreadable': {
+		number: 520,
+		text: 'A target reported a current slowdown that is not a positive number; its other load figures are used',
+	},
 	'invariant-breach': {
 		number: 900,
 		text: 'An invariant would have been violated; the write was not made',
--- a/packages/gateway/src/lib/Exchange.ts
+++ b/packages/gateway/src/lib/Exchange.ts
@@ -263,6 +263,7 @@
 				isFull: (target) => context.isAtConnectionLimit(target),
 				hasIdleConnection: (target) => context.hasIdleConnection(target),
 				mayRunIn: (zone) => context.mayRunIn(zone, request),
+				random: () => context.random(),
 			},
 			context.now(),
 		)
--- a/packages/gateway/src/lib/applyTargetNotice.ts
+++ b/packages/gateway/src/lib/applyTargetNotice.ts
@@ -6,11 +6,17 @@
 	type LogEventName,
 	type LogValue,
 	type Placement,
+	type TargetLoad,
 } from '@stallwing/core'
 import type { CallerRequest } from './CallerRequest.js'
 import type { GatewayContext } from './GatewayContext.js'
 import { roundAge } from './roundAge.js'
-import type { BackoffNotice, RateNotice, TargetNotice } from './readTargetNotice.js'
+import {
+	MAX_LOGGED_CHARS,
+	type BackoffNotice,
+	type RateNotice,
+	type TargetNotice,
+} from './readTargetNotice.js'
 
 /** An attempt with a response head. */
 interface AnsweredAttempt {
@@ -30,7 +36,7 @@
 ): void {
 	const { handle, placement } = attempt
 	const now = context.now()
-	if (notice.load) handle.noteLoad(notice.load, now)
+	if (notice.load) applyLoad(context, attempt, notice.load, now)
 	if (notice.coldMs !== undefined) handle.noteCold(notice.coldMs, now)
 	applyBackoff(context, attempt, notice.backoff, now)
 	applyRate(context, attempt, notice.rate, now)
@@ -39,6 +45,21 @@
 	context.onTargetLeaving(placement.target)
 }
 
+/** The count includes all responses, the log only the first one of each target. */
+function applyLoad(
+	context: GatewayContext,
+	attempt: AnsweredAttempt,
+	load: TargetLoad,
+	now: number,
+): void {
+	const isNewFault = attempt.handle.noteLoad(load, now)
+	if (load.unreadableSlowdown === undefined) return
+	context.metrics.count('stallwing_target_slowdowns_unreadable_total')
+	if (!isNewFault) return
+	const text = load.unreadableSlowdown.slice(0, MAX_LOGGED_CHARS)
+	logNotice(context, attempt, 'target-slowdown-unreadable', { text })
+}
+
 function applyBackoff(
 	context: GatewayContext,
 	attempt: AnsweredAttempt,
--- a/packages/gateway/src/lib/exchangeEvents.ts
+++ b/packages/gateway/src/lib/exchangeEvents.ts
@@ -10,6 +10,7 @@
 import type { CallerRequest } from './CallerRequest.js'
 import { describeRates } from './describeRates.js'
 import type { GatewayContext, ActiveTraffic } from './GatewayContext.js'
+import { describeSpeed } from './speeds/describeSpeed.js'
 import { roundAge } from './roundAge.js'
 
 /** Log event for the choice of a target, with the data that decided it and its age. */
@@ -31,6 +32,7 @@
 			unreadTokens: Math.round(placement.cost.prefillTokens),
 			candidates: placement.candidates,
 			loadAgeMs: placement.loadAgeMs,
+			...describeSpeed(placement),
 			targetRevision: describeRevision(placement.target.revision),
 			targetListAgeMs: roundAge(context.targetListAgeMs()),
 			lapsed: context.isExpired(placement.target.name),
--- a/packages/gateway/src/lib/readTargetNotice.ts
+++ b/packages/gateway/src/lib/readTargetNotice.ts
@@ -55,7 +55,7 @@
 const DECIMAL = /^\d{1,9}(\.\d{1,9})?$/
 const SECOND_MS = 1_000
 /** Characters of an invalid header value in a log event. */
-const MAX_LOGGED_CHARS = 40
+export const MAX_LOGGED_CHARS = 40
 
 /** Reads what a response reports about its target. */
 export function readTargetNotice(
