Placement: compare a random sample of targets that report their slowdown

Boxes with the same reports all chose the target that looked cheapest.

Another zone is used only where the own zone costs twice as much.

--- a/packages/core/src/lib/placement/TargetSpeeds.test.ts
+++ b/packages/core/src/lib/placement/TargetSpeeds.test.ts
@@ -1,6 +1,6 @@
 import * as fc from 'fast-check'
 import { describe, expect, it } from 'vitest'
-import { brandId, type TargetName } from '../ids.js'
+import { brandId, type TargetName, type ZoneName } from '../ids.js'
 import { seededRandom } from '../testRandom.js'
 import type { AttemptHandle } from './AttemptHandle.js'
 import { TargetRegistry } from './TargetRegistry.js'
@@ -133,7 +133,7 @@
 		expect(registry.choose(query(), 3)?.loadAgeMs).toBe(1)
 	})
 
-	it('spread requests over near-equal targets in proportion to their free capacity', () => {
+	it('spread requests over targets of the same cost, and few over a slow one', () => {
 		const registry = registryOf('a', 'bb', 'ccc')
 		run(registry, 'a', 0, EXPECTED_MS, 1)
 		run(registry, 'bb', 0, EXPECTED_MS, 1)
@@ -161,6 +161,18 @@
 		expect(measuring).toBeLessThan(200)
 	})
 
+	it('do not make a choice leave the zone for a small gain', () => {
+		const zone = brandId<ZoneName>('z2')
+		const random = (): number => 0.5
+		const registry = new TargetRegistry()
+		registry.replace([entry('a'), entry('bb', { zone })], 0)
+		run(registry, 'a', 0, 1.1 * EXPECTED_MS, 1)
+		run(registry, 'bb', 0, EXPECTED_MS, 1)
+		expect(registry.choose(query({ work: WORK, random }), 1_000)?.target.name).toBe('a')
+		run(registry, 'a', 2_000, 2.5 * EXPECTED_MS, 2.5)
+		expect(registry.choose(query({ work: WORK, random }), 2_300)?.target.name).toBe('bb')
+	})
+
 	it('list the slowest targets first', () => {
 		const registry = registryOf('a', 'bb', 'ccc')
 		run(registry, 'a', 0, EXPECTED_MS, 1)
--- a/packages/core/src/lib/placement/chooseCandidate.ts
+++ b/packages/core/src/lib/placement/chooseCandidate.ts
@@ -1,5 +1,11 @@
+import type { ZoneName } from '../ids.js'
 import type { Millis } from '../units.js'
-import { placementCost, type PlacementCost, type PlacementRequest } from './placementCost.js'
+import {
+	freeCapacity,
+	placementCost,
+	type PlacementCost,
+	type PlacementRequest,
+} from './placementCost.js'
 import type { TargetState } from './TargetState.js'
 
 /** A target that may be chosen, with its cost. */
@@ -9,11 +15,18 @@
 }
 
 /**
- * Differences in cost below these bounds are within the error of the estimates. All boxes see about the same reports:
- * if each chose the very cheapest target, they would all send to it until the next reports.
+ * Number of targets that are compared in each group; of small groups, half of the targets but at least two. All boxes see about the same reports: if each compared all targets,
+ * they would send to the same one until the next reports (`unevenTargetsSimulation.test.ts`). Three are enough to find
+ * one that is neither slow nor busy.
  */
-const NEAR_EQUAL_MS = 4
-const NEAR_EQUAL_RATIO = 0.05
+const SAMPLE_SIZE = 3
+/**
+ * Targets in another zone are used if those of the own zone cost more than this multiple. Traffic between zones is
+ * expensive, and expected times of two targets often differ by half although both zones have about the same load.
+ */
+const MIN_CROSS_ZONE_RATIO = 2
+/** Targets with at most this multiple of the fewest prompt tokens to process count as having the prompt cached. */
+const CACHED_TOLERANCE = 1.05
 /** Fraction of requests that may go to a target only in order to measure it again. */
 const MEASURING_FRACTION = 0.01
 /** Targets with fewer samples, of all boxes, are measured again. */
@@ -22,8 +35,8 @@
 const MAX_MEASURING_DELAY_MS = 150
 
 /**
- * Chooses the target with the lowest cost. With a source of random numbers, chooses among targets of nearly the same
- * cost at random, in proportion to their free capacity, if they report their current slowdown.
+ * Chooses the target with the lowest cost. If the targets report their current slowdown, compares only a random sample
+ * in proportion to free capacity; `random` returns numbers in [0, 1).
  */
 export function chooseCandidate(
 	states: readonly TargetState[],
@@ -34,8 +47,11 @@
 	const candidates = states.map((state) => ({ state, cost: placementCost(state, request, now) }))
 	const best = cheapestOf(candidates)
 	if (!best?.cost.speed || !random) return best
+	const ownZone = candidates.filter(({ state }) => state.entry.zone === request.zone)
+	const toMeasure = ownZone.length > 0 ? ownZone : candidates
 	return (
-		candidateToMeasure(candidates, best, random, now) ?? randomNearEqual(candidates, best, random)
+		candidateToMeasure(toMeasure, best, random, now) ??
+		cheapestOfSamples(candidates, request.zone, random, now)
 	)
 }
 
@@ -46,24 +62,57 @@
 	return best
 }
 
-function randomNearEqual(
+function cheapestOfSamples(
 	candidates: readonly Candidate[],
-	best: Candidate,
+	zone: ZoneName,
 	random: () => number,
-): Candidate {
-	const limitMs = best.cost.ms + Math.max(NEAR_EQUAL_MS, NEAR_EQUAL_RATIO * best.cost.ms)
-	const near = candidates.filter(({ cost }) => cost.speed && cost.ms <= limitMs)
-	if (near.length === 1) return best
-	let rest = random() * near.reduce((sum, { cost }) => sum + capacityOf(cost), 0)
-	for (const candidate of near) {
-		rest -= capacityOf(candidate.cost)
-		if (rest < 0) return candidate
-	}
-	return best
+	now: Millis,
+): Candidate | undefined {
+	const fewestTokens = Math.min(...candidates.map(({ cost }) => cost.prefillTokens))
+	const cached = candidates.filter(
+		({ cost }) => cost.prefillTokens <= CACHED_TOLERANCE * fewestTokens,
+	)
+	// Few targets have the prompt cached, so a sample of all targets would miss them.
+	const groups = cached.length < candidates.length ? [candidates, cached] : [candidates]
+	const inZone = (isOwn: boolean): Candidate | undefined =>
+		cheapestOf(
+			groups.flatMap((group) =>
+				sampleOf(
+					group.filter(({ state }) => (state.entry.zone === zone) === isOwn),
+					random,
+					now,
+				),
+			),
+		)
+	const own = inZone(true)
+	const other = inZone(false)
+	if (!own || !other) return own ?? other
+	return MIN_CROSS_ZONE_RATIO * other.cost.ms < own.cost.ms ? other : own
 }
 
-function capacityOf({ speed }: PlacementCost): number {
-	return speed?.freeCapacity ?? 0
+/** Draws different candidates in proportion to their free capacity. */
+function sampleOf(
+	candidates: readonly Candidate[],
+	random: () => number,
+	now: Millis,
+): readonly Candidate[] {
+	const size = Math.min(
+		candidates.length,
+		Math.max(2, Math.min(SAMPLE_SIZE, candidates.length / 2)),
+	)
+	const capacities = candidates.map(({ state }) => freeCapacity(state, now))
+	const sample: Candidate[] = []
+	while (sample.length < size) {
+		let rest = random() * capacities.reduce((sum, capacity) => sum + capacity, 0)
+		// Rounding can leave a rest after the last candidate.
+		const drawn = capacities.findIndex((capacity) => (rest -= capacity) < 0)
+		const index = drawn >= 0 ? drawn : capacities.findIndex((capacity) => capacity > 0)
+		const candidate = candidates[index]
+		if (!candidate) return sample
+		sample.push(candidate)
+		capacities[index] = 0
+	}
+	return sample
 }
 
 /**
--- a/packages/core/src/lib/placement/placementCost.ts
+++ b/packages/core/src/lib/placement/placementCost.ts
@@ -30,13 +30,7 @@
 	/** Prompt tokens that the target has to process because they are not in its prefix cache. */
 	readonly prefillTokens: number
 	/** Undefined for a target that does not report its current slowdown. */
-	readonly speed?: SpeedCost
-}
-
-/** The speed of a target as it entered its cost. */
-export interface SpeedCost extends SpeedEstimate {
-	/** Free slots of a target of normal speed that do as much work in the same time as those of this target. */
-	readonly freeCapacity: number
+	readonly speed?: SpeedEstimate
 }
 
 /** Prefill throughput of an engine of normal speed; `TargetSpeed` corrects it per target. */
@@ -77,8 +71,7 @@
 			? engineMs(target, prefillTokens, now)
 			: plainServiceMs(target, request.plainMs, now)
 	const coldFactor = target.coldUntil > now ? COLD_FACTOR : 1
-	const slowdown = target.speed.slowdown(now)
-	const processing = expectedMs * slowdown * coldFactor
+	const processing = expectedMs * target.speed.slowdown(now) * coldFactor
 	const repeatedPrefill =
 		(REPEATED_PREFILL_WEIGHT * sharedPrefillTokens(request, prefillTokens)) / PREFILL_TOKENS_PER_MS
 	const failures =
@@ -87,10 +80,8 @@
 	const connection = request.hasIdleConnection(target.entry.name) ? 0 : NEW_CONNECTION_COST_MS
 	const ms =
 		processing + repeatedPrefill + failures + crossZone + connection + overdueMs(target, now)
-	const estimate = target.speed.estimate(now)
-	if (!estimate) return { ms, expectedMs, prefillTokens }
-	const speed = { ...estimate, freeCapacity: freeSlots(target, now) / slowdown }
-	return { ms, expectedMs, prefillTokens, speed }
+	const speed = target.speed.estimate(now)
+	return speed ? { ms, expectedMs, prefillTokens, speed } : { ms, expectedMs, prefillTokens }
 }
 
 /** Delay of the most overdue first byte of a target, in ms. The target may be down, unreachable or hung. */
@@ -169,12 +160,15 @@
 	return now - work.receivedAt < MAX_PEER_WORK_AGE_MS
 }
 
-/** Slots without a request according to the target and all boxes. At least one, so that no target is ruled out. */
-function freeSlots(target: TargetState, now: Millis): number {
+/**
+ * Free slots of a target of normal speed that do as much work in the same time as those of this target. At least one of
+ * its slots counts as free, so that no target is ruled out.
+ */
+export function freeCapacity(target: TargetState, now: Millis): number {
 	const slots = target.load?.slots ?? target.entry.slots
 	const reported = decayed((target.load?.running ?? 0) + (target.load?.waiting ?? 0), target, now)
 	const open = target.openAttempts.size + totalPeerWork(target, now).openRequests
-	return Math.max(1, slots - Math.max(reported, open))
+	return Math.max(1, slots - Math.max(reported, open)) / target.speed.slowdown(now)
 }
 
 function plainServiceMs(target: TargetState, plainMs: Millis, now: Millis): Millis {
