Speeds: share the speeds of targets between boxes

Each box measured the speed of each target on its own: at 600 requests per second, 75 boxes and 150 targets, a box gets an answer of a target every 19 s.

--- a/packages/core/src/lib/placement/TargetSpeed.ts
+++ b/packages/core/src/lib/placement/TargetSpeed.ts
@@ -20,6 +20,14 @@
 	readonly receivedAt: Millis
 }
 
+/** The current slowdown that a target stated. */
+interface SlowdownReport {
+	readonly factor: number
+	readonly at: Millis
+	/** The box from which this box heard it; undefined if the target stated it to this box. */
+	readonly heardFrom: BoxName | undefined
+}
+
 /** Weight of the newest sample in the slowdown of a target that does not report its own. */
 const SLOWDOWN_WEIGHT = 0.04
 /** Caps a single measurement: a request can be late because of the long prompts of other requests. */
@@ -32,6 +40,8 @@
  * second), short against the time for which a target stays degraded or replaced hardware stays in use (minutes).
  */
 const SAMPLE_HALF_LIFE_MS = 20_000
+/** Age at which factors from other boxes are dropped: by then, their samples have lost almost all of their weight. */
+const MAX_HEARD_AGE_MS = 6 * SAMPLE_HALF_LIFE_MS
 /** Number of samples that the initial factor of a target counts for. It matters only while there are few samples. */
 const INITIAL_SAMPLES = 1
 /** Bounds of a single sample: a queue unknown to this box can make a request late without the target being slow. */
@@ -52,7 +62,7 @@
 	private smoothedRatio = 1
 	private initialLasting: number | undefined
 	private hasReported = false
-	private report: { readonly factor: number; readonly at: Millis } | undefined
+	private report: SlowdownReport | undefined
 	private readonly returnRate = new ReturnRate()
 	/** Logarithms of the ratios that this box measured. */
 	private readonly own = new DecayingMean(SAMPLE_HALF_LIFE_MS)
@@ -86,13 +96,16 @@
 		return 1 + (this.report.factor - 1) * Math.exp(-this.returnRate.perMs * ageMs)
 	}
 
-	/** The last report unless it is older than `maxAgeMs`. */
+	/** The last report, unless it is older than `maxAgeMs` or was heard from a box that `includes` does not select. */
 	recentReport(
+		includes: (box: BoxName) => boolean,
 		maxAgeMs: Millis,
 		now: Millis,
 	): { readonly factor: number; readonly ageMs: Millis } | undefined {
 		if (!this.report || now - this.report.at > maxAgeMs) return undefined
-		return { factor: this.report.factor, ageMs: Math.max(0, now - this.report.at) }
+		const { factor, at, heardFrom } = this.report
+		if (heardFrom !== undefined && !includes(heardFrom)) return undefined
+		return { factor, ageMs: Math.max(0, now - at) }
 	}
 
 	/** Sets the lasting factor assumed until there are samples. */
@@ -109,12 +122,12 @@
 	}
 
 	/** Records the current slowdown that the target stated at `at`, to this box or another. Ignores an older one. */
-	noteReport(currentSlowdown: number, at: Millis): void {
+	noteReport(currentSlowdown: number, at: Millis, heardFrom?: BoxName): void {
 		this.hasReported = true
 		if (this.report && at < this.report.at) return
 		const factor = Math.min(MAX_REPORT, Math.max(MIN_REPORT, currentSlowdown))
 		if (this.report) this.returnRate.note(this.report.factor, factor, at - this.report.at)
-		this.report = { factor, at }
+		this.report = { factor, at, heardFrom }
 	}
 
 	/** Records a load report without a current slowdown: the target is not assumed to report it. */
@@ -138,6 +151,8 @@
 	/** Replaces the lasting factor that another box measured, with its number of samples. */
 	noteHeard(box: BoxName, lasting: number, samples: number, now: Millis): void {
 		this.hasReported = true
+		for (const [other, { receivedAt }] of this.heard)
+			if (now - receivedAt > MAX_HEARD_AGE_MS) this.heard.delete(other)
 		const bounded = Math.min(MAX_SAMPLE, Math.max(MIN_SAMPLE, lasting))
 		this.heard.set(box, { logLasting: Math.log(bounded), samples, receivedAt: now })
 		this.cached = undefined
--- a/packages/core/src/lib/placement/TargetSpeeds.ts
+++ b/packages/core/src/lib/placement/TargetSpeeds.ts
@@ -37,7 +37,7 @@
 		return this.known().map(({ entry, speed }) => ({
 			incarnation: incarnationOf(entry),
 			...speed.measured(includes, now),
-			current: speed.recentReport(MAX_CURRENT_AGE_MS, now),
+			current: speed.recentReport(includes, MAX_CURRENT_AGE_MS, now),
 		}))
 	}
 
@@ -48,7 +48,7 @@
 			const report = byIncarnation.get(incarnationOf(entry))
 			if (!report) continue
 			speed.noteHeard(box, report.lasting, report.samples, now)
-			if (report.current) speed.noteReport(report.current.factor, now - report.current.ageMs)
+			if (report.current) speed.noteReport(report.current.factor, now - report.current.ageMs, box)
 		}
 	}
 
--- a/packages/gateway/src/lib/Gateway.ts
+++ b/packages/gateway/src/lib/Gateway.ts
@@ -184,7 +184,7 @@
 			loopDelay: this.loopDelay,
 			configPrefix: options.storeLayout.configPrefix,
 			targetsPrefix: options.storeLayout.targetsPrefix,
-			parts: [],
+			parts: [this.sharing.speedSharing],
 			openRequests: () => this.openRequests,
 			isReady: () => this.isReady,
 		})
--- a/packages/gateway/src/lib/PeerSharing.ts
+++ b/packages/gateway/src/lib/PeerSharing.ts
@@ -8,6 +8,7 @@
 import { PeerDatagrams } from './PeerDatagrams.js'
 import { RateSharing } from './RateSharing.js'
 import type { TargetPools } from './TargetPools.js'
+import { SpeedSharing } from './speeds/SpeedSharing.js'
 import { WorkSharing } from './WorkSharing.js'
 
 export interface PeerSharingOptions {
@@ -20,12 +21,13 @@
 
 /**
  * Everything that boxes share by datagram: work in progress at targets, requests that crash targets, leaving
- * targets and the rates that targets advertise.
+ * targets, and the rates and speeds of targets.
  */
 export class PeerSharing {
 	readonly crashProtection: CrashProtection
 	readonly leavingSharing: LeavingTargetSharing
 	readonly rateSharing: RateSharing
+	readonly speedSharing: SpeedSharing
 	readonly workSharing: WorkSharing
 	private readonly datagrams = new PeerDatagrams()
 	private readonly address: ListenAddress
@@ -41,6 +43,16 @@
 			isHub: () => membership.isLarge && membership.isLender,
 			now: gateway.now,
 		})
+		this.speedSharing = new SpeedSharing({
+			datagrams,
+			box: gateway.box,
+			address: `${this.address.host}:${this.address.port}`,
+			registry,
+			peers: () => membership.workPeers,
+			isHub: () => membership.isLarge && membership.isLender,
+			metrics: gateway.metrics,
+			now: gateway.now,
+		})
 		this.crashProtection = new CrashProtection({
 			...gateway,
 			store,
@@ -68,11 +80,13 @@
 	async start(): Promise<void> {
 		await this.datagrams.start(this.address)
 		this.workSharing.start()
+		this.speedSharing.start()
 		this.crashProtection.start()
 	}
 
 	stop(): void {
 		this.workSharing.stop()
+		this.speedSharing.stop()
 		this.crashProtection.stop()
 		this.leavingSharing.stop()
 		this.rateSharing.stop()
