--- a/packages/core/src/lib/placement/placementCost.ts
+++ b/packages/core/src/lib/placement/placementCost.ts
@@ -1,6 +1,7 @@
 import type { TargetName, ZoneName } from '../ids.js'
 import type { PromptPart } from '../traffic/DeclaredWork.js'
 import type { Millis } from '../units.js'
+import type { SpeedEstimate } from './TargetSpeed.js'
 import type { PeerWork, TargetState } from './TargetState.js'
 
 /** Properties of a request that determine what it costs at a target. */
@@ -28,9 +29,11 @@
 	readonly expectedMs: Millis
 	/** Prompt tokens that the target has to process because they are not in its prefix cache. */
 	readonly prefillTokens: number
+	/** Undefined for a target that does not report its current slowdown. */
+	readonly speed?: SpeedEstimate
 }
 
-/** Prefill throughput of an engine of normal speed; `TargetState.slowdown` corrects it per target. */
+/** Prefill throughput of an engine of normal speed; `TargetSpeed` corrects it per target. */
 const PREFILL_TOKENS_PER_MS = 35
 /** Extra cost of processing shared prompt tokens again, as a multiple of their prefill time. */
 const REPEATED_PREFILL_WEIGHT = 3
@@ -68,7 +71,7 @@
 			? engineMs(target, prefillTokens, now)
 			: plainServiceMs(target, request.plainMs, now)
 	const coldFactor = target.coldUntil > now ? COLD_FACTOR : 1
-	const processing = expectedMs * target.slowdown * coldFactor
+	const processing = expectedMs * target.speed.slowdown(now) * coldFactor
 	const repeatedPrefill =
 		(REPEATED_PREFILL_WEIGHT * sharedPrefillTokens(request, prefillTokens)) / PREFILL_TOKENS_PER_MS
 	const failures =
@@ -77,7 +80,8 @@
 	const connection = request.hasIdleConnection(target.entry.name) ? 0 : NEW_CONNECTION_COST_MS
 	const ms =
 		processing + repeatedPrefill + failures + crossZone + connection + overdueMs(target, now)
-	return { ms, expectedMs, prefillTokens }
+	const speed = target.speed.estimate(now)
+	return speed ? { ms, expectedMs, prefillTokens, speed } : { ms, expectedMs, prefillTokens }
 }
 
 /** Delay of the most overdue first byte of a target, in ms. The target may be down, unreachable or hung. */
@@ -86,7 +90,8 @@
 	for (const attempt of target.openAttempts) {
 		if (attempt.hasFirstByte) continue
 		const since = Math.max(attempt.sentAt, target.lastByteAt)
-		const grace = OVERDUE_GRACE_MS + OVERDUE_FACTOR * attempt.expectedMs * target.slowdown
+		const grace =
+			OVERDUE_GRACE_MS + OVERDUE_FACTOR * attempt.expectedMs * target.speed.slowdown(now)
 		overdue = Math.max(overdue, now - since - grace)
 	}
 	return overdue
@@ -155,6 +160,17 @@
 	return now - work.receivedAt < MAX_PEER_WORK_AGE_MS
 }
 
+/**
+ * Free slots of a target of normal speed that do as much work in the same time as those of this target. At least one of
+ * its slots counts as free, so that no target is ruled out.
+ */
+export function freeCapacity(target: TargetState, now: Millis): number {
+	const slots = target.load?.slots ?? target.entry.slots
+	const reported = decayed((target.load?.running ?? 0) + (target.load?.waiting ?? 0), target, now)
+	const open = target.openAttempts.size + totalPeerWork(target, now).openRequests
+	return Math.max(1, slots - Math.max(reported, open)) / target.speed.slowdown(now)
+}
+
 function plainServiceMs(target: TargetState, plainMs: Millis, now: Millis): Millis {
 	const slots = Math.max(1, target.load?.slots ?? target.entry.slots)
 	const reported = decayed((target.load?.running ?? 0) + (target.load?.waiting ?? 0), target, now)
--- a/packages/gateway/src/lib/Gateway.ts
+++ b/packages/gateway/src/lib/Gateway.ts
@@ -204,7 +204,7 @@
 			loopDelay: this.loopDelay,
 			configPrefix: options.storeLayout.configPrefix,
 			targetsPrefix: options.storeLayout.targetsPrefix,
-			parts: presentOnly([this.boxLoad, this.context.memory, ...this.sharing.admission.parts]),
+			parts: presentOnly([this.boxLoad, this.context.memory, ...this.sharing.parts]),
 			openRequests: () => this.openRequests,
 			isReady: () => this.isReady,
 		})
--- a/packages/gateway/src/lib/PeerSharing.ts
+++ b/packages/gateway/src/lib/PeerSharing.ts
@@ -8,8 +8,10 @@
 import { LeavingTargetSharing } from './LeavingTargetSharing.js'
 import type { ListenAddress } from './listenOn.js'
 import { PeerDatagrams } from './PeerDatagrams.js'
+import type { ReportedPart } from './ReportedPart.js'
 import { RateSharing } from './RateSharing.js'
 import type { TargetPools } from './TargetPools.js'
+import { SpeedSharing } from './speeds/SpeedSharing.js'
 import { WorkSharing } from './WorkSharing.js'
 
 export interface PeerSharingOptions {
@@ -24,13 +26,14 @@
 
 /**
  * Everything that boxes share by datagram: work in progress at targets, requests that crash targets, leaving
- * targets, the rates that targets advertise, the load of boxes, and the demand for places of targets.
+ * targets, the rates and speeds of targets, the load of boxes, and the demand for places of targets.
  */
 export class PeerSharing {
 	readonly admission: Admission
 	readonly crashProtection: CrashProtection
 	readonly leavingSharing: LeavingTargetSharing
 	readonly rateSharing: RateSharing
+	readonly speedSharing: SpeedSharing
 	readonly workSharing: WorkSharing
 	private readonly datagrams = new PeerDatagrams()
 	private readonly address: ListenAddress
@@ -57,6 +60,16 @@
 			boxCount: () => membership.size,
 			peers: () => membership.otherAddresses,
 		})
+		this.speedSharing = new SpeedSharing({
+			datagrams,
+			box: gateway.box,
+			address: `${this.address.host}:${this.address.port}`,
+			registry,
+			peers: () => membership.workPeers,
+			isHub: () => membership.isLarge && membership.isLender,
+			metrics: gateway.metrics,
+			now: gateway.now,
+		})
 		this.crashProtection = new CrashProtection({
 			...gateway,
 			store,
@@ -82,9 +95,15 @@
 		boxLoad?.useDatagrams(datagrams)
 	}
 
+	/** The parts that operators see. */
+	get parts(): readonly ReportedPart[] {
+		return [...this.admission.parts, this.speedSharing]
+	}
+
 	async start(): Promise<void> {
 		await this.datagrams.start(this.address)
 		this.workSharing.start()
+		this.speedSharing.start()
 		this.crashProtection.start()
 		this.boxLoad?.start()
 		this.admission.start()
@@ -93,6 +112,7 @@
 	stop(): void {
 		this.boxLoad?.stop()
 		this.workSharing.stop()
+		this.speedSharing.stop()
 		this.crashProtection.stop()
 		this.leavingSharing.stop()
 		this.rateSharing.stop()
