--- a/packages/core/src/lib/placement/TargetSpeeds.test.ts
+++ b/packages/core/src/lib/placement/TargetSpeeds.test.ts
@@ -1,8 +1,9 @@
 import * as fc from 'fast-check'
 import { describe, expect, it } from 'vitest'
-import { brandId, type TargetName, type ZoneName } from '../ids.js'
+import { brandId, type BoxName, type TargetName, type ZoneName } from '../ids.js'
 import { seededRandom } from '../testRandom.js'
 import type { AttemptHandle } from './AttemptHandle.js'
+import type { TargetIncarnation } from './TargetIncarnation.js'
 import { TargetRegistry } from './TargetRegistry.js'
 import type { TargetLoad } from './TargetEntry.js'
 import { SERVICE, entry, query } from './testEntries.js'
@@ -41,6 +42,16 @@
 	handle.end('good', now + tookMs)
 }
 
+/** Another box has a little work at each target. */
+function noteOtherBox(registry: TargetRegistry, names: readonly string[]): void {
+	const rows = names.map((name) => ({
+		incarnation: brandId<TargetIncarnation>(name),
+		prefillTokens: 0,
+		openRequests: 1,
+	}))
+	registry.notePeerWork(brandId<BoxName>('other'), rows, 0)
+}
+
 function lastingOf(registry: TargetRegistry, name: string, now: number): number | undefined {
 	return registry.speeds.slowest(20, now).find(({ target }) => target === name)?.lasting
 }
@@ -138,6 +149,7 @@
 		run(registry, 'a', 0, EXPECTED_MS, 1)
 		run(registry, 'bb', 0, EXPECTED_MS, 1)
 		run(registry, 'ccc', 0, 4 * EXPECTED_MS, 4)
+		noteOtherBox(registry, ['a', 'bb', 'ccc'])
 		const random = seededRandom(3)
 		const counts: Record<string, number> = {}
 		for (let i = 0; i < 1_000; i++) {
@@ -149,10 +161,24 @@
 		expect(counts['ccc'] ?? 0).toBeLessThan(50)
 	})
 
+	it('let a box without others use the cheapest target, because it knows all work', () => {
+		const registry = registryOf('a', 'bb', 'ccc')
+		for (const name of ['a', 'bb', 'ccc']) run(registry, name, 0, EXPECTED_MS, 1)
+		const random = seededRandom(3)
+		const opened = new Set<string>()
+		for (let i = 0; i < 3; i++) {
+			const placement = registry.choose(query({ work: WORK, random }), 500)
+			opened.add(placement!.target.name)
+			registry.beginAttempt(placement!, WORK, 500)
+		}
+		expect(opened.size).toBe(3)
+	})
+
 	it('are measured again at a target that no box has measured recently, by few requests', () => {
 		const registry = registryOf('a', 'bb')
 		run(registry, 'bb', 0, 2 * EXPECTED_MS, 1)
 		for (let i = 0; i < 40; i++) run(registry, 'a', i * 1_000, EXPECTED_MS, 1)
+		noteOtherBox(registry, ['a', 'bb'])
 		const random = seededRandom(5)
 		let measuring = 0
 		for (let i = 0; i < 10_000; i++)
--- a/packages/core/src/lib/placement/chooseCandidate.ts
+++ b/packages/core/src/lib/placement/chooseCandidate.ts
@@ -14,6 +14,11 @@
 	readonly cost: PlacementCost
 }
 
+interface WeightedCandidate extends Candidate {
+	/** See {@link freeCapacity}. */
+	readonly capacity: number
+}
+
 /**
  * Number of targets that are compared in each group; of small groups, half of the targets but at least two. All boxes see about the same reports: if each compared all targets,
  * they would send to the same one until the next reports (`unevenTargetsSimulation.test.ts`). Three are enough to find
@@ -21,10 +26,13 @@
  */
 const SAMPLE_SIZE = 3
 /**
- * Targets in another zone are used if those of the own zone cost more than this multiple. Traffic between zones is
+ * Targets in another zone are used if those of the own zone cost more than this multiple, or
+ * {@link MAX_OWN_ZONE_DELAY_MS} more. Traffic between zones is
  * expensive, and expected times of two targets often differ by half although both zones have about the same load.
  */
 const MIN_CROSS_ZONE_RATIO = 2
+/** Maximum expected delay by which the own zone is preferred, in ms: a fraction of usual latency goals. */
+const MAX_OWN_ZONE_DELAY_MS = 150
 /** Targets with at most this multiple of the fewest prompt tokens to process count as having the prompt cached. */
 const CACHED_TOLERANCE = 1.05
 /** Fraction of requests that may go to a target only in order to measure it again. */
@@ -63,44 +71,53 @@
 }
 
 function cheapestOfSamples(
-	candidates: readonly Candidate[],
+	compared: readonly Candidate[],
 	zone: ZoneName,
 	random: () => number,
 	now: Millis,
 ): Candidate | undefined {
+	const candidates = compared.map(({ state, cost }) => ({
+		state,
+		cost,
+		capacity: freeCapacity(state, now),
+	}))
 	const fewestTokens = Math.min(...candidates.map(({ cost }) => cost.prefillTokens))
 	const cached = candidates.filter(
 		({ cost }) => cost.prefillTokens <= CACHED_TOLERANCE * fewestTokens,
 	)
 	// Few targets have the prompt cached, so a sample of all targets would miss them.
 	const groups = cached.length < candidates.length ? [candidates, cached] : [candidates]
+	// A box without others knows all work, so it can compare all targets.
+	const isAlone = candidates.every(({ state }) => state.peerWork.size === 0)
 	const inZone = (isOwn: boolean): Candidate | undefined =>
 		cheapestOf(
 			groups.flatMap((group) =>
 				sampleOf(
 					group.filter(({ state }) => (state.entry.zone === zone) === isOwn),
+					isAlone,
 					random,
-					now,
 				),
 			),
 		)
 	const own = inZone(true)
 	const other = inZone(false)
 	if (!own || !other) return own ?? other
-	return MIN_CROSS_ZONE_RATIO * other.cost.ms < own.cost.ms ? other : own
+	const maxDelayMs = Math.min(MAX_OWN_ZONE_DELAY_MS, (MIN_CROSS_ZONE_RATIO - 1) * other.cost.ms)
+	return own.cost.ms - other.cost.ms > maxDelayMs ? other : own
 }
 
 /** Draws different candidates in proportion to their free capacity. */
 function sampleOf(
-	candidates: readonly Candidate[],
+	candidates: readonly WeightedCandidate[],
+	isAlone: boolean,
 	random: () => number,
-	now: Millis,
 ): readonly Candidate[] {
+	if (isAlone) return candidates
 	const size = Math.min(
 		candidates.length,
 		Math.max(2, Math.min(SAMPLE_SIZE, candidates.length / 2)),
 	)
-	const capacities = candidates.map(({ state }) => freeCapacity(state, now))
+	const capacities = candidates.map(({ capacity }) => capacity)
 	const sample: Candidate[] = []
 	while (sample.length < size) {
 		let rest = random() * capacities.reduce((sum, capacity) => sum + capacity, 0)
--- a/packages/core/src/lib/placement/unevenTargetsSimulation.ts
+++ b/packages/core/src/lib/placement/unevenTargetsSimulation.ts
@@ -185,7 +185,9 @@
 				prefillTokens: sum.prefillTokens - (ownRows.get(name)?.prefillTokens ?? 0),
 				openRequests: sum.openRequests - (ownRows.get(name)?.openRequests ?? 0),
 			}))
-			registry.notePeerWork(FLEET, rows, this.now)
+			// As the boxes do, reports only targets where others have work.
+			const ofOthers = rows.filter(({ openRequests }) => openRequests > 0)
+			registry.notePeerWork(FLEET, ofOthers, this.now)
 		})
 	}
 
