Break off streams whose event grows without end; tests of targets that never read a body

An incomplete event was kept without a bound. The test with a target that never reads passed only when the target happened to be chosen; requests now arrive together, so that all targets are used.

--- a/packages/core/src/lib/stream/EventSplitter.ts
+++ b/packages/core/src/lib/stream/EventSplitter.ts
@@ -18,6 +18,11 @@
 		return this.partialEvent.length > 0
 	}
 
+	/** Buffered bytes of an incomplete event. */
+	get partialBytes(): number {
+		return this.partialEvent.length
+	}
+
 	/** Adds a chunk and returns the events that it completes. */
 	push(chunk: Buffer): StreamEvent[] {
 		const bytes = this.partialEvent.length === 0 ? chunk : Buffer.concat([this.partialEvent, chunk])
--- a/packages/gateway/src/lib/Attempt.ts
+++ b/packages/gateway/src/lib/Attempt.ts
@@ -52,6 +52,8 @@
 
 const EVENT_STREAM_TYPE = 'text/event-stream'
 const MAX_BUFFERED_RESPONSE_BYTES = 16 * 1024 * 1024
+/** Where memory is bounded, an incomplete event must not grow further. Events of this size are not expected. */
+const MAX_EVENT_BYTES = 1024 * 1024
 const MIN_FIRST_BYTE_TIMEOUT_MS = 150
 const MIN_STREAM_FIRST_BYTE_TIMEOUT_MS = 800
 const IDLE_TIMEOUT_MS = 1_000
@@ -249,6 +251,10 @@
 			isWritable = this.responseWriter.sendEvent(event)
 		}
 		const { memory } = this.responseWriter
+		if (memory && splitter.partialBytes > MAX_EVENT_BYTES) {
+			this.abort('event too large')
+			return
+		}
 		if (isWritable || memory?.isCallerGone) return
 		this.pause()
 		memory?.notePaused(() => this.resume())
--- a/packages/gateway/src/lib/memory/slowCallers.test.ts
+++ b/packages/gateway/src/lib/memory/slowCallers.test.ts
@@ -21,6 +21,8 @@
 /** Answer that is larger than what the kernel takes on loopback, about 4 MB. */
 const SLOW_ANSWER = Buffer.alloc(5 * MEGABYTE, 'x')
 const MAX_BODY_BYTES = 2 * MEGABYTE
+/** Body that is larger than what the kernel takes on loopback. */
+const UNREAD_BODY_BYTES = 8 * MEGABYTE
 const EVENT = `data: ${'x'.repeat(4_000)}\n\n`
 /** Time for which a stalled caller is left, with the intervals at which it is checked, in ms. */
 const CUT_OFF_MS = 7_000
@@ -35,12 +37,13 @@
 	const openStreams = new Set<ServerResponse>()
 
 	beforeAll(async () => {
-		configureWithBodies(box, MAX_BODY_BYTES)
+		configureWithBodies(box, UNREAD_BODY_BYTES)
 		await box.start()
 		const handler: TargetHandler = (message, response, body) => {
 			if (message.url?.includes('large')) response.end(LARGE_ANSWER)
 			else if (message.url?.includes('slow')) response.end(SLOW_ANSWER)
 			else if (message.url?.includes('unframed')) sendUnframed(response)
+			else if (message.url?.includes('unended')) sendUnended(response)
 			else if (message.url?.startsWith('/stream/')) streamEvents(response, openStreams, Infinity)
 			else if (message.url?.startsWith('/once/')) streamEvents(response, openStreams, 4_000)
 			else response.end(`read ${body.length}`)
@@ -174,6 +177,15 @@
 		expect(openStreams.size).toBe(0)
 	})
 
+	it('breaks off a stream whose event grows without end', async () => {
+		const answer = await box.sendRequest('/stream/unended', { id: 'unended' })
+		expect(answer.isComplete).toBe(false)
+		const end = box.logEvents.find(
+			({ name, fields }) => name === 'attempt-ended' && fields['request'] === 'unended',
+		)
+		expect(end?.fields['cause']).toBe('event too large')
+	})
+
 	it('ends a response without framing with a reset if it cannot be completed', async () => {
 		const [caller] = await callersOf('/stream/unframed', 1)
 		caller?.socket.resume()
@@ -187,18 +199,44 @@
 		box.listTarget('t-deaf', deaf.address, false)
 		await sleep(300)
 		const body = 'x'.repeat(MAX_BODY_BYTES)
+		const failedCount = (): number =>
+			box.logEvents.filter(
+				({ name, fields }) => name === 'attempt-ended' && fields['target'] === 't-deaf',
+			).length
+		// Requests that arrive together use all targets.
+		const answers = await Promise.all(
+			Array.from({ length: 9 }, (_, index) =>
+				box.sendRequest('/again/body', { id: `d-${index}`, body }),
+			),
+		)
+		expect(answers.map((answer) => answer.status)).toEqual(answers.map(() => 200))
+		const failedBefore = failedCount()
+		expect(failedBefore).toBeGreaterThan(0)
 		for (let index = 0; index < 6; index++) {
-			const answer = await box.sendRequest('/again/body', { id: `d-${index}`, body })
+			const answer = await box.sendRequest('/again/body', { id: `e-${index}`, body })
 			expect(answer.status).toBe(200)
 		}
-		const failed = box.logEvents.filter(
-			({ name, fields }) => name === 'attempt-ended' && fields['target'] === 't-deaf',
-		)
-		expect(failed.length).toBeGreaterThan(0)
-		expect(failed.length).toBeLessThan(6)
+		expect(failedCount() - failedBefore).toBeLessThan(6)
 		expect(status().heldBytes).toMatchObject({ bodies: 0, retries: 0 })
 		deaf.close()
 	})
+
+	it('fails a request that must not be repeated if its body is never read', async () => {
+		const deaf = await startDeafTarget()
+		for (const name of ['t-1', 't-2', 't-deaf']) box.listTarget(name, deaf.address, true)
+		box.listTarget('t-only', deaf.address, false)
+		await sleep(300)
+		const body = 'x'.repeat(UNREAD_BODY_BYTES)
+		const startedAt = performance.now()
+		const answer = await box.sendRequest('/once/body', { id: 'once-deaf', body })
+		expect(answer.status).toBe(502)
+		expect(performance.now() - startedAt).toBeLessThan(CUT_OFF_MS)
+		const attempts = box.logEvents.filter(
+			({ name, fields }) => name === 'attempt-ended' && fields['request'] === 'once-deaf',
+		)
+		expect(attempts.map(({ fields }) => fields['cause'])).toEqual(['body not read'])
+		deaf.close()
+	})
 })
 
 /** Sends `count` events as fast as they are taken, until the connection is closed. */
@@ -215,6 +253,12 @@
 	sendNext()
 }
 
+/** Sends an event that does not end. */
+function sendUnended(response: ServerResponse): void {
+	response.writeHead(200, { 'content-type': 'text/event-stream' })
+	response.write(`data: 1\n\ndata: ${'x'.repeat(2 * MEGABYTE)}`)
+}
+
 /** Begins a stream that is delimited by the end of the connection, and resets the connection. */
 function sendUnframed(response: ServerResponse): void {
 	response.useChunkedEncodingByDefault = false
