Admission: accounts at their usual rate keep their places in large fleets, and with old reports

Urgent requests, and those of accounts that bring no more than usual, may now start ahead of the credit of the box, as far as other work of the fleet can wait. The weight of an account no longer counts the last 10 to 15 s, so a burst does not raise it.

--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -255,20 +255,24 @@
 } from './lib/traffic/TrafficConfig.js'
 export { allowsRegion, type AllowedRegions } from './lib/traffic/allowsRegion.js'
 export { TrafficIndex } from './lib/traffic/TrafficIndex.js'
-export { shedFraction, shedFractionByRank, type ShedCandidate } from './lib/overload/shedFraction.js'
+export {
+	shedFraction,
+	shedFractionByRank,
+	type ShedCandidate,
+} from './lib/overload/shedFraction.js'
 export {
 	type BalanceDecision,
 	type BalanceReason,
 	type BoxLoad,
 	type PeerBoxLoad,
 } from './lib/balance/BoxLoad.js'
+export { ServiceAdmission } from './lib/admission/ServiceAdmission.js'
 export {
-	ServiceAdmission,
 	type AdmissionDecision,
 	type AdmissionStatus,
 	type AdmissionStep,
 	type ServiceAdmissionOptions,
-} from './lib/admission/ServiceAdmission.js'
+} from './lib/admission/AdmissionDecision.js'
 export { type BoxDemand, type RankDemand } from './lib/admission/PlaceShare.js'
 export { type PlaceUse } from './lib/admission/PlaceUse.js'
 export { type QueuePolicy } from './lib/admission/ServiceQueue.js'
--- a/packages/core/src/lib/admission/FairQueue.ts
+++ b/packages/core/src/lib/admission/FairQueue.ts
@@ -62,11 +62,16 @@
 		return true
 	}
 
+	/** The item that is served next. */
+	first(): Item | undefined {
+		const flow = this.nextFlow()
+		return flow?.returning.first() ?? flow?.others.first()
+	}
+
 	/** Removes the item that is served next. */
 	take(): Item | undefined {
-		let next: Flow<Item> | undefined
-		for (const flow of this.flows.values()) if (!next || flow.startTag < next.startTag) next = flow
-		const item = next && (next.returning.first() ?? next.others.first())
+		const next = this.nextFlow()
+		const item = next?.returning.first() ?? next?.others.first()
 		if (!next || !item) return undefined
 		this.virtualTime = next.startTag
 		next.startTag += item.workMs / next.weight
@@ -103,6 +108,12 @@
 		return aheadMs
 	}
 
+	private nextFlow(): Flow<Item> | undefined {
+		let next: Flow<Item> | undefined
+		for (const flow of this.flows.values()) if (!next || flow.startTag < next.startTag) next = flow
+		return next
+	}
+
 	private flowOf(account: string): Flow<Item> {
 		const known = this.flows.get(account)
 		if (known) return known
--- a/packages/core/src/lib/admission/PlaceShare.ts
+++ b/packages/core/src/lib/admission/PlaceShare.ts
@@ -26,6 +26,8 @@
 /** Fraction of the places that is divided by usual work first, so that no box is left without a share. */
 const BASE_FRACTION = 0.1
 const MIN_WEIGHT = 1e-6
+/** Multiple of its usual work from which a box brings more than usual. Below, it can be chance. */
+const EXCESS_FACTOR = 1.5
 
 /**
  * Divides the places of a service among boxes: the most urgent rank first, within a rank by usual work, and what a box
@@ -55,14 +57,43 @@
 	/** Fraction of the places for a box with the demand `own`; undefined if no other box has ever reported. */
 	of(own: BoxDemand, placeWorkPerMs: number, now: Millis): number | undefined {
 		if (!this.hearsPeers(now)) return this.lastShare
+		this.lastShare = shareOfFirst(this.demands(own, now), placeWorkPerMs)
+		return this.lastShare
+	}
+
+	/** The demand `own` of this box, and the recent ones of the others. */
+	demands(own: BoxDemand, now: Millis): readonly BoxDemand[] {
 		const demands = [own]
 		for (const [box, { demand, receivedAt }] of this.peers) {
 			if (now - receivedAt < MAX_DEMAND_AGE_MS) demands.push(demand)
-			else this.peers.delete(box)
+			else if (this.hearsPeers(now)) this.peers.delete(box)
 		}
-		this.lastShare = shareOfFirst(demands, placeWorkPerMs)
-		return this.lastShare
+		return demands
+	}
+}
+
+/**
+ * Fraction of the work at the given boxes that can wait for a request of the rank: what is less urgent, and unless
+ * `isExcess`, what boxes bring beyond their usual work.
+ */
+export function deferrableFraction(
+	boxes: readonly BoxDemand[],
+	rank: number,
+	isExcess: boolean,
+): number {
+	let total = 0
+	let deferrable = 0
+	for (const { ranks, usualWorkPerMs } of boxes) {
+		let work = 0
+		for (const demand of ranks) {
+			work += demand.workPerMs
+			if (demand.rank > rank) deferrable += demand.workPerMs
+		}
+		total += work
+		if (!isExcess && usualWorkPerMs > 0)
+			deferrable += Math.max(0, work - EXCESS_FACTOR * usualWorkPerMs)
 	}
+	return total > 0 ? Math.min(1, deferrable / total) : 0
 }
 
 /** Fraction of the places for the first of the boxes. */
--- a/packages/core/src/lib/admission/PlaceUse.ts
+++ b/packages/core/src/lib/admission/PlaceUse.ts
@@ -11,7 +11,9 @@
 	readonly own: number
 	/** Requests of other boxes at the targets, according to their recent reports. */
 	readonly peers: number
-	/** Age of the reports of other boxes, in ms. */
+	/** Mean age of the reports of the targets, in ms. */
+	readonly reportedAgeMs: number
+	/** Mean age of the reports of other boxes, in ms. */
 	readonly peersAgeMs: number
 	/** True if the targets or other boxes have reported recently, so that the use is known. */
 	readonly isKnown: boolean
@@ -23,6 +25,7 @@
 	reported: 0,
 	own: 0,
 	peers: 0,
+	reportedAgeMs: 0,
 	peersAgeMs: 0,
 	isKnown: false,
 }
--- a/packages/core/src/lib/admission/ServiceAdmission.test.ts
+++ b/packages/core/src/lib/admission/ServiceAdmission.test.ts
@@ -7,7 +7,16 @@
 const ADMITTED: AdmissionOutcome = { kind: 'admitted', waitedMs: 0 }
 
 function use(places: number, own: number, changes: Partial<PlaceUse> = {}): PlaceUse {
-	return { places, own, reported: 0, peers: 0, peersAgeMs: 0, isKnown: true, ...changes }
+	return {
+		places,
+		own,
+		reported: 0,
+		peers: 0,
+		reportedAgeMs: 0,
+		peersAgeMs: 0,
+		isKnown: true,
+		...changes,
+	}
 }
 
 function newAdmission(boxCount = 1, maxWaiting = 100): ServiceAdmission {
--- a/packages/core/src/lib/admission/ServiceAdmission.ts
+++ b/packages/core/src/lib/admission/ServiceAdmission.ts
@@ -1,56 +1,24 @@
 import type { Millis } from '../units.js'
+import { AccountRefusals } from './AccountRefusals.js'
+import type {
+	AdmissionDecision,
+	AdmissionStatus,
+	AdmissionStep,
+	ServiceAdmissionOptions,
+} from './AdmissionDecision.js'
 import type {
 	AdmissionOutcome,
 	AdmissionRefusalReason,
 	AdmissionRequest,
 } from './AdmissionRequest.js'
 import { DecayingSum } from './DecayingSum.js'
-import { PlaceShare, type BoxDemand } from './PlaceShare.js'
-import { NO_PLACE_USE, type PlaceUse } from './PlaceUse.js'
+import { KnownUse } from './KnownUse.js'
+import { PlaceShare, deferrableFraction, type BoxDemand } from './PlaceShare.js'
+import type { PlaceUse } from './PlaceUse.js'
 import { RefusedRequests } from './RefusedRequests.js'
-import { ServiceQueue, type QueuePolicy, type WaitingRequest } from './ServiceQueue.js'
+import { ServiceQueue, type WaitingRequest } from './ServiceQueue.js'
 import { StartPredictor } from './StartPredictor.js'
 
-/** @public */
-export interface ServiceAdmissionOptions {
-	readonly random: () => number
-	/** Number of boxes that share the targets. */
-	readonly boxCount: () => number
-	readonly maxWaiting?: number
-	readonly policy?: QueuePolicy
-}
-
-/** A request that waited has got its outcome. @public */
-export interface AdmissionDecision {
-	/** The one that {@link ServiceAdmission.enter} returned. */
-	readonly ticket: number
-	readonly request: AdmissionRequest
-	readonly outcome: AdmissionOutcome
-	readonly waitedMs: Millis
-}
-
-/** Result of {@link ServiceAdmission.enter}. @public */
-export interface AdmissionStep {
-	/** Identifies the request at this box. */
-	readonly ticket: number
-	/** Undefined while the request waits. */
-	readonly outcome: AdmissionOutcome | undefined
-	/** A less urgent request that gave way. */
-	readonly displaced: AdmissionDecision | undefined
-}
-
-/** State of the admission to a service, for operators. @public */
-export interface AdmissionStatus {
-	readonly places: number
-	readonly inUse: number
-	/** Fraction of the places that this box may use while requests wait. */
-	readonly share: number
-	/** Waiting requests by rank. */
-	readonly waiting: ReadonlyMap<number, number>
-	/** Accounts with the most refused requests in the last seconds. */
-	readonly heldAccounts: readonly string[]
-}
-
 /**
  * Requests that wait at one box for one service. More than any box can start within a latency goal, and small enough that
  * the bodies of waiting requests fit into the memory of a small box.
@@ -71,13 +39,15 @@
  */
 const CORRECTION_PER_AGE = 2
 /** Time for which the demand of a box is averaged. */
-const DEMAND_MS: Millis = 1_000
+const DEMAND_MS: Millis = 2_000
 /** Largest number of requests that a box may start at once after a pause in which none was ready. */
 const MAX_CREDIT = 0.5
+/** Requests of the most urgent rank that may start before the credit allows it. */
+const MAX_OVERDRAFT = 4
 /** Longest time for which credit is collected at the present rate. */
 const MAX_CREDIT_MS: Millis = 500
 /** Time for which the share of the box is kept before it is computed again. */
-const SHARE_MAX_AGE_MS: Millis = 50
+const SHARE_MAX_AGE_MS: Millis = 200
 /** Most random time added to the time after which a refused caller should return, as a fraction of it. */
 const RETURN_JITTER = 0.25
 /** Bounds of the time after which a refused caller should return: callers do not return sooner or wait longer. */
@@ -85,8 +55,6 @@
 const MAX_RETURN_MS: Millis = 2_000
 /** Avoids a division by zero. */
 const MIN_WORK_PER_MS = 1e-6
-const MAX_HELD_ACCOUNTS = 10
-const HELD_ACCOUNT_MS: Millis = 5_000
 
 interface HeldPlace {
 	readonly since: Millis
@@ -106,15 +74,16 @@
 	private readonly held = new Map<number, HeldPlace>()
 	private lastTicket = 0
 	private readonly demand = new Map<number, DecayingSum>()
-	private readonly refusalsByAccount = new Map<string, DecayingSum>()
-	private use: PlaceUse = NO_PLACE_USE
-	/** Places that this box took since {@link use} was measured, less those that it released. */
-	private ownChange = 0
+	private readonly refusals = new AccountRefusals()
+	private readonly use = new KnownUse()
 	/** Requests that may start now, in fractions of a request. */
 	private credit = 0
 	private creditAt: Millis = 0
 	private lastShare = 1
 	private shareAt: Millis = Number.NEGATIVE_INFINITY
+	/** Recent results of {@link deferrableInFleet}; negative keys are for accounts that bring more than usual. */
+	private readonly deferrable = new Map<number, number>()
+	private deferrableAt: Millis = Number.NEGATIVE_INFINITY
 	private lastWaitAt: Millis = Number.NEGATIVE_INFINITY
 	private isStopped = false
 
@@ -134,13 +103,12 @@
 
 	/** True if at least half of the places are free, or the use of the places is not known. */
 	get isUncontended(): boolean {
-		return this.queue.size === 0 && (!this.use.isKnown || this.inUse * 2 <= this.use.places)
+		return this.queue.size === 0 && (!this.use.isKnown || this.use.inUse * 2 <= this.use.places)
 	}
 
 	/** Records the measured use of the places. */
 	noteUse(use: PlaceUse): void {
-		this.use = use
-		this.ownChange = 0
+		this.use.set(use)
 	}
 
 	enter(request: AdmissionRequest, now: Millis): AdmissionStep {
@@ -157,7 +125,7 @@
 			return { ticket, outcome: { kind: 'admitted', waitedMs: 0 }, displaced: undefined }
 		}
 		this.lastWaitAt = now
-		if (this.startsOnCredit(now)) {
+		if (this.startsOnCredit(arrival, now)) {
 			this.queue.noteServed(arrival.rank, now)
 			this.hold(ticket, arrival, now)
 			return { ticket, outcome: { kind: 'admitted', waitedMs: 0 }, displaced: undefined }
@@ -183,7 +151,7 @@
 			return undefined
 		}
 		this.held.delete(ticket)
-		this.ownChange--
+		this.use.noteReleased()
 		const heldMs = now - place.since
 		this.predictor.noteEnd(heldMs, place.expectedMs, now)
 		return heldMs
@@ -197,8 +165,8 @@
 			.takeExpired(now)
 			.map((waiting) => this.refuseWaiting(waiting, 'cannot-start-in-time', now))
 		this.updateCredit(now)
-		while (this.queue.size > 0 && this.mayStart(now)) {
-			const waiting = this.queue.take(now)
+		for (;;) {
+			const waiting = this.takeNext(now)
 			if (!waiting) break
 			this.credit--
 			this.hold(waiting.ticket, waiting.request, now)
@@ -226,31 +194,18 @@
 	}
 
 	status(now: Millis): AdmissionStatus {
-		const held = [...this.refusalsByAccount]
-			.map(([account, sum]) => ({ account, recent: sum.value(now) }))
-			.filter(({ recent }) => recent >= 1)
-			.sort((a, b) => b.recent - a.recent)
 		return {
 			places: this.use.places,
-			inUse: this.inUse,
+			inUse: this.use.inUse,
 			share: this.shareNow(now),
 			waiting: this.queue.sizesByRank(),
-			heldAccounts: held.slice(0, MAX_HELD_ACCOUNTS).map(({ account }) => account),
+			heldAccounts: this.refusals.mostRefused(now),
 		}
 	}
 
-	private get ownPlaces(): number {
-		return Math.max(0, this.use.own + this.ownChange)
-	}
-
-	private get inUse(): number {
-		const { reported, peers } = this.use
-		return Math.max(reported + Math.max(0, this.ownChange), this.ownPlaces + peers)
-	}
-
 	/** A box that does not know the use lets requests pass: holding them could leave places idle. */
 	private canPass(now: Millis): boolean {
-		if (!this.isUseKnown) return true
+		if (!this.use.isKnown) return true
 		const used = this.usedPlaces(now)
 		if (used * 2 <= this.use.places) return true
 		return this.queue.size === 0 && used < this.use.places
@@ -259,29 +214,58 @@
 	/** Places in use; a box that hears no other box assumes that the others use their shares as it does. */
 	private usedPlaces(now: Millis): number {
 		if (this.use.peers > 0 || !this.share.hasHeardPeers || this.share.hearsPeers(now))
-			return this.inUse
-		return Math.max(this.inUse, this.ownPlaces / Math.max(0.001, this.shareNow(now)))
+			return this.use.inUse
+		return Math.max(this.use.inUse, this.use.own / Math.max(0.001, this.shareNow(now)))
 	}
 
 	/** True if no request waits and the share of this box allows one more. */
-	private startsOnCredit(now: Millis): boolean {
+	private startsOnCredit(request: AdmissionRequest, now: Millis): boolean {
 		this.updateCredit(now)
-		if (this.queue.size > 0 || !this.mayStart(now)) return false
+		if (this.queue.size > 0 || !this.mayStart(this.overdraftOf(request, now), now)) return false
 		this.credit--
 		return true
 	}
 
-	private get isUseKnown(): boolean {
-		return this.use.isKnown && this.use.places > 0
+	private takeNext(now: Millis): WaitingRequest | undefined {
+		const next = this.queue.next(now)
+		if (!next || !this.mayStart(this.overdraftOf(next, now), now)) return undefined
+		return this.queue.take(now)
+	}
+
+	/**
+	 * Requests that may start before the credit allows it. In a large fleet a box starts few requests a second, so an
+	 * urgent one would wait long for the next. Requests that are less urgent, or of an account that brings more than usual,
+	 * wait for the credit instead.
+	 */
+	private overdraftOf(request: AdmissionRequest, now: Millis): number {
+		if (request.isRetry) return 0
+		const isExcess = this.queue.isExcess(request, now)
+		const inFleet = this.deferrableInFleet(request.rank, isExcess, now)
+		return MAX_OVERDRAFT * Math.max(inFleet, this.queue.deferrableFraction(request, now))
+	}
+
+	private deferrableInFleet(rank: number, isExcess: boolean, now: Millis): number {
+		if (now - this.deferrableAt >= SHARE_MAX_AGE_MS) {
+			this.deferrableAt = now
+			this.deferrable.clear()
+		}
+		const key = isExcess ? -1 - rank : rank
+		let fraction = this.deferrable.get(key)
+		if (fraction === undefined) {
+			const demands = this.share.demands(this.boxDemand(now), now)
+			fraction = deferrableFraction(demands, rank, isExcess)
+			this.deferrable.set(key, fraction)
+		}
+		return fraction
 	}
 
-	private mayStart(now: Millis): boolean {
-		if (!this.isUseKnown) return true
+	private mayStart(overdraft: number, now: Millis): boolean {
+		if (!this.use.isKnown) return true
 		const used = this.usedPlaces(now)
 		if (used * 2 <= this.use.places) return true
-		if (this.credit <= 0) return false
-		// With reports of others, the credit alone keeps the mean: their age makes the use vary around it.
-		return this.use.peers > 0 || used < this.use.places + this.surplus(now)
+		if (this.credit + overdraft <= 0) return false
+		// Only a box on its own knows the use exactly. On old reports, a bound would stop boxes that wait for newer ones.
+		return this.options.boxCount() > 1 || used < this.use.places + this.surplus(now)
 	}
 
 	private shareNow(now: Millis): number {
@@ -312,14 +296,14 @@
 		const surplus = this.surplus(now)
 		// Without the bound, requests that hang would count as places that become free.
 		const releases = this.predictor.releasesPerMs(Math.min(used, places + surplus), now)
-		const correctionMs = Math.max(CORRECTION_MS, CORRECTION_PER_AGE * this.use.peersAgeMs)
+		const correctionMs = Math.max(CORRECTION_MS, CORRECTION_PER_AGE * this.use.ageMs)
 		const correction = (places + surplus - used) / correctionMs
 		return Math.max(0, releases + correction) * this.shareNow(now)
 	}
 
 	/** Requests kept at the targets beyond their places. */
 	private surplus(now: Millis): number {
-		const surplusMs = Math.min(MAX_SURPLUS_MS, MIN_SURPLUS_MS + this.use.peersAgeMs)
+		const surplusMs = Math.min(MAX_SURPLUS_MS, MIN_SURPLUS_MS + this.use.ageMs)
 		return this.predictor.releasesPerMs(this.use.places, now) * surplusMs
 	}
 
@@ -332,13 +316,14 @@
 	/** Time until a new request would start. */
 	private predictWaitMs(request: AdmissionRequest, now: Millis): Millis {
 		const workPerMs = Math.max(MIN_WORK_PER_MS, this.workPerMs(now) * this.shareNow(now))
-		const nextStartMs = Math.max(0, -this.credit) * this.predictor.meanExpectedMs(now)
+		const missing = Math.max(0, -this.credit - this.overdraftOf(request, now))
+		const nextStartMs = missing * this.predictor.meanExpectedMs(now)
 		return nextStartMs / workPerMs + this.queue.waitMs(request, workPerMs, now)
 	}
 
 	private hold(ticket: number, request: AdmissionRequest, now: Millis): void {
 		this.held.set(ticket, { since: now, expectedMs: request.expectedWorkMs })
-		this.ownChange++
+		this.use.noteTaken()
 	}
 
 	private noteDemand(request: AdmissionRequest, now: Millis): void {
@@ -377,18 +362,8 @@
 		const availableInMs = Math.min(MAX_RETURN_MS, Math.max(MIN_RETURN_MS, waitMs) * jitter)
 		if (reason !== 'stopping') {
 			this.refused.note(request.id, now + availableInMs)
-			this.noteHeldAccount(request.account ?? '', now)
+			this.refusals.note(request.account ?? '', now)
 		}
 		return { kind: 'refused', reason, availableInMs }
 	}
-
-	private noteHeldAccount(account: string, now: Millis): void {
-		let sum = this.refusalsByAccount.get(account)
-		if (!sum) {
-			for (const [other, refusals] of this.refusalsByAccount)
-				if (refusals.value(now) < 1) this.refusalsByAccount.delete(other)
-			this.refusalsByAccount.set(account, (sum = new DecayingSum(HELD_ACCOUNT_MS)))
-		}
-		sum.add(1, now)
-	}
 }
--- a/packages/core/src/lib/admission/ServiceQueue.ts
+++ b/packages/core/src/lib/admission/ServiceQueue.ts
@@ -31,8 +31,8 @@
  * route is a quarter; the rest is margin, because requests with a place can still fail.
  */
 const MIN_RANK_FRACTION = 0.3
-/** Time over which the fractions are averaged: about the length of the shortest bursts. */
-const RANK_TRAFFIC_MS: Millis = 3_000
+/** Time over which the fractions are averaged. Shorter than bursts, which last some seconds. */
+const RANK_TRAFFIC_MS: Millis = 1_000
 
 /** The waiting requests and the recent traffic of one rank. */
 interface RankState {
@@ -114,6 +114,12 @@
 		return waiting
 	}
 
+	/** The request that {@link take} returns. */
+	next(now: Millis): AdmissionRequest | undefined {
+		const state = this.rankToServe(now)
+		return (state?.firstAttempts.first() ?? state?.retries.first())?.request
+	}
+
 	/** Removes the request that gets the next place. */
 	take(now: Millis): WaitingRequest | undefined {
 		this.now = now
@@ -126,6 +132,31 @@
 		return waiting
 	}
 
+	/** True if the account of the request brings more than usual to this box. */
+	isExcess({ account }: AdmissionRequest, now: Millis): boolean {
+		if (this.options.policy === 'rank-only') return true
+		return this.usualDemand.excessOf(now).accounts.has(account ?? '')
+	}
+
+	/**
+	 * Fraction of the recent work at this box that can wait for a request: what is less urgent, and what other accounts
+	 * bring beyond their usual demand.
+	 */
+	deferrableFraction(request: AdmissionRequest, now: Millis): number {
+		const { rank, isRetry } = request
+		if (isRetry) return 0
+		let total = 0
+		let lessUrgent = 0
+		for (const state of this.ranks) {
+			const work = state.offeredWork.value(now)
+			total += work
+			if (state.rank > rank) lessUrgent += work
+		}
+		const lessUrgentFraction = total > 0 ? lessUrgent / total : 0
+		if (this.isExcess(request, now)) return lessUrgentFraction
+		return Math.min(1, lessUrgentFraction + this.usualDemand.excessOf(now).fraction)
+	}
+
 	/** Removes all requests for which it is too late to start. */
 	takeExpired(now: Millis): WaitingRequest[] {
 		const expired: WaitingRequest[] = []
--- a/packages/core/src/lib/admission/UsualDemand.ts
+++ b/packages/core/src/lib/admission/UsualDemand.ts
@@ -1,46 +1,82 @@
 import type { Millis } from '../units.js'
 import { DecayingSum } from './DecayingSum.js'
 
+/** Time over which the usual demand of an account is averaged. Demand that lasts becomes usual within minutes. */
+const USUAL_DEMAND_MS: Millis = 60_000
 /**
- * Time over which the usual demand of an account is averaged. Bursts take seconds, so they hardly raise it; demand that
- * lasts becomes usual within a few minutes.
+ * Recent demand is left out of the usual demand, so that a burst does not raise the weight of the account that causes it.
+ * Demand is collected in periods of this length, and counts after {@link EXCLUDED_PERIODS} of them: 10 to 15 s later.
  */
-const USUAL_DEMAND_MS: Millis = 60_000
+const PERIOD_MS: Millis = 5_000
+const EXCLUDED_PERIODS = 3
 /** Weight of an account without usual demand, as a fraction of the mean weight. Lets a new account in. */
 const NEW_ACCOUNT_WEIGHT = 0.25
-/** Time for which a weight is kept; weights change slowly. */
-const WEIGHT_MAX_AGE_MS: Millis = 250
+/** Time over which the recent demand of an account is averaged. */
+const RECENT_MS: Millis = 3_000
+/**
+ * An account counts as bringing more than usual from this multiple of its usual demand and a number of requests more. Few
+ * requests more are often chance: at one box of a large fleet, an account may bring less than one request a second.
+ */
+const EXCESS_FACTOR = 1.5
+const MIN_EXCESS_REQUESTS = 3
+/** Weight of the newest request in the mean work of a request. */
+const SMOOTHING_WEIGHT = 0.02
+const EXCESS_MAX_AGE_MS: Millis = 100
 /** Accounts whose demand is kept. The one with the least demand is dropped first. */
 const MAX_ACCOUNTS = 1_000
 
+/** Accounts that bring more than usual. */
+export interface Excess {
+	readonly accounts: ReadonlySet<string>
+	/** Fraction of the recent work of all accounts that is more than usual. */
+	readonly fraction: number
+}
+
 /**
  * Learns how much work each account usually brings. Weights in proportion to it protect accounts at their usual rate,
- * large or small, from one that brings more than usual.
+ * large or small, from one that brings more than usual. Until the first periods have passed, all weights are equal.
  */
 export class UsualDemand {
 	private readonly byAccount = new Map<string, DecayingSum>()
+	private readonly total = new DecayingSum(USUAL_DEMAND_MS)
+	/** Work by account in the last periods; the current one last. */
+	private readonly periods: Map<string, Millis>[] = [new Map()]
+	private periodEndsAt: Millis | undefined
+	/** Time that the usual demand covers. */
+	private coveredMs: Millis = 0
+	/** Work of the last seconds by account. Entries of idle accounts are dropped with each period. */
+	private readonly recent = new Map<string, DecayingSum>()
+	/** Mean work of a request. */
+	private requestMs: Millis = 0
+	private excess: Excess = { accounts: new Set(), fraction: 0 }
+	private excessAt: Millis = Number.NEGATIVE_INFINITY
 	/** Recent results of {@link weightOf}: it is called for many accounts in each decision. */
 	private readonly weights = new Map<string, number>()
-	private weightsAt: Millis = Number.NEGATIVE_INFINITY
-	private readonly total = new DecayingSum(USUAL_DEMAND_MS)
 
 	note(account: string, workMs: Millis, now: Millis): void {
-		let demand = this.byAccount.get(account)
-		if (!demand) {
-			if (this.byAccount.size >= MAX_ACCOUNTS) this.dropLeast(now)
-			demand = new DecayingSum(USUAL_DEMAND_MS)
-			this.byAccount.set(account, demand)
+		this.closePeriods(now)
+		const current = this.periods.at(-1)
+		current?.set(account, (current.get(account) ?? 0) + workMs)
+		this.requestMs += (this.requestMs === 0 ? 1 : SMOOTHING_WEIGHT) * (workMs - this.requestMs)
+		let recent = this.recent.get(account)
+		if (!recent) this.recent.set(account, (recent = new DecayingSum(RECENT_MS)))
+		recent.add(workMs, now)
+	}
+
+	/** Accounts that bring more than usual, and the fraction of the recent work that is their surplus. */
+	excessOf(now: Millis): Excess {
+		// Until the usual demand is known, no account counts as bringing more.
+		if (this.coveredMs === 0) return this.excess
+		if (now - this.excessAt >= EXCESS_MAX_AGE_MS) {
+			this.excessAt = now
+			this.excess = this.computeExcess(now)
 		}
-		demand.add(workMs, now)
-		this.total.add(workMs, now)
+		return this.excess
 	}
 
 	/** Weight of the account, relative to a mean of about 1. */
 	weightOf(account: string, now: Millis): number {
-		if (now - this.weightsAt >= WEIGHT_MAX_AGE_MS) {
-			this.weights.clear()
-			this.weightsAt = now
-		}
+		this.closePeriods(now)
 		let weight = this.weights.get(account)
 		if (weight === undefined) {
 			weight = this.computeWeight(account, now)
@@ -49,15 +85,64 @@
 		return weight
 	}
 
+	/** Usual work of all accounts, in ms per ms. */
+	perMs(now: Millis): number {
+		if (this.coveredMs === 0) return 0
+		return this.total.perMs(now) / this.coverage
+	}
+
 	private computeWeight(account: string, now: Millis): number {
 		const mean = this.total.value(now) / Math.max(1, this.byAccount.size)
 		if (mean <= 0) return 1
 		return NEW_ACCOUNT_WEIGHT + (this.byAccount.get(account)?.value(now) ?? 0) / mean
 	}
 
-	/** Usual work of all accounts, in ms per ms. */
-	perMs(now: Millis): number {
-		return this.total.perMs(now)
+	private computeExcess(now: Millis): Excess {
+		const accounts = new Set<string>()
+		let totalMs = 0
+		let excessMs = 0
+		for (const [account, recent] of this.recent) {
+			const recentMs = recent.value(now)
+			const usualMs = (RECENT_MS * (this.byAccount.get(account)?.perMs(now) ?? 0)) / this.coverage
+			totalMs += recentMs
+			if (recentMs < EXCESS_FACTOR * usualMs + MIN_EXCESS_REQUESTS * this.requestMs) continue
+			accounts.add(account)
+			excessMs += recentMs - usualMs
+		}
+		const fraction = totalMs > 0 ? excessMs / totalMs : 0
+		return { accounts, fraction }
+	}
+
+	/** Fraction of its final value that a decaying sum has reached in the covered time. */
+	private get coverage(): number {
+		return 1 - Math.exp(-this.coveredMs / USUAL_DEMAND_MS)
+	}
+
+	private closePeriods(now: Millis): void {
+		this.periodEndsAt ??= now + PERIOD_MS
+		if (now < this.periodEndsAt) return
+		this.weights.clear()
+		for (const [account, recent] of this.recent)
+			if (recent.value(now) < 1) this.recent.delete(account)
+		while (this.periodEndsAt <= now && this.periods.some((period) => period.size > 0)) {
+			this.periodEndsAt += PERIOD_MS
+			this.periods.push(new Map())
+			if (this.periods.length <= EXCLUDED_PERIODS) continue
+			for (const [account, workMs] of this.periods.shift() ?? []) this.add(account, workMs, now)
+			this.coveredMs += PERIOD_MS
+		}
+		this.periodEndsAt = Math.max(this.periodEndsAt, now + PERIOD_MS)
+	}
+
+	private add(account: string, workMs: Millis, now: Millis): void {
+		let demand = this.byAccount.get(account)
+		if (!demand) {
+			if (this.byAccount.size >= MAX_ACCOUNTS) this.dropLeast(now)
+			demand = new DecayingSum(USUAL_DEMAND_MS)
+			this.byAccount.set(account, demand)
+		}
+		demand.add(workMs, now)
+		this.total.add(workMs, now)
 	}
 
 	private dropLeast(now: Millis): void {
--- a/packages/core/src/lib/admission/admissionModel.ts
+++ b/packages/core/src/lib/admission/admissionModel.ts
@@ -1,7 +1,9 @@
+import { fnv1a } from '../fnv1a.js'
 import { brandId, type AccountName, type ServiceName } from '../ids.js'
 import type { Millis } from '../units.js'
 import type { AdmissionRequest } from './AdmissionRequest.js'
 import { ServiceAdmission } from './ServiceAdmission.js'
+import { WorkEstimator } from './WorkEstimator.js'
 
 /** Requests that arrive at a constant rate. */
 export interface ModelStream {
@@ -13,7 +15,7 @@
 	readonly workMs: Millis
 	/** Time within which an answer is useful. */
 	readonly goalMs: Millis
-	/** Box that all its callers use; undefined if they are spread over all boxes. */
+	/** Box that all its callers use; undefined if each of them uses a box at random, always the same. */
 	readonly box?: number
 	/** Number of immediate retries after a refusal. */
 	readonly retries?: number
@@ -29,6 +31,8 @@
 	readonly slots: number
 	readonly streams: readonly ModelStream[]
 	readonly durationMs?: Millis
+	/** Only requests that arrive in this period are counted. */
+	readonly countedMs?: readonly [from: Millis, to: Millis]
 	readonly seed?: number
 	/** Age of the reports of other boxes. */
 	readonly reportAgeMs?: Millis
@@ -42,6 +46,8 @@
 	requests: number
 	/** Answers within the goal of the stream. */
 	useful: number
+	/** Answers after the goal of the stream. */
+	late: number
 }
 
 interface Call {
@@ -60,7 +66,14 @@
 	remainingMs: Millis
 }
 
+interface LoadReport {
+	readonly requests: number
+	readonly at: Millis
+}
+
 interface ModelTarget {
+	/** Load that the target reported with its last response to each box. */
+	readonly reportedTo: (LoadReport | undefined)[]
 	readonly running: Running[]
 	readonly waiting: Running[]
 	readonly openByBox: number[]
@@ -68,6 +81,8 @@
 
 const STEP_MS = 1
 const MAX_TARGET_QUEUE = 24
+const CALLERS_PER_STREAM = 25
+const MAX_LOAD_AGE_MS = 600
 const ADVANCE_INTERVAL_MS = 5
 const DEMAND_INTERVAL_MS = 400
 const SERVICE = brandId<ServiceName>('service')
@@ -78,12 +93,13 @@
 }
 
 class AdmissionModel {
-	/** Separate sources, so that the arrivals are the same under all policies. */
-	private readonly arrivalRandom: () => number
+	/** One source for each stream, so that its arrivals depend neither on the policy nor on the other streams. */
+	private readonly arrivalRandoms: readonly (() => number)[]
 	private readonly random: () => number
 	private readonly results = new Map<string, StreamResult>()
 	private readonly admissions: ServiceAdmission[]
 	private readonly targets: ModelTarget[]
+	private readonly estimators: WorkEstimator[]
 	private readonly waiting = new Map<string, Call>()
 	/** Open requests by target and box, as reported in the past; newest last. */
 	private readonly reports: { readonly at: Millis; readonly open: number[][] }[] = []
@@ -92,8 +108,8 @@
 
 	constructor(private readonly options: ModelOptions) {
 		const { boxes, policy, seed = 1, targets } = options
-		this.arrivalRandom = mulberry32(seed)
-		this.random = mulberry32(seed + 1)
+		this.arrivalRandoms = options.streams.map((_, index) => mulberry32(seed * 1_000 + index))
+		this.random = mulberry32(seed)
 		this.admissions = Array.from(
 			{ length: boxes },
 			() =>
@@ -103,12 +119,15 @@
 					policy: policy === 'rank-only' ? policy : 'rank-and-fair-share',
 				}),
 		)
+		this.estimators = this.admissions.map(() => new WorkEstimator())
 		this.targets = Array.from({ length: targets }, () => ({
+			reportedTo: [],
 			running: [],
 			waiting: [],
 			openByBox: Array.from({ length: boxes }, () => 0),
 		}))
-		for (const { name } of options.streams) this.results.set(name, { requests: 0, useful: 0 })
+		for (const { name } of options.streams)
+			this.results.set(name, { requests: 0, useful: 0, late: 0 })
 	}
 
 	run(): ReadonlyMap<string, StreamResult> {
@@ -116,20 +135,25 @@
 		for (; this.now < durationMs; this.now += STEP_MS) {
 			this.targets.forEach((target, index) => this.advanceTarget(target, index))
 			if (policy !== 'today') this.advanceBoxes()
-			for (const stream of this.options.streams) this.addArrivals(stream)
+			this.options.streams.forEach((stream, index) => {
+				const random = this.arrivalRandoms[index]
+				if (random) this.addArrivals(stream, random)
+			})
 		}
 		return this.results
 	}
 
-	private addArrivals(stream: ModelStream): void {
-		const result = this.results.get(stream.name)
-		if (!result) return
+	private addArrivals(stream: ModelStream, random: () => number): void {
+		const [from, to] = this.options.countedMs ?? [0, Infinity]
+		const counted = this.now >= from && this.now < to ? this.results.get(stream.name) : undefined
+		const result = counted ?? { requests: 0, useful: 0, late: 0 }
 		const mean = (stream.perSecond(this.now) * STEP_MS) / 1_000
-		for (let i = Math.floor(mean + this.arrivalRandom()); i > 0; i--) {
+		for (let i = Math.floor(mean + random()); i > 0; i--) {
 			result.requests++
-			const box = stream.box ?? Math.floor(this.arrivalRandom() * this.options.boxes)
+			const caller = Math.floor(random() * CALLERS_PER_STREAM)
+			const box = stream.box ?? boxOfCaller(stream.name, caller, this.options.boxes)
 			const id = `r${this.calls++}`
-			const workMs = stream.workMs * (0.5 + this.arrivalRandom())
+			const workMs = stream.workMs * (0.5 + random())
 			this.enter({
 				stream,
 				result,
@@ -150,20 +174,26 @@
 			return
 		}
 		const { outcome, displaced, ticket } = admission.enter(this.requestOf(call), this.now)
-		if (outcome?.kind === 'admitted') this.send(call, () => admission.leave(ticket, this.now))
+		if (outcome?.kind === 'admitted') this.send(call, () => this.leave(call, ticket))
 		else if (outcome) this.retry(call)
 		else this.waiting.set(`${call.box}:${ticket}`, call)
 		if (displaced) this.retryWaiting(call.box, displaced.ticket)
 	}
 
-	private requestOf({ stream, arrivedAt, id }: Call): AdmissionRequest {
+	private leave({ box }: Call, ticket: number): void {
+		const heldMs = this.admissions[box]?.leave(ticket, this.now)
+		if (heldMs !== undefined) this.estimators[box]?.note(undefined, heldMs)
+	}
+
+	private requestOf({ stream, arrivedAt, box, id }: Call): AdmissionRequest {
+		const workMs = this.estimators[box]?.estimate(undefined).workMs ?? 0
 		return {
 			id,
 			service: SERVICE,
 			account: brandId<AccountName>(stream.account),
 			rank: stream.rank,
-			expectedWorkMs: stream.workMs,
-			latestStartAt: arrivedAt + stream.goalMs - stream.workMs,
+			expectedWorkMs: workMs,
+			latestStartAt: arrivedAt + stream.goalMs - workMs,
 			isRetry: false,
 		}
 	}
@@ -194,7 +224,7 @@
 				}
 				const call = this.waiting.get(`${box}:${ticket}`)
 				this.waiting.delete(`${box}:${ticket}`)
-				if (call) this.send(call, () => admission.leave(ticket, this.now))
+				if (call) this.send(call, () => this.leave(call, ticket))
 			}
 		})
 	}
@@ -222,23 +252,25 @@
 		let places = 0
 		let own = 0
 		let peers = 0
+		let reported = 0
+		let reportedAgeSum = 0
 		const report = this.reports[0]
 		this.targets.forEach((target, index) => {
 			// A target that hangs is noticed after a while.
 			if (this.options.isHung?.(index, this.now - 400)) return
 			places += this.options.slots
 			own += target.openByBox[box] ?? 0
+			const load = target.reportedTo[box]
+			if (load && this.now - load.at < MAX_LOAD_AGE_MS) {
+				reported += load.requests
+				reportedAgeSum += load.requests * (this.now - load.at)
+			}
 			if (!this.areConnected) return
 			report?.open[index]?.forEach((count, other) => (peers += other === box ? 0 : count))
 		})
-		admission.noteUse({
-			places,
-			reported: 0,
-			own,
-			peers,
-			peersAgeMs: this.options.reportAgeMs ?? 30,
-			isKnown: true,
-		})
+		const peersAgeMs = this.options.reportAgeMs ?? 30
+		const reportedAgeMs = reportedAgeSum / Math.max(1, reported)
+		admission.noteUse({ places, reported, own, peers, reportedAgeMs, peersAgeMs, isKnown: true })
 	}
 
 	private send(call: Call, leave: () => void): void {
@@ -263,8 +295,10 @@
 			target.running.splice(i, 1)
 			const { call } = running
 			target.openByBox[call.box] = (target.openByBox[call.box] ?? 0) - 1
+			target.reportedTo[call.box] = { requests: sizeOf(target), at: this.now }
 			running.leave()
 			if (this.now - call.arrivedAt <= call.stream.goalMs) call.result.useful++
+			else call.result.late++
 		}
 		while (target.running.length < this.options.slots) {
 			const next = target.waiting.shift()
@@ -274,6 +308,11 @@
 	}
 }
 
+/** The load balancer sends a caller to the same box each time. */
+function boxOfCaller(stream: string, caller: number, boxes: number): number {
+	return fnv1a(`${stream} ${caller}`) % boxes
+}
+
 function sizeOf({ running, waiting }: ModelTarget): number {
 	return running.length + waiting.length
 }
--- a/packages/core/src/lib/admission/placeUseOf.ts
+++ b/packages/core/src/lib/admission/placeUseOf.ts
@@ -19,7 +19,8 @@
 	let reported = 0
 	let own = 0
 	let peers = 0
-	let peerAgeSum = 0
+	let peersAgeSum = 0
+	let reportedAgeSum = 0
 	let isKnown = false
 	for (const target of targets) {
 		if (target.ejectedUntil > now || overdueMs(target, now) > 0) continue
@@ -27,15 +28,25 @@
 		places += Math.min(maxPerTarget, load?.slots ?? target.entry.slots)
 		own += target.openAttempts.size
 		if (load && now - target.loadReportedAt < MAX_LOAD_AGE_MS) {
-			reported += load.running + load.waiting
+			const requests = load.running + load.waiting
+			reported += requests
+			reportedAgeSum += requests * (now - target.loadReportedAt)
 			isKnown = true
 		}
 		for (const work of target.peerWork.values()) {
 			if (!isPeerWorkFresh(work, now)) continue
 			peers += work.openRequests
-			peerAgeSum += work.openRequests * (now - work.receivedAt)
+			peersAgeSum += work.openRequests * (now - work.receivedAt)
 			isKnown = true
 		}
 	}
-	return { places, reported, own, peers, peersAgeMs: peers > 0 ? peerAgeSum / peers : 0, isKnown }
+	return {
+		places,
+		reported,
+		own,
+		peers,
+		reportedAgeMs: reportedAgeSum / Math.max(1, reported),
+		peersAgeMs: peersAgeSum / Math.max(1, peers),
+		isKnown,
+	}
 }
--- a/packages/gateway/src/lib/admission/QueueingGate.test.ts
+++ b/packages/gateway/src/lib/admission/QueueingGate.test.ts
@@ -14,7 +14,15 @@
 	let measurements: number
 	beforeEach(() => {
 		vi.useFakeTimers({ now: 0 })
-		use = { places: 4, own: 0, reported: 0, peers: 0, peersAgeMs: 0, isKnown: true }
+		use = {
+			places: 4,
+			own: 0,
+			reported: 0,
+			peers: 0,
+			reportedAgeMs: 0,
+			peersAgeMs: 0,
+			isKnown: true,
+		}
 		logged = []
 		measurements = 0
 		gate = new QueueingGate({
