--- a/packages/core/src/lib/admission/FairQueue.ts
+++ b/packages/core/src/lib/admission/FairQueue.ts
@@ -62,18 +62,18 @@
 		return true
 	}
 
-	/** The item that is served next. */
-	first(): Item | undefined {
-		const flow = this.nextFlow()
+	/** The item that is served next, of the accounts that are not in `skipped`. */
+	first(skipped?: ReadonlySet<string>): Item | undefined {
+		const flow = this.nextFlow(skipped)
 		return flow?.returning.first() ?? flow?.others.first()
 	}
 
-	/** Removes the item that is served next. */
-	take(): Item | undefined {
-		const next = this.nextFlow()
+	/** Removes the item that is served next, of the accounts that are not in `skipped`. */
+	take(skipped?: ReadonlySet<string>): Item | undefined {
+		const next = this.nextFlow(skipped)
 		const item = next?.returning.first() ?? next?.others.first()
 		if (!next || !item) return undefined
-		this.virtualTime = next.startTag
+		this.virtualTime = Math.max(this.virtualTime, next.startTag)
 		next.startTag += item.workMs / next.weight
 		this.remove(item)
 		return item
@@ -108,9 +108,10 @@
 		return aheadMs
 	}
 
-	private nextFlow(): Flow<Item> | undefined {
+	private nextFlow(skipped?: ReadonlySet<string>): Flow<Item> | undefined {
 		let next: Flow<Item> | undefined
-		for (const flow of this.flows.values()) if (!next || flow.startTag < next.startTag) next = flow
+		for (const [account, flow] of this.flows)
+			if ((!next || flow.startTag < next.startTag) && !skipped?.has(account)) next = flow
 		return next
 	}
 
--- a/packages/core/src/lib/admission/PlaceShare.ts
+++ b/packages/core/src/lib/admission/PlaceShare.ts
@@ -1,4 +1,5 @@
-import type { Millis } from '../units.js'
+import { SECOND_MS, type Millis } from '../units.js'
+import { MIN_RANK_FRACTION } from './minRankFraction.js'
 
 /** Work that callers bring to one box for one rank of a service, in ms of place time per ms. @public */
 export interface RankDemand {
@@ -24,14 +25,19 @@
  */
 export const MAX_DEMAND_AGE_MS: Millis = 1_000
 /** Fraction of the places that is divided by usual work first, so that no box is left without a share. */
-const BASE_FRACTION = 0.1
+const BASE_FRACTION = 0.02
 const MIN_WEIGHT = 1e-6
+/**
+ * Share of a box beyond its mean demand, in standard deviations of the work that arrives within a second. Requests do not
+ * arrive evenly, least of all at a box with few of them, so with the mean alone they would wait long.
+ */
+const HEADROOM_DEVIATIONS = 0.5
 /** Multiple of its usual work from which a box brings more than usual. Below, it can be chance. */
 const EXCESS_FACTOR = 1.5
 
 /**
- * Divides the places of a service among boxes: the most urgent rank first, within a rank by usual work, and what a box
- * does not need goes to the others. A box that hears no other box keeps its last share.
+ * Divides the places of a service among boxes: the most urgent rank first, but each rank with a minimum share; within a
+ * rank by usual work, and what a box does not need goes to the others. A box that hears no other box keeps its last share.
  */
 export class PlaceShare {
 	private readonly peers = new Map<string, ReceivedDemand>()
@@ -54,10 +60,13 @@
 		return this.lastShare !== undefined
 	}
 
-	/** Fraction of the places for a box with the demand `own`; undefined if no other box has ever reported. */
-	of(own: BoxDemand, placeWorkPerMs: number, now: Millis): number | undefined {
+	/**
+	 * Fraction of the places for a box with the demand `own`; undefined if no other box has ever reported. `requestMs` is the
+	 * mean work of a request.
+	 */
+	of(own: BoxDemand, placeWorkPerMs: number, requestMs: Millis, now: Millis): number | undefined {
 		if (!this.hearsPeers(now)) return this.lastShare
-		this.lastShare = shareOfFirst(this.demands(own, now), placeWorkPerMs)
+		this.lastShare = shareOfFirst(this.demands(own, now), placeWorkPerMs, requestMs)
 		return this.lastShare
 	}
 
@@ -96,29 +105,45 @@
 	return total > 0 ? Math.min(1, deferrable / total) : 0
 }
 
-/** Fraction of the places for the first of the boxes. */
-export function shareOfFirst(boxes: readonly BoxDemand[], placeWorkPerMs: number): number {
+/** Fraction of the places for the first of the boxes. `requestMs` is the mean work of a request. */
+export function shareOfFirst(
+	boxes: readonly BoxDemand[],
+	placeWorkPerMs: number,
+	requestMs: Millis,
+): number {
 	const weights = boxes.map(({ usualWorkPerMs }) => Math.max(MIN_WEIGHT, usualWorkPerMs))
 	const totalWeight = weights.reduce((sum, weight) => sum + weight, 0)
 	const base = (weights[0] ?? 0) / totalWeight
 	if (placeWorkPerMs <= 0) return base
 	const ranks = [...new Set(boxes.flatMap((box) => box.ranks.map(({ rank }) => rank)))]
 	ranks.sort((a, b) => a - b)
+	const needsByRank = ranks.map((rank) =>
+		boxes.map((box) =>
+			withHeadroom(box.ranks.find((demand) => demand.rank === rank)?.workPerMs ?? 0, requestMs),
+		),
+	)
+	const totalByRank = needsByRank.map((needs) => needs.reduce((sum, need) => sum + need, 0))
+	const totalNeed = totalByRank.reduce((sum, need) => sum + need, 0)
 	let left = placeWorkPerMs * (1 - BASE_FRACTION)
 	let granted = placeWorkPerMs * BASE_FRACTION * base
-	for (const rank of ranks) {
-		const needs = boxes.map(
-			(box) => box.ranks.find((demand) => demand.rank === rank)?.workPerMs ?? 0,
-		)
-		const grants = divideFairly(left, needs, weights)
+	const minFraction = totalNeed > 0 ? MIN_RANK_FRACTION * Math.min(1, left / totalNeed) : 0
+	/** Minimum shares of the ranks that have not had their turn. */
+	let reserved = minFraction * totalNeed
+	needsByRank.forEach((needs, index) => {
+		reserved -= minFraction * (totalByRank[index] ?? 0)
+		const grants = divideFairly(left - reserved, needs, weights)
 		granted += grants[0] ?? 0
 		left -= grants.reduce((sum, grant) => sum + grant, 0)
-	}
+	})
 	// Places that no box needs are divided by usual work.
 	granted += Math.max(0, left) * base
 	return Math.min(1, granted / placeWorkPerMs)
 }
 
+function withHeadroom(workPerMs: number, requestMs: Millis): number {
+	return workPerMs + HEADROOM_DEVIATIONS * Math.sqrt((workPerMs * requestMs) / SECOND_MS)
+}
+
 /** Weighted max-min fair division: each gets at most its need, and what one does not need goes to the others. */
 export function divideFairly(
 	amount: number,
--- a/packages/core/src/lib/admission/ServiceAdmission.ts
+++ b/packages/core/src/lib/admission/ServiceAdmission.ts
@@ -228,8 +228,13 @@
 
 	private takeNext(now: Millis): WaitingRequest | undefined {
 		const next = this.queue.next(now)
-		if (!next || !this.mayStart(this.overdraftOf(next, now), now)) return undefined
-		return this.queue.take(now)
+		if (!next) return undefined
+		if (this.mayStart(this.overdraftOf(next, now), now)) return this.queue.take(now)
+		if (!this.queue.isExcess(next, now)) return undefined
+		// The request of an account that brings more than usual must not hold up those behind it.
+		const usual = this.queue.next(now, true)
+		if (!usual || !this.mayStart(this.overdraftOf(usual, now), now)) return undefined
+		return this.queue.take(now, true)
 	}
 
 	/**
@@ -278,7 +283,12 @@
 
 	private computeShare(now: Millis): number {
 		if (this.options.boxCount() <= 1) return 1
-		const share = this.share.of(this.boxDemand(now), this.workPerMs(now), now)
+		const share = this.share.of(
+			this.boxDemand(now),
+			this.workPerMs(now),
+			this.predictor.meanExpectedMs(now),
+			now,
+		)
 		if (share !== undefined) return share
 		return 1 / this.options.boxCount()
 	}
@@ -286,7 +296,9 @@
 	/** Work that the targets do while all places are in use, in ms of expected work per ms. */
 	private workPerMs(now: Millis): number {
 		const { predictor, use } = this
-		return predictor.releasesPerMs(use.places, now) * predictor.meanExpectedMs(now)
+		// The times in place include the wait at the targets, so the requests that wait there count as well.
+		const requests = use.places + this.surplus(now)
+		return predictor.releasesPerMs(requests, now) * predictor.meanExpectedMs(now)
 	}
 
 	/** Rate at which this box may start requests, per ms. */
--- a/packages/core/src/lib/admission/ServiceQueue.ts
+++ b/packages/core/src/lib/admission/ServiceQueue.ts
@@ -2,6 +2,7 @@
 import type { AdmissionRequest } from './AdmissionRequest.js'
 import { DecayingSum } from './DecayingSum.js'
 import { FairQueue, type FairQueueItem } from './FairQueue.js'
+import { MIN_RANK_FRACTION } from './minRankFraction.js'
 import { UsualDemand } from './UsualDemand.js'
 
 /** A request that waits for a place. @public */
@@ -26,11 +27,6 @@
 	| { readonly kind: 'queued'; readonly displaced: WaitingRequest | undefined }
 	| { readonly kind: 'full' }
 
-/**
- * Minimum fraction of its requests for which a rank gets a place, relative to that of all ranks. The service target of a
- * route is a quarter; the rest is margin, because requests with a place can still fail.
- */
-const MIN_RANK_FRACTION = 0.3
 /** Time over which the fractions are averaged. Shorter than bursts, which last some seconds. */
 const RANK_TRAFFIC_MS: Millis = 1_000
 
@@ -115,17 +111,27 @@
 	}
 
 	/** The request that {@link take} returns. */
-	next(now: Millis): AdmissionRequest | undefined {
+	next(now: Millis, skipsExcess = false): AdmissionRequest | undefined {
 		const state = this.rankToServe(now)
+		if (skipsExcess) return state?.firstAttempts.first(this.excessAccounts(now))?.request
 		return (state?.firstAttempts.first() ?? state?.retries.first())?.request
 	}
 
-	/** Removes the request that gets the next place. */
-	take(now: Millis): WaitingRequest | undefined {
+	private excessAccounts(now: Millis): ReadonlySet<string> {
+		return this.usualDemand.excessOf(now).accounts
+	}
+
+	/**
+	 * Removes the request that gets the next place; with `skipsExcess`, of the first attempts of accounts that bring no more
+	 * than usual.
+	 */
+	take(now: Millis, skipsExcess = false): WaitingRequest | undefined {
 		this.now = now
 		const state = this.rankToServe(now)
 		if (!state) return undefined
-		const waiting = state.firstAttempts.take() ?? state.retries.take()
+		const waiting = skipsExcess
+			? state.firstAttempts.take(this.excessAccounts(now))
+			: (state.firstAttempts.take() ?? state.retries.take())
 		if (!waiting) return undefined
 		this.byTicket.delete(waiting.ticket)
 		state.served.add(1, now)
