--- a/packages/core/src/lib/admission/PlaceShare.ts
+++ b/packages/core/src/lib/admission/PlaceShare.ts
@@ -20,8 +20,8 @@
 }
 
 /**
- * Age from which the demand of another box is ignored while others report. Reports are at most half as far apart, so one
- * may be lost.
+ * Age from which the demand of another box is ignored while others report. Up to 160 boxes, reports are less than half as
+ * far apart, so one may be lost; in a larger fleet, a box whose report is lost is left out until its next one.
  */
 export const MAX_DEMAND_AGE_MS: Millis = 1_000
 /** Fraction of the places that is divided by usual work first, so that no box is left without a share. */
--- a/packages/core/src/lib/admission/ServiceQueue.ts
+++ b/packages/core/src/lib/admission/ServiceQueue.ts
@@ -117,10 +117,6 @@
 		return (state?.firstAttempts.first() ?? state?.retries.first())?.request
 	}
 
-	private excessAccounts(now: Millis): ReadonlySet<string> {
-		return this.usualDemand.excessOf(now).accounts
-	}
-
 	/**
 	 * Removes the request that gets the next place; with `skipsExcess`, of the first attempts of accounts that bring no more
 	 * than usual.
@@ -217,6 +213,10 @@
 		)
 	}
 
+	private excessAccounts(now: Millis): ReadonlySet<string> {
+		return this.usualDemand.excessOf(now).accounts
+	}
+
 	private rankToServe(now: Millis): RankState | undefined {
 		let first: RankState | undefined
 		let offered = 0
--- a/packages/core/src/lib/admission/StartPredictor.ts
+++ b/packages/core/src/lib/admission/StartPredictor.ts
@@ -27,7 +27,7 @@
 		this.priorExpectedMs = this.meanExpectedMs(now)
 	}
 
-	/** Expected time that a request holds its place, in ms; undefined before anything is known. */
+	/** Records the expected time of a request; used until the first one has ended. */
 	noteExpected(expectedMs: Millis): void {
 		this.priorHeldMs ??= expectedMs
 		this.priorExpectedMs ??= expectedMs
--- a/packages/gateway/src/lib/admission/DemandSharing.ts
+++ b/packages/gateway/src/lib/admission/DemandSharing.ts
@@ -12,8 +12,8 @@
 }
 
 /**
- * Interval of the reports, in ms: the shares follow the demand within a second, also if a datagram is lost. Larger fleets
- * send less often, so that a box receives at most 400 reports a second.
+ * Interval of the reports, in ms: the shares follow the demand within a second. Larger fleets send less often, so that a box
+ * receives about 400 reports a second at most.
  */
 const MIN_INTERVAL_MS = 400
 const INTERVAL_PER_BOX_MS = 2.5
