--- a/packages/core/src/lib/admission/AdmissionRequest.ts
+++ b/packages/core/src/lib/admission/AdmissionRequest.ts
@@ -13,8 +13,8 @@
 	readonly expectedWorkMs: Millis
 	/** Latest time at which the request can start and still be of use to its caller. */
 	readonly latestStartAt: Millis
-	/** True for another attempt of a request that has already been sent to a target. */
-	readonly isRetry: boolean
+	/** True for a request that returns before the time that its refusal stated; it goes after first attempts of its rank. */
+	readonly isEarlyReturn: boolean
 }
 
 /** Why a request does not get a place. It has not run. @public */
--- a/packages/core/src/lib/admission/PlaceShare.ts
+++ b/packages/core/src/lib/admission/PlaceShare.ts
@@ -49,23 +49,23 @@
 	}
 
 	/** True if a report of another box has arrived recently. */
-	hearsPeers(now: Millis): boolean {
+	hasFreshPeers(now: Millis): boolean {
 		for (const { receivedAt } of this.peers.values())
 			if (now - receivedAt < MAX_DEMAND_AGE_MS) return true
 		return false
 	}
 
-	/** True if a report of another box has ever arrived. */
-	get hasHeardPeers(): boolean {
+	/** True if a share has been computed from reports of other boxes. */
+	get hasShare(): boolean {
 		return this.lastShare !== undefined
 	}
 
 	/**
-	 * Fraction of the places for a box with the demand `own`; undefined if no other box has ever reported. `requestMs` is the
+	 * Fraction of the places for a box with the demand `own`; undefined if no share was ever computed from reports. `requestMs` is the
 	 * mean work of a request.
 	 */
 	of(own: BoxDemand, placeWorkPerMs: number, requestMs: Millis, now: Millis): number | undefined {
-		if (!this.hearsPeers(now)) return this.lastShare
+		if (!this.hasFreshPeers(now)) return this.lastShare
 		this.lastShare = shareOfFirst(this.demands(own, now), placeWorkPerMs, requestMs)
 		return this.lastShare
 	}
@@ -73,9 +73,10 @@
 	/** The demand `own` of this box, and the recent ones of the others. */
 	demands(own: BoxDemand, now: Millis): readonly BoxDemand[] {
 		const demands = [own]
+		const hasFreshPeers = this.hasFreshPeers(now)
 		for (const [box, { demand, receivedAt }] of this.peers) {
 			if (now - receivedAt < MAX_DEMAND_AGE_MS) demands.push(demand)
-			else if (this.hearsPeers(now)) this.peers.delete(box)
+			else if (hasFreshPeers) this.peers.delete(box)
 		}
 		return demands
 	}
--- a/packages/core/src/lib/admission/ServiceAdmission.ts
+++ b/packages/core/src/lib/admission/ServiceAdmission.ts
@@ -40,11 +40,14 @@
 const CORRECTION_PER_AGE = 2
 /** Time for which the demand of a box is averaged. */
 const DEMAND_MS: Millis = 2_000
-/** Largest number of requests that a box may start at once after a pause in which none was ready. */
+/**
+ * Maximum credit, in requests. A request may start while the credit is positive, so only one starts at once after an idle
+ * time.
+ */
 const MAX_CREDIT = 0.5
 /** Requests of the most urgent rank that may start before the credit allows it. */
 const MAX_OVERDRAFT = 4
-/** Longest time for which credit is collected at the present rate. */
+/** Maximum time for which credit accrues between two updates. */
 const MAX_CREDIT_MS: Millis = 500
 /** Time for which the share of the box is kept before it is computed again. */
 const SHARE_MAX_AGE_MS: Millis = 200
@@ -76,7 +79,7 @@
 	private readonly demand = new Map<number, DecayingSum>()
 	private readonly refusals = new AccountRefusals()
 	private readonly use = new KnownUse()
-	/** Requests that may start now, in fractions of a request. */
+	/** Requests that may start now; each start takes 1, and the overdraft may make it negative. */
 	private credit = 0
 	private creditAt: Millis = 0
 	private lastShare = 1
@@ -114,22 +117,14 @@
 	enter(request: AdmissionRequest, now: Millis): AdmissionStep {
 		const ticket = ++this.lastTicket
 		const returnKind = this.refused.kindOf(request.id, now)
-		const arrival = returnKind === 'too-early' ? { ...request, isRetry: true } : request
+		const arrival = returnKind === 'too-early' ? { ...request, isEarlyReturn: true } : request
 		this.queue.noteOffered(arrival, now)
 		this.noteDemand(arrival, now)
 		this.predictor.noteExpected(arrival.expectedWorkMs)
 		if (this.isStopped) return { ticket, ...this.refuse(arrival, 'stopping', 0, now) }
-		if (this.canPass(now)) {
-			this.queue.noteServed(arrival.rank, now)
-			this.hold(ticket, arrival, now)
-			return { ticket, outcome: { kind: 'admitted', waitedMs: 0 }, displaced: undefined }
-		}
+		if (this.canPass(now)) return this.admit(ticket, arrival, now)
 		this.lastWaitAt = now
-		if (this.startsOnCredit(arrival, now)) {
-			this.queue.noteServed(arrival.rank, now)
-			this.hold(ticket, arrival, now)
-			return { ticket, outcome: { kind: 'admitted', waitedMs: 0 }, displaced: undefined }
-		}
+		if (this.startsOnCredit(arrival, now)) return this.admit(ticket, arrival, now)
 		const waitMs = this.predictWaitMs(arrival, now)
 		if (now + waitMs > arrival.latestStartAt)
 			return { ticket, ...this.refuse(arrival, 'cannot-start-in-time', waitMs, now) }
@@ -140,6 +135,12 @@
 		return { ticket, outcome: undefined, displaced }
 	}
 
+	private admit(ticket: number, request: AdmissionRequest, now: Millis): AdmissionStep {
+		this.queue.noteServed(request.rank, now)
+		this.hold(ticket, request, now)
+		return { ticket, outcome: { kind: 'admitted', waitedMs: 0 }, displaced: undefined }
+	}
+
 	/**
 	 * Ends a request: frees its place, or removes it from the queue. Returns the time for which it held its place;
 	 * undefined if it had none. Further calls do nothing.
@@ -213,7 +214,7 @@
 
 	/** Places in use; a box that hears no other box assumes that the others use their shares as it does. */
 	private usedPlaces(now: Millis): number {
-		if (this.use.peers > 0 || !this.share.hasHeardPeers || this.share.hearsPeers(now))
+		if (this.use.peers > 0 || !this.share.hasShare || this.share.hasFreshPeers(now))
 			return this.use.inUse
 		return Math.max(this.use.inUse, this.use.own / Math.max(0.001, this.shareNow(now)))
 	}
@@ -243,7 +244,7 @@
 	 * wait for the credit instead.
 	 */
 	private overdraftOf(request: AdmissionRequest, now: Millis): number {
-		if (request.isRetry) return 0
+		if (request.isEarlyReturn) return 0
 		const isExcess = this.queue.isExcess(request, now)
 		const inFleet = this.deferrableInFleet(request.rank, isExcess, now)
 		return MAX_OVERDRAFT * Math.max(inFleet, this.queue.deferrableFraction(request, now))
--- a/packages/core/src/lib/admission/ServiceQueue.test.ts
+++ b/packages/core/src/lib/admission/ServiceQueue.test.ts
@@ -53,7 +53,7 @@
 
 	it('serves returning callers first among their account, and retries after first attempts of the rank', () => {
 		const queue = new ServiceQueue({ maxWaiting: 10 })
-		add(queue, admissionRequest('retry', 'b', { isRetry: true }))
+		add(queue, admissionRequest('retry', 'b', { isEarlyReturn: true }))
 		add(queue, admissionRequest('new', 'a'))
 		add(queue, admissionRequest('returning', 'a'), true)
 		add(queue, admissionRequest('less urgent', 'a', { rank: 2 }))
@@ -97,7 +97,7 @@
 		const step = fc.record({
 			rank: fc.integer({ min: 0, max: 3 }),
 			account: fc.constantFrom('a', 'b', 'c'),
-			isRetry: fc.boolean(),
+			isEarlyReturn: fc.boolean(),
 			isReturning: fc.boolean(),
 			action: fc.constantFrom('add', 'add', 'take', 'remove'),
 		})
@@ -105,9 +105,9 @@
 			fc.property(fc.array(step, { maxLength: 200 }), (steps) => {
 				const queue = new ServiceQueue({ maxWaiting: 8 })
 				const inQueue = new Set<number>()
-				steps.forEach(({ rank, account, isRetry, isReturning, action }, ticket) => {
+				steps.forEach(({ rank, account, isEarlyReturn, isReturning, action }, ticket) => {
 					if (action === 'add') {
-						const request = admissionRequest(`r${ticket}`, account, { rank, isRetry })
+						const request = admissionRequest(`r${ticket}`, account, { rank, isEarlyReturn })
 						const result = queue.add(ticket, request, isReturning, 0)
 						if (result.kind === 'queued') inQueue.add(ticket)
 						if (result.kind === 'queued' && result.displaced)
--- a/packages/core/src/lib/admission/ServiceQueue.ts
+++ b/packages/core/src/lib/admission/ServiceQueue.ts
@@ -71,7 +71,8 @@
 		const state = this.stateOf(request.rank)
 		state.offered.add(1, now)
 		state.offeredWork.add(request.expectedWorkMs, now)
-		if (!request.isRetry) this.usualDemand.note(accountKey(request), request.expectedWorkMs, now)
+		if (!request.isEarlyReturn)
+			this.usualDemand.note(accountKey(request), request.expectedWorkMs, now)
 	}
 
 	/** Records that a request got a place without waiting. */
@@ -145,8 +146,8 @@
 	 * bring beyond their usual demand.
 	 */
 	deferrableFraction(request: AdmissionRequest, now: Millis): number {
-		const { rank, isRetry } = request
-		if (isRetry) return 0
+		const { rank, isEarlyReturn } = request
+		if (isEarlyReturn) return 0
 		let total = 0
 		let lessUrgent = 0
 		for (const state of this.ranks) {
@@ -193,7 +194,7 @@
 		}
 		const own = this.stateOf(request.rank)
 		const account = this.accountOf(request)
-		const ownMs = request.isRetry
+		const ownMs = request.isEarlyReturn
 			? own.firstAttempts.workMs + own.retries.workAheadOf(account)
 			: own.firstAttempts.workAheadOf(account)
 		const minShare = (MIN_RANK_FRACTION * own.offeredWork.perMs(now)) / Math.max(1e-9, totalPerMs)
@@ -242,8 +243,8 @@
 		const queue = last.retries.size > 0 ? last.retries : last.firstAttempts
 		const candidate = queue.leastEntitled()
 		if (!candidate || last.rank > request.rank) return candidate
-		if (candidate.request.isRetry !== request.isRetry)
-			return request.isRetry ? undefined : candidate
+		if (candidate.request.isEarlyReturn !== request.isEarlyReturn)
+			return request.isEarlyReturn ? undefined : candidate
 		const account = this.accountOf(request)
 		const ownMs = queue.weightedWorkMs(account) + request.expectedWorkMs / this.weightOf(account)
 		return ownMs < queue.weightedWorkMs(candidate.account) ? candidate : undefined
@@ -251,7 +252,7 @@
 
 	private queueOf({ request }: WaitingRequest): FairQueue<WaitingRequest> {
 		const state = this.stateOf(request.rank)
-		return request.isRetry ? state.retries : state.firstAttempts
+		return request.isEarlyReturn ? state.retries : state.firstAttempts
 	}
 
 	private stateOf(rank: number): RankState {
--- a/packages/core/src/lib/admission/admissionModel.ts
+++ b/packages/core/src/lib/admission/admissionModel.ts
@@ -194,7 +194,7 @@
 			rank: stream.rank,
 			expectedWorkMs: workMs,
 			latestStartAt: arrivedAt + stream.goalMs - workMs,
-			isRetry: false,
+			isEarlyReturn: false,
 		}
 	}
 
--- a/packages/core/src/lib/admission/testRequests.ts
+++ b/packages/core/src/lib/admission/testRequests.ts
@@ -14,7 +14,7 @@
 		rank: 1,
 		expectedWorkMs: 10,
 		latestStartAt: 10_000,
-		isRetry: false,
+		isEarlyReturn: false,
 		...changes,
 	}
 }
--- a/packages/core/src/lib/balance/BoxBalancer.ts
+++ b/packages/core/src/lib/balance/BoxBalancer.ts
@@ -24,8 +24,8 @@
 }
 
 /**
- * Two measurements in a row: use is measured over a second, and the load balancer needs two more seconds to react, in
- * which the queue of a full link grows on.
+ * Time for which a box must be overloaded before it leaves readiness: two measurements in a row. It is short because use
+ * is a mean over a second already, and the queue of a full link grows until the load balancer reacts two seconds later.
  */
 const OVERLOAD_MS: Millis = 250
 /** The load balancer probes every second and takes a box out after two misses. */
--- a/packages/core/src/lib/balance/LinkBudget.ts
+++ b/packages/core/src/lib/balance/LinkBudget.ts
@@ -2,8 +2,8 @@
 
 /** Part of the link for exchanges with callers; the rest is left to the box's own messages and to packet headers. */
 const EXCHANGE_SHARE = 0.85
-/** The rest of the time belongs to the target and to the answer. */
-const MAX_SHARE_OF_GOAL = 0.5
+/** Share of a latency goal in which the link must carry the request; the target and the answer need the rest. */
+export const MAX_SHARE_OF_GOAL = 0.5
 
 /** Bytes of one exchange on the busier direction of the link, and the latency goal of its route. @public */
 export interface ExchangeBytes {
--- a/packages/core/src/lib/balance/TurnOrder.ts
+++ b/packages/core/src/lib/balance/TurnOrder.ts
@@ -13,6 +13,8 @@
  * others), and does not keep this box waiting.
  */
 const MAX_WAIT_MS: Millis = 3_000
+/** At most this fraction of the boxes of a zone is out at once; the rest must carry the load. */
+const MAX_OUT_FRACTION = 1 / 8
 /** Time in which a box learns that another one left at the same moment: a report interval and the age of a report. */
 const CONFLICT_MS: Millis = 1_500
 
@@ -70,9 +72,9 @@
 	}
 }
 
-/** Returns how many boxes of a zone may be out at once; the rest must carry the load meanwhile. */
+/** Returns how many boxes of a zone may be out at once. */
 function maxBoxesOut(zoneSize: number): number {
-	return Math.max(1, Math.floor(zoneSize / 8))
+	return Math.max(1, Math.floor(zoneSize * MAX_OUT_FRACTION))
 }
 
 function isWaiting(peer: PeerBoxLoad): boolean {
--- a/packages/core/src/lib/balance/canCarryBody.ts
+++ b/packages/core/src/lib/balance/canCarryBody.ts
@@ -1,4 +1,5 @@
 import type { Millis } from '../units.js'
+import { MAX_SHARE_OF_GOAL } from './LinkBudget.js'
 
 /** State of the link of a box. @public */
 export interface LinkState {
@@ -16,8 +17,6 @@
 const FULL_LINK_USE = 0.9
 /** Older measurements refuse nothing: use is measured over a second, so they say nothing about the present. */
 const MAX_AGE_MS: Millis = 1_000
-/** The rest of the time belongs to the target and to the answer. */
-const MAX_SHARE_OF_GOAL = 0.5
 
 /**
  * Returns false if the body should be refused before it is read: the link is full, and the body can't come in and go out
--- a/packages/core/src/lib/balance/zoneRoom.ts
+++ b/packages/core/src/lib/balance/zoneRoom.ts
@@ -67,7 +67,7 @@
 }
 
 /** Returns true if the box can be assumed to be alive. */
-export function hasRecentReport(peer: PeerBoxLoad, now: Millis): boolean {
+function hasRecentReport(peer: PeerBoxLoad, now: Millis): boolean {
 	return now - peer.receivedAt <= ROTATION_VALIDITY_MS
 }
 
--- a/packages/core/src/lib/memory/MemoryBudget.ts
+++ b/packages/core/src/lib/memory/MemoryBudget.ts
@@ -31,8 +31,10 @@
  * the next garbage collection, and the allocator does not return all of what it frees.
  */
 const BUFFER_SHARE = 0.4
+/** Largest share of the memory of the process that its heap may take: buffers are outside the heap. */
+const MAX_HEAP_SHARE_OF_PROCESS = 0.5
 /** Share of the heap for exchanges; configuration, targets and the log use the rest. */
-const HEAP_SHARE = 0.5
+const EXCHANGE_HEAP_SHARE = 0.5
 /** A box with less memory than the idle process needs still serves small requests. */
 const MIN_BUFFER_BYTES = 8_000_000
 /** Fractions of the budget from which the levels apply. */
@@ -42,6 +44,7 @@
 const WAITING_SHARE = 0.1
 /** Bodies up to this size are accepted until the budget is full: nearly all requests are smaller. */
 const LARGE_BODY_BYTES = 65_536
+
 /** Counts the bytes that the exchanges of a box hold, and decides what it still accepts. @public */
 export class MemoryBudget {
 	/** Maximum bytes in buffers. */
@@ -60,8 +63,9 @@
 			MIN_BUFFER_BYTES,
 			(processBytes - IDLE_PROCESS_BYTES) * BUFFER_SHARE,
 		)
-		// A heap limit above the memory of the process does not protect the process.
-		this.heapLimit = Math.min(heapBytes, processBytes * HEAP_SHARE) * HEAP_SHARE
+		// The heap limit of V8 can exceed the memory of the process.
+		const heapLimit = Math.min(heapBytes, processBytes * MAX_HEAP_SHARE_OF_PROCESS)
+		this.heapLimit = heapLimit * EXCHANGE_HEAP_SHARE
 	}
 
 	/** Bytes held, by class. */
@@ -96,16 +100,13 @@
 		return use < FULL_FRACTION + (1 - FULL_FRACTION) / (1 + rank)
 	}
 
-	/**
-	 * True if a body of which the caller did not state the length may grow to `bodyBytes`. Its bytes must not be held
-	 * yet beyond what was read before.
-	 */
+	/** True if a body of unstated length may grow to `bodyBytes`. Must be called before its new bytes are held. */
 	mayGrow(bodyBytes: number): boolean {
 		const use = this.useWith(0)
 		return use < (bodyBytes > LARGE_BODY_BYTES ? HIGH_FRACTION : 1)
 	}
 
-	/** True if another answer may wait, of which `waitingBytes` of all that wait are read ahead. */
+	/** True if one more answer may wait while the waiting answers hold `waitingBytes` that were read ahead. */
 	mayWait(waitingBytes: number): boolean {
 		return waitingBytes < this.bufferLimit * WAITING_SHARE
 	}
--- a/packages/core/src/lib/placement/chooseCandidate.ts
+++ b/packages/core/src/lib/placement/chooseCandidate.ts
@@ -20,15 +20,15 @@
 }
 
 /**
- * Number of targets that are compared in each group; of small groups, half of the targets but at least two. All boxes see about the same reports: if each compared all targets,
- * they would send to the same one until the next reports (`unevenTargetsSimulation.test.ts`). Three are enough to find
- * one that is neither slow nor busy.
+ * Targets that are compared in each group; in groups of fewer than six, half of them rounded up, but at least two. All
+ * boxes see about the same reports: if each compared all targets, they would send to the same one until the next
+ * reports (`unevenTargetsSimulation.test.ts`). Three are enough to find one that is neither slow nor busy.
  */
 const SAMPLE_SIZE = 3
 /**
- * Targets in another zone are used if those of the own zone cost more than this multiple, or
- * {@link MAX_OWN_ZONE_DELAY_MS} more. Traffic between zones is
- * expensive, and expected times of two targets often differ by half although both zones have about the same load.
+ * A target in another zone is used if the best one of the own zone costs more than this multiple of it, or
+ * {@link MAX_OWN_ZONE_DELAY_MS} more. Traffic between zones is expensive, and the expected times of two targets often
+ * differ by half although both zones have about the same load.
  */
 const MIN_CROSS_ZONE_RATIO = 2
 /** Maximum expected delay by which the own zone is preferred, in ms: a fraction of usual latency goals. */
--- a/packages/gateway/src/lib/Gateway.ts
+++ b/packages/gateway/src/lib/Gateway.ts
@@ -335,7 +335,7 @@
 			crashProtection: this.sharing.crashProtection,
 			metrics: options.metrics,
 			memory,
-			bodyGuards: presentOnly([...(this.boxLoad?.bodyGuards ?? []), memory]),
+			bodyGuards: presentOnly([memory, ...(this.boxLoad?.bodyGuards ?? [])]),
 			gate: this.sharing.admission.gate,
 			isUnderPressure: options.isUnderPressure,
 			traffic: undefined,
--- a/packages/gateway/src/lib/admission/QueueingGate.ts
+++ b/packages/gateway/src/lib/admission/QueueingGate.ts
@@ -278,6 +278,6 @@
 		rank: request.rank,
 		expectedWorkMs: workMs,
 		latestStartAt: now + Math.min(remainingMs - workMs, goalLeftMs - firstMs),
-		isRetry: false,
+		isEarlyReturn: false,
 	}
 }
--- a/packages/gateway/src/lib/admission/demandCodec.ts
+++ b/packages/gateway/src/lib/admission/demandCodec.ts
@@ -6,6 +6,7 @@
 	type ServiceName,
 } from '@stallwing/core'
 import { readDatagramRows } from '../readDatagramRows.js'
+import { isNonNegativeNumber } from '../isNonNegativeNumber.js'
 
 /** The demand of one box for the places of one service. */
 export interface DemandReport {
@@ -65,7 +66,3 @@
 function roundWork(value: number): number {
 	return Math.round(value * 1_000) / 1_000
 }
-
-function isNonNegativeNumber(value: unknown): value is number {
-	return typeof value === 'number' && Number.isFinite(value) && value >= 0
-}
--- a/packages/gateway/src/lib/balance/BoxLoadControl.ts
+++ b/packages/gateway/src/lib/balance/BoxLoadControl.ts
@@ -39,8 +39,8 @@
 const SECOND_MS = 1_000
 
 /**
- * Link use below which no delay of the link is assumed. Input waits only at a full link, whose payload is less than its
- * nominal rate, in particular with many small packets; a delay seen at lower use has another cause, such as a slow sender.
+ * Link use below which the estimated input delay is ignored: it then has another cause, such as a slow sender. It is well
+ * below 1 because packet headers fill a part of the link, in particular with many small packets.
  */
 const MIN_USE_FOR_DELAY = 0.5
 
--- a/packages/gateway/src/lib/balance/boxLoadCodec.ts
+++ b/packages/gateway/src/lib/balance/boxLoadCodec.ts
@@ -1,5 +1,6 @@
 import { brandId, type BoxLoad, type BoxName, type ZoneName } from '@stallwing/core'
 import { readDatagramRows } from '../readDatagramRows.js'
+import { isNonNegativeNumber } from '../isNonNegativeNumber.js'
 
 /** A load report with the time at which it was sent. */
 export interface BoxLoadReport {
@@ -64,7 +65,3 @@
 		sentAt: sentAt ?? undefined,
 	}
 }
-
-function isNonNegativeNumber(value: unknown): value is number {
-	return typeof value === 'number' && Number.isFinite(value) && value >= 0
-}
--- /dev/null
+++ b/packages/gateway/src/lib/isNonNegativeNumber.ts
@@ -0,0 +1,3 @@
+export function isNonNegativeNumber(value: unknown): value is number {
+	return typeof value === 'number' && Number.isFinite(value) && value >= 0
+}
--- a/packages/gateway/src/lib/memory/ExchangeMemory.ts
+++ b/packages/gateway/src/lib/memory/ExchangeMemory.ts
@@ -111,9 +111,10 @@
 	/** Called when an attempt begins: the body is then kept only for a retry. */
 	beginAttempt(): void {
 		this.openAttempts++
-		const { bodies } = this.held
+		const { bodies, retries } = this.held
+		// In this order, because a release lets waiting answers reserve memory.
+		this.hold('retries', retries + bodies)
 		this.hold('bodies', 0)
-		this.hold('retries', this.held.retries + bodies)
 	}
 
 	/** Called when an attempt has ended. `isAnswerKept`: the answer that it collected will be sent. */
--- a/packages/gateway/src/lib/memory/readSendQueues.ts
+++ b/packages/gateway/src/lib/memory/readSendQueues.ts
@@ -16,7 +16,10 @@
 const SEND_QUEUE_END = 41
 const EMPTY_QUEUE = '00000000'
 
-/** Reads the send queues of all connections; empty where the system does not show them. Never rejects. */
+/**
+ * Reads the send queues of all connections over IPv4; empty where the system does not show them, so that callers are
+ * judged only by the bytes that the kernel takes. Never rejects.
+ */
 export async function readSendQueues(): Promise<SendQueues> {
 	try {
 		return parseSendQueues(await readFile(CONNECTIONS_FILE, 'latin1'))
--- a/packages/gateway/src/lib/rateCodec.ts
+++ b/packages/gateway/src/lib/rateCodec.ts
@@ -1,5 +1,6 @@
 import { brandId, type TargetName, type TargetIdentity } from '@stallwing/core'
 import { readDatagramRows } from './readDatagramRows.js'
+import { isNonNegativeNumber } from './isNonNegativeNumber.js'
 
 /** The last request rate that a target advertised as the limit for all boxes together. */
 export interface RateReport extends TargetIdentity {
@@ -47,7 +48,3 @@
 		reportedAt: now - ageMs,
 	}
 }
-
-function isNonNegativeNumber(value: unknown): value is number {
-	return typeof value === 'number' && Number.isFinite(value) && value >= 0
-}
--- a/packages/gateway/src/lib/speeds/SpeedSharing.ts
+++ b/packages/gateway/src/lib/speeds/SpeedSharing.ts
@@ -126,7 +126,7 @@
 	}
 
 	/** Sends everything known to a box that has just begun to report to this hub. */
-	private welcome(address: string): void {
+	private sendAllTo(address: string): void {
 		const { now, registry } = this.options
 		const reports = registry.speeds.reports((box) => box !== FLEET_SENDER, now())
 		this.send(reports, 'fleet', [address])
@@ -163,7 +163,7 @@
 		if (sender.scope !== 'box' || !isHub()) return true
 		const isNew = !this.followers.has(sender.address)
 		this.followers.set(sender.address, now())
-		if (isNew) this.welcome(sender.address)
+		if (isNew) this.sendAllTo(sender.address)
 		return true
 	}
 }
--- a/packages/gateway/src/lib/speeds/speedCodec.ts
+++ b/packages/gateway/src/lib/speeds/speedCodec.ts
@@ -6,6 +6,7 @@
 } from '@stallwing/core'
 import { readDatagramRows } from '../readDatagramRows.js'
 import { roundFactor } from './describeSpeed.js'
+import { isNonNegativeNumber } from '../isNonNegativeNumber.js'
 
 /**
  * Whose measurements a message contains.
@@ -74,8 +75,9 @@
 	if (!Array.isArray(row)) return undefined
 	const [incarnation, lasting, samples, factor, ageMs] = row as unknown[]
 	if (typeof incarnation !== 'string' || incarnation === '') return undefined
-	if (!isNonNegative(lasting) || lasting === 0 || !isNonNegative(samples)) return undefined
-	const hasCurrent = isNonNegative(factor) && factor > 0 && isNonNegative(ageMs)
+	if (!isNonNegativeNumber(lasting) || lasting === 0 || !isNonNegativeNumber(samples))
+		return undefined
+	const hasCurrent = isNonNegativeNumber(factor) && factor > 0 && isNonNegativeNumber(ageMs)
 	return {
 		incarnation: brandId<TargetIncarnation>(incarnation),
 		lasting,
@@ -83,7 +85,3 @@
 		current: hasCurrent ? { factor, ageMs } : undefined,
 	}
 }
-
-function isNonNegative(value: unknown): value is number {
-	return typeof value === 'number' && Number.isFinite(value) && value >= 0
-}
