--- a/packages/gateway/src/lib/memory/slowCallers.test.ts
+++ b/packages/gateway/src/lib/memory/slowCallers.test.ts
@@ -38,6 +38,8 @@
 
 	beforeAll(async () => {
 		configureWithBodies(box, UNREAD_BODY_BYTES)
+		// The targets take all requests at once, so that none waits for a place.
+		box.targetSlots = 10_000
 		await box.start()
 		const handler: TargetHandler = (message, response, body) => {
 			if (message.url?.includes('large')) response.end(LARGE_ANSWER)
--- a/packages/gateway/src/lib/memory/testBoxProcess.ts
+++ b/packages/gateway/src/lib/memory/testBoxProcess.ts
@@ -12,6 +12,8 @@
 		isUnderPressure: memoryBytes > 0,
 		capacity: { cores: 1, memoryBytes: memoryBytes || undefined, linkBytesPerSecond: undefined },
 	})
+	// The targets take all requests at once, so that none waits for a place.
+	box.targetSlots = 10_000
 	// A box writes its log out; here, it would fill the heap.
 	box.logEvents.push = () => 0
 	configureWithBodies(box, maxBodyBytes)
--- a/packages/gateway/src/lib/testBox.ts
+++ b/packages/gateway/src/lib/testBox.ts
@@ -168,6 +168,8 @@
 
 /** A gateway in this process with a store in memory and targets on loopback. */
 export class TestBox {
+	/** Concurrent requests that the entries of targets state; the targets of the tests take any number. */
+	targetSlots = 8
 	/** Outcome of calls to the store, if this box created it. */
 	storeFate: CallOutcome = 'served'
 	/** Total time for which the machine has been suspended, in ms. */
@@ -279,7 +281,7 @@
 	}
 
 	listTarget(id: string, address: string, leaving: boolean): void {
-		const entry = targetEntryOf(id, address, leaving)
+		const entry = { ...targetEntryOf(id, address, leaving), slots: this.targetSlots }
 		this.store.put(`targets/${id}`, JSON.stringify(entry))
 	}
 
