--- a/packages/core/src/lib/balance/zoneRoom.ts
+++ b/packages/core/src/lib/balance/zoneRoom.ts
@@ -2,8 +2,9 @@
 import type { Millis } from '../units.js'
 import type { BoxLoad, PeerBoxLoad } from './BoxLoad.js'
 
-/** Link use and event loop delay above which a box is overloaded. */
+/** Link use above which a box is overloaded. */
 const MAX_LINK_USE = 0.75
+/** Event loop delay above which a box has no room for callers of others. */
 const MAX_LOOP_DELAY_MS: Millis = 100
 /** Link use that the receivers of moved callers should stay under. */
 const MAX_RECEIVER_USE = 0.6
@@ -26,14 +27,17 @@
 const MIN_IMPROVED_FRACTION = 0.75
 const MIN_IMPROVEMENT = 0.05
 
-/** Returns true if the box should move callers to other boxes. */
+/**
+ * Returns true if the box should move callers to other boxes. A late event loop does not count: it is often a start or a
+ * pause of the process, which is over before the load balancer reacts, and the box sheds requests meanwhile.
+ */
 export function isOverloaded(load: BoxLoad): boolean {
-	return load.linkUse > MAX_LINK_USE || load.loopDelayMs > MAX_LOOP_DELAY_MS
+	return load.linkUse > MAX_LINK_USE
 }
 
-/** Returns how far the box is over its limits, in either resource; 1 at the limit. */
+/** Returns how far the box is over its limit; 1 at the limit. */
 export function fullness(load: BoxLoad): number {
-	return Math.max(load.linkUse / MAX_LINK_USE, load.loopDelayMs / MAX_LOOP_DELAY_MS)
+	return load.linkUse / MAX_LINK_USE
 }
 
 /** Returns true if the figures of a load can be used. */
@@ -45,8 +49,6 @@
 
 /** Returns the share of a box's traffic that should move to other boxes. */
 export function shareToMove(load: BoxLoad): number {
-	// A late event loop is a fully used processor, so the same target of half the use applies to it.
-	if (load.loopDelayMs > MAX_LOOP_DELAY_MS) return MAX_MOVED_SHARE
 	if (load.linkUse <= TARGET_USE) return 0
 	return Math.min(MAX_MOVED_SHARE, 1 - TARGET_USE / load.linkUse)
 }
@@ -73,7 +75,7 @@
 
 /** Returns the bytes per second that a box can take over. */
 export function roomOf(load: BoxLoad): number {
-	if (!load.isReady || isOverloaded(load)) return 0
+	if (!load.isReady || isOverloaded(load) || load.loopDelayMs > MAX_LOOP_DELAY_MS) return 0
 	return load.linkBytesPerSecond * Math.max(0, MAX_RECEIVER_USE - load.linkUse)
 }
 
