--- a/packages/gateway/src/lib/testBox.ts
+++ b/packages/gateway/src/lib/testBox.ts
@@ -172,6 +172,8 @@
 	targetSlots = 8
 	/** Outcome of calls to the store, if this box created it. */
 	storeFate: CallOutcome = 'served'
+	/** Address at which this box reaches a target, by the address in the target list. */
+	addressOf: (address: string) => string = (address) => address
 	/** Total time for which the machine has been suspended, in ms. */
 	suspendedMs = 0
 	readonly store: MemoryStore
@@ -183,6 +185,7 @@
 		body: string
 	}[] = []
 	private readonly servers: Server[] = []
+	private readonly targetAddresses = new Map<string, string>()
 	/** Connections accepted by the targets. */
 	readonly targetSockets = new Set<Socket>()
 	port = 0
@@ -229,8 +232,10 @@
 				fleetPrefix: 'box',
 				quarantineKey: 'box-quarantine',
 				readConfig: (value) => readConfig(value.toString()),
-				readTarget: ({ value, revision }) =>
-					E.right({ ...(JSON.parse(value.toString()) as TargetEntry), revision }),
+				readTarget: ({ value, revision }) => {
+					const entry = JSON.parse(value.toString()) as TargetEntry
+					return E.right({ ...entry, address: this.addressOf(entry.address), revision })
+				},
 			},
 			dialect: TEST_DIALECT,
 			retryLimits: { ratio: 0.2, slack: 1_000, windowMs: 10_000 },
@@ -280,7 +285,13 @@
 		this.listTarget(id, `127.0.0.1:${(server.address() as AddressInfo).port}`, leaving)
 	}
 
+	/** Address of a target that this box has started. */
+	addressOfTarget(id: string): string {
+		return this.targetAddresses.get(id) ?? ''
+	}
+
 	listTarget(id: string, address: string, leaving: boolean): void {
+		this.targetAddresses.set(id, address)
 		const entry = { ...targetEntryOf(id, address, leaving), slots: this.targetSlots }
 		this.store.put(`targets/${id}`, JSON.stringify(entry))
 	}
