Requests go through another box while a box has no path to their targets

Cause: a failed connection was held against the target only, for at most 3 s. Each request tried all targets in turn, 300 ms each, and then failed; connections from before the cut were used until their keep-alive ended. No box used the path of another. Evidence: 216 connections that timed out at the three boxes between 8 and 14 s, each 'no target is open' after 1,805 ms, while four boxes were answered by the same targets. partitionedBoxes.test.ts failed before: 70, 69 and 73 of about 70 requests. Change: core/reachability decides from connections and silence whether a service can be reached; gateway/forwarding sends single attempts through another box, which refuses or sends, and never hands over again. The box of the caller keeps the choice, tokens, limits and retries. Both are off as long as connections succeed. Why it works: the other box has a path, and a refusal of it says that nothing was sent; the check needs two more targets that fail, so a target that crashes changes nothing.

--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -50,6 +50,8 @@
 export { type LogPosition } from './lib/identity/ReplicationLog.js'
 export { BoxReplica, type SliceRow, type ReplicationBatch } from './lib/identity/BoxReplica.js'
 export { maxCountInWindow } from './lib/maxCountInWindow.js'
+export { ForwardingPeers, type ForwardingPeer } from './lib/reachability/ForwardingPeers.js'
+export { TargetReachability, type ReachState } from './lib/reachability/TargetReachability.js'
 export { rendezvous, rendezvousFirst, rendezvousRank } from './lib/identity/rendezvous.js'
 export {
 	brandId,
--- a/packages/core/src/lib/placement/TargetRegistry.ts
+++ b/packages/core/src/lib/placement/TargetRegistry.ts
@@ -204,6 +204,28 @@
 		return state && incarnationOf(state.entry) === incarnationOf(target) ? state : undefined
 	}
 
+	/** The listed target if it may receive requests; undefined if it is leaving or not listed. */
+	availableTarget(name: TargetName): TargetEntry | undefined {
+		const state = this.targets.get(name)
+		return state && !state.leaving ? state.entry : undefined
+	}
+
+	/** The targets of a service that are not leaving. */
+	targetsOf(service: ServiceName): readonly TargetEntry[] {
+		const listed = this.byService.get(service) ?? []
+		return listed.filter((state) => !state.leaving).map((state) => state.entry)
+	}
+
+	/** Services with listed targets. */
+	get services(): readonly ServiceName[] {
+		return [...this.byService.keys()]
+	}
+
+	/** Ends the ejections of the targets of a service: the connections failed because of this box, not of the targets. */
+	forgetFailedConnections(service: ServiceName): void {
+		for (const state of this.byService.get(service) ?? []) state.endEjection()
+	}
+
 	serviceOf(target: TargetName): ServiceName | undefined {
 		return this.targets.get(target)?.entry.service
 	}
--- a/packages/core/src/lib/placement/TargetState.ts
+++ b/packages/core/src/lib/placement/TargetState.ts
@@ -135,6 +135,12 @@
 		return false
 	}
 
+	/** Ends an ejection, for instance when its cause was found not to be the target. */
+	endEjection(): void {
+		this.ejectedUntil = Number.NEGATIVE_INFINITY
+		this.consecutiveUnreachable = 0
+	}
+
 	private updateFailureRate(result: number, now: Millis): void {
 		const before = this.failureRate(now)
 		this.lastFailureRate = before + FAILURE_WEIGHT * (result - before)
--- a/packages/core/src/lib/router/logEvents.ts
+++ b/packages/core/src/lib/router/logEvents.ts
@@ -201,6 +201,14 @@
 		number: 520,
 		text: 'A target reported a current slowdown that is not a positive number; its other load figures are used',
 	},
+	'service-unreachable': {
+		number: 523,
+		text: 'This box has no path to the targets of a service; its requests go through other boxes',
+	},
+	'service-reached': {
+		number: 524,
+		text: 'This box reaches the targets of a service again',
+	},
 	'invariant-breach': {
 		number: 900,
 		text: 'An invariant would have been violated; the write was not made',
--- a/packages/gateway/src/lib/Attempt.ts
+++ b/packages/gateway/src/lib/Attempt.ts
@@ -17,13 +17,12 @@
 	readTargetNotice,
 	type TargetNotice,
 } from './readTargetNotice.js'
-import {
-	sendToTarget,
-	type ResponseHead,
-	type ResponseListener,
-	type TargetCall,
-	type TargetFailure,
-	type TargetRequest,
+import type {
+	ResponseHead,
+	ResponseListener,
+	TargetCall,
+	TargetFailure,
+	TargetRequest,
 } from './sendToTarget.js'
 import { applyTargetNotice } from './applyTargetNotice.js'
 
@@ -111,8 +110,8 @@
 		return new Promise((resolve) => {
 			this.resolve = resolve
 			this.startTimeout(this.timeouts().firstByteMs)
-			this.call = sendToTarget(
-				this.context.poolFor(this.placement.target),
+			this.call = this.context.callTarget(
+				this.placement.target,
 				message,
 				this,
 				this.responseWriter.memory && MAX_BODY_STALL_MS,
--- a/packages/gateway/src/lib/ConnectionPool.ts
+++ b/packages/gateway/src/lib/ConnectionPool.ts
@@ -35,6 +35,8 @@
 		private readonly timeouts: PoolTimeouts,
 		private readonly now: () => number,
 		private readonly onOpened: (socket: Socket) => void,
+		/** Called when opening a connection failed. */
+		private readonly onFailed: () => void = () => undefined,
 	) {}
 
 	/** Open connections, in use or idle. */
@@ -128,6 +130,7 @@
 			const fail = (error: Error): void => {
 				clearTimeout(timer)
 				socket.destroy()
+				this.onFailed()
 				reject(error)
 			}
 			const timer = setTimeout(
--- a/packages/gateway/src/lib/FleetMembership.ts
+++ b/packages/gateway/src/lib/FleetMembership.ts
@@ -69,6 +69,7 @@
 	/** The caches below are cleared whenever the members are listed. */
 	private cachedWatcherAddresses: readonly string[] | undefined
 	private cachedWorkPeers: readonly string[] | undefined
+	private cachedOtherMembers: readonly FleetMember[] | undefined
 	private cachedLenderPeers: readonly string[] | undefined
 	private readonly cachedLenderAddresses = new Map<AccountName, readonly string[]>()
 
@@ -162,6 +163,12 @@
 		return this.members.filter((member) => member.box !== box).map((member) => member.address)
 	}
 
+	/** All other boxes. */
+	get otherMembers(): readonly FleetMember[] {
+		this.cachedOtherMembers ??= this.members.filter(({ box }) => box !== this.options.self.box)
+		return this.cachedOtherMembers
+	}
+
 	/** Addresses of the other boxes of the zone of this box. */
 	get zonePeers(): readonly string[] {
 		const { box, zone } = this.options.self
@@ -241,6 +248,7 @@
 		this.cachedLenderAddresses.clear()
 		this.cachedWatcherAddresses = undefined
 		this.cachedWorkPeers = undefined
+		this.cachedOtherMembers = undefined
 		this.cachedLenderPeers = undefined
 		const { box, zone } = this.options.self
 		this.isLender = lendersOfZone(members, zone).some((member) => member.box === box)
--- a/packages/gateway/src/lib/Gateway.ts
+++ b/packages/gateway/src/lib/Gateway.ts
@@ -3,6 +3,7 @@
 	TargetRegistry,
 	allowsRegion,
 	brandId,
+	shedFraction,
 	type RetryLimits,
 	type RequestFingerprint,
 } from '@stallwing/core'
@@ -14,6 +15,8 @@
 import { describeError } from './describeError.js'
 import { Exchange } from './Exchange.js'
 import type { GatewayContext, ActiveTraffic } from './GatewayContext.js'
+import { ForwardingServer } from './forwarding/ForwardingServer.js'
+import { TargetPaths } from './forwarding/TargetPaths.js'
 import { FeedRelay } from './FeedRelay.js'
 import { followDocuments } from './followDocuments.js'
 import { FleetMembership } from './FleetMembership.js'
@@ -42,11 +45,14 @@
 const ALLOWANCE_INTERVAL_MS = 400
 const MAINTENANCE_INTERVAL_MS = 250
 const KEEP_ALIVE_MARGIN_MS = 1_000
+/** Limit on the method, path and headers of a forwarded request, in bytes as JSON. */
+const MAX_FORWARDED_HEAD_BYTES = 256 * 1024
 
 /** Serves callers: follows configuration, targets and budgets, and sends each request to a target. @public */
 export class Gateway {
 	private readonly registry: TargetRegistry
 	private readonly pools: TargetPools
+	private readonly paths: TargetPaths
 	private readonly targets: TargetDirectory
 	private readonly cordons: CordonDirectory
 	private readonly serviceLimits: ServiceLimits
@@ -152,8 +158,19 @@
 				options.metrics.count('stallwing_connections_opened_total')
 				this.boxLoad?.trackTargetSocket(socket)
 			},
+			(target, isOpen) => this.paths.noteConnection(target, isOpen),
 			this.boxLoad?.isLinkSaturated,
 		)
+		this.paths = new TargetPaths({
+			...options,
+			registry: this.registry,
+			poolFor: (target) => this.pools.poolFor(target),
+			closeIdle: (target) => this.pools.closeIdle(target),
+			peers: () => this.membership.otherMembers,
+			createPeerPool: (peer) =>
+				this.pools.createPeerPool(peer, this.boxLoad?.trackBoxSocket ?? (() => undefined)),
+			isLinkSaturated: this.boxLoad?.isLinkSaturated ?? (() => false),
+		})
 		this.sharing = new PeerSharing({
 			gateway: options,
 			store: this.store,
@@ -184,7 +201,9 @@
 		})
 		this.serviceLimits = new ServiceLimits({
 			self: options.box,
-			pools: this.pools,
+			pools: {
+				inUse: (target) => this.pools.inUse(target) + this.paths.forwardedTo(target),
+			},
 			serviceOf: (target) => this.registry.serviceOf(target),
 			maxConnections: (service) =>
 				this.context.traffic?.index.service(service)?.maxConnections ?? Infinity,
@@ -204,7 +223,7 @@
 			loopDelay: this.loopDelay,
 			configPrefix: options.storeLayout.configPrefix,
 			targetsPrefix: options.storeLayout.targetsPrefix,
-			parts: presentOnly([this.boxLoad, this.context.memory, ...this.sharing.parts]),
+			parts: presentOnly([this.paths, this.boxLoad, this.context.memory, ...this.sharing.parts]),
 			openRequests: () => this.openRequests,
 			isReady: () => this.isReady,
 		})
@@ -219,6 +238,7 @@
 			workSharing: this.sharing.workSharing,
 			feed: this.feed,
 			canAcceptTokens: () => !this.context.isStopping,
+			forwarding: this.createForwardingServer(),
 		})
 		this.peerServer = new PeerServer(peerHandlers, this.boxLoad?.trackBoxSocket)
 		this.followers = followDocuments({
@@ -280,6 +300,7 @@
 		this.readinessServer.close()
 		this.peerServer.close()
 		this.pools.close()
+		this.paths.stop()
 		for (const follower of this.followers) follower.stop()
 		this.feed.stop()
 		this.membership.stop()
@@ -347,6 +368,7 @@
 			random: options.random,
 			log: options.log,
 			poolFor: (target) => this.pools.poolFor(target),
+			callTarget: (...call) => this.paths.call(...call),
 			isConfigurationCurrent: () => this.isConfigurationCurrent(),
 			isAtConnectionLimit: (target) => this.serviceLimits.isAtConnectionLimit(target),
 			hasIdleConnection: (target) => this.pools.hasIdleConnection(target),
@@ -371,6 +393,26 @@
 		}
 	}
 
+	private createForwardingServer(): ForwardingServer {
+		return new ForwardingServer({
+			availableTarget: (name) => this.registry.availableTarget(name),
+			poolFor: (target) => this.pools.poolFor(target),
+			isUnreachable: ({ service }) => this.paths.isUnreachable(service),
+			isStopping: () => this.context.isRefusingRequests,
+			isOverloaded: () => shedFraction(this.loopDelay.sustainedMs, true) > 0,
+			maxRequestBytes: () => {
+				const limits = this.context.traffic?.index.config.limits
+				return (
+					(limits ?? this.options.dialect.initialLimits).maxBodyBytes + MAX_FORWARDED_HEAD_BYTES
+				)
+			},
+			onRequest: () => {
+				this.openRequests++
+				return () => this.openRequests--
+			},
+		})
+	}
+
 	private handleRequest(message: IncomingMessage, response: ServerResponse): void {
 		this.openRequests++
 		response.once('close', () => this.openRequests--)
--- a/packages/gateway/src/lib/GatewayContext.ts
+++ b/packages/gateway/src/lib/GatewayContext.ts
@@ -20,6 +20,7 @@
 import type { ConnectionPool } from './ConnectionPool.js'
 import type { CrashProtection } from './CrashProtection.js'
 import type { Dialect } from './Dialect.js'
+import type { TargetPaths } from './forwarding/TargetPaths.js'
 import type { BoxMemory } from './memory/BoxMemory.js'
 import type { UnknownHeaders } from './UnknownHeaders.js'
 
@@ -64,6 +65,8 @@
 	random(): number
 	log(event: LogEvent): void
 	poolFor(target: TargetEntry): ConnectionPool
+	/** Sends a request to a target, through another box if this one has no path to it. */
+	callTarget: TargetPaths['call']
 	/** True if this box has all the connections to the target that it may open. */
 	isAtConnectionLimit(target: TargetName): boolean
 	/** True if this box has an idle connection to the target. */
--- a/packages/gateway/src/lib/PeerServer.ts
+++ b/packages/gateway/src/lib/PeerServer.ts
@@ -8,6 +8,7 @@
 import type { FeedResponse } from './handleFeedRequest.js'
 import type { LendResponse, LendRequest } from './TokenLending.js'
 import { toWireWork } from './workCodec.js'
+import { FORWARD_PATH } from './forwarding/forwardCodec.js'
 import { listenOn, type ListenAddress } from './listenOn.js'
 
 /** Endpoint that lends tokens to the requesting box. */
@@ -37,6 +38,8 @@
 	canAcceptTokens(): boolean
 	/** Waits up to `waitMs` for changes below a prefix after a revision. */
 	waitForChanges(prefix: string, after: RequestedRevision, waitMs: number): Promise<FeedResponse>
+	/** Sends a request to a target on behalf of another box, and passes on the response. */
+	forward(request: IncomingMessage, response: ServerResponse): Promise<void>
 }
 
 /** HTTP server for other boxes. It must not be reachable for callers of the service. */
@@ -117,6 +120,10 @@
 			response.writeHead(draws && this.handlers.storeDraws(draws) ? 200 : 503).end()
 			return
 		}
+		if (url.pathname === FORWARD_PATH) {
+			await this.handlers.forward(request, response)
+			return
+		}
 		if (url.pathname === CHANGES_PATH) {
 			await this.sendChanges(url, response)
 			return
--- a/packages/gateway/src/lib/TargetPools.ts
+++ b/packages/gateway/src/lib/TargetPools.ts
@@ -21,6 +21,8 @@
 		private readonly now: () => number,
 		/** Called with each new connection. */
 		private readonly onOpened: (socket: Socket) => void,
+		/** Called when a connection was opened, or opening it failed. */
+		private readonly onConnection: (target: TargetEntry, isOpen: boolean) => void = () => undefined,
 		/** True while the link of this box delays all responses. */
 		isLinkSaturated: () => boolean = () => false,
 	) {
@@ -34,11 +36,25 @@
 	poolFor(target: TargetEntry): ConnectionPool {
 		const existing = this.pools.get(target.name)
 		if (existing) return existing
-		const pool = new ConnectionPool(target.address, this.timeouts, this.now, this.onOpened)
+		const pool = new ConnectionPool(
+			target.address,
+			this.timeouts,
+			this.now,
+			(socket) => {
+				this.onOpened(socket)
+				this.onConnection(target, true)
+			},
+			() => this.onConnection(target, false),
+		)
 		this.pools.set(target.name, pool)
 		return pool
 	}
 
+	/** Creates a pool of connections to another box, with the same timeouts. */
+	createPeerPool(address: string, onOpened: (socket: Socket) => void): ConnectionPool {
+		return new ConnectionPool(address, this.timeouts, this.now, onOpened)
+	}
+
 	/** Number of connections that serve a request. */
 	inUse(target: TargetName): number {
 		const pool = this.pools.get(target)
--- a/packages/gateway/src/lib/createPeerHandlers.ts
+++ b/packages/gateway/src/lib/createPeerHandlers.ts
@@ -2,6 +2,7 @@
 import type { FeedRelay } from './FeedRelay.js'
 import type { FleetMembership } from './FleetMembership.js'
 import type { PeerHandlers } from './PeerServer.js'
+import type { ForwardingServer } from './forwarding/ForwardingServer.js'
 import type { WorkSharing } from './WorkSharing.js'
 
 /** What answers the requests of other boxes. */
@@ -11,6 +12,7 @@
 	readonly workSharing: WorkSharing
 	readonly feed: FeedRelay
 	readonly canAcceptTokens: () => boolean
+	readonly forwarding: ForwardingServer
 }
 
 export function createPeerHandlers({
@@ -19,6 +21,7 @@
 	workSharing,
 	feed,
 	canAcceptTokens,
+	forwarding,
 }: PeerHandlerSources): PeerHandlers {
 	return {
 		lend: (account, request) => allowance.lend(account, request),
@@ -28,5 +31,6 @@
 		storeDraws: (draws) => allowance.receiveDraws(draws),
 		canAcceptTokens,
 		waitForChanges: (prefix, after, waitMs) => feed.handleRequest(prefix, after, waitMs),
+		forward: (request, response) => forwarding.handle(request, response),
 	}
 }
--- /dev/null
+++ b/packages/gateway/src/lib/forwarding/ForwardingServer.ts
@@ -0,0 +1,127 @@
+import type { IncomingMessage, ServerResponse } from 'node:http'
+import type { TargetEntry, TargetName } from '@stallwing/core'
+import type { ConnectionPool } from '../ConnectionPool.js'
+import {
+	sendToTarget,
+	type ResponseHead,
+	type ResponseListener,
+	type TargetCall,
+	type TargetFailure,
+} from '../sendToTarget.js'
+import { decodeForwardedRequest, encodeForwardedHead, type ForwardRefusal } from './forwardCodec.js'
+
+export interface ForwardingServerOptions {
+	/** The target if it is listed and may receive requests. */
+	readonly availableTarget: (name: TargetName) => TargetEntry | undefined
+	readonly poolFor: (target: TargetEntry) => ConnectionPool
+	/** True if this box has no path to the target itself. */
+	readonly isUnreachable: (target: TargetEntry) => boolean
+	readonly isStopping: () => boolean
+	readonly isOverloaded: () => boolean
+	/** Limit on a request with its headers, in bytes. */
+	readonly maxRequestBytes: () => number
+	/** Called with each forwarded request; the returned function is called when it has ended. */
+	readonly onRequest: () => () => void
+}
+
+/** Requests that are forwarded at the same time for all other boxes. Bounds the memory for their bodies. */
+const MAX_OPEN_REQUESTS = 256
+const UNAVAILABLE = 503
+
+/** Sends requests to targets on behalf of boxes that have no path to them. Never hands them to a third box. */
+export class ForwardingServer {
+	/** Requests that are being forwarded. */
+	openCount = 0
+
+	constructor(private readonly options: ForwardingServerOptions) {}
+
+	async handle(request: IncomingMessage, response: ServerResponse): Promise<void> {
+		if (this.options.isStopping()) return refuse(response, 'stopping')
+		if (this.openCount >= MAX_OPEN_REQUESTS || this.options.isOverloaded())
+			return refuse(response, 'overloaded')
+		this.openCount++
+		const onEnd = this.options.onRequest()
+		response.once('close', () => {
+			this.openCount--
+			onEnd()
+		})
+		const bytes = await readAll(request, this.options.maxRequestBytes())
+		if (!response.destroyed) this.forward(bytes, response)
+	}
+
+	private forward(bytes: Buffer | undefined, response: ServerResponse): void {
+		const forwarded = bytes && decodeForwardedRequest(bytes)
+		if (!forwarded) return refuse(response, 'malformed')
+		const { availableTarget, isUnreachable, poolFor } = this.options
+		const target = availableTarget(forwarded.target)
+		if (!target) return refuse(response, 'target-not-reached')
+		if (isUnreachable(target)) return refuse(response, 'service-unreachable')
+		const relay = new ResponseRelay(response, () => availableTarget(target.name) !== undefined)
+		relay.call = sendToTarget(poolFor(target), forwarded.message, relay)
+	}
+}
+
+/** Passes the response of a target to the box that asked for it. */
+class ResponseRelay implements ResponseListener {
+	call: TargetCall | undefined
+	private hasEnded = false
+
+	constructor(
+		private readonly response: ServerResponse,
+		private readonly isTargetAvailable: () => boolean,
+	) {
+		// The other box closes the connection when its caller has left.
+		response.once('close', () => {
+			if (!this.hasEnded) this.call?.abort()
+		})
+	}
+
+	maySend(): Promise<boolean> {
+		return Promise.resolve(!this.response.destroyed && this.isTargetAvailable())
+	}
+
+	onHead(head: ResponseHead): boolean {
+		this.response.writeHead(200, { 'Content-Type': 'application/octet-stream' })
+		this.write(encodeForwardedHead(head))
+		return true
+	}
+
+	onData(chunk: Buffer): void {
+		this.write(chunk)
+	}
+
+	onEnd(): void {
+		this.hasEnded = true
+		this.response.end()
+	}
+
+	onFailure({ kind }: TargetFailure): void {
+		this.hasEnded = true
+		if (kind === 'broken') this.response.destroy()
+		else refuse(this.response, 'target-not-reached')
+	}
+
+	private write(bytes: Buffer): void {
+		if (this.response.write(bytes)) return
+		this.call?.pause()
+		this.response.once('drain', () => this.call?.resume())
+	}
+}
+
+function refuse(response: ServerResponse, reason: ForwardRefusal): void {
+	response.writeHead(UNAVAILABLE, { 'Content-Type': 'text/plain' }).end(reason)
+}
+
+/** Reads a message; undefined if it is longer than `maxBytes` or its sender has left. */
+function readAll(request: IncomingMessage, maxBytes: number): Promise<Buffer | undefined> {
+	return new Promise((resolve) => {
+		const chunks: Buffer[] = []
+		let length = 0
+		request.on('data', (chunk: Buffer) => {
+			length += chunk.length
+			if (length <= maxBytes) chunks.push(chunk)
+		})
+		request.on('end', () => resolve(length <= maxBytes ? Buffer.concat(chunks) : undefined))
+		request.on('close', () => resolve(undefined))
+	})
+}
--- /dev/null
+++ b/packages/gateway/src/lib/forwarding/PathCall.ts
@@ -0,0 +1,120 @@
+import type { TargetEntry } from '@stallwing/core'
+import {
+	sendToTarget,
+	type ResponseHead,
+	type ResponseListener,
+	type TargetCall,
+	type TargetFailure,
+	type TargetRequest,
+} from '../sendToTarget.js'
+import type { TargetPaths } from './TargetPaths.js'
+
+/** A request to a target. */
+export interface PathRequest {
+	readonly target: TargetEntry
+	readonly message: TargetRequest
+	readonly listener: ResponseListener
+	/** See {@link sendToTarget}. */
+	readonly bodyStallMs: number | undefined
+}
+
+/** Time without an answer after which silence may show a lost path, in ms. */
+const SILENCE_MS = 300
+
+/** One request to a target, sent directly or through another box. */
+export class PathCall implements TargetCall, ResponseListener {
+	private call: TargetCall | undefined
+	private silenceTimer: NodeJS.Timeout | undefined
+	private endForwarding: (() => void) | undefined
+
+	constructor(
+		private readonly paths: TargetPaths,
+		private readonly request: PathRequest,
+	) {}
+
+	start(): TargetCall {
+		if (!this.tryForward()) this.sendDirectly()
+		return this
+	}
+
+	pause(): void {
+		this.call?.pause()
+	}
+
+	resume(): void {
+		this.call?.resume()
+	}
+
+	abort(): void {
+		this.finish()
+		this.call?.abort()
+	}
+
+	async maySend(): Promise<boolean> {
+		const maySend = await this.request.listener.maySend()
+		if (maySend && !this.endForwarding) this.watchSilence()
+		return maySend
+	}
+
+	onHead(head: ResponseHead): boolean {
+		clearTimeout(this.silenceTimer)
+		this.noteReceived()
+		return this.request.listener.onHead(head)
+	}
+
+	onData(chunk: Buffer): void {
+		this.noteReceived()
+		this.request.listener.onData(chunk)
+	}
+
+	onBodyProgress(): void {
+		this.request.listener.onBodyProgress?.()
+	}
+
+	onEnd(): void {
+		this.finish()
+		this.request.listener.onEnd()
+	}
+
+	onFailure(failure: TargetFailure): void {
+		const wasForwarded = this.endForwarding !== undefined
+		this.finish()
+		// Nothing was sent, so the request may take the other path.
+		if (failure.kind === 'not-reached' && !wasForwarded && this.tryForward()) return
+		this.request.listener.onFailure(failure)
+	}
+
+	private sendDirectly(): void {
+		const { bodyStallMs, message, target } = this.request
+		this.call = sendToTarget(this.paths.poolFor(target), message, this, bodyStallMs)
+	}
+
+	/** Returns false if the target should be reached directly, or no other box can be asked. */
+	private tryForward(): boolean {
+		const { message, target } = this.request
+		if (!this.paths.isUnreachable(target.service)) return false
+		this.endForwarding = this.paths.countForwarded(target.name)
+		const call = this.paths.forward(target, message, this)
+		if (call) this.call = call
+		else this.finish()
+		return call !== undefined
+	}
+
+	private noteReceived(): void {
+		if (!this.endForwarding) this.paths.noteReceived(this.request.target.service)
+	}
+
+	private watchSilence(): void {
+		const sentAt = this.paths.now()
+		this.silenceTimer = setTimeout(
+			() => this.paths.noteSilence(this.request.target, sentAt),
+			SILENCE_MS,
+		)
+	}
+
+	private finish(): void {
+		clearTimeout(this.silenceTimer)
+		this.endForwarding?.()
+		this.endForwarding = undefined
+	}
+}
--- a/packages/gateway/src/lib/forwarding/testPartitionedFleet.ts
+++ b/packages/gateway/src/lib/forwarding/testPartitionedFleet.ts
@@ -1,7 +1,7 @@
 import { MemoryStore } from '@stallwing/standins'
 import { freePort } from '../freePort.js'
 import { sleep } from '../sleep.js'
-import { TestBox, trafficConfigOf } from '../testBox.js'
+import { TestBox, trafficConfigOf, type TargetHandler } from '../testBox.js'
 import { TestTargetLink, type LinkCut } from './testTargetLink.js'
 
 /** A request to a box and its outcome. */
@@ -27,6 +27,8 @@
 export class TestPartitionedFleet {
 	boxes: readonly TestBox[] = []
 	private readonly store = new MemoryStore({ now: () => performance.now(), sleep })
+	/** Replaces the answers of all targets if set. */
+	handler: TargetHandler | undefined
 	/** Links of each box to the targets, by the address in the target list. */
 	private readonly links: Map<string, TestTargetLink>[] = []
 	private targets: TestBox | undefined
@@ -78,6 +80,11 @@
 		return { box, at, path, status, isServed, tookMs: performance.now() - at }
 	}
 
+	/** Requests that targets have received. */
+	get receivedCount(): number {
+		return this.targets?.receivedRequests.length ?? 0
+	}
+
 	/** Ids of requests that may run only once and ran more often. */
 	get repeatedIds(): string[] {
 		const received = this.targets?.receivedRequests ?? []
@@ -102,7 +109,8 @@
 	private async addTarget(name: string): Promise<void> {
 		const { targets } = this
 		if (!targets) return
-		await targets.addTarget(name, (message, response) => {
+		await targets.addTarget(name, (message, response, body) => {
+			if (this.handler) return this.handler(message, response, body)
 			this.answerCount++
 			if (this.answerCount % ANSWERS_PER_CONNECTION === 0) response.shouldKeepAlive = false
 			setTimeout(() => {
