Crash detection: a box without a path to other targets takes no broken connection for a crash

Callers would see: requests that run while a box loses its connections to all targets are held against their callers as requests that crash targets, at all boxes, and are refused after three such losses. Cause: a closed connection and a refused new one were taken as proof that the target ended. A box that reaches no target sees the same. Change: a refused probe counts only if another target of the service can be reached; otherwise the list decides, as it did where the probe got no answer. Why it works: a box that reaches another target has a path, so the refusal says something about the target.

--- a/packages/gateway/src/lib/CrashDetector.test.ts
+++ b/packages/gateway/src/lib/CrashDetector.test.ts
@@ -23,6 +23,7 @@
 	let isAvailable: boolean
 	let result: ProbeResult
 	let probes: number
+	let reachesOthers: boolean
 
 	beforeEach(() => {
 		quarantine = new RequestQuarantine()
@@ -31,6 +32,7 @@
 		isAvailable = true
 		result = 'accepted'
 		probes = 0
+		reachesOthers = true
 		detector = new CrashDetector({
 			quarantine,
 			pool: () =>
@@ -41,6 +43,7 @@
 					},
 				}) as Partial<ConnectionPool> as ConnectionPool,
 			isAvailable: () => isAvailable,
+			reachesAnotherTarget: () => Promise.resolve(reachesOthers),
 			onRecordChanged: () => undefined,
 			metrics: new Metrics(),
 			now: () => now,
@@ -62,6 +65,15 @@
 		return quarantine.all[0]?.runs.length ?? 0
 	}
 
+	it('records no crash while this box reaches no other target, until the list shows one', async () => {
+		result = 'refused'
+		reachesOthers = false
+		await interruptRun()
+		expect(crashCount()).toBe(0)
+		detector.noteTargetChanges([TARGET], [])
+		expect(crashCount()).toBe(1)
+	})
+
 	it('records a crash for a request that ran on a crashed target', async () => {
 		result = 'refused'
 		await interruptRun()
--- a/packages/gateway/src/lib/CrashDetector.ts
+++ b/packages/gateway/src/lib/CrashDetector.ts
@@ -16,6 +16,8 @@
 	readonly pool: (target: TargetEntry) => ConnectionPool
 	/** Returns true if this incarnation of the target is listed and is not leaving. */
 	readonly isAvailable: (incarnation: TargetIncarnation, target: TargetName) => boolean
+	/** Returns true if this box can connect to another target of the service, or knows of no other. */
+	readonly reachesAnotherTarget: (target: TargetEntry) => Promise<boolean>
 	/** Called when the crash record of a request has changed. */
 	readonly onRecordChanged: (record: CrashRecord) => void
 	readonly metrics: Metrics
@@ -53,8 +55,8 @@
 /**
  * Distinguishes a crashed target from other reasons for an interrupted response, and records a crash for each
  * request that the target was running. If the target closed the connection, a new connection shows at once whether
- * the target still runs: a refused one means that it crashed, an accepted one is added to the pool. If the target
- * does not answer the probe, a later change of the target list shows whether it crashed.
+ * the target still runs: a refused one means that it crashed, if this box reaches other targets; an accepted one is
+ * added to the pool. If the target does not answer the probe, or the box reaches no other target, a later change of the target list shows whether it crashed.
  */
 export class CrashDetector {
 	private pending: PendingRun[] = []
@@ -83,7 +85,9 @@
 		if (this.pending.length > MAX_PENDING_RUNS) this.pending.shift()
 		if (!run.closedByTarget) return
 		const result = await this.probe(run.target)
-		if (result === 'refused') this.noteTargetCrash(run.target, 'refuses connections')
+		// If this box reaches no other target either, its own path is lost, and the target may be fine.
+		if (result === 'refused' && (await this.options.reachesAnotherTarget(run.target)))
+			this.noteTargetCrash(run.target, 'refuses connections')
 		if (result === 'accepted') this.pending = this.pending.filter((other) => other !== broken)
 	}
 
--- a/packages/gateway/src/lib/CrashProtection.ts
+++ b/packages/gateway/src/lib/CrashProtection.ts
@@ -21,6 +21,8 @@
 	readonly key: string
 	readonly registry: TargetRegistry
 	readonly pool: (target: TargetEntry) => ConnectionPool
+	/** See {@link CrashDetector}. */
+	readonly reachesAnotherTarget: (target: TargetEntry) => Promise<boolean>
 	readonly datagrams: PeerDatagrams
 	/** Addresses of all other boxes. */
 	readonly peers: () => readonly string[]
--- a/packages/gateway/src/lib/Gateway.ts
+++ b/packages/gateway/src/lib/Gateway.ts
@@ -176,6 +176,7 @@
 			store: this.store,
 			registry: this.registry,
 			pools: this.pools,
+			paths: this.paths,
 			membership: this.membership,
 			boxLoad: this.boxLoad,
 		})
--- a/packages/gateway/src/lib/PeerSharing.ts
+++ b/packages/gateway/src/lib/PeerSharing.ts
@@ -10,6 +10,7 @@
 import { PeerDatagrams } from './PeerDatagrams.js'
 import type { ReportedPart } from './ReportedPart.js'
 import { RateSharing } from './RateSharing.js'
+import type { TargetPaths } from './forwarding/TargetPaths.js'
 import type { TargetPools } from './TargetPools.js'
 import { SpeedSharing } from './speeds/SpeedSharing.js'
 import { WorkSharing } from './WorkSharing.js'
@@ -19,6 +20,7 @@
 	readonly store: KeyValueStore
 	readonly registry: TargetRegistry
 	readonly pools: TargetPools
+	readonly paths: TargetPaths
 	readonly membership: FleetMembership
 	/** Undefined if the settings specify no link. */
 	readonly boxLoad: BoxLoadControl | undefined
@@ -40,7 +42,7 @@
 	private readonly boxLoad: BoxLoadControl | undefined
 
 	constructor(options: PeerSharingOptions) {
-		const { registry, gateway, pools, membership, store, boxLoad } = options
+		const { registry, gateway, pools, paths, membership, store, boxLoad } = options
 		const { datagrams } = this
 		this.address = gateway.listen.peers
 		this.boxLoad = boxLoad
@@ -76,6 +78,7 @@
 			key: gateway.storeLayout.quarantineKey,
 			registry,
 			pool: (target) => pools.poolFor(target),
+			reachesAnotherTarget: (target) => paths.reachesAnotherTarget(target),
 			datagrams,
 			peers: () => membership.otherAddresses,
 		})
--- a/packages/gateway/src/lib/forwarding/TargetPaths.ts
+++ b/packages/gateway/src/lib/forwarding/TargetPaths.ts
@@ -45,6 +45,8 @@
 	private readonly peerPools = new Map<BoxName, ConnectionPool>()
 	/** Requests in flight through other boxes, by target. */
 	private readonly forwarded = new Map<TargetName, number>()
+	/** Probes that are to confirm that this box reaches a service. */
+	private readonly confirmations = new Map<ServiceName, Promise<boolean>>()
 	private recoveryTimer: NodeJS.Timeout | undefined
 
 	constructor(private readonly options: TargetPathsOptions) {
@@ -138,6 +140,15 @@
 			void this.check(target.service, undefined)
 	}
 
+	/** Probes other targets of the same service. Returns true if one can be reached, or there is none. */
+	reachesAnotherTarget({ name, service }: TargetEntry): Promise<boolean> {
+		const running = this.confirmations.get(service)
+		if (running) return running
+		const confirmation = this.probe(service, name).finally(() => this.confirmations.delete(service))
+		this.confirmations.set(service, confirmation)
+		return confirmation
+	}
+
 	stop(): void {
 		clearInterval(this.recoveryTimer)
 		for (const pool of this.peerPools.values()) pool.close()
@@ -173,17 +184,17 @@
 		}
 	}
 
-	private async probe(service: ServiceName, except: TargetName | undefined): Promise<void> {
+	/** Connects to some targets of a service. Returns true if one can be reached, or there is none but `except`. */
+	private async probe(service: ServiceName, except: TargetName | undefined): Promise<boolean> {
 		const { poolFor, random, registry } = this.options
 		const targets = registry.targetsOf(service)
 		const others = targets.filter(({ name }) => name !== except)
 		const candidates = others.length > 0 ? others : targets
 		const first = Math.floor(random() * candidates.length)
-		const probed = Array.from(
-			{ length: Math.min(PROBED_TARGETS, candidates.length) },
-			(_, i) => candidates[(first + i) % candidates.length],
-		)
-		await Promise.all(probed.map((target) => target && poolFor(target).probe()))
+		const count = Math.min(PROBED_TARGETS, candidates.length)
+		const probed = [...candidates.slice(first), ...candidates].slice(0, count)
+		const results = await Promise.all(probed.map((target) => poolFor(target).probe()))
+		return others.length === 0 || results.includes('accepted')
 	}
 
 	private probeUnreachable(): void {
