Log: a broken run names the shared parts of its prompt

Cause: no line told which parts the prompts of broken runs had, so it could not be seen what they had in common.

--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -60,6 +60,7 @@
 	type Incarnation,
 	type ZoneName,
 	type AccountName,
+	type PromptPartId,
 	type BudgetName,
 	type TargetName,
 	type RequestId,
--- a/packages/core/src/lib/ids.ts
+++ b/packages/core/src/lib/ids.ts
@@ -24,6 +24,8 @@
 export type RequestId = Branded<'RequestId'>
 /** Hash of the content of a request; the same for all its attempts at all boxes. @public */
 export type RequestFingerprint = Branded<'RequestFingerprint'>
+/** Identifier of a part of a prompt that requests may share. @public */
+export type PromptPartId = Branded<'PromptPartId'>
 /** Identifier of an open call of a caller at one box. @public */
 export type CallId = Branded<'CallId'>
 
--- a/packages/gateway/src/lib/Attempt.ts
+++ b/packages/gateway/src/lib/Attempt.ts
@@ -365,6 +365,7 @@
 				expectedMs: Math.round(this.placement.cost.expectedMs),
 				events: this.responseWriter.eventCount,
 				fingerprint: outcome.kind === 'unknown' ? this.content.fingerprint : '',
+				parts: outcome.kind === 'unknown' ? this.content.sharedParts.join() : '',
 				saidLeaving: this.notice?.leaving ?? false,
 				saidBackoff: this.notice ? describeBackoff(this.notice.backoff) : '',
 				saidRate: this.notice ? describeRate(this.notice.rate) : '',
