--- a/packages/gateway/src/lib/testBox.ts
+++ b/packages/gateway/src/lib/testBox.ts
@@ -50,7 +50,9 @@
 	},
 	readWork: (header) => {
 		const tokens = Number(header('tokens') ?? 0)
-		return E.right({ inputTokens: tokens, maxOutputTokens: 0, parts: [] })
+		const ids = header('parts')?.split(',') ?? []
+		const parts = ids.map((id) => ({ id, tokens: 1 }))
+		return E.right({ inputTokens: tokens, maxOutputTokens: 0, parts })
 	},
 	readKey: (header) => header('authorization'),
 	readLoad: () => undefined,
--- a/packages/standins/src/lib/CrashingTarget.ts
+++ b/packages/standins/src/lib/CrashingTarget.ts
@@ -30,6 +30,8 @@
 export class CrashingTarget {
 	/** Times of the crashes on the monotonic clock, in ms. */
 	readonly crashTimes: number[] = []
+	/** Times at which requests arrived that crash the target, on the monotonic clock, in ms. */
+	readonly fatalArrivalTimes: number[] = []
 	private server: Server | undefined
 	private readonly sockets = new Set<Socket>()
 	private port = 0
@@ -50,6 +52,7 @@
 					response.end(isStream ? formatEvent(1) : 'ok')
 					return
 				}
+				this.fatalArrivalTimes.push(performance.now())
 				const lastEventId = Number(message.headers['last-event-id'] ?? 0)
 				if (isStream)
 					for (let i = 1; i <= EVENTS_BEFORE_CRASH; i++)
