Crash detection: a target of another service also shows that this box has a path

Callers would see: while several targets of a service are down, a crash is not counted until the list shows it seconds later, so the request that causes it goes on. Cause: two other targets of the same service were probed; if both are down, the box believed that its own path was lost. Evidence: TargetPaths.test.ts failed before ('reaches another target while only targets of another service are up'). Change: one target of another service is probed as well. Result: the test passes, and crashBeliefs.test.ts as before.

--- a/packages/gateway/src/lib/forwarding/TargetPaths.ts
+++ b/packages/gateway/src/lib/forwarding/TargetPaths.ts
@@ -140,15 +140,27 @@
 			void this.check(target.service, undefined)
 	}
 
-	/** Probes other targets of the same service. Returns true if one can be reached, or there is none. */
-	reachesAnotherTarget({ name, service }: TargetEntry): Promise<boolean> {
+	/** Probes other targets, also of other services. Returns true if one can be reached, or there is none. */
+	reachesAnotherTarget(target: TargetEntry): Promise<boolean> {
+		const { service } = target
 		const running = this.confirmations.get(service)
 		if (running) return running
-		const confirmation = this.probe(service, name).finally(() => this.confirmations.delete(service))
+		const confirmation = this.probeOthers(target).finally(() => this.confirmations.delete(service))
 		this.confirmations.set(service, confirmation)
 		return confirmation
 	}
 
+	private async probeOthers({ name, service }: TargetEntry): Promise<boolean> {
+		const { registry } = this.options
+		const others = registry.targetsOf(service).filter((other) => other.name !== name)
+		// Several targets of a service may be down at once; then those of another service show the path.
+		const elsewhere = registry.services
+			.filter((other) => other !== service)
+			.flatMap((other) => registry.targetsOf(other))
+		const probed = [...this.sampleOf(others), ...this.sampleOf(elsewhere).slice(0, 1)]
+		return probed.length === 0 || (await this.canReach(probed))
+	}
+
 	stop(): void {
 		clearInterval(this.recoveryTimer)
 		for (const pool of this.peerPools.values()) pool.close()
@@ -184,17 +196,24 @@
 		}
 	}
 
-	/** Connects to some targets of a service. Returns true if one can be reached, or there is none but `except`. */
-	private async probe(service: ServiceName, except: TargetName | undefined): Promise<boolean> {
-		const { poolFor, random, registry } = this.options
-		const targets = registry.targetsOf(service)
+	/** Connects to some targets of a service, not to `except` if there are others. */
+	private async probe(service: ServiceName, except: TargetName | undefined): Promise<void> {
+		const targets = this.options.registry.targetsOf(service)
 		const others = targets.filter(({ name }) => name !== except)
-		const candidates = others.length > 0 ? others : targets
-		const first = Math.floor(random() * candidates.length)
-		const count = Math.min(PROBED_TARGETS, candidates.length)
-		const probed = [...candidates.slice(first), ...candidates].slice(0, count)
-		const results = await Promise.all(probed.map((target) => poolFor(target).probe()))
-		return others.length === 0 || results.includes('accepted')
+		await this.canReach(this.sampleOf(others.length > 0 ? others : targets))
+	}
+
+	private sampleOf(targets: readonly TargetEntry[]): readonly TargetEntry[] {
+		const first = Math.floor(this.options.random() * targets.length)
+		const count = Math.min(PROBED_TARGETS, targets.length)
+		return [...targets.slice(first), ...targets].slice(0, count)
+	}
+
+	/** Returns true if a connection to one of the targets opens. */
+	private async canReach(targets: readonly TargetEntry[]): Promise<boolean> {
+		const { poolFor } = this.options
+		const results = await Promise.all(targets.map((target) => poolFor(target).probe()))
+		return results.includes('accepted')
 	}
 
 	private probeUnreachable(): void {
