Quarantine: requests are refused if a part of their prompts crashes targets

Cause: a crash was held against the fingerprint of the whole request. Requests that share the part that crashes the target are never alike, so none of them came twice. Ruled out: the route or the account as the cause, requests with other parts are answered. Change: core/quarantine/PartQuarantine holds crashes against the shared parts of prompts; an answer clears the parts of its request at all boxes; boxes share records by datagram, and held parts in the stored document. A crash that a held part explains holds no other one. Why it works: nothing with the part is ever answered, so its crashes add up, while the other parts of its requests are cleared by sound requests.

--- a/apps/stallwing/src/lib/commands/quarantineCommands.ts
+++ b/apps/stallwing/src/lib/commands/quarantineCommands.ts
@@ -2,7 +2,12 @@
 import { CommandError, EXIT_CODES } from '../CommandError.js'
 import { loadOperatorConfig } from '../OperatorConfig.js'
 import { print, printJson, printTable } from '../print.js'
-import { fetchStatuses, requireRouters, type QuarantinedRequest } from '../routerStatus.js'
+import {
+	fetchStatuses,
+	requireRouters,
+	type HeldPart,
+	type QuarantinedRequest,
+} from '../routerStatus.js'
 
 const RELEASE_TIMEOUT_MS = 1_000
 const MS_PER_SECOND = 1_000
@@ -11,56 +16,62 @@
 export function addQuarantineCommands(program: Command, config: () => string): void {
 	const quarantine = program
 		.command('quarantine')
-		.description('requests that crash the targets that run them')
+		.description('requests, and parts of prompts, that crash the targets that run them')
 	quarantine
 		.command('list')
-		.description('list quarantined requests with the targets that they crashed and the time left')
+		.description(
+			'list quarantined requests and parts with the targets that they crashed and the time left',
+		)
 		.option('--json', 'print JSON')
 		.action((options: { json?: boolean }) => listQuarantined(config(), options.json === true))
 	quarantine
 		.command('release')
-		.description('allow a request to run again, after the fault that it triggers is fixed')
-		.argument('<fingerprint>', 'fingerprint from `quarantine list` or a log line')
-		.action((fingerprint: string) => releaseQuarantined(config(), fingerprint))
+		.description(
+			'allow a request or a part to run again, after the fault that it triggers is fixed',
+		)
+		.argument('<id>', 'fingerprint or part from `quarantine list` or a log line')
+		.action((id: string) => releaseQuarantined(config(), id))
 }
 
 async function listQuarantined(file: string, json: boolean): Promise<void> {
 	const statuses = await fetchStatuses(requireRouters(loadOperatorConfig(file).routers))
-	const byFingerprint = new Map<string, QuarantinedRequest>()
-	for (const status of statuses)
-		for (const request of status?.quarantined ?? []) byFingerprint.set(request.fingerprint, request)
-	const requests = [...byFingerprint.values()].sort((a, b) => a.ageMs - b.ageMs)
+	const byId = new Map<string, QuarantinedRequest | HeldPart>()
+	for (const status of statuses) {
+		for (const request of status?.quarantined ?? []) byId.set(request.fingerprint, request)
+		for (const part of status?.heldParts ?? []) byId.set(part.part, part)
+	}
+	const held = [...byId.values()].sort((a, b) => a.ageMs - b.ageMs)
 	if (json) {
-		printJson(requests)
+		printJson(held)
 		return
 	}
-	const rows = requests.map(({ ageMs, fingerprint, heldMs, lives }) => [
-		fingerprint,
-		`${Math.round(ageMs / MS_PER_SECOND)} s ago`,
-		`${Math.round(heldMs / MS_PER_SECOND)} s`,
-		lives.join(' '),
+	const rows = held.map((entry) => [
+		'part' in entry ? 'part' : 'request',
+		'part' in entry ? entry.part : entry.fingerprint,
+		`${Math.round(entry.ageMs / MS_PER_SECOND)} s ago`,
+		`${Math.round(entry.heldMs / MS_PER_SECOND)} s`,
+		entry.lives.join(' '),
 	])
-	printTable(['request', 'last target ended', 'held for', 'targets'], rows)
+	printTable(['kind', 'id', 'last target ended', 'held for', 'targets'], rows)
 }
 
 /** Sends the release to the first box that answers; that box informs the others. */
-async function releaseQuarantined(file: string, fingerprint: string): Promise<void> {
+async function releaseQuarantined(file: string, id: string): Promise<void> {
 	const urls = requireRouters(loadOperatorConfig(file).routers)
 	for (const url of urls) {
-		const status = await requestRelease(url, fingerprint)
+		const status = await requestRelease(url, id)
 		if (status === undefined) continue
-		if (status !== 200)
-			throw new CommandError(EXIT_CODES.conflict, `request ${fingerprint} has no crash record`)
-		print(`released ${fingerprint}`)
+		if (status !== 200) throw new CommandError(EXIT_CODES.conflict, `nothing is held against ${id}`)
+		print(`released ${id}`)
 		return
 	}
 	throw new CommandError(EXIT_CODES.unavailable, 'no router answers')
 }
 
 /** Returns the HTTP status, or undefined if the box does not answer. */
-async function requestRelease(url: string, fingerprint: string): Promise<number | undefined> {
+async function requestRelease(url: string, id: string): Promise<number | undefined> {
 	try {
-		const path = `/quarantine/release?request=${encodeURIComponent(fingerprint)}`
+		const path = `/quarantine/release?request=${encodeURIComponent(id)}`
 		const reply = await fetch(`${url}${path}`, {
 			method: 'POST',
 			signal: AbortSignal.timeout(RELEASE_TIMEOUT_MS),
--- a/apps/stallwing/src/lib/routerStatus.ts
+++ b/apps/stallwing/src/lib/routerStatus.ts
@@ -11,6 +11,11 @@
 	readonly heldMs: number
 }
 
+/** A part of prompts of which the requests are refused, in the status of a gateway. */
+export interface HeldPart extends Omit<QuarantinedRequest, 'fingerprint'> {
+	readonly part: string
+}
+
 /** A target that asked a gateway for less work or none. */
 export interface NoticedTarget {
 	readonly target: string
@@ -40,6 +45,8 @@
 	readonly noticedTargets?: readonly NoticedTarget[]
 	/** Requests that are not sent to any target because they crash targets; gateway only. */
 	readonly quarantined?: readonly QuarantinedRequest[]
+	/** Parts of prompts that crash targets; gateway only. */
+	readonly heldParts?: readonly HeldPart[]
 	/** Version of the traffic configuration; gateway only. A gateway has no keeper, view or bundle. */
 	readonly configuration?: number
 	readonly budgets: readonly {
--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -314,6 +314,13 @@
 	type TargetIdentity,
 } from './lib/placement/TargetIncarnation.js'
 export { type CrashRecord, type CrashedRun } from './lib/quarantine/CrashRecord.js'
+export {
+	DEFAULT_PART_LIMITS,
+	PartQuarantine,
+	type HeldPart,
+	type PartQuarantineLimits,
+} from './lib/quarantine/PartQuarantine.js'
+export { lastCrashAt, type PartCrash, type PartRecord } from './lib/quarantine/PartRecord.js'
 export {
 	RequestQuarantine,
 	type RequestIdentity,
--- a/packages/core/src/lib/router/logEvents.ts
+++ b/packages/core/src/lib/router/logEvents.ts
@@ -54,6 +54,14 @@
 		number: 120,
 		text: 'A caller that stopped reading its answer was disconnected',
 	},
+	'part-held': {
+		number: 123,
+		text: 'A part of prompts crashes the targets that run requests with it; such requests are refused',
+	},
+	'part-released': {
+		number: 124,
+		text: 'Requests with a part of prompts that was held may run again',
+	},
 	'slice-asked': { number: 200, text: 'Tokens were requested from the zone leader' },
 	'slice-granted': { number: 201, text: 'Tokens were granted by the zone leader' },
 	'slice-returned': { number: 202, text: 'Idle tokens were returned to the zone' },
--- a/packages/gateway/src/lib/CrashDetector.test.ts
+++ b/packages/gateway/src/lib/CrashDetector.test.ts
@@ -44,6 +44,7 @@
 				}) as Partial<ConnectionPool> as ConnectionPool,
 			isAvailable: () => isAvailable,
 			reachesAnotherTarget: () => Promise.resolve(reachesOthers),
+			onCrashedRun: () => undefined,
 			onRecordChanged: () => undefined,
 			metrics: new Metrics(),
 			now: () => now,
@@ -54,6 +55,7 @@
 	function interruptRun(overrides: Partial<BrokenRun> = {}): Promise<void> {
 		return detector.noteBrokenRun({
 			identity: REQUEST,
+			parts: [],
 			target: TARGET,
 			startedAt: now - 60,
 			closedByTarget: true,
--- a/packages/gateway/src/lib/CrashDetector.ts
+++ b/packages/gateway/src/lib/CrashDetector.ts
@@ -2,6 +2,7 @@
 	incarnationOf,
 	type CrashRecord,
 	type LogEvent,
+	type PromptPartId,
 	type RequestIdentity,
 	type RequestQuarantine,
 	type TargetEntry,
@@ -18,6 +19,8 @@
 	readonly isAvailable: (incarnation: TargetIncarnation, target: TargetName) => boolean
 	/** Returns true if this box can connect to another target of the service, or knows of no other. */
 	readonly reachesAnotherTarget: (target: TargetEntry) => Promise<boolean>
+	/** Called with each run during which its target crashed. */
+	readonly onCrashedRun: (run: BrokenRun, endedAt: number) => void
 	/** Called when the crash record of a request has changed. */
 	readonly onRecordChanged: (record: CrashRecord) => void
 	readonly metrics: Metrics
@@ -29,6 +32,8 @@
 /** A run whose response was interrupted. */
 export interface BrokenRun {
 	readonly identity: RequestIdentity
+	/** Parts of the prompt that other requests may share. */
+	readonly parts: readonly PromptPartId[]
 	readonly target: TargetEntry
 	readonly startedAt: number
 	/** True if the target closed the connection, false if this box aborted the run. */
@@ -128,8 +133,10 @@
 			this.endedIncarnations.delete(oldest)
 	}
 
-	private recordCrash({ identity, target, startedAt, endedAt }: PendingRun): void {
-		const { log, now, onRecordChanged, quarantine } = this.options
+	private recordCrash(run: PendingRun): void {
+		const { identity, target, startedAt, endedAt } = run
+		const { log, now, onCrashedRun, onRecordChanged, quarantine } = this.options
+		onCrashedRun(run, endedAt)
 		const stageBefore = quarantine.stageOf(identity.fingerprint)
 		const incarnation = incarnationOf(target)
 		const record = quarantine.recordCrash(identity, { incarnation, startedAt, endedAt }, now())
--- a/packages/gateway/src/lib/CrashProtection.ts
+++ b/packages/gateway/src/lib/CrashProtection.ts
@@ -1,5 +1,8 @@
 import {
 	RequestQuarantine,
+	brandId,
+	incarnationOf,
+	type PromptPartId,
 	type CrashRecord,
 	type LogEvent,
 	type RequestFingerprint,
@@ -11,6 +14,7 @@
 import type { ConnectionPool } from './ConnectionPool.js'
 import { CrashDetector, type BrokenRun } from './CrashDetector.js'
 import type { PeerDatagrams } from './PeerDatagrams.js'
+import { PartProtection, type HeldPartStatus } from './quarantine/PartProtection.js'
 import { QuarantineSharing } from './QuarantineSharing.js'
 import { QuarantineStore } from './QuarantineStore.js'
 import type { RequestContent } from './RequestContent.js'
@@ -62,6 +66,7 @@
  */
 export class CrashProtection {
 	private readonly quarantine = new RequestQuarantine()
+	private readonly parts: PartProtection
 	private readonly crashDetector: CrashDetector
 	private readonly quarantineSharing: QuarantineSharing
 	private readonly quarantineStore: QuarantineStore
@@ -71,10 +76,16 @@
 	constructor(private readonly options: CrashProtectionOptions) {
 		const { quarantine } = this
 		const onRecordsReceived = (records: readonly CrashRecord[]): void => this.logReceived(records)
+		this.parts = new PartProtection({
+			...options,
+			onHeldChanged: () => void this.quarantineStore.save(),
+		})
 		this.crashDetector = new CrashDetector({
 			...options,
 			quarantine,
 			isAvailable: (incarnation, target) => options.registry.isAvailable(incarnation, target),
+			onCrashedRun: (run, endedAt) =>
+				this.parts.recordCrash(run.parts, incarnationOf(run.target), endedAt),
 			onRecordChanged: (record) => this.publish(record),
 		})
 		this.quarantineSharing = new QuarantineSharing({
@@ -85,21 +96,26 @@
 		this.quarantineStore = new QuarantineStore({
 			...options,
 			quarantine,
+			parts: this.parts.quarantine,
+			onPartsReceived: (records) => this.parts.applyStored(records),
 			onRecordsReceived,
 		})
 	}
 
 	start(): void {
 		this.quarantineSharing.start()
+		this.parts.start()
 	}
 
 	stop(): void {
 		this.quarantineSharing.stop()
+		this.parts.stop()
 	}
 
 	/** Removes expired records. Must be called a few times a second. */
 	expireRecords(): void {
 		this.quarantine.expire(this.options.now())
+		this.parts.expire()
 	}
 
 	/** Merges the stored records of the fleet into those of this box, then saves the ones that the store lacks. */
@@ -113,6 +129,8 @@
 	 * yet.
 	 */
 	checkQuarantine(content: RequestContent, isFirst: boolean): QuarantineHold | undefined {
+		const held = this.parts.findHold(content.sharedParts)
+		if (held) return held
 		if (!this.quarantine.mayHaveRecord(content.hint)) return undefined
 		const { fingerprint } = content
 		const stage = this.quarantine.stageOf(fingerprint)
@@ -152,12 +170,16 @@
 
 	/** Records that a target answered the request completely, which clears its crash record. */
 	noteAnswered(content: RequestContent): void {
+		this.parts.recordAnswer(content.sharedParts)
 		if (this.quarantine.mayHaveRecord(content.hint)) this.clear(content.fingerprint, 'answered')
 	}
 
-	/** Clears the crash record of a request on behalf of an operator. Returns false if there is none. */
-	release(fingerprint: RequestFingerprint): boolean {
-		return this.clear(fingerprint, 'released')
+	/** Clears a request or a part of prompts on behalf of an operator. Returns false if nothing is held against it. */
+	release(id: string): boolean {
+		return (
+			this.clear(brandId<RequestFingerprint>(id), 'released') ||
+			this.parts.release(brandId<PromptPartId>(id))
+		)
 	}
 
 	/** Checks changes of the target list for crashes. */
@@ -170,6 +192,11 @@
 		return this.quarantine.all.filter((record) => record.runs.length > 0).length
 	}
 
+	/** Held parts for the operator status. */
+	get heldParts(): readonly HeldPartStatus[] {
+		return this.parts.status
+	}
+
 	/** Quarantined requests for the operator status. */
 	get status(): readonly QuarantineStatus[] {
 		const now = this.options.now()
--- a/packages/gateway/src/lib/Gateway.ts
+++ b/packages/gateway/src/lib/Gateway.ts
@@ -1,12 +1,5 @@
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http'
-import {
-	TargetRegistry,
-	allowsRegion,
-	brandId,
-	shedFraction,
-	type RetryLimits,
-	type RequestFingerprint,
-} from '@stallwing/core'
+import { TargetRegistry, allowsRegion, shedFraction, type RetryLimits } from '@stallwing/core'
 import { EraTrackingStore, type EraChange, type PrefixFollower } from '@stallwing/store'
 import { AllowanceClient } from './AllowanceClient.js'
 import { createBoxLoadControl, type BoxLoadControl } from './balance/BoxLoadControl.js'
@@ -340,9 +333,12 @@
 		return this.report.status()
 	}
 
-	/** Releases a quarantined request at all boxes. Returns false if it is not quarantined. */
-	releaseQuarantined(fingerprint: string): boolean {
-		return this.sharing.crashProtection.release(brandId<RequestFingerprint>(fingerprint))
+	/**
+	 * Releases a quarantined request, by its fingerprint, or a held part of prompts, by its id, at all boxes. Returns false
+	 * if it is neither.
+	 */
+	releaseQuarantined(id: string): boolean {
+		return this.sharing.crashProtection.release(id)
 	}
 
 	private makeContext(): GatewayContext {
--- a/packages/gateway/src/lib/GatewayReport.ts
+++ b/packages/gateway/src/lib/GatewayReport.ts
@@ -7,6 +7,7 @@
 } from '@stallwing/core'
 import type { AllowanceClient } from './AllowanceClient.js'
 import type { QuarantineStatus } from './CrashProtection.js'
+import type { HeldPartStatus } from './quarantine/PartProtection.js'
 import type { FeedRelay } from './FeedRelay.js'
 import type { FleetMembership } from './FleetMembership.js'
 import type { GatewayContext } from './GatewayContext.js'
@@ -64,6 +65,8 @@
 	readonly noticedTargets: readonly TargetNoticeStatus[]
 	/** Requests that crash their targets and are not sent to any. */
 	readonly quarantined: readonly QuarantineStatus[]
+	/** Parts of prompts that crash targets; requests with them are not sent to any. */
+	readonly heldParts: readonly HeldPartStatus[]
 	/** State of the parts that are in use, by name. */
 	readonly parts: Readonly<Record<string, unknown>>
 	/** Requests in flight. */
@@ -90,6 +93,7 @@
 			cordonedZones: this.cordonStatuses(now),
 			noticedTargets: registry.noticeStatuses(now),
 			quarantined: context.crashProtection.status,
+			heldParts: context.crashProtection.heldParts,
 			parts: Object.fromEntries(parts.map((part) => [part.name, part.status()])),
 			open: openRequests(),
 		}
@@ -107,6 +111,7 @@
 			stallwing_targets_unreadable: targets.unreadableCount,
 			stallwing_suspect_requests: context.crashProtection.suspectCount,
 			stallwing_quarantined_requests: status.quarantined.length,
+			stallwing_held_parts: status.heldParts.length,
 			stallwing_targets_cold: status.coldTargets,
 			stallwing_targets_said_leaving: countWhere(
 				status.noticedTargets,
--- a/packages/gateway/src/lib/QuarantineStore.test.ts
+++ b/packages/gateway/src/lib/QuarantineStore.test.ts
@@ -1,4 +1,5 @@
 import {
+	PartQuarantine,
 	RequestQuarantine,
 	brandId,
 	type LogEvent,
@@ -20,6 +21,7 @@
 /** The parts of a box that store quarantined requests. */
 class Box {
 	readonly quarantine = new RequestQuarantine()
+	readonly parts = new PartQuarantine()
 	readonly logEvents: LogEvent[] = []
 	readonly quarantineStore: QuarantineStore
 
@@ -31,6 +33,8 @@
 			store: this.store,
 			key: KEY,
 			quarantine: this.quarantine,
+			parts: this.parts,
+			onPartsReceived: (records) => this.parts.merge(records),
 			onRecordsReceived: () => undefined,
 			now: () => Date.now(),
 			wallTime: () => Date.now(),
--- a/packages/gateway/src/lib/QuarantineStore.ts
+++ b/packages/gateway/src/lib/QuarantineStore.ts
@@ -4,18 +4,24 @@
 	isNewerRevision,
 	type CrashRecord,
 	type LogEvent,
+	type PartQuarantine,
+	type PartRecord,
 	type RequestQuarantine,
 	type StoreRevision,
 } from '@stallwing/core'
 import type { KeyValueStore, StoreItem } from '@stallwing/store'
 import * as E from 'fp-ts/lib/Either.js'
 import { decodeCrashRecords, encodeCrashRecords } from './crashRecordCodec.js'
+import { decodePartRecords, encodePartRecords } from './quarantine/partRecordCodec.js'
 
 export interface QuarantineStoreOptions {
 	readonly store: KeyValueStore
 	/** Store key of the document that all boxes of the fleet share. */
 	readonly key: string
 	readonly quarantine: RequestQuarantine
+	readonly parts: PartQuarantine
+	/** Called with the records of parts in the stored document. */
+	readonly onPartsReceived: (records: readonly PartRecord[]) => void
 	/** Called with the records that the stored document changed. */
 	readonly onRecordsReceived: (records: readonly CrashRecord[]) => void
 	/** Monotonic clock, in ms. */
@@ -25,12 +31,23 @@
 	readonly log: (event: LogEvent) => void
 }
 
-/** `writtenAt` is wall clock time in ms since the epoch; `told` holds the output of {@link encodeCrashRecords}. */
+/**
+ * `writtenAt` is wall clock time in ms since the epoch; `told` holds the output of {@link encodeCrashRecords}, `parts` that of
+ * {@link encodePartRecords}, which documents of earlier versions lack.
+ */
 interface StoredQuarantine {
 	readonly writtenAt: number
 	readonly told: string
+	readonly parts?: string
+}
+
+interface StoredRecords {
+	readonly requests: readonly CrashRecord[]
+	readonly parts: readonly PartRecord[]
 }
 
+const NOTHING_STORED: StoredRecords = { requests: [], parts: [] }
+
 /** Attempts to save after write conflicts with other boxes; each attempt first merges the current document. */
 const MAX_WRITE_ATTEMPTS = 3
 
@@ -43,7 +60,7 @@
 	/** Undefined if the store has no document. */
 	private revision: StoreRevision | undefined
 	/** Contents of the store as of the last read or write of this box. */
-	private storedRecords: readonly CrashRecord[] = []
+	private stored = NOTHING_STORED
 	private isWriting = false
 	/** Store era in which `storedRecords` was current. */
 	private era = 0
@@ -64,8 +81,9 @@
 			})
 			return
 		}
-		this.storedRecords = records
-		const changed = quarantine.merge(records)
+		this.stored = records
+		if (records.parts.length > 0) this.options.onPartsReceived(records.parts)
+		const changed = quarantine.merge(records.requests)
 		if (changed.length > 0) onRecordsReceived(changed)
 	}
 
@@ -77,11 +95,7 @@
 		if (this.isWriting) return
 		this.resetOnNewEra()
 		this.isWriting = true
-		for (
-			let attempt = 0;
-			attempt < MAX_WRITE_ATTEMPTS && this.unsavedRecords.length > 0;
-			attempt++
-		) {
+		for (let attempt = 0; attempt < MAX_WRITE_ATTEMPTS && this.hasUnsavedRecords; attempt++) {
 			if (await this.write()) break
 		}
 		this.isWriting = false
@@ -95,14 +109,27 @@
 		const { era } = this.options.store
 		if (era === this.era) return
 		this.era = era
-		this.storedRecords = []
+		this.stored = NOTHING_STORED
 		this.revision = undefined
 	}
 
-	/** Records of this box that are newer than those in the store. */
-	private get unsavedRecords(): readonly CrashRecord[] {
-		const stored = new Map(this.storedRecords.map((record) => [record.fingerprint, record]))
-		return this.options.quarantine.all.filter((record) => {
+	/** True if this box has records that are newer than those in the store. */
+	private get hasUnsavedRecords(): boolean {
+		return this.hasUnsavedRequests || this.hasUnsavedParts
+	}
+
+	private get hasUnsavedParts(): boolean {
+		const { parts } = this.options
+		const stored = new Set(this.stored.parts.map(({ part }) => part))
+		if (parts.held.some(({ part }) => !stored.has(part))) return true
+		return this.stored.parts.some(
+			({ crashes, part }) => crashes.length > 0 && parts.get(part)?.crashes.length === 0,
+		)
+	}
+
+	private get hasUnsavedRequests(): boolean {
+		const stored = new Map(this.stored.requests.map((record) => [record.fingerprint, record]))
+		return this.options.quarantine.all.some((record) => {
 			const storedRecord = stored.get(record.fingerprint)
 			if (!storedRecord) return record.isQuarantined
 			return (
@@ -114,14 +141,12 @@
 
 	/** Returns false on a write conflict with another box, true otherwise, also if the store failed. */
 	private async write(): Promise<boolean> {
-		const { key, log, now, quarantine, store, wallTime } = this.options
-		const storedFingerprints = new Set(this.storedRecords.map((record) => record.fingerprint))
-		const records = quarantine.all.filter(
-			(record) => record.isQuarantined || storedFingerprints.has(record.fingerprint),
-		)
+		const { key, log, now, store, wallTime } = this.options
+		const records = this.recordsToStore
 		const document: StoredQuarantine = {
 			writtenAt: wallTime(),
-			told: encodeCrashRecords(records, now()),
+			told: encodeCrashRecords(records.requests, now()),
+			parts: encodePartRecords(records.parts, now()),
 		}
 		const result = await store.write(key, Buffer.from(JSON.stringify(document)), this.revision)
 		if (E.isLeft(result)) {
@@ -135,17 +160,33 @@
 			return false
 		}
 		this.revision = result.right.revision
-		this.storedRecords = records
+		this.stored = records
 		return true
 	}
 
-	private decode({ value }: StoreItem): readonly CrashRecord[] | undefined {
+	/** What is quarantined, and what is stored already, because it may have been cleared. */
+	private get recordsToStore(): StoredRecords {
+		const { parts, quarantine } = this.options
+		const fingerprints = new Set(this.stored.requests.map((record) => record.fingerprint))
+		const partIds = new Set([...this.stored.parts, ...parts.held].map(({ part }) => part))
+		return {
+			requests: quarantine.all.filter(
+				(record) => record.isQuarantined || fingerprints.has(record.fingerprint),
+			),
+			parts: [...partIds].flatMap((part) => parts.get(part) ?? []),
+		}
+	}
+
+	private decode({ value }: StoreItem): StoredRecords | undefined {
 		try {
 			const document = JSON.parse(value.toString('utf8')) as Partial<StoredQuarantine> | null
 			if (typeof document?.told !== 'string' || typeof document.writtenAt !== 'number')
 				return undefined
 			const ageMs = Math.max(0, this.options.wallTime() - document.writtenAt)
-			return decodeCrashRecords(Buffer.from(document.told), this.options.now() - ageMs)
+			const writtenAt = this.options.now() - ageMs
+			const requests = decodeCrashRecords(Buffer.from(document.told), writtenAt)
+			const parts = decodePartRecords(Buffer.from(document.parts ?? ''), writtenAt) ?? []
+			return requests && { requests, parts }
 		} catch {
 			return undefined
 		}
--- /dev/null
+++ b/packages/gateway/src/lib/quarantine/PartSharing.ts
@@ -0,0 +1,121 @@
+import {
+	lastCrashAt,
+	type PartQuarantine,
+	type PartRecord,
+	type PromptPartId,
+} from '@stallwing/core'
+import type { PeerDatagrams } from '../PeerDatagrams.js'
+import { decodePartRecords, encodePartRecords } from './partRecordCodec.js'
+
+export interface PartSharingOptions {
+	readonly quarantine: PartQuarantine
+	readonly datagrams: PeerDatagrams
+	/** Addresses of all other boxes. */
+	readonly peers: () => readonly string[]
+	/** Called with the records that messages from other boxes changed. */
+	readonly onReceived: (records: readonly PartRecord[]) => void
+	/** Monotonic clock, in ms. */
+	readonly now: () => number
+	readonly random: () => number
+}
+
+/**
+ * Longest random delay of a message for each other box, in ms, and for all of them. A crash breaks runs at many boxes, and
+ * many boxes answer requests with a common part: whoever is first tells all, and the others need not.
+ */
+const MAX_DELAY_PER_PEER_MS = 4
+const MAX_DELAY_MS = 400
+const SEND_INTERVAL_MS = 10
+const GOSSIP_INTERVAL_MS = 500
+/** Random boxes per round of gossip about held parts. */
+const GOSSIP_FANOUT = 3
+/** Time since the last crash for which a held part is gossiped, in ms. */
+const MAX_GOSSIP_AGE_MS = 120_000
+/** About 1,200 bytes, so that datagrams are not fragmented. */
+const MAX_RECORDS_PER_DATAGRAM = 4
+
+/**
+ * Exchanges the records of parts with other boxes by datagram. A record is sent after a short random delay, unless
+ * another box has told the same meanwhile. Held parts are gossiped to make up for lost datagrams, partitions and
+ * restarts. Nothing is sent while no target crashes.
+ */
+export class PartSharing {
+	/** Time at which each record is to be sent. */
+	private readonly pending = new Map<PromptPartId, number>()
+	private sendTimer: NodeJS.Timeout | undefined
+	private gossipTimer: NodeJS.Timeout | undefined
+
+	constructor(private readonly options: PartSharingOptions) {
+		options.datagrams.onMessage((bytes) => this.receive(bytes))
+	}
+
+	start(): void {
+		this.gossipTimer = setInterval(() => this.gossip(), GOSSIP_INTERVAL_MS)
+	}
+
+	stop(): void {
+		clearInterval(this.gossipTimer)
+		clearInterval(this.sendTimer)
+	}
+
+	/** Sends records to all other boxes, unless another box tells the same first. */
+	share(records: readonly PartRecord[]): void {
+		const { now, peers, random } = this.options
+		const maxDelayMs = Math.min(MAX_DELAY_MS, MAX_DELAY_PER_PEER_MS * peers().length)
+		for (const { part } of records)
+			if (!this.pending.has(part)) this.pending.set(part, now() + random() * maxDelayMs)
+		if (this.pending.size > 0)
+			this.sendTimer ??= setInterval(() => this.sendDue(), SEND_INTERVAL_MS)
+	}
+
+	private sendDue(): void {
+		const { now, peers, quarantine } = this.options
+		const due = [...this.pending].flatMap(([part, at]) => (at <= now() ? part : []))
+		for (const part of due) this.pending.delete(part)
+		this.send(
+			due.flatMap((part) => quarantine.get(part) ?? []),
+			peers(),
+		)
+		if (this.pending.size > 0) return
+		clearInterval(this.sendTimer)
+		this.sendTimer = undefined
+	}
+
+	private gossip(): void {
+		const { now, peers, quarantine, random } = this.options
+		const oldest = now() - MAX_GOSSIP_AGE_MS
+		const records = quarantine.held.filter((record) => lastCrashAt(record) >= oldest)
+		const candidates = peers()
+		const selected = Array.from(
+			{ length: GOSSIP_FANOUT },
+			() => candidates[Math.floor(random() * candidates.length)],
+		)
+		this.send(
+			records,
+			selected.filter((peer) => peer !== undefined),
+		)
+	}
+
+	private send(records: readonly PartRecord[], peers: readonly string[]): void {
+		const { datagrams, now } = this.options
+		for (let i = 0; i < records.length; i += MAX_RECORDS_PER_DATAGRAM) {
+			const chunk = records.slice(i, i + MAX_RECORDS_PER_DATAGRAM)
+			const bytes = Buffer.from(encodePartRecords(chunk, now()))
+			for (const peer of peers) datagrams.send(bytes, peer)
+		}
+	}
+
+	private receive(bytes: Buffer): boolean {
+		const { now, onReceived, quarantine } = this.options
+		const records = decodePartRecords(bytes, now())
+		if (!records) return false
+		const changed = quarantine.merge(records)
+		for (const record of records) {
+			const own = quarantine.recordToTell(record)
+			if (own) this.share([own])
+			else this.pending.delete(record.part)
+		}
+		if (changed.length > 0) onReceived(changed)
+		return true
+	}
+}
--- a/packages/gateway/src/lib/reportRunEnd.ts
+++ b/packages/gateway/src/lib/reportRunEnd.ts
@@ -28,6 +28,7 @@
 	if (outcome.kind !== 'unknown') return
 	await crashes.noteBrokenRun({
 		identity: content,
+		parts: content.sharedParts,
 		target,
 		startedAt: startedAt,
 		closedByTarget: closedByTarget,
