--- a/packages/gateway/src/lib/Dialect.ts
+++ b/packages/gateway/src/lib/Dialect.ts
@@ -34,6 +34,8 @@
 	readonly leaving: { readonly header: string; readonly value: string }
 	/** In a response: the requests per second that the target accepts from all boxes together. */
 	readonly requestRate: string
+	/** In a response: the rejections per second, to all boxes together, above which the target fails. */
+	readonly rejectionLimit: string
 }
 
 /** The protocol of the platform: names and values of headers, and statuses. @public */
--- a/packages/gateway/src/lib/testBox.ts
+++ b/packages/gateway/src/lib/testBox.ts
@@ -55,7 +55,10 @@
 		return E.right({ inputTokens: tokens, maxOutputTokens: 0, parts })
 	},
 	readKey: (header) => header('authorization'),
-	readLoad: () => undefined,
+	readLoad: (text) => {
+		const [running = 0, waiting = 0, slots = 0] = text.split(',').map(Number)
+		return { running, waiting, slots }
+	},
 	statusFor: (kind) => STATUS_CODES[kind],
 }
 
--- a/packages/standins/src/index.ts
+++ b/packages/standins/src/index.ts
@@ -16,6 +16,7 @@
 } from './lib/MemoryStore.js'
 export { DEFAULT_ENGINE_MODEL, type EngineModel } from './lib/EngineScheduler.js'
 export { DEFAULT_ENGINE_OPTIONS, startEngine, type EngineOptions } from './lib/startEngine.js'
+export { BrittleTarget, type BrittleTargetOptions } from './lib/BrittleTarget.js'
 export { CrashingTarget, type CrashingTargetOptions } from './lib/CrashingTarget.js'
 export {
 	NotifyingTarget,
--- a/packages/standins/src/lib/standinHeaders.ts
+++ b/packages/standins/src/lib/standinHeaders.ts
@@ -12,6 +12,7 @@
 	coldMs: 'cold-ms',
 	leaving: { header: 'leaving', value: 'yes' },
 	requestRate: 'request-rate',
+	rejectionLimit: 'rejection-limit',
 } as const
 
 /** Pattern of further headers that belong to the platform of the stand-ins. @public */
