Targets that bear few rejections are sent no more than they have room for

Callers would see: while the targets of a service state above how many rejections a second they fall, boxes fill their queues, the targets reject and fall, and hardly a request is served. Cause: nothing read that limit; a full target looked expensive, not closed. Change: the header is decoded into TargetNotice.rejections; RejectionLimiter divides the slots of such targets among the boxes, lets a few boxes take free slots beyond their part, and pauses after a rejection for boxes / limit seconds. Why it works: within the parts nobody is rejected, however late the boxes hear of each other's work; beyond them rejections are rare and bounded by the pause.

--- a/packages/core/src/lib/placement/AttemptHandle.ts
+++ b/packages/core/src/lib/placement/AttemptHandle.ts
@@ -25,6 +25,11 @@
 	 * it has none. True if the limit changed.
 	 */
 	noteRate(perSecond: number | undefined, now: Millis): boolean
+	/**
+	 * Records the rejections per second, to all boxes together, above which the targets of the service fail; undefined if
+	 * the response states none. True if the limit changed.
+	 */
+	noteRejectionLimit(perSecond: number | undefined): boolean
 	/** Records a rate limit header that could not be parsed. True if its text differs from the last one. */
 	noteUnreadableRate(text: string): boolean
 	/** Records that no byte of the request was sent, which reverts its rate limit counts. Must be called before `end`. */
--- a/packages/core/src/lib/placement/TargetAdmission.ts
+++ b/packages/core/src/lib/placement/TargetAdmission.ts
@@ -2,6 +2,7 @@
 import type { Millis } from '../units.js'
 import type { ColdStart } from './coldRateLimit.js'
 import type { RateLimitStatus } from './RateLimitStatus.js'
+import { RejectionLimiter } from './RejectionLimiter.js'
 import type { TargetEntry } from './TargetEntry.js'
 import {
 	TargetRateLimits,
@@ -18,9 +19,10 @@
  * - `backoff`: all remaining targets are in a backoff, or half-open after one and busy with a request.
  * - `rate`: this box has used up its share of the rate limit that a target advertises.
  * - `cold`: the remaining targets are cold and at their limit; some of them may be in a backoff.
+ * - `full`: the targets bear few rejections, and have no room for another request of this box.
  * @public
  */
-export type ClosedCause = 'none' | 'cordoned' | 'backoff' | 'rate' | 'cold'
+export type ClosedCause = 'none' | 'cordoned' | 'backoff' | 'rate' | 'cold' | 'full'
 
 /** Why and for how long no target of a service accepts requests. @public */
 export interface ClosedService {
@@ -58,11 +60,14 @@
 	private coldStarts: ReadonlyMap<ServiceName, ColdStart> = new Map()
 
 	private readonly rateLimits: TargetRateLimits | undefined
+	/** Undefined if limits of targets are not enforced. */
+	readonly rejections: RejectionLimiter | undefined
 	private readonly halfOpenMs: Millis
 
 	constructor({ rateLimits, halfOpenMs = DEFAULT_HALF_OPEN_MS }: AdmissionOptions) {
 		this.rateLimits =
 			rateLimits && new TargetRateLimits(rateLimits, (service) => this.coldStarts.get(service))
+		this.rejections = rateLimits && new RejectionLimiter(rateLimits)
 		this.halfOpenMs = halfOpenMs
 	}
 
@@ -118,7 +123,8 @@
 		return (
 			this.isOpen(target, now) &&
 			!this.isHalfOpenAndBusy(target, now) &&
-			this.isWithinRateLimits(target, now)
+			this.isWithinRateLimits(target, now) &&
+			(this.rejections?.admits(target, now) ?? true)
 		)
 	}
 
@@ -167,6 +173,7 @@
 	/** Removes the state of a target that was removed or restarted. */
 	forget(target: TargetEntry): void {
 		this.rateLimits?.forget(target)
+		this.rejections?.forget(target)
 	}
 
 	/** Why none of the targets in an allowed zone accepts requests; undefined if one does. */
@@ -201,7 +208,9 @@
 			(target) => !this.isOpen(target, now) || this.isHalfOpenAndBusy(target, now),
 		)
 		if (areAllInBackoff) return 'backoff'
-		return this.exhaustedRateLimits(inService, now).length > 0 ? 'rate' : 'cold'
+		if (this.exhaustedRateLimits(inService, now).length > 0) return 'rate'
+		const isFull = inService.some((target) => this.rejections?.admits(target, now) === false)
+		return isFull ? 'full' : 'cold'
 	}
 
 	/**
--- a/packages/core/src/lib/placement/TargetRegistry.ts
+++ b/packages/core/src/lib/placement/TargetRegistry.ts
@@ -307,6 +307,8 @@
 			noteBackoff: (ms, now) => this.noteBackoff(placement.target, ms, now),
 			noteRate: (perSecond, now) =>
 				this.noteResponseRate(placement.target, attempt, perSecond, now),
+			noteRejectionLimit: (perSecond) =>
+				this.admission.rejections?.noteLimit(service, perSecond) ?? false,
 			noteUnreadableRate: (text) => this.noteUnreadableRate(placement.target, text),
 			noteUnsent: () => {
 				if (state && this.stateOf(placement.target) === state)
@@ -314,6 +316,7 @@
 			},
 			end: (outcome, now) => {
 				if (!state?.openAttempts.delete(attempt)) return
+				if (outcome === 'full') this.admission.rejections?.noteRejected(state.entry, now)
 				speed?.end(outcome, now)
 				state.noteOutcome(outcome, now)
 			},
--- a/packages/core/src/lib/placement/placementCost.ts
+++ b/packages/core/src/lib/placement/placementCost.ts
@@ -155,6 +155,11 @@
 	return sum
 }
 
+/** Requests of other boxes in flight at a target, as they reported recently. */
+export function openRequestsOfPeers(target: TargetState, now: Millis): number {
+	return totalPeerWork(target, now).openRequests
+}
+
 /** True if a work report of another box is recent enough to count. */
 export function isPeerWorkFresh(work: PeerWork, now: Millis): boolean {
 	return now - work.receivedAt < MAX_PEER_WORK_AGE_MS
--- a/packages/core/src/lib/router/logEvents.ts
+++ b/packages/core/src/lib/router/logEvents.ts
@@ -217,6 +217,14 @@
 		number: 524,
 		text: 'This box reaches the targets of a service again',
 	},
+	'rejection-limit-named': {
+		number: 525,
+		text: 'A target stated above how many rejections per second it fails; this box sends only what it has room for',
+	},
+	'rejection-limit-ended': {
+		number: 526,
+		text: 'A target no longer states above how many rejections per second it fails',
+	},
 	'invariant-breach': {
 		number: 900,
 		text: 'An invariant would have been violated; the write was not made',
--- a/packages/gateway/src/lib/applyTargetNotice.ts
+++ b/packages/gateway/src/lib/applyTargetNotice.ts
@@ -40,6 +40,7 @@
 	if (notice.coldMs !== undefined) handle.noteCold(notice.coldMs, now)
 	applyBackoff(context, attempt, notice.backoff, now)
 	applyRate(context, attempt, notice.rate, now)
+	applyRejectionLimit(context, attempt, notice.rejections)
 	if (!notice.leaving || !handle.noteLeaving(now)) return
 	logNotice(context, attempt, 'target-said-leaving', {})
 	context.onTargetLeaving(placement.target)
@@ -117,6 +118,33 @@
 	}
 }
 
+/** Applies the number of rejections per second above which the targets of the service fail. */
+function applyRejectionLimit(
+	context: GatewayContext,
+	attempt: AnsweredAttempt,
+	rejections: RateNotice,
+): void {
+	switch (rejections.kind) {
+		case 'silent':
+			return
+		case 'none':
+			if (attempt.handle.noteRejectionLimit(undefined))
+				logNotice(context, attempt, 'rejection-limit-ended', {})
+			return
+		case 'named': {
+			const { perSecond } = rejections
+			if (attempt.handle.noteRejectionLimit(perSecond))
+				logNotice(context, attempt, 'rejection-limit-named', { perSecond })
+			return
+		}
+		case 'unreadable':
+			logNotice(context, attempt, 'target-notice-unreadable', { text: rejections.text })
+			return
+		default:
+			exhaustive(rejections)
+	}
+}
+
 function logNotice(
 	context: GatewayContext,
 	{ placement, request }: AnsweredAttempt,
--- a/packages/gateway/src/lib/readTargetNotice.test.ts
+++ b/packages/gateway/src/lib/readTargetNotice.test.ts
@@ -40,11 +40,13 @@
 			load: '3,0,8',
 			'cold-ms': '500',
 			'request-rate': '2',
+			'rejection-limit': '4',
 		}
 		expect(read(WRONG_TARGET, all)).toEqual({
 			leaving: false,
 			backoff: { kind: 'none' },
 			rate: { kind: 'silent' },
+			rejections: { kind: 'silent' },
 			load: undefined,
 			coldMs: undefined,
 		})
@@ -52,6 +54,7 @@
 			leaving: true,
 			backoff: { kind: 'asked', ms: 3_000 },
 			rate: { kind: 'named', perSecond: 2 },
+			rejections: { kind: 'named', perSecond: 4 },
 			load: LOAD,
 			coldMs: 500,
 		})
--- a/packages/gateway/src/lib/readTargetNotice.ts
+++ b/packages/gateway/src/lib/readTargetNotice.ts
@@ -1,5 +1,5 @@
 import { exhaustive, type TargetLoad } from '@stallwing/core'
-import type { Dialect, HeaderNames } from './Dialect.js'
+import type { Dialect } from './Dialect.js'
 import { isSuccess } from './isSuccess.js'
 import type { ResponseHead } from './sendToTarget.js'
 
@@ -15,7 +15,7 @@
 	| { readonly kind: 'unreadable'; readonly text: string }
 
 /**
- * Rate limit of a target in requests per second from all boxes together. It holds while its responses state it.
+ * Limit of a target, in requests or rejections per second for all boxes together. It holds while its responses state it.
  * - `silent`: the response states no limit; the previous one remains.
  * - `none`: the target has no limit; a previous one has ended.
  * - `named`: the limit is `perSecond`.
@@ -33,6 +33,8 @@
 	readonly leaving: boolean
 	readonly backoff: BackoffNotice
 	readonly rate: RateNotice
+	/** Limit on the rejections of the target per second; see {@link RateNotice}. */
+	readonly rejections: RateNotice
 	/** Undefined if not reported. */
 	readonly load: TargetLoad | undefined
 	/** Remaining time in which the target is slow after its start, in ms; undefined if not reported. */
@@ -44,6 +46,7 @@
 	leaving: false,
 	backoff: { kind: 'none' },
 	rate: { kind: 'silent' },
+	rejections: { kind: 'silent' },
 	load: undefined,
 	coldMs: undefined,
 }
@@ -69,7 +72,8 @@
 	return {
 		leaving: leavingValues.includes(names.leaving.value),
 		backoff: readBackoff(head),
-		rate: readRate(head, names),
+		rate: readRate(head, names.requestRate, names.signature),
+		rejections: readRate(head, names.rejectionLimit, names.signature),
 		load: typeof load === 'string' ? dialect.readLoad(load) : undefined,
 		coldMs: readColdMs(head.headers[names.coldMs]),
 	}
@@ -116,10 +120,10 @@
  * The lowest value counts if there are several. Only a success ends a limit: a refusal may come from a component of
  * the target that does not know the limit.
  */
-function readRate({ status, headers }: ResponseHead, names: HeaderNames): RateNotice {
-	const text = headers[names.requestRate]
+function readRate({ status, headers }: ResponseHead, name: string, signature: string): RateNotice {
+	const text = headers[name]
 	if (text === undefined) {
-		const isFromTarget = isSuccess(status) && headers[names.signature] !== undefined
+		const isFromTarget = isSuccess(status) && headers[signature] !== undefined
 		return { kind: isFromTarget ? 'none' : 'silent' }
 	}
 	const values = valuesOf(text)
