Paths: silence counts only once a request is overdue

Change: the check starts after the time at which a repeatable request is tried elsewhere (six times the expected time, 150 ms at least, 800 ms for streams).

--- a/packages/gateway/src/lib/Attempt.ts
+++ b/packages/gateway/src/lib/Attempt.ts
@@ -109,13 +109,15 @@
 		)
 		return new Promise((resolve) => {
 			this.resolve = resolve
-			this.startTimeout(this.timeouts().firstByteMs)
-			this.call = this.context.callTarget(
-				this.placement.target,
+			const { firstByteMs } = this.timeouts()
+			this.startTimeout(firstByteMs)
+			this.call = this.context.callTarget({
+				target: this.placement.target,
 				message,
-				this,
-				this.responseWriter.memory && MAX_BODY_STALL_MS,
-			)
+				listener: this,
+				silenceMs: firstByteMs,
+				bodyStallMs: this.responseWriter.memory && MAX_BODY_STALL_MS,
+			})
 		})
 	}
 
--- a/packages/gateway/src/lib/Gateway.ts
+++ b/packages/gateway/src/lib/Gateway.ts
@@ -365,7 +365,7 @@
 			random: options.random,
 			log: options.log,
 			poolFor: (target) => this.pools.poolFor(target),
-			callTarget: (...call) => this.paths.call(...call),
+			callTarget: (request) => this.paths.call(request),
 			isConfigurationCurrent: () => this.isConfigurationCurrent(),
 			isAtConnectionLimit: (target) => this.serviceLimits.isAtConnectionLimit(target),
 			hasIdleConnection: (target) => this.pools.hasIdleConnection(target),
--- a/packages/gateway/src/lib/forwarding/PathCall.ts
+++ b/packages/gateway/src/lib/forwarding/PathCall.ts
@@ -14,13 +14,12 @@
 	readonly target: TargetEntry
 	readonly message: TargetRequest
 	readonly listener: ResponseListener
+	/** Time without an answer after which silence may show a lost path, in ms. */
+	readonly silenceMs: number
 	/** See {@link sendToTarget}. */
 	readonly bodyStallMs: number | undefined
 }
 
-/** Time without an answer after which silence may show a lost path, in ms. */
-const SILENCE_MS = 300
-
 /** One request to a target, sent directly or through another box. */
 export class PathCall implements TargetCall, ResponseListener {
 	private call: TargetCall | undefined
@@ -108,7 +107,7 @@
 		const sentAt = this.paths.now()
 		this.silenceTimer = setTimeout(
 			() => this.paths.noteSilence(this.request.target, sentAt),
-			SILENCE_MS,
+			this.request.silenceMs,
 		)
 	}
 
--- a/packages/gateway/src/lib/forwarding/TargetPaths.ts
+++ b/packages/gateway/src/lib/forwarding/TargetPaths.ts
@@ -14,7 +14,7 @@
 import type { ReportedPart } from '../ReportedPart.js'
 import type { ResponseListener, TargetCall, TargetRequest } from '../sendToTarget.js'
 import { ForwardedCall } from './ForwardedCall.js'
-import { PathCall } from './PathCall.js'
+import { PathCall, type PathRequest } from './PathCall.js'
 
 export interface TargetPathsOptions {
 	readonly registry: TargetRegistry
@@ -54,13 +54,8 @@
 	}
 
 	/** Sends a request. Never throws; failures are passed to the listener. */
-	call(
-		target: TargetEntry,
-		message: TargetRequest,
-		listener: ResponseListener,
-		bodyStallMs: number | undefined,
-	): TargetCall {
-		return new PathCall(this, { target, message, listener, bodyStallMs }).start()
+	call(request: PathRequest): TargetCall {
+		return new PathCall(this, request).start()
 	}
 
 	isUnreachable(service: ServiceName): boolean {
--- a/packages/gateway/src/lib/speeds/unreadableSlowdown.test.ts
+++ b/packages/gateway/src/lib/speeds/unreadableSlowdown.test.ts
@@ -15,7 +15,7 @@
 		leaving: false,
 		backoff: { kind: 'none' },
 		rate: { kind: 'silent' },
-	rejections: { kind: 'silent' },
+		rejections: { kind: 'silent' },
 		load,
 		coldMs: undefined,
 	}
