Paths: one connection shows whether silent targets can be reached

Change: silence opens one connection, to the silent target; only if that fails, two others are probed.

--- a/packages/core/src/lib/reachability/TargetReachability.test.ts
+++ b/packages/core/src/lib/reachability/TargetReachability.test.ts
@@ -39,11 +39,14 @@
 		expect(reachability.finishCheck(SERVICE)).toBe(true)
 	})
 
-	it('checks silence only if no target has sent anything since the request', () => {
+	it('has a silent target probed only if none has sent anything since the request, and once', () => {
 		const reachability = new TargetReachability()
 		reachability.noteReceived(SERVICE, 1_100)
 		expect(reachability.noteSilence(SERVICE, 1_000, 1_300)).toBe(false)
 		expect(reachability.noteSilence(SERVICE, 1_200, 1_500)).toBe(true)
+		expect(reachability.noteSilence(SERVICE, 1_400, 1_700)).toBe(false)
+		expect(reachability.noteSilence(SERVICE, 1_600, 1_900)).toBe(true)
+		expect(reachability.stateOf(SERVICE)).toBe('reachable')
 	})
 
 	it('limits checks while single targets keep failing', () => {
--- a/packages/core/src/lib/reachability/TargetReachability.ts
+++ b/packages/core/src/lib/reachability/TargetReachability.ts
@@ -4,7 +4,7 @@
 /**
  * Whether this box can open connections to the targets of a service.
  * - `reachable`: as far as is known.
- * - `checking`: a connection failed or the targets are silent, and probes to some of them have not ended yet.
+ * - `checking`: a connection failed, and probes to other targets have not ended yet.
  * - `unreachable`: the probes failed too, and no connection has succeeded since.
  * @public
  */
@@ -17,6 +17,8 @@
 	connectedAt: Millis
 	/** Time of the last bytes from any target. */
 	receivedAt: Millis
+	/** Time of the last probe because of silence. */
+	silentAt: Millis
 	checkStartedAt: Millis
 }
 
@@ -24,8 +26,9 @@
 const CHECK_INTERVAL_MS: Millis = 500
 
 /**
- * Distinguishes a box that lost its paths to all targets of a service from targets that fail: one failed connection, or
- * silence of all targets, starts a check, and only if the probes to other targets fail too, the service is unreachable.
+ * Distinguishes a box that lost its paths to all targets of a service from targets that fail: one failed connection starts
+ * a check, and only if the probes to other targets fail too, the service is unreachable. Silence of all targets is a reason
+ * to open a connection.
  * Bytes on old connections are no evidence for a path, because they may live on while new connections are refused.
  * @public
  */
@@ -61,13 +64,15 @@
 	}
 
 	/**
-	 * A target has not answered a request that was sent at `sentAt`. Returns true if a check starts, because no target of
-	 * the service has sent anything since.
+	 * A target has not answered a request that was sent at `sentAt`. Returns true if it should be probed, because no target
+	 * of the service has sent anything since.
 	 */
 	noteSilence(service: ServiceName, sentAt: Millis, now: Millis): boolean {
 		const paths = this.pathsOf(service)
-		if (Math.max(paths.receivedAt, paths.connectedAt) > sentAt) return false
-		return this.startCheck(paths, now)
+		if (paths.state !== 'reachable') return false
+		if (Math.max(paths.receivedAt, paths.connectedAt, paths.silentAt) > sentAt) return false
+		paths.silentAt = now
+		return true
 	}
 
 	/** The probes of a check have ended. Returns true if the service is unreachable from now on. */
@@ -92,6 +97,7 @@
 			state: 'reachable',
 			connectedAt: Number.NEGATIVE_INFINITY,
 			receivedAt: Number.NEGATIVE_INFINITY,
+			silentAt: Number.NEGATIVE_INFINITY,
 			checkStartedAt: Number.NEGATIVE_INFINITY,
 		}
 		this.services.set(service, paths)
--- a/packages/gateway/src/lib/forwarding/TargetPaths.ts
+++ b/packages/gateway/src/lib/forwarding/TargetPaths.ts
@@ -132,7 +132,7 @@
 	noteSilence(target: TargetEntry, sentAt: number): void {
 		if (this.options.isLinkSaturated()) return
 		if (this.reachability.noteSilence(target.service, sentAt, this.options.now()))
-			void this.check(target.service, undefined)
+			void this.options.poolFor(target).probe()
 	}
 
 	/** Probes other targets, also of other services. Returns true if one can be reached, or there is none. */
