Quarantine: an answer that ends with its connection counts once its target is known to run

Callers would see: requests with a part that crashes targets go on ending them where answers have neither a length nor chunks. Cause: such a stream that a crash ends between two events looks complete, was taken for an answer, and cleared what was held against the request and its parts. Change: reportRunEnd has the target checked as after a broken answer; only a new connection that it accepts makes it an answer. Why it works: a target that crashed refuses the connection. The connection joins the pool, where the answer left none.

--- a/packages/gateway/src/lib/Attempt.ts
+++ b/packages/gateway/src/lib/Attempt.ts
@@ -39,6 +39,8 @@
 	readonly status: number
 	/** The target closed the connection before the response was complete. */
 	readonly closedByTarget: boolean
+	/** A length or chunks prove that the response is complete; the close of a connection may also be a crash. */
+	readonly isSelfDelimiting: boolean
 	/** A complete response that has not been forwarded yet. */
 	readonly completeResponse: CompleteResponse | undefined
 }
@@ -379,6 +381,7 @@
 			cause,
 			status: this.responseHead?.status ?? 0,
 			closedByTarget,
+			isSelfDelimiting: this.responseHead !== undefined && isSelfDelimiting(this.responseHead),
 			completeResponse,
 		})
 	}
--- a/packages/gateway/src/lib/CrashDetector.ts
+++ b/packages/gateway/src/lib/CrashDetector.ts
@@ -38,6 +38,8 @@
 	readonly startedAt: number
 	/** True if the target closed the connection, false if this box aborted the run. */
 	readonly closedByTarget: boolean
+	/** Called if a new connection shows that the target did not crash. */
+	readonly onTargetAlive?: () => void
 }
 
 /** How a crash was detected. */
@@ -93,7 +95,9 @@
 		// If this box reaches no other target either, its own path is lost, and the target may be fine.
 		if (result === 'refused' && (await this.options.reachesAnotherTarget(run.target)))
 			this.noteTargetCrash(run.target, 'refuses connections')
-		if (result === 'accepted') this.pending = this.pending.filter((other) => other !== broken)
+		if (result !== 'accepted') return
+		this.pending = this.pending.filter((other) => other !== broken)
+		run.onTargetAlive?.()
 	}
 
 	/** Treats targets that restarted, or that disappeared from the list without leaving first, as crashed. */
--- a/packages/gateway/src/lib/quarantine/crashingPart.test.ts
+++ b/packages/gateway/src/lib/quarantine/crashingPart.test.ts
@@ -21,10 +21,15 @@
 	let fleet: PartFleet
 	afterEach(() => fleet.stop())
 
-	it.each(['/once/', '/again/', '/resume/'])(
-		'is held at all boxes while sound requests with the other parts are served, on %s',
-		async (route) => {
-			fleet = new PartFleet()
+	it.each([
+		['/once/', ''],
+		['/again/', ''],
+		['/resume/', ''],
+		['/resume/', ', without a length or chunks'],
+	])(
+		'is held at all boxes while sound requests with the other parts are served, on %s%s',
+		async (route, framing) => {
+			fleet = new PartFleet(framing !== '')
 			await fleet.start()
 			const fatal = fleet.sendFatal(route)
 			const sound = await fleet.sendSound(route)
@@ -65,6 +70,8 @@
 	private readonly random = seededRandom(1)
 	private sent = 0
 
+	constructor(private readonly isUnframed = false) {}
+
 	async start(): Promise<void> {
 		this.store.put('config/now', JSON.stringify(trafficConfigOf(1)))
 		this.targets = Array.from({ length: TARGET_COUNT }, (_, i) => this.makeTarget(`t${i}`))
@@ -134,6 +141,7 @@
 			crashDelayMs: 60,
 			restartDelayMs: 2_500,
 			processingMs: 20,
+			isUnframed: this.isUnframed,
 			headers: TEST_DIALECT.headers,
 			onStarted: (address, bornAt) =>
 				void this.store.put(
--- a/packages/gateway/src/lib/reportRunEnd.ts
+++ b/packages/gateway/src/lib/reportRunEnd.ts
@@ -23,14 +23,16 @@
 	crashes: CrashProtection,
 	{ content, target, startedAt, end }: EndedRun,
 ): Promise<void> {
-	const { outcome, status, closedByTarget } = end
-	if (outcome.kind === 'answered' && status < MIN_FAILURE_STATUS) crashes.noteAnswered(content)
-	if (outcome.kind !== 'unknown') return
-	await crashes.noteBrokenRun({
-		identity: content,
-		parts: content.sharedParts,
-		target,
-		startedAt: startedAt,
-		closedByTarget: closedByTarget,
-	})
+	const { closedByTarget, isSelfDelimiting, outcome, status } = end
+	const run = { identity: content, parts: content.sharedParts, target, startedAt }
+	const isAnswer = outcome.kind === 'answered' && status < MIN_FAILURE_STATUS
+	if (isAnswer && isSelfDelimiting) crashes.noteAnswered(content)
+	// A crash ends such a response in the same way, so a new connection has to show that the target still runs.
+	else if (isAnswer)
+		await crashes.noteBrokenRun({
+			...run,
+			closedByTarget: true,
+			onTargetAlive: () => crashes.noteAnswered(content),
+		})
+	else if (outcome.kind === 'unknown') await crashes.noteBrokenRun({ ...run, closedByTarget })
 }
--- a/packages/standins/src/lib/CrashingTarget.ts
+++ b/packages/standins/src/lib/CrashingTarget.ts
@@ -13,6 +13,8 @@
 	readonly restartDelayMs: number
 	/** Processing time of all other requests, in ms. */
 	readonly processingMs: number
+	/** Streams have neither a length nor chunks, and a crash closes connections without a reset, as a complete answer does. */
+	readonly isUnframed?: boolean
 	/** Names of the response headers. */
 	readonly headers: { readonly requestId: string; readonly signature: string }
 	/** Called at each start, with the address and the wall-clock time in ms. */
@@ -47,6 +49,7 @@
 				response.setHeader(headers.requestId, message.headers[headers.requestId] ?? '')
 				response.setHeader(headers.signature, name)
 				if (isStream) response.setHeader('Content-Type', 'text/event-stream')
+				if (isStream && this.options.isUnframed) response.useChunkedEncodingByDefault = false
 				if (!this.options.isFatal(body)) {
 					await sleep(processingMs)
 					response.end(isStream ? formatEvent(1) : 'ok')
@@ -89,7 +92,10 @@
 	private terminate(): void {
 		this.server?.close()
 		this.server = undefined
-		for (const socket of this.sockets) socket.resetAndDestroy()
+		for (const socket of this.sockets) {
+			if (this.options.isUnframed) socket.destroySoon()
+			else socket.resetAndDestroy()
+		}
 	}
 }
 
