Quarantine: one way to send records and to draw boxes for gossip

Cause: PartSharing repeated how QuarantineSharing splits records into datagrams and draws boxes. Change: sendRecords and randomPeers serve both; no change of behaviour.

--- a/packages/gateway/src/lib/QuarantineSharing.ts
+++ b/packages/gateway/src/lib/QuarantineSharing.ts
@@ -1,6 +1,8 @@
 import type { CrashRecord, RequestQuarantine } from '@stallwing/core'
 import type { PeerDatagrams } from './PeerDatagrams.js'
 import { decodeCrashRecords, encodeCrashRecords } from './crashRecordCodec.js'
+import { randomPeers } from './quarantine/randomPeers.js'
+import { sendRecords } from './quarantine/sendRecords.js'
 
 export interface QuarantineSharingOptions {
 	readonly quarantine: RequestQuarantine
@@ -24,8 +26,6 @@
 const GOSSIP_FANOUT = 3
 /** Age up to which records are gossiped, in ms. Callers that retry do so within this time. */
 const MAX_GOSSIP_AGE_MS = 120_000
-/** About 1,200 bytes, so that datagrams are not fragmented. */
-const MAX_RECORDS_PER_DATAGRAM = 4
 /** Records sent at once; of a longer list, a random range of this size. */
 const MAX_RECORDS_PER_SEND = 40
 
@@ -70,28 +70,14 @@
 		const { now, peers, quarantine, random } = this.options
 		const oldest = now() - MAX_GOSSIP_AGE_MS
 		const records = quarantine.restricted.filter((record) => record.changedAt >= oldest)
-		if (records.length === 0) return
-		const candidates = peers()
-		const selected = Array.from(
-			{ length: GOSSIP_FANOUT },
-			() => candidates[Math.floor(random() * candidates.length)],
-		)
-		this.send(
-			records,
-			selected.filter((peer) => peer !== undefined),
-		)
+		if (records.length > 0) this.send(records, randomPeers(peers(), GOSSIP_FANOUT, random))
 	}
 
 	private send(records: readonly CrashRecord[], peers: readonly string[]): void {
 		const { datagrams, now, random } = this.options
 		const first = Math.floor(random() * Math.max(1, records.length - MAX_RECORDS_PER_SEND + 1))
 		const sent = records.slice(first, first + MAX_RECORDS_PER_SEND)
-		for (let i = 0; i < sent.length; i += MAX_RECORDS_PER_DATAGRAM) {
-			const bytes = Buffer.from(
-				encodeCrashRecords(sent.slice(i, i + MAX_RECORDS_PER_DATAGRAM), now()),
-			)
-			for (const peer of peers) datagrams.send(bytes, peer)
-		}
+		sendRecords(sent, peers, datagrams, (some) => encodeCrashRecords(some, now()))
 	}
 
 	private receive(bytes: Buffer): boolean {
--- a/packages/gateway/src/lib/quarantine/PartSharing.ts
+++ b/packages/gateway/src/lib/quarantine/PartSharing.ts
@@ -6,6 +6,8 @@
 } from '@stallwing/core'
 import type { PeerDatagrams } from '../PeerDatagrams.js'
 import { decodePartRecords, encodePartRecords } from './partRecordCodec.js'
+import { randomPeers } from './randomPeers.js'
+import { sendRecords } from './sendRecords.js'
 
 export interface PartSharingOptions {
 	readonly quarantine: PartQuarantine
@@ -31,8 +33,6 @@
 const GOSSIP_FANOUT = 3
 /** Time since the last crash for which a held part is gossiped, in ms. */
 const MAX_GOSSIP_AGE_MS = 120_000
-/** About 1,200 bytes, so that datagrams are not fragmented. */
-const MAX_RECORDS_PER_DATAGRAM = 4
 
 /**
  * Exchanges the records of parts with other boxes by datagram. A record is sent after a short random delay, unless
@@ -85,24 +85,12 @@
 		const { now, peers, quarantine, random } = this.options
 		const oldest = now() - MAX_GOSSIP_AGE_MS
 		const records = quarantine.held.filter((record) => lastCrashAt(record) >= oldest)
-		const candidates = peers()
-		const selected = Array.from(
-			{ length: GOSSIP_FANOUT },
-			() => candidates[Math.floor(random() * candidates.length)],
-		)
-		this.send(
-			records,
-			selected.filter((peer) => peer !== undefined),
-		)
+		if (records.length > 0) this.send(records, randomPeers(peers(), GOSSIP_FANOUT, random))
 	}
 
 	private send(records: readonly PartRecord[], peers: readonly string[]): void {
 		const { datagrams, now } = this.options
-		for (let i = 0; i < records.length; i += MAX_RECORDS_PER_DATAGRAM) {
-			const chunk = records.slice(i, i + MAX_RECORDS_PER_DATAGRAM)
-			const bytes = Buffer.from(encodePartRecords(chunk, now()))
-			for (const peer of peers) datagrams.send(bytes, peer)
-		}
+		sendRecords(records, peers, datagrams, (some) => encodePartRecords(some, now()))
 	}
 
 	private receive(bytes: Buffer): boolean {
