Forwarding: the bodies of forwarded requests are bounded in bytes

Cause: 256 requests at a time could hold 256 MB of bodies at a box of 200 MB, with bodies of 1 MB. Change: 16 MiB of bodies at a time; beyond that another box is asked.

--- a/packages/gateway/src/lib/forwarding/ForwardingServer.ts
+++ b/packages/gateway/src/lib/forwarding/ForwardingServer.ts
@@ -24,31 +24,38 @@
 	readonly onRequest: () => () => void
 }
 
-/** Requests that are forwarded at the same time for all other boxes. Bounds the memory for their bodies. */
+/** Requests that are forwarded at the same time for all other boxes, and the bytes of their bodies: bounds the memory. */
 const MAX_OPEN_REQUESTS = 256
+const MAX_OPEN_BYTES = 16 * 1024 * 1024
 const UNAVAILABLE = 503
 
 /** Sends requests to targets on behalf of boxes that have no path to them. Never hands them to a third box. */
 export class ForwardingServer {
-	/** Requests that are being forwarded. */
-	openCount = 0
+	private openCount = 0
+	private openBytes = 0
 
 	constructor(private readonly options: ForwardingServerOptions) {}
 
 	async handle(request: IncomingMessage, response: ServerResponse): Promise<void> {
+		const length = Number(request.headers['content-length'] ?? 0)
 		if (this.options.isStopping()) return refuse(response, 'stopping')
-		if (this.openCount >= MAX_OPEN_REQUESTS || this.options.isOverloaded())
-			return refuse(response, 'overloaded')
+		if (!this.hasRoom(length) || this.options.isOverloaded()) return refuse(response, 'overloaded')
 		this.openCount++
+		this.openBytes += length
 		const onEnd = this.options.onRequest()
 		response.once('close', () => {
 			this.openCount--
+			this.openBytes -= length
 			onEnd()
 		})
 		const bytes = await readAll(request, this.options.maxRequestBytes())
 		if (!response.destroyed) this.forward(bytes, response)
 	}
 
+	private hasRoom(length: number): boolean {
+		return this.openCount < MAX_OPEN_REQUESTS && this.openBytes + length <= MAX_OPEN_BYTES
+	}
+
 	private forward(bytes: Buffer | undefined, response: ServerResponse): void {
 		const forwarded = bytes && decodeForwardedRequest(bytes)
 		if (!forwarded) return refuse(response, 'malformed')
