--- a/packages/gateway/src/lib/Gateway.ts
+++ b/packages/gateway/src/lib/Gateway.ts
@@ -217,7 +217,8 @@
 			loopDelay: this.loopDelay,
 			configPrefix: options.storeLayout.configPrefix,
 			targetsPrefix: options.storeLayout.targetsPrefix,
-			parts: presentOnly([this.paths, this.boxLoad, this.context.memory, ...this.sharing.parts]),
+			parts: presentOnly([this.boxLoad, this.context.memory, ...this.sharing.parts]),
+			unreachableServices: () => this.paths.unreachableServices,
 			openRequests: () => this.openRequests,
 			isReady: () => this.isReady,
 		})
--- a/packages/gateway/src/lib/GatewayReport.ts
+++ b/packages/gateway/src/lib/GatewayReport.ts
@@ -1,6 +1,7 @@
 import {
 	describeRevision,
 	type BoxName,
+	type ServiceName,
 	type TargetNoticeStatus,
 	type TargetRegistry,
 	type ZoneName,
@@ -32,6 +33,7 @@
 	/** Prefix of the list of targets in the store. */
 	readonly targetsPrefix: string
 	readonly parts: readonly ReportedPart[]
+	readonly unreachableServices: () => readonly ServiceName[]
 	/** Requests in flight. */
 	readonly openRequests: () => number
 	/** True if this box can serve callers. */
@@ -67,6 +69,8 @@
 	readonly quarantined: readonly QuarantineStatus[]
 	/** Parts of prompts that crash targets; requests with them are not sent to any. */
 	readonly heldParts: readonly HeldPartStatus[]
+	/** Services of which the requests go through other boxes, because this box has no path to the targets. */
+	readonly unreachableServices: readonly ServiceName[]
 	/** State of the parts that are in use, by name. */
 	readonly parts: Readonly<Record<string, unknown>>
 	/** Requests in flight. */
@@ -78,7 +82,8 @@
 	constructor(private readonly sources: GatewayReportSources) {}
 
 	status(): GatewayStatus {
-		const { registry, context, openRequests, isReady, parts, storeEra } = this.sources
+		const { registry, context, openRequests, isReady, parts, storeEra, unreachableServices } =
+			this.sources
 		const now = context.now()
 		return {
 			box: context.box,
@@ -94,6 +99,7 @@
 			noticedTargets: registry.noticeStatuses(now),
 			quarantined: context.crashProtection.status,
 			heldParts: context.crashProtection.heldParts,
+			unreachableServices: unreachableServices(),
 			parts: Object.fromEntries(parts.map((part) => [part.name, part.status()])),
 			open: openRequests(),
 		}
@@ -112,6 +118,7 @@
 			stallwing_suspect_requests: context.crashProtection.suspectCount,
 			stallwing_quarantined_requests: status.quarantined.length,
 			stallwing_held_parts: status.heldParts.length,
+			stallwing_unreachable_services: status.unreachableServices.length,
 			stallwing_targets_cold: status.coldTargets,
 			stallwing_targets_said_leaving: countWhere(
 				status.noticedTargets,
--- a/packages/gateway/src/lib/forwarding/TargetPaths.ts
+++ b/packages/gateway/src/lib/forwarding/TargetPaths.ts
@@ -11,7 +11,6 @@
 } from '@stallwing/core'
 import type { Metrics } from '@stallwing/telemetry'
 import type { ConnectionPool } from '../ConnectionPool.js'
-import type { ReportedPart } from '../ReportedPart.js'
 import type { ResponseListener, TargetCall, TargetRequest } from '../sendToTarget.js'
 import { ForwardedCall } from './ForwardedCall.js'
 import { PathCall, type PathRequest } from './PathCall.js'
@@ -38,8 +37,7 @@
 const RECOVERY_INTERVAL_MS = 300
 
 /** Sends requests to targets directly, or through another box while this box has no path to the targets of the service. */
-export class TargetPaths implements ReportedPart {
-	readonly name = 'paths'
+export class TargetPaths {
 	private readonly reachability = new TargetReachability()
 	private readonly peers: ForwardingPeers
 	private readonly peerPools = new Map<BoxName, ConnectionPool>()
@@ -145,29 +143,14 @@
 		return confirmation
 	}
 
-	private async probeOthers({ name, service }: TargetEntry): Promise<boolean> {
-		const { registry } = this.options
-		const others = registry.targetsOf(service).filter((other) => other.name !== name)
-		// Several targets of a service may be down at once; then those of another service show the path.
-		const elsewhere = registry.services
-			.filter((other) => other !== service)
-			.flatMap((other) => registry.targetsOf(other))
-		const probed = [...this.sampleOf(others), ...this.sampleOf(elsewhere).slice(0, 1)]
-		return probed.length === 0 || (await this.canReach(probed))
-	}
-
 	stop(): void {
 		clearInterval(this.recoveryTimer)
 		for (const pool of this.peerPools.values()) pool.close()
 	}
 
-	gauges(): Readonly<Record<string, number>> {
-		return { stallwing_unreachable_services: this.reachability.unreachable.length }
-	}
-
-	status(): unknown {
-		const requests = [...this.forwarded.values()].reduce((sum, count) => sum + count, 0)
-		return { unreachableServices: this.reachability.unreachable, forwardedRequests: requests }
+	/** Services that this box reaches through other boxes only. */
+	get unreachableServices(): readonly ServiceName[] {
+		return this.reachability.unreachable
 	}
 
 	/** Probes some targets of a service. A connection that opens ends the check; see {@link noteConnection}. */
@@ -178,7 +161,7 @@
 		this.options.registry.forgetFailedConnections(service)
 		// Connections that were opened before may be silent for good.
 		for (const { name } of this.options.registry.targetsOf(service)) this.options.closeIdle(name)
-		this.recoveryTimer ??= setInterval(() => this.probeUnreachable(), RECOVERY_INTERVAL_MS)
+		this.recoveryTimer ??= setInterval(() => this.probeUnreachable(), RECOVERY_INTERVAL_MS).unref()
 		this.checkOtherServices(service)
 	}
 
@@ -191,6 +174,17 @@
 		}
 	}
 
+	private async probeOthers({ name, service }: TargetEntry): Promise<boolean> {
+		const { registry } = this.options
+		const others = registry.targetsOf(service).filter((other) => other.name !== name)
+		// Several targets of a service may be down at once; then those of another service show the path.
+		const elsewhere = registry.services
+			.filter((other) => other !== service)
+			.flatMap((other) => registry.targetsOf(other))
+		const probed = [...this.sampleOf(others), ...this.sampleOf(elsewhere).slice(0, 1)]
+		return probed.length === 0 || (await this.canReach(probed))
+	}
+
 	/** Connects to some targets of a service, not to `except` if there are others. */
 	private async probe(service: ServiceName, except: TargetName | undefined): Promise<void> {
 		const targets = this.options.registry.targetsOf(service)
