--- a/packages/core/src/lib/placement/RejectionLimiter.ts
+++ b/packages/core/src/lib/placement/RejectionLimiter.ts
@@ -26,20 +26,20 @@
 const TURN_MS: Millis = 50
 
 /**
- * Keeps targets from rejecting requests that state how many rejections they bear. The slots of such a target are divided
- * among the boxes: within its quota a box is never rejected as long as all boxes keep to theirs. A box takes more only if the
+ * Avoids rejections by targets that fail after too many of them. The slots of such a target are divided among the boxes:
+ * within its quota a box is never rejected as long as all boxes keep to theirs. A box takes more only if the
  * reported work leaves room, a few boxes at a time, and after a rejection it pauses for as long as its share of the
  * rejections allows.
  */
 export class RejectionLimiter {
-	/** Rejections per second that the targets of a service bear. */
+	/** Rejections per second that the targets of a service tolerate. */
 	private readonly limits = new Map<ServiceName, number>()
 	private readonly pausedUntil = new Map<TargetName, Millis>()
 	private readonly quotas = new Map<TargetName, SlotQuota>()
 
 	constructor(private readonly options: RejectionLimiterOptions) {}
 
-	/** Rejections per second that each target of the service bears; undefined if they state none. */
+	/** Rejections per second that each target of the service tolerates; undefined if they state none. */
 	limitOf(service: ServiceName): number | undefined {
 		return this.limits.get(service)
 	}
@@ -52,7 +52,7 @@
 		return true
 	}
 
-	/** Records that the target rejected a request of this box for want of room. */
+	/** Records that the target rejected a request of this box because its queue is full. */
 	noteRejected({ name, service }: TargetState['entry'], now: Millis): void {
 		const perSecond = this.limits.get(service)
 		if (perSecond === undefined) return
--- a/packages/core/src/lib/placement/TargetAdmission.ts
+++ b/packages/core/src/lib/placement/TargetAdmission.ts
@@ -19,7 +19,7 @@
  * - `backoff`: all remaining targets are in a backoff, or half-open after one and busy with a request.
  * - `rate`: this box has used up its share of the rate limit that a target advertises.
  * - `cold`: the remaining targets are cold and at their limit; some of them may be in a backoff.
- * - `full`: the targets bear few rejections, and have no room for another request of this box.
+ * - `full`: the targets tolerate few rejections, and have no room for another request of this box.
  * @public
  */
 export type ClosedCause = 'none' | 'cordoned' | 'backoff' | 'rate' | 'cold' | 'full'
--- a/packages/gateway/src/lib/brittleTargets.test.ts
+++ b/packages/gateway/src/lib/brittleTargets.test.ts
@@ -1,4 +1,4 @@
-/** Guards against targets that state how many rejections they bear, and fall because boxes send them more. */
+/** Guards against targets that crash because they have to reject more requests than they tolerate. */
 import { BrittleTarget, MemoryStore } from '@stallwing/standins'
 import { afterEach, describe, expect, it } from 'vitest'
 import { freePort } from './freePort.js'
@@ -15,9 +15,9 @@
 const DURATION_MS = 10_000
 /** Time that boxes have to take the stated limit into account, in ms. */
 const CONTACT_MS = 3_000
-const ALLOWED_FALLS = 2 + TARGET_COUNT / 10
+const ALLOWED_CRASHES = 2 + TARGET_COUNT / 10
 
-describe('targets that bear few rejections', () => {
+describe('targets that tolerate few rejections', () => {
 	let fleet: BrittleFleet
 	afterEach(() => fleet.stop())
 
@@ -26,13 +26,13 @@
 		await fleet.start()
 		const startedAt = performance.now()
 		const served = await fleet.sendRequests(factor * CAPACITY)
-		const late = fleet.fallTimes.filter((at) => at > startedAt + CONTACT_MS)
-		expect(late.length).toBeLessThanOrEqual(ALLOWED_FALLS)
+		const late = fleet.crashTimes.filter((at) => at > startedAt + CONTACT_MS)
+		expect(late.length).toBeLessThanOrEqual(ALLOWED_CRASHES)
 		expect(served / ((DURATION_MS / 1_000) * CAPACITY)).toBeGreaterThan(0.5)
 	})
 })
 
-/** Boxes with a common store, and targets that fall if they have to reject too many requests. */
+/** Boxes with a common store, and targets that crash if they have to reject too many requests. */
 class BrittleFleet {
 	private readonly store = new MemoryStore({ now: () => performance.now(), sleep })
 	private readonly random = seededRandom(1)
@@ -56,8 +56,8 @@
 		await Promise.all(this.boxes.map((box) => box.stop()))
 	}
 
-	get fallTimes(): number[] {
-		return this.targets.flatMap(({ fallTimes }) => fallTimes)
+	get crashTimes(): number[] {
+		return this.targets.flatMap(({ crashTimes }) => crashTimes)
 	}
 
 	/** Sends requests to random boxes. Returns how many were served. */
--- a/packages/standins/src/lib/BrittleTarget.ts
+++ b/packages/standins/src/lib/BrittleTarget.ts
@@ -10,9 +10,9 @@
 	/** Requests that may wait. */
 	readonly maxWaiting: number
 	readonly processingMs: number
-	/** Rejections within a second above which it falls; stated in all responses. */
+	/** Rejections within a second above which it crashes; stated in all responses. */
 	readonly rejectionsPerSecond: number
-	/** Time from a fall to the next start, in ms. */
+	/** Time from a crash to the next start, in ms. */
 	readonly restartDelayMs: number
 	readonly headers: {
 		readonly requestId: string
@@ -30,13 +30,13 @@
 const UNAVAILABLE = 503
 
 /**
- * A target that rejects requests for want of room, and falls if it has to reject too many in a second. It starts again
+ * A target that rejects requests when its queue is full, and crashes if it has to reject too many in a second. It starts again
  * with the same address and name.
  * @public
  */
 export class BrittleTarget {
-	/** Times of the falls on the monotonic clock, in ms. */
-	readonly fallTimes: number[] = []
+	/** Times of the crashes on the monotonic clock, in ms. */
+	readonly crashTimes: number[] = []
 	/** Requests that were rejected. */
 	rejectedCount = 0
 	private rejectionTimes: number[] = []
@@ -93,15 +93,15 @@
 		this.rejectionTimes = this.rejectionTimes.filter((at) => at > now - SECOND_MS)
 		this.rejectionTimes.push(now)
 		if (this.rejectionTimes.length > this.options.rejectionsPerSecond) {
-			this.fall(now)
+			this.crash(now)
 			return
 		}
 		response.setHeader(this.options.headers.notRun, '1')
 		response.writeHead(UNAVAILABLE).end()
 	}
 
-	private fall(now: number): void {
-		this.fallTimes.push(now)
+	private crash(now: number): void {
+		this.crashTimes.push(now)
 		this.rejectionTimes = []
 		this.running = 0
 		this.waiting = []
