--- a/packages/core/src/lib/placement/RejectionLimiter.test.ts
+++ b/packages/core/src/lib/placement/RejectionLimiter.test.ts
@@ -1,4 +1,4 @@
-/** Guards against boxes that together send a target more than it has room for, and against slots that nobody uses. */
+/** Guards against boxes that together exceed the slots of a target, and against slots that no box may use. */
 import { describe, expect, it } from 'vitest'
 import { brandId, type BoxName } from '../ids.js'
 import { RejectionLimiter } from './RejectionLimiter.js'
--- a/packages/core/src/lib/placement/TargetAdmission.ts
+++ b/packages/core/src/lib/placement/TargetAdmission.ts
@@ -1,14 +1,11 @@
 import type { ServiceName, ZoneName } from '../ids.js'
 import type { Millis } from '../units.js'
 import type { ColdStart } from './coldRateLimit.js'
+import type { RateLimitKind } from './RateLimitKind.js'
 import type { RateLimitStatus } from './RateLimitStatus.js'
 import { RejectionLimiter } from './RejectionLimiter.js'
 import type { TargetEntry } from './TargetEntry.js'
-import {
-	TargetRateLimits,
-	type RateLimitKind,
-	type TargetRateLimitsOptions,
-} from './TargetRateLimits.js'
+import { TargetRateLimits, type TargetRateLimitsOptions } from './TargetRateLimits.js'
 import type { TargetState } from './TargetState.js'
 import { ZoneCordons, type CordonChanges, type ZoneCordon } from './ZoneCordons.js'
 
--- a/packages/core/src/lib/placement/TargetRateLimits.ts
+++ b/packages/core/src/lib/placement/TargetRateLimits.ts
@@ -7,13 +7,11 @@
 	type FleetRateLimiterOptions,
 } from './FleetRateLimiter.js'
 import { advertisedRateLimit } from './advertisedRateLimit.js'
+import type { RateLimitKind } from './RateLimitKind.js'
 import type { RateLimitStatus } from './RateLimitStatus.js'
 import type { TargetEntry } from './TargetEntry.js'
 import type { TargetState } from './TargetState.js'
 
-/** Why a target has a rate limit: it is cold, or it advertises a limit in its responses (`named`). */
-export type RateLimitKind = 'cold' | 'named'
-
 /** @public */
 export interface TargetRateLimitsOptions extends FleetRateLimiterOptions {
 	/** How far the fleet may exceed the rate of a cold target. */
--- a/packages/core/src/lib/placement/TargetRegistry.ts
+++ b/packages/core/src/lib/placement/TargetRegistry.ts
@@ -8,16 +8,17 @@
 import { AttemptSpeed, MIN_EXPECTED_MS } from './AttemptSpeed.js'
 import { chooseCandidate } from './chooseCandidate.js'
 import type { ColdStart } from './coldRateLimit.js'
+import { NoticeRecorder } from './NoticeRecorder.js'
 import type { TargetNoticeStatus } from './TargetNoticeStatus.js'
 import { targetNoticeStatusOf } from './targetNoticeStatusOf.js'
 import type { Placement, PlacementQuery } from './Placement.js'
-import { isPeerWorkFresh, type PlacementRequest } from './placementCost.js'
+import type { PlacementRequest } from './placementCost.js'
 import { promptPrefixKeys } from './PrefixCacheIndex.js'
 import { TargetAdmission, type AdmissionOptions, type ClosedService } from './TargetAdmission.js'
 import type { RateLimitStatus } from './RateLimitStatus.js'
 import { ServiceLatencies } from './ServiceLatencies.js'
 import type { TargetChanges } from './TargetChanges.js'
-import type { RateLimitKind } from './TargetRateLimits.js'
+import type { RateLimitKind } from './RateLimitKind.js'
 import type { TargetEntry } from './TargetEntry.js'
 import {
 	isEarlierIncarnation,
@@ -25,10 +26,10 @@
 	type TargetIncarnation,
 	type TargetIdentity,
 } from './TargetIncarnation.js'
-import { TargetNotices, type TargetNotice } from './TargetNotices.js'
 import { TargetSpeeds } from './TargetSpeeds.js'
 import { TargetState, type OpenAttempt } from './TargetState.js'
 import type { TargetWork } from './TargetWork.js'
+import { openWorkOf, recordPeerWork } from './workReports.js'
 import type { CordonChanges, ZoneCordon } from './ZoneCordons.js'
 
 /** The state of all targets as this box knows it; chooses the target of each request. @public */
@@ -37,13 +38,14 @@
 	private readonly byService = new Map<ServiceName, TargetState[]>()
 	private readonly plainLatencies = new ServiceLatencies()
 	private readonly admission: TargetAdmission
-	private readonly notices = new TargetNotices()
+	private readonly notices: NoticeRecorder
 	/** Speeds of the targets that report their current slowdown. */
 	readonly speeds = new TargetSpeeds(this.targets)
 
 	/** Without rate limits, cold targets only cost more and receive requests without limit. */
 	constructor(options: AdmissionOptions = {}) {
 		this.admission = new TargetAdmission(options)
+		this.notices = new NoticeRecorder((target) => this.stateOf(target), this.admission)
 	}
 
 	/** Sets the cold-start behaviour of each service. Targets of other services have no cold phase. */
@@ -123,19 +125,11 @@
 			this.admission.forget(entry)
 		}
 		this.groupByService()
-		this.pruneNotices(now)
+		this.notices.prune(this.targets.values(), now)
 		const removedEntries = removed.map((state) => ({ ...state.entry, leaving: state.leaving }))
 		return { added, leaving, removed: removedEntries, restarted }
 	}
 
-	private pruneNotices(now: Millis): void {
-		if (this.notices.isEmpty) return
-		const incarnations = new Set(
-			[...this.targets.values()].map(({ entry }) => incarnationOf(entry)),
-		)
-		this.notices.prune((incarnation) => incarnations.has(incarnation), now)
-	}
-
 	/** Targets that receive fewer or no requests because of their own notices. */
 	noticeStatuses(now: Millis): TargetNoticeStatus[] {
 		return [...this.targets.values()].flatMap((state) => {
@@ -149,21 +143,7 @@
 
 	/** Work in flight for each target: that of this box and the recent reports of the boxes selected by `includes`. */
 	openWork(includes: (box: BoxName) => boolean, now: Millis): TargetWork[] {
-		const rows: TargetWork[] = []
-		for (const state of this.targets.values()) {
-			let prefillTokens = 0
-			let openRequests = state.openAttempts.size
-			for (const attempt of state.openAttempts)
-				if (!attempt.hasFirstByte) prefillTokens += attempt.prefillTokens
-			for (const [box, work] of state.peerWork) {
-				if (!includes(box) || !isPeerWorkFresh(work, now)) continue
-				prefillTokens += work.prefillTokens
-				openRequests += work.openRequests
-			}
-			if (openRequests > 0)
-				rows.push({ incarnation: incarnationOf(state.entry), prefillTokens, openRequests })
-		}
-		return rows
+		return openWorkOf(this.targets.values(), includes, now)
 	}
 
 	/** Places of the open targets of a service, and their use. */
@@ -174,17 +154,7 @@
 
 	/** Records the complete work report of another box: targets missing from it have no work of that box. */
 	notePeerWork(box: BoxName, rows: readonly TargetWork[], now: Millis): void {
-		const rowsByIncarnation = new Map(rows.map((row) => [row.incarnation, row]))
-		for (const state of this.targets.values()) {
-			const row = rowsByIncarnation.get(incarnationOf(state.entry))
-			if (row)
-				state.peerWork.set(box, {
-					prefillTokens: row.prefillTokens,
-					openRequests: row.openRequests,
-					receivedAt: now,
-				})
-			else state.peerWork.delete(box)
-		}
+		recordPeerWork(this.targets.values(), box, rows, now)
 	}
 
 	/** True if this incarnation of the target is listed and not leaving. */
@@ -303,13 +273,13 @@
 				return isUnreadable
 			},
 			noteCold: (coldMs, now) => state?.noteCold(coldMs, now),
-			noteLeaving: (now) => this.noteLeaving(placement.target, now),
-			noteBackoff: (ms, now) => this.noteBackoff(placement.target, ms, now),
+			noteLeaving: (now) => this.notices.noteLeaving(placement.target, now),
+			noteBackoff: (ms, now) => this.notices.noteBackoff(placement.target, ms, now),
 			noteRate: (perSecond, now) =>
-				this.noteResponseRate(placement.target, attempt, perSecond, now),
+				this.notices.noteResponseRate(placement.target, attempt.sentAt, perSecond, now),
 			noteRejectionLimit: (perSecond) =>
 				this.admission.rejections?.noteLimit(service, perSecond) ?? false,
-			noteUnreadableRate: (text) => this.noteUnreadableRate(placement.target, text),
+			noteUnreadableRate: (text) => this.notices.noteUnreadableRate(placement.target, text),
 			noteUnsent: () => {
 				if (state && this.stateOf(placement.target) === state)
 					this.admission.refund(state, attempt.countedLimits)
@@ -325,61 +295,12 @@
 
 	/** Records that a target announced to this or another box that it is leaving. True if this was not known yet. */
 	noteLeaving(target: TargetIdentity, now: Millis): boolean {
-		const incarnation = incarnationOf(target)
-		const isNew = this.notices.of(incarnation).leavingSince === undefined
-		this.applyNotice(target, this.notices.noteLeaving(incarnation, now))
-		return isNew
-	}
-
-	private noteBackoff(target: TargetEntry, ms: Millis, now: Millis): Millis {
-		const notice = this.notices.noteBackoff(incarnationOf(target), ms, now)
-		this.applyNotice(target, notice)
-		return notice.backoffUntil
+		return this.notices.noteLeaving(target, now)
 	}
 
-	/**
-	 * Records the rate limit, in requests per second for all boxes together, that a target advertised at `reportedAt` by
-	 * this box's clock; undefined if it advertised none. True if the limit changed.
-	 */
+	/** See {@link NoticeRecorder.noteRate}. */
 	noteRate(target: TargetIdentity, perSecond: number | undefined, reportedAt: Millis): boolean {
-		const incarnation = incarnationOf(target)
-		const before = this.notices.of(incarnation)
-		const notice = this.notices.noteRate(incarnation, perSecond, reportedAt)
-		if (notice === before) return false
-		this.applyNotice(target, notice)
-		const state = this.stateOf(target)
-		if (state && !notice.rate) this.admission.forgetAdvertisedLimit(state.entry)
-		return notice.rate?.perSecond !== before.rate?.perSecond
-	}
-
-	/**
-	 * Records the rate limit advertised in the response to an attempt. A response without one ends the known limit only
-	 * if its request was sent after the limit was reported: otherwise the response may be older than the limit.
-	 */
-	private noteResponseRate(
-		target: TargetEntry,
-		attempt: OpenAttempt,
-		perSecond: number | undefined,
-		now: Millis,
-	): boolean {
-		const advertisedAt =
-			this.notices.of(incarnationOf(target)).rate?.reportedAt ?? Number.NEGATIVE_INFINITY
-		if (perSecond === undefined && attempt.sentAt <= advertisedAt) return false
-		return this.noteRate(target, perSecond, now)
-	}
-
-	private noteUnreadableRate(target: TargetIdentity, text: string): boolean {
-		const incarnation = incarnationOf(target)
-		const before = this.notices.of(incarnation)
-		const notice = this.notices.noteUnreadableRate(incarnation, text)
-		this.applyNotice(target, notice)
-		return notice !== before
-	}
-
-	/** Applies a notice if it belongs to the listed incarnation. */
-	private applyNotice(target: TargetIdentity, notice: TargetNotice): void {
-		const state = this.stateOf(target)
-		if (state) state.notice = notice
+		return this.notices.noteRate(target, perSecond, reportedAt)
 	}
 
 	private noteFirstByte(
--- a/packages/core/src/lib/placement/TargetState.ts
+++ b/packages/core/src/lib/placement/TargetState.ts
@@ -4,7 +4,7 @@
 import { PrefixCacheIndex } from './PrefixCacheIndex.js'
 import type { TargetEntry, TargetLoad } from './TargetEntry.js'
 import type { TargetNotice } from './TargetNotices.js'
-import type { RateLimitKind } from './TargetRateLimits.js'
+import type { RateLimitKind } from './RateLimitKind.js'
 import { TargetSpeed } from './TargetSpeed.js'
 
 /** An attempt in flight at a target. */
--- a/packages/core/src/lib/quarantine/partCrashModel.test.ts
+++ b/packages/core/src/lib/quarantine/partCrashModel.test.ts
@@ -5,7 +5,7 @@
 import { DEFAULT_PART_LIMITS } from './PartQuarantine.js'
 
 const SEEDS = 40
-/** Requests with a part that may reach targets once it has crashed five of them and all boxes had time to hear of it. */
+/** Requests with a fatal part that may reach targets after five crashes and the propagation time. */
 const ALLOWED_LATE_RUNS = 3
 const MAX_REFUSED_SHARE = 0.01
 
--- a/packages/gateway/src/lib/Attempt.ts
+++ b/packages/gateway/src/lib/Attempt.ts
@@ -25,6 +25,7 @@
 	TargetRequest,
 } from './sendToTarget.js'
 import { applyTargetNotice } from './applyTargetNotice.js'
+import { responseTimeouts, type ResponseTimeouts } from './responseTimeouts.js'
 
 /** A complete response with its body in several pieces. */
 export interface CompleteResponse {
@@ -45,26 +46,15 @@
 	readonly completeResponse: CompleteResponse | undefined
 }
 
-/** Maximum times that a target may be silent before the request is retried at another one. */
-interface ResponseTimeouts {
-	readonly firstByteMs: number
-	readonly idleMs: number
-}
-
 const EVENT_STREAM_TYPE = 'text/event-stream'
 const MAX_BUFFERED_RESPONSE_BYTES = 16 * 1024 * 1024
 /** Where memory is bounded, an incomplete event must not grow further. Events of this size are not expected. */
 const MAX_EVENT_BYTES = 1024 * 1024
-const MIN_FIRST_BYTE_TIMEOUT_MS = 150
-const MIN_STREAM_FIRST_BYTE_TIMEOUT_MS = 800
-const IDLE_TIMEOUT_MS = 1_000
 /**
  * Time after which a target that reads nothing of a request body has failed, in ms. Applies also to requests that must
  * not be repeated: a body that is not read in this time would not be in time for its answer.
  */
 const MAX_BODY_STALL_MS = 4_000
-/** First-byte timeout, as a multiple of the expected latency. */
-const FIRST_BYTE_TIMEOUT_FACTOR = 6
 
 /** One attempt to serve a request at one target. */
 export class Attempt implements ResponseListener {
@@ -336,16 +326,7 @@
 	}
 
 	private timeouts(): ResponseTimeouts {
-		const overdueMs = FIRST_BYTE_TIMEOUT_FACTOR * this.placement.cost.expectedMs
-		if (this.request.route.kind !== 'stream')
-			return {
-				firstByteMs: Math.max(MIN_FIRST_BYTE_TIMEOUT_MS, overdueMs),
-				idleMs: IDLE_TIMEOUT_MS,
-			}
-		return {
-			firstByteMs: Math.max(MIN_STREAM_FIRST_BYTE_TIMEOUT_MS, overdueMs),
-			idleMs: IDLE_TIMEOUT_MS,
-		}
+		return responseTimeouts(this.request.route.kind, this.placement.cost.expectedMs)
 	}
 
 	private end(
--- a/packages/gateway/src/lib/Gateway.test.ts
+++ b/packages/gateway/src/lib/Gateway.test.ts
@@ -2,7 +2,8 @@
 import type { TargetEntry } from '@stallwing/core'
 import { afterEach, describe, expect, it, vi } from 'vitest'
 import { sleep } from './sleep.js'
-import { TestBox, trafficConfigOf, type TargetHandler } from './testBox.js'
+import { TestBox, type TargetHandler } from './testBox.js'
+import { trafficConfigOf } from './testTrafficConfig.js'
 
 /** Time within which the store responds to calls that it received before it became unavailable, in ms. */
 const STORE_RESPONSE_MS = 40
--- a/packages/gateway/src/lib/Gateway.ts
+++ b/packages/gateway/src/lib/Gateway.ts
@@ -1,18 +1,23 @@
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http'
-import { TargetRegistry, allowsRegion, shedFraction, type RetryLimits } from '@stallwing/core'
+import { TargetRegistry, allowsRegion, type RetryLimits } from '@stallwing/core'
 import { EraTrackingStore, type EraChange, type PrefixFollower } from '@stallwing/store'
-import { AllowanceClient } from './AllowanceClient.js'
+import type { AllowanceClient } from './AllowanceClient.js'
 import { createBoxLoadControl, type BoxLoadControl } from './balance/BoxLoadControl.js'
+import { createAllowanceClient } from './createAllowanceClient.js'
+import { createFleetMembership } from './createFleetMembership.js'
 import { createPeerHandlers } from './createPeerHandlers.js'
+import { createTargetDirectory } from './createTargetDirectory.js'
 import { CordonDirectory } from './CordonDirectory.js'
 import { describeError } from './describeError.js'
 import { Exchange } from './Exchange.js'
 import type { GatewayContext, ActiveTraffic } from './GatewayContext.js'
-import { ForwardingServer } from './forwarding/ForwardingServer.js'
-import { TargetPaths } from './forwarding/TargetPaths.js'
-import { FeedRelay } from './FeedRelay.js'
+import { createForwardingServer } from './forwarding/createForwardingServer.js'
+import { createTargetPaths } from './forwarding/createTargetPaths.js'
+import type { TargetPaths } from './forwarding/TargetPaths.js'
+import { createFeedRelay } from './createFeedRelay.js'
+import type { FeedRelay } from './FeedRelay.js'
 import { followDocuments } from './followDocuments.js'
-import { FleetMembership } from './FleetMembership.js'
+import type { FleetMembership } from './FleetMembership.js'
 import type { GatewayOptions, GatewayPorts } from './GatewayOptions.js'
 import { GatewayReport, type GatewayStatus } from './GatewayReport.js'
 import { EventLoopDelay } from './EventLoopDelay.js'
@@ -23,23 +28,20 @@
 import { PeerSharing } from './PeerSharing.js'
 import { ReadinessServer } from './ReadinessServer.js'
 import { ServiceLimits } from './ServiceLimits.js'
-import { TargetDirectory } from './TargetDirectory.js'
-import { TargetPools } from './TargetPools.js'
+import type { TargetDirectory } from './TargetDirectory.js'
+import type { TargetPools } from './TargetPools.js'
 import type { TokenBudgets } from './TrafficDirectory.js'
 import { shutDownGracefully } from './lifecycle/shutDownGracefully.js'
 import { listenOn } from './listenOn.js'
 import { createBoxMemory } from './memory/BoxMemory.js'
 import { storeRestoredEvent } from './storeRestoredEvent.js'
 import { watchDurationMs } from './watchDurationMs.js'
-import { sleep } from './sleep.js'
 
 /** Time after its end at which a watch of the store counts as failed, in ms. */
 const WATCH_GRACE_MS = 500
 const ALLOWANCE_INTERVAL_MS = 400
 const MAINTENANCE_INTERVAL_MS = 250
 const KEEP_ALIVE_MARGIN_MS = 1_000
-/** Limit on the method, path and headers of a forwarded request, in bytes as JSON. */
-const MAX_FORWARDED_HEAD_BYTES = 256 * 1024
 
 /** Serves callers: follows configuration, targets and budgets, and sends each request to a target. @public */
 export class Gateway {
@@ -74,18 +76,11 @@
 			onMissingEra: (call) => options.log({ name: 'era-unnamed', fields: { call } }),
 		})
 		const address = `${options.listen.peers.host}:${options.listen.peers.port}`
-		this.membership = new FleetMembership({
+		this.membership = createFleetMembership({
+			gateway: options,
 			store: this.store,
-			prefix: options.storeLayout.boxPrefix,
-			listPrefix: options.storeLayout.fleetPrefix,
-			onListed: (items) =>
-				this.sharing.crashProtection.applyStored(
-					items.find(({ key }) => key === options.storeLayout.quarantineKey),
-				),
-			self: { box: options.box, zone: options.zone, address, cores: options.capacity.cores },
-			sleep,
-			random: options.random,
-			log: options.log,
+			address,
+			onStoredQuarantine: (item) => this.sharing.crashProtection.applyStored(item),
 		})
 		this.boxLoad = createBoxLoadControl({
 			gateway: options,
@@ -109,61 +104,27 @@
 				coldLimits: options.coldLimits,
 			},
 		})
-		this.feed = new FeedRelay({
+		this.feed = createFeedRelay({
+			gateway: options,
 			store: this.store,
+			membership: this.membership,
 			peers,
-			isWatcher: () => this.membership.isLender,
-			hasDependentBoxes: () => this.membership.hasFollowers,
-			isFleetKnown: () => this.membership.isFleetKnown,
-			propagationLimitMs: options.configurationPropagationLimitMs,
-			storeReadsPerSecond: options.storeReadsPerSecond,
-			watcherAddresses: () => this.membership.watcherAddresses,
-			fleetSize: () => this.membership.size,
-			now: options.suspendAwareNow,
-			random: options.random,
-			sleep,
-			log: options.log,
 		})
-		this.allowance = new AllowanceClient({
+		this.allowance = createAllowanceClient({
+			gateway: options,
 			store: this.store,
-			recordKey: options.storeLayout.allowanceKey,
-			spendingLimitKey: `${options.storeLayout.spendingLimitPrefix}${options.box}`,
-			box: options.box,
-			holder: options.incarnation,
+			membership: this.membership,
+			peers,
 			address,
-			isFirstStart: options.isFirstStart,
-			isLender: () => this.membership.isLender,
-			replicaAddresses: () => this.membership.lenderPeers,
-			lenderAddresses: (account) => this.membership.lenderAddresses(account),
-			tokenPeers: peers,
-			metrics: options.metrics,
-			// Token budgets need a clock that never runs fast: on a fast one, spending limits would expire too early.
-			now: options.now,
-			wallTime: options.wallTime,
-			uptimeMs: options.uptimeMs,
-			random: options.random,
-			sleep,
-			log: options.log,
 		})
-		this.pools = new TargetPools(
-			options.now,
-			(socket) => {
-				options.metrics.count('stallwing_connections_opened_total')
-				this.boxLoad?.trackTargetSocket(socket)
-			},
-			(target, isOpen) => this.paths.noteConnection(target, isOpen),
-			this.boxLoad?.isLinkSaturated,
-		)
-		this.paths = new TargetPaths({
-			...options,
+		const { paths, pools } = createTargetPaths({
+			gateway: options,
 			registry: this.registry,
-			poolFor: (target) => this.pools.poolFor(target),
-			closeIdle: (target) => this.pools.closeIdle(target),
-			peers: () => this.membership.otherMembers,
-			createPeerPool: (peer) =>
-				this.pools.createPeerPool(peer, this.boxLoad?.trackBoxSocket ?? (() => undefined)),
-			isLinkSaturated: this.boxLoad?.isLinkSaturated ?? (() => false),
+			membership: this.membership,
+			boxLoad: this.boxLoad,
 		})
+		this.paths = paths
+		this.pools = pools
 		this.sharing = new PeerSharing({
 			gateway: options,
 			store: this.store,
@@ -173,18 +134,12 @@
 			membership: this.membership,
 			boxLoad: this.boxLoad,
 		})
-		this.targets = new TargetDirectory({
+		this.targets = createTargetDirectory({
+			gateway: options,
 			registry: this.registry,
-			readTarget: (item) => options.storeLayout.readTarget(item),
-			onDropped: (target) => this.pools.remove(target.name),
-			onEnded: (restarted, removed) =>
-				this.sharing.crashProtection.noteTargetChanges(restarted, removed),
-			listAgeMs: () => this.targetListAgeMs,
-			storeAvailableMs: () => this.feed.storeAvailableMs(options.storeLayout.targetsPrefix),
-			now: options.now,
-			suspendAwareNow: options.suspendAwareNow,
-			wallTime: options.wallTime,
-			log: options.log,
+			pools: this.pools,
+			feed: this.feed,
+			crashProtection: this.sharing.crashProtection,
 		})
 		this.cordons = new CordonDirectory({
 			prefix: options.storeLayout.cordonPrefix,
@@ -233,7 +188,15 @@
 			workSharing: this.sharing.workSharing,
 			feed: this.feed,
 			canAcceptTokens: () => !this.context.isStopping,
-			forwarding: this.createForwardingServer(),
+			forwarding: createForwardingServer({
+				registry: this.registry,
+				pools: this.pools,
+				paths: this.paths,
+				context: this.context,
+				initialLimits: options.dialect.initialLimits,
+				loopDelay: this.loopDelay,
+				onRequest: () => this.countOpenRequest(),
+			}),
 		})
 		this.peerServer = new PeerServer(peerHandlers, this.boxLoad?.trackBoxSocket)
 		this.followers = followDocuments({
@@ -391,29 +354,14 @@
 		}
 	}
 
-	private createForwardingServer(): ForwardingServer {
-		return new ForwardingServer({
-			availableTarget: (name) => this.registry.availableTarget(name),
-			poolFor: (target) => this.pools.poolFor(target),
-			isUnreachable: ({ service }) => this.paths.isUnreachable(service),
-			isStopping: () => this.context.isRefusingRequests,
-			isOverloaded: () => shedFraction(this.loopDelay.sustainedMs, true) > 0,
-			maxRequestBytes: () => {
-				const limits = this.context.traffic?.index.config.limits
-				return (
-					(limits ?? this.options.dialect.initialLimits).maxBodyBytes + MAX_FORWARDED_HEAD_BYTES
-				)
-			},
-			onRequest: () => {
-				this.openRequests++
-				return () => this.openRequests--
-			},
-		})
+	/** Counts an open request until the returned function is called. */
+	private countOpenRequest(): () => void {
+		this.openRequests++
+		return () => this.openRequests--
 	}
 
 	private handleRequest(message: IncomingMessage, response: ServerResponse): void {
-		this.openRequests++
-		response.once('close', () => this.openRequests--)
+		response.once('close', this.countOpenRequest())
 		const exchange = new Exchange(this.context, message, response)
 		exchange.run().catch((error: unknown) => {
 			this.options.log({ name: 'unexpected-error', fields: { error: describeError(error) } })
--- a/packages/gateway/src/lib/QuarantineStore.ts
+++ b/packages/gateway/src/lib/QuarantineStore.ts
@@ -31,13 +31,13 @@
 	readonly log: (event: LogEvent) => void
 }
 
-/**
- * `writtenAt` is wall clock time in ms since the epoch; `told` holds the output of {@link encodeCrashRecords}, `parts` that of
- * {@link encodePartRecords}, which documents of earlier versions lack.
- */
+/** The document in the store. */
 interface StoredQuarantine {
+	/** Wall clock time of the write, in ms since the epoch. */
 	readonly writtenAt: number
+	/** Records of requests; output of {@link encodeCrashRecords}. */
 	readonly told: string
+	/** Records of parts; output of {@link encodePartRecords}. Missing in documents of earlier versions. */
 	readonly parts?: string
 }
 
--- a/packages/gateway/src/lib/UnknownHeaders.test.ts
+++ b/packages/gateway/src/lib/UnknownHeaders.test.ts
@@ -2,7 +2,8 @@
 import { Metrics } from '@stallwing/telemetry'
 import { beforeEach, describe, expect, it } from 'vitest'
 import { UnknownHeaders } from './UnknownHeaders.js'
-import { TEST_DIALECT, targetEntryOf } from './testBox.js'
+import { targetEntryOf } from './testBox.js'
+import { TEST_DIALECT } from './testDialect.js'
 
 const TARGET = targetEntryOf('t', 'unused:1')
 
--- a/packages/gateway/src/lib/balance/movingCallers.test.ts
+++ b/packages/gateway/src/lib/balance/movingCallers.test.ts
@@ -3,7 +3,8 @@
 import { afterEach, describe, expect, it } from 'vitest'
 import { freePort } from '../freePort.js'
 import { sleep } from '../sleep.js'
-import { TestBox, trafficConfigOf } from '../testBox.js'
+import { TestBox } from '../testBox.js'
+import { trafficConfigOf } from '../testTrafficConfig.js'
 
 // Guards against moving callers that loses a request, and against moving none: real gateways on loopback, a load
 // balancer that assigns new connections to the first box that it believes to be ready, and callers that never retry.
--- /dev/null
+++ b/packages/gateway/src/lib/createFleetMembership.ts
@@ -0,0 +1,34 @@
+import type { KeyValueStore, StoreItem } from '@stallwing/store'
+import { FleetMembership } from './FleetMembership.js'
+import type { GatewayOptions } from './GatewayOptions.js'
+import { sleep } from './sleep.js'
+
+export interface MembershipSources {
+	readonly gateway: GatewayOptions
+	readonly store: KeyValueStore
+	/** Address at which other boxes reach this one. */
+	readonly address: string
+	/** Receives the stored quarantine, which is listed together with the boxes; undefined if there is none. */
+	readonly onStoredQuarantine: (item: StoreItem | undefined) => void
+}
+
+/** Creates the membership of this box in the fleet. */
+export function createFleetMembership({
+	address,
+	gateway,
+	onStoredQuarantine,
+	store,
+}: MembershipSources): FleetMembership {
+	const { box, capacity, storeLayout, zone } = gateway
+	return new FleetMembership({
+		store,
+		prefix: storeLayout.boxPrefix,
+		listPrefix: storeLayout.fleetPrefix,
+		onListed: (items) =>
+			onStoredQuarantine(items.find(({ key }) => key === storeLayout.quarantineKey)),
+		self: { box, zone, address, cores: capacity.cores },
+		sleep,
+		random: gateway.random,
+		log: gateway.log,
+	})
+}
--- a/packages/gateway/src/lib/forwarding/ForwardedCall.ts
+++ b/packages/gateway/src/lib/forwarding/ForwardedCall.ts
@@ -29,8 +29,8 @@
 const OK = 200
 
 /**
- * Sends a request to a target through another box. Boxes that refuse have sent nothing, so the next one is asked. The
- * listener is told `not-reached` if none forwards the request.
+ * Sends a request to a target through another box. Boxes that refuse have sent nothing, so the next one is asked. If
+ * none forwards the request, the failure is `not-reached`.
  */
 export class ForwardedCall implements TargetCall {
 	private readonly asked = new Set<BoxName>()
--- a/packages/gateway/src/lib/forwarding/PathCall.ts
+++ b/packages/gateway/src/lib/forwarding/PathCall.ts
@@ -1,4 +1,5 @@
-import type { TargetEntry } from '@stallwing/core'
+import type { ServiceName, TargetEntry, TargetName } from '@stallwing/core'
+import type { ConnectionPool } from '../ConnectionPool.js'
 import {
 	sendToTarget,
 	type ResponseHead,
@@ -7,7 +8,6 @@
 	type TargetFailure,
 	type TargetRequest,
 } from '../sendToTarget.js'
-import type { TargetPaths } from './TargetPaths.js'
 
 /** A request to a target. */
 export interface PathRequest {
@@ -20,6 +20,27 @@
 	readonly bodyStallMs: number | undefined
 }
 
+/** What a {@link PathCall} needs to know of the paths, and tells of them. */
+export interface CallPaths {
+	poolFor(target: TargetEntry): ConnectionPool
+	/** True if requests to the targets of the service go through other boxes. */
+	isUnreachable(service: ServiceName): boolean
+	/** Sends a request through another box. Returns undefined if no box can be asked. */
+	forward(
+		target: TargetEntry,
+		message: TargetRequest,
+		listener: ResponseListener,
+	): TargetCall | undefined
+	/** Counts a forwarded request until the returned function is called. */
+	countForwarded(target: TargetName): () => void
+	/** A target sent bytes. */
+	noteReceived(service: ServiceName): void
+	/** A target has been silent for some time since a request was sent. */
+	noteSilence(target: TargetEntry, sentAt: number): void
+	/** Monotonic clock, in ms. */
+	now(): number
+}
+
 /** One request to a target, sent directly or through another box. */
 export class PathCall implements TargetCall, ResponseListener {
 	private call: TargetCall | undefined
@@ -27,7 +48,7 @@
 	private endForwarding: (() => void) | undefined
 
 	constructor(
-		private readonly paths: TargetPaths,
+		private readonly paths: CallPaths,
 		private readonly request: PathRequest,
 	) {}
 
--- a/packages/gateway/src/lib/forwarding/TargetPaths.ts
+++ b/packages/gateway/src/lib/forwarding/TargetPaths.ts
@@ -13,7 +13,7 @@
 import type { ConnectionPool } from '../ConnectionPool.js'
 import type { ResponseListener, TargetCall, TargetRequest } from '../sendToTarget.js'
 import { ForwardedCall } from './ForwardedCall.js'
-import { PathCall, type PathRequest } from './PathCall.js'
+import { PathCall, type CallPaths, type PathRequest } from './PathCall.js'
 
 export interface TargetPathsOptions {
 	readonly registry: TargetRegistry
@@ -37,7 +37,7 @@
 const RECOVERY_INTERVAL_MS = 300
 
 /** Sends requests to targets directly, or through another box while this box has no path to the targets of the service. */
-export class TargetPaths {
+export class TargetPaths implements CallPaths {
 	private readonly reachability = new TargetReachability()
 	private readonly peers: ForwardingPeers
 	private readonly peerPools = new Map<BoxName, ConnectionPool>()
--- a/packages/gateway/src/lib/forwarding/testPartitionedFleet.ts
+++ b/packages/gateway/src/lib/forwarding/testPartitionedFleet.ts
@@ -1,7 +1,8 @@
 import { MemoryStore } from '@stallwing/standins'
 import { freePort } from '../freePort.js'
 import { sleep } from '../sleep.js'
-import { TestBox, trafficConfigOf, type TargetHandler } from '../testBox.js'
+import { TestBox, type TargetHandler } from '../testBox.js'
+import { trafficConfigOf } from '../testTrafficConfig.js'
 import { TestTargetLink, type LinkCut } from './testTargetLink.js'
 
 /** A request to a box and its outcome. */
--- a/packages/gateway/src/lib/memory/BoxMemory.test.ts
+++ b/packages/gateway/src/lib/memory/BoxMemory.test.ts
@@ -5,7 +5,7 @@
 import { describe, expect, it } from 'vitest'
 import type { CallerRequest } from '../CallerRequest.js'
 import type { GatewayOptions } from '../GatewayOptions.js'
-import { TEST_DIALECT } from '../testBox.js'
+import { TEST_DIALECT } from '../testDialect.js'
 import { BoxMemory, createBoxMemory } from './BoxMemory.js'
 
 const MEMORY_BYTES = 250_000_000
--- a/packages/gateway/src/lib/memory/testCallers.ts
+++ b/packages/gateway/src/lib/memory/testCallers.ts
@@ -1,5 +1,6 @@
 import { connect, createServer, type AddressInfo, type Socket } from 'node:net'
-import { trafficConfigOf, type TestBox } from '../testBox.js'
+import { type TestBox } from '../testBox.js'
+import { trafficConfigOf } from '../testTrafficConfig.js'
 
 /** A caller on a raw socket, which controls how fast it reads. */
 export interface RawCaller {
--- a/packages/gateway/src/lib/quarantine/PartSharing.test.ts
+++ b/packages/gateway/src/lib/quarantine/PartSharing.test.ts
@@ -1,4 +1,4 @@
-/** Guards against boxes that do not hear of a held or an answered part, and against a flood of messages about one. */
+/** Guards against boxes that miss a held or cleared part, and against too many messages about a common part. */
 import { PartQuarantine, brandId, type PromptPartId, type TargetIncarnation } from '@stallwing/core'
 import { afterEach, beforeEach, describe, expect, it, vi } from 'vitest'
 import type { DatagramHandler, PeerDatagrams } from '../PeerDatagrams.js'
--- a/packages/gateway/src/lib/quarantine/PartSharing.ts
+++ b/packages/gateway/src/lib/quarantine/PartSharing.ts
@@ -22,8 +22,8 @@
 }
 
 /**
- * Longest random delay of a message for each other box, in ms, and for all of them. A crash breaks runs at many boxes, and
- * many boxes answer requests with a common part: whoever is first tells all, and the others need not.
+ * Maximum random delay of a message, in ms per other box and in total. Many boxes learn the same from one crash; the delay
+ * lets the first one send it for all.
  */
 const MAX_DELAY_PER_PEER_MS = 4
 const MAX_DELAY_MS = 400
@@ -36,7 +36,7 @@
 
 /**
  * Exchanges the records of parts with other boxes by datagram. A record is sent after a short random delay, unless
- * another box has told the same meanwhile. Held parts are gossiped to make up for lost datagrams, partitions and
+ * another box has sent the same meanwhile. Held parts are gossiped to make up for lost datagrams, partitions and
  * restarts. Nothing is sent while no target crashes.
  */
 export class PartSharing {
@@ -58,7 +58,7 @@
 		clearInterval(this.sendTimer)
 	}
 
-	/** Sends records to all other boxes, unless another box tells the same first. */
+	/** Sends records to all other boxes, unless another box sends the same first. */
 	share(records: readonly PartRecord[]): void {
 		const { now, peers, random } = this.options
 		const maxDelayMs = Math.min(MAX_DELAY_MS, MAX_DELAY_PER_PEER_MS * peers().length)
--- a/packages/gateway/src/lib/quarantine/crashingPart.test.ts
+++ b/packages/gateway/src/lib/quarantine/crashingPart.test.ts
@@ -4,7 +4,9 @@
 import { freePort } from '../freePort.js'
 import { sleep } from '../sleep.js'
 import { seededRandom } from '../testFleet.js'
-import { TEST_DIALECT, TestBox, targetEntryOf, trafficConfigOf } from '../testBox.js'
+import { TestBox, targetEntryOf } from '../testBox.js'
+import { TEST_DIALECT } from '../testDialect.js'
+import { trafficConfigOf } from '../testTrafficConfig.js'
 
 const BOX_COUNT = 4
 const TARGET_COUNT = 12
--- a/packages/gateway/src/lib/readTargetNotice.test.ts
+++ b/packages/gateway/src/lib/readTargetNotice.test.ts
@@ -1,6 +1,6 @@
 import * as fc from 'fast-check'
 import { describe, expect, it } from 'vitest'
-import { TEST_DIALECT } from './testBox.js'
+import { TEST_DIALECT } from './testDialect.js'
 import { readTargetNotice, type BackoffNotice, type RateNotice } from './readTargetNotice.js'
 
 const WRONG_TARGET = TEST_DIALECT.wrongTargetStatus
--- a/packages/gateway/src/lib/requestQuarantine.test.ts
+++ b/packages/gateway/src/lib/requestQuarantine.test.ts
@@ -1,12 +1,11 @@
-/**
- * Guards against a request that crashes one target after another while its caller retries it at different boxes,
- * which also interrupts all other requests at these targets.
- */
+/** Guards against a request that crashes one target after another while its caller retries it at different boxes. */
 import { CrashingTarget, MemoryStore } from '@stallwing/standins'
 import { afterEach, describe, expect, it } from 'vitest'
 import { freePort } from './freePort.js'
 import { sleep } from './sleep.js'
-import { TEST_DIALECT, TestBox, trafficConfigOf, targetEntryOf } from './testBox.js'
+import { TestBox, targetEntryOf } from './testBox.js'
+import { TEST_DIALECT } from './testDialect.js'
+import { trafficConfigOf } from './testTrafficConfig.js'
 
 const FATAL = 'fatal'
 const BOX_COUNT = 4
--- a/packages/gateway/src/lib/restoredAllowance.test.ts
+++ b/packages/gateway/src/lib/restoredAllowance.test.ts
@@ -3,9 +3,8 @@
 import { afterEach, beforeEach, describe, expect, it, vi } from 'vitest'
 import { ACCOUNT, BOXES, BudgetTestFleet, CLAIM_ALL_MS, advance } from './testBudgetFleet.js'
 
-// A store that is restored from a backup lacks recent draws and spending limits. These tests check that the
-// missing tokens are not drawn twice, also if boxes are killed in the meantime. When a draw was final as soon as the
-// store had acknowledged it, four of the eight scenarios spent 31,100 to 38,300 of 30,000 tokens.
+// Guards against tokens that are drawn twice after the store was restored from a backup, which lacks recent draws.
+// When a draw was final once the store had acknowledged it, four of eight scenarios spent up to 38,300 of 30,000 tokens.
 
 const BUDGET = 30_000
 /** A budget that is large compared with the draws of one box. */
--- a/packages/gateway/src/lib/restoredStore.test.ts
+++ b/packages/gateway/src/lib/restoredStore.test.ts
@@ -1,8 +1,8 @@
 import { afterEach, beforeEach, describe, expect, it, vi } from 'vitest'
 import { CONFIG_KEY, MAX_RECOVERY_MS, CORDON_PREFIX, TestFleet, seededRandom } from './testFleet.js'
 
-// Guards against comparing revisions across a restore of the store from a backup, which resets them: boxes must neither
-// ignore newer documents because of their lower revisions, nor revert to older documents from the backup.
+// Guards against boxes that ignore newer documents, or revert to older ones, because a restore of the store resets its
+// revisions.
 
 /** Time within which all boxes must apply a configuration or the new state of a target, in ms. */
 const MAX_PROPAGATION_MS = 2_000
--- a/packages/gateway/src/lib/targetNotices.test.ts
+++ b/packages/gateway/src/lib/targetNotices.test.ts
@@ -1,6 +1,5 @@
-// Guards against boxes that ignore the leaving headers and backoffs in responses. The list of targets may be outdated,
-// and a target that rejects requests quickly would look the cheapest. Boxes sent requests 2.2 s and 4.5 s after a target
-// had reported that it was leaving, and three and four requests in a backoff of 3 s.
+// Guards against boxes that send requests to a target that announced that it is leaving, or during its backoff: the list
+// of targets may be outdated, and a target that rejects requests quickly would look the cheapest.
 import { afterEach, describe, expect, it } from 'vitest'
 import {
 	DEFAULT_BOX_COUNT,
--- a/packages/gateway/src/lib/targetRates.test.ts
+++ b/packages/gateway/src/lib/targetRates.test.ts
@@ -1,9 +1,8 @@
-// Guards against boxes that together exceed the rate limit in the responses of a target. An overloaded target has little
-// work and would look the cheapest. Targets that advertised 1.3 and 1.4 requests per second received 15 and 23 in 4 s,
-// where 13 are allowed.
+// Guards against boxes that together exceed the rate limit that a target advertises: targets with limits of 1.3 and 1.4
+// requests per second received 15 and 23 in 4 s, where 13 are allowed.
 import { maxCountInWindow } from '@stallwing/core'
 import { afterEach, describe, expect, it } from 'vitest'
-import { TEST_DIALECT } from './testBox.js'
+import { TEST_DIALECT } from './testDialect.js'
 import { OK, NoticeFleet, TARGET_COUNT } from './testNoticeFleet.js'
 
 const BOXES = 7
--- a/packages/gateway/src/lib/testBox.ts
+++ b/packages/gateway/src/lib/testBox.ts
@@ -6,156 +6,20 @@
 	type Incarnation,
 	type LogEvent,
 	type RegionName,
-	type RouteName,
-	type ServiceName,
 	type TargetEntry,
 	type TargetName,
 	type TrafficConfig,
 	type ZoneName,
-	type AccountName,
 } from '@stallwing/core'
-import {
-	MemoryStore,
-	STANDIN_HEADERS,
-	STANDIN_HEADER_PATTERN,
-	type CallOutcome,
-} from '@stallwing/standins'
+import { MemoryStore, type CallOutcome } from '@stallwing/standins'
 import { Metrics } from '@stallwing/telemetry'
 import * as E from 'fp-ts/lib/Either.js'
-import type { Dialect } from './Dialect.js'
 import type { UnreadableDocument } from '@stallwing/store'
 import { Gateway } from './Gateway.js'
 import type { GatewayOptions } from './GatewayOptions.js'
 import { sleep } from './sleep.js'
-
-export const TEST_DIALECT: Dialect = {
-	headers: STANDIN_HEADERS,
-	reservedHeaders: new Set([
-		'authorization',
-		'account',
-		'expected-target',
-		'deadline-ms',
-		'rank',
-		'last-event-id',
-	]),
-	platformHeaderPattern: STANDIN_HEADER_PATTERN,
-	ignoredHeaders: new Set(['own-instance']),
-	leastUrgentRank: 9,
-	wrongTargetStatus: 421,
-	initialLimits: {
-		maxHeaderBytes: 16_384,
-		maxBodyBytes: 1_000,
-		headerTimeoutMs: 5_000,
-		idleTimeoutMs: 5_000,
-	},
-	readWork: (header) => {
-		const tokens = Number(header('tokens') ?? 0)
-		const ids = header('parts')?.split(',') ?? []
-		const parts = ids.map((id) => ({ id, tokens: 1 }))
-		return E.right({ inputTokens: tokens, maxOutputTokens: 0, parts })
-	},
-	readKey: (header) => header('authorization'),
-	readLoad: (text) => {
-		const [running = 0, waiting = 0, slots = 0] = text.split(',').map(Number)
-		return { running, waiting, slots }
-	},
-	statusFor: (kind) => STATUS_CODES[kind],
-}
-
-const STATUS_CODES = {
-	malformed: 400,
-	'header-too-large': 431,
-	'body-too-large': 413,
-	'no-route': 404,
-	'no-key': 401,
-	'body-late': 408,
-	'not-configured': 503,
-	'configuration-old': 503,
-	'budget-spent': 402,
-	'budget-unknown': 503,
-	'no-target': 503,
-	stopping: 503,
-	'no-place': 503,
-	overloaded: 503,
-	'too-late': 503,
-	quarantined: 503,
-	'target-failed': 502,
-	'timed-out': 504,
-} as const
-
-const SERVICE = brandId<ServiceName>('service')
-
-export function trafficConfigOf(version: number): TrafficConfig {
-	const route = {
-		host: 'a.example',
-		timeoutMs: 20_000,
-		latencyGoalMs: 1_000,
-		eventGapGoalMs: undefined,
-		rank: 0,
-		shares: [{ service: SERVICE, weight: 1 }],
-		maxAttempts: 2,
-		isPublic: false,
-		requiresDeclaredWork: false,
-		regions: undefined,
-	}
-	return {
-		version,
-		routes: [
-			{ ...route, name: routeName('once'), pathPrefix: '/once/', kind: 'once', resumable: false },
-			{
-				...route,
-				name: routeName('again'),
-				pathPrefix: '/again/',
-				kind: 'repeatable',
-				resumable: false,
-			},
-			{
-				...route,
-				name: routeName('home'),
-				pathPrefix: '/home/',
-				kind: 'once',
-				resumable: false,
-				regions: [brandId<RegionName>('south')],
-			},
-			{
-				...route,
-				name: routeName('stream'),
-				pathPrefix: '/stream/',
-				kind: 'stream',
-				resumable: false,
-			},
-			{
-				...route,
-				name: routeName('resume'),
-				pathPrefix: '/resume/',
-				kind: 'stream',
-				resumable: true,
-			},
-		],
-		services: [
-			{ name: SERVICE, maxConnections: 100, tokensPerEvent: undefined, coldStart: undefined },
-		],
-		accounts: [
-			{
-				name: brandId<AccountName>('acme'),
-				keys: ['key'],
-				rank: 0,
-				tokenBudget: 100,
-				regions: undefined,
-			},
-		],
-		limits: {
-			maxHeaderBytes: 16_384,
-			maxBodyBytes: 1_000,
-			headerTimeoutMs: 5_000,
-			idleTimeoutMs: 5_000,
-		},
-	}
-}
-
-function routeName(text: string): RouteName {
-	return brandId<RouteName>(text)
-}
+import { TEST_DIALECT } from './testDialect.js'
+import { TEST_SERVICE, trafficConfigOf } from './testTrafficConfig.js'
 
 /** A response as the caller receives it. */
 export interface CallerResponse {
@@ -409,7 +273,7 @@
 export function targetEntryOf(id: string, address: string, leaving = false): TargetEntry {
 	return {
 		name: brandId<TargetName>(id),
-		service: SERVICE,
+		service: TEST_SERVICE,
 		address,
 		zone: brandId<ZoneName>('z1'),
 		slots: 8,
--- a/packages/gateway/src/lib/testNoticeFleet.ts
+++ b/packages/gateway/src/lib/testNoticeFleet.ts
@@ -1,13 +1,9 @@
 import { MemoryStore, NotifyingTarget, type NotifyingResponse } from '@stallwing/standins'
 import { freePort } from './freePort.js'
 import { sleep } from './sleep.js'
-import {
-	TEST_DIALECT,
-	TestBox,
-	trafficConfigOf,
-	targetEntryOf,
-	type CallerResponse,
-} from './testBox.js'
+import { TestBox, targetEntryOf, type CallerResponse } from './testBox.js'
+import { TEST_DIALECT } from './testDialect.js'
+import { trafficConfigOf } from './testTrafficConfig.js'
 
 /** Default number of boxes of a {@link NoticeFleet}. */
 export const DEFAULT_BOX_COUNT = 3
