Answers that are broken off say what was missing for another attempt, and how late the box was

The record of the incident can't tell a silent target from a late box, nor why a stream did not go on elsewhere. request-failed and attempt-ended now have the silence of the target by the box's clock and the delays of the event loop and the link at that moment; request-failed also has what another attempt lacked (attempts, time, budget, target) and the events sent. stallwing_broken_answers_total counts them by what was missing. No decision changes.

--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -260,10 +260,12 @@
 export { RetryBudget, type RetryLimits } from './lib/retry/RetryBudget.js'
 export {
 	decideAfterAttempt,
+	findAttemptObstacle,
 	type AttemptFacts,
 	type AttemptResult,
 	type NotAnsweredReason,
 	type NextStep,
+	type RetryObstacle,
 } from './lib/retry/decideAfterAttempt.js'
 export { originHolders, possibleOriginHolders } from './lib/stream/originHolders.js'
 export { StreamOrigins, type StreamOrigin } from './lib/stream/StreamOrigins.js'
--- a/packages/core/src/lib/retry/decideAfterAttempt.test.ts
+++ b/packages/core/src/lib/retry/decideAfterAttempt.test.ts
@@ -56,7 +56,7 @@
 		expect(decideAfterAttempt(failed, { ...facts, remainingMs: 5 }).kind).toBe('pass-on')
 		expect(decideAfterAttempt(failed, { ...facts, takeRetry: () => false }).kind).toBe('pass-on')
 		const unknown = decideAfterAttempt({ kind: 'unknown' }, { ...facts, attempts: 3 })
-		expect(unknown).toEqual({ kind: 'refuse', reason: 'may-have-run' })
+		expect(unknown).toEqual({ kind: 'refuse', reason: 'may-have-run', obstacle: 'attempts' })
 	})
 })
 
--- a/packages/gateway/src/lib/Attempt.ts
+++ b/packages/gateway/src/lib/Attempt.ts
@@ -25,6 +25,7 @@
 	TargetRequest,
 } from './sendToTarget.js'
 import { applyTargetNotice } from './applyTargetNotice.js'
+import { boxDelays } from './exchangeEvents.js'
 import { responseTimeouts, type ResponseTimeouts } from './responseTimeouts.js'
 
 /** A complete response with its body in several pieces. */
@@ -347,6 +348,8 @@
 				cause,
 				tookMs: Math.round(this.elapsedMs()),
 				firstByteMs: Math.round(this.firstByteMs),
+				silentMs: Math.round(this.silentMs),
+				...boxDelays(this.context),
 				expectedMs: Math.round(this.placement.cost.expectedMs),
 				events: this.responseWriter.eventCount,
 				fingerprint: outcome.kind === 'unknown' ? this.content.fingerprint : '',
@@ -375,6 +378,11 @@
 		this.handle?.end(targetOutcome, this.context.now())
 	}
 
+	/** Time since the last bytes of the target, or since the start of the attempt, in ms. */
+	get silentMs(): number {
+		return this.context.now() - (this.lastDataAt ?? this.startedAt)
+	}
+
 	private elapsedMs(): number {
 		return this.context.now() - this.startedAt
 	}
--- a/packages/gateway/src/lib/AttemptSeries.ts
+++ b/packages/gateway/src/lib/AttemptSeries.ts
@@ -51,6 +51,11 @@
 		return this.isUncertain
 	}
 
+	/** Time since the last bytes of the target of the current attempt, in ms; 0 if there was none. */
+	get silentMs(): number {
+		return this.attempt?.silentMs ?? 0
+	}
+
 	/** Undefined if no target accepts the request. */
 	chooseTarget(request: CallerRequest): Placement | undefined {
 		const { context } = this.options
--- a/packages/gateway/src/lib/Exchange.ts
+++ b/packages/gateway/src/lib/Exchange.ts
@@ -5,6 +5,7 @@
 	maxTotalTokens,
 	type LogValue,
 	type LogEventName,
+	type RetryObstacle,
 } from '@stallwing/core'
 import * as E from 'fp-ts/lib/Either.js'
 import { ResponseWriter } from './ResponseWriter.js'
@@ -19,6 +20,7 @@
 import type { GatewayContext, ActiveTraffic } from './GatewayContext.js'
 import {
 	responseTimes,
+	boxDelays,
 	targetChosenEvent,
 	requestEndEvent,
 	streamResumedEvent,
@@ -40,6 +42,14 @@
 /** Remaining time below which a request is not sent to a target, in ms. */
 const MIN_REMAINING_MS = 10
 
+/**
+ * What an answer that is broken off lacked to go on.
+ * - `target`: no other target accepts the request.
+ * - `quarantined`: the request, or a part of it, may crash targets.
+ * - `status`: the target that was to go on answered with a status instead.
+ */
+type BrokenAnswerObstacle = RetryObstacle | 'target' | 'quarantined' | 'status'
+
 /** One request of a caller, from its head to the end of the response. */
 export class Exchange {
 	private readonly arrivedAt: number
@@ -145,7 +155,7 @@
 		)
 		if (!quarantine) return false
 		const { detail, opensInMs } = quarantine
-		if (this.attempts.sentCount > 0) this.fail(detail)
+		if (this.attempts.sentCount > 0) this.fail(detail, 'quarantined')
 		else this.refuse('quarantined', detail, opensInMs)
 		return true
 	}
@@ -169,7 +179,7 @@
 	private handleTimeLimit(): void {
 		if (this.hasEnded) return
 		this.attempts.cancel()
-		if (this.responseWriter.isStreamStarted) this.abortResponse('time limit')
+		if (this.responseWriter.isStreamStarted) this.abortResponse('time limit', 'time')
 		else this.refuse(this.attempts.mayHaveRun ? 'timed-out' : 'too-late', 'time limit')
 	}
 
@@ -220,7 +230,7 @@
 			if (this.endIfQuarantined(content)) return
 			const placement = this.attempts.chooseTarget(request)
 			if (!placement) {
-				this.fail('no target is open')
+				this.fail('no target is open', 'target')
 				return
 			}
 			this.context.log(
@@ -276,7 +286,7 @@
 				this.forwardResponse(request, end)
 				return false
 			case 'refuse':
-				this.fail(end.cause)
+				this.fail(end.cause, step.obstacle)
 				return false
 			default:
 				return exhaustive(step)
@@ -285,7 +295,7 @@
 
 	private forwardResponse(request: CallerRequest, end: AttemptEnd): void {
 		if (end.completeResponse && this.responseWriter.isStreamStarted) {
-			this.abortResponse(`status ${end.status} inside a stream`)
+			this.abortResponse(`status ${end.status} inside a stream`, 'status')
 			return
 		}
 		this.reservation.settle(
@@ -310,9 +320,10 @@
 		this.recordEnd('request-answered', { status: end.status, ...times })
 	}
 
-	private fail(cause: string): void {
+	/** Ends the exchange without an answer; `obstacle` forbids another attempt. */
+	private fail(cause: string, obstacle: BrokenAnswerObstacle): void {
 		if (this.responseWriter.isStreamStarted) {
-			this.abortResponse(cause)
+			this.abortResponse(cause, obstacle)
 			return
 		}
 		if (this.attempts.mayHaveRun) {
@@ -326,10 +337,18 @@
 	}
 
 	/** Aborts a response that has started and cannot be completed, so that it does not look complete. */
-	private abortResponse(cause: string): void {
+	private abortResponse(cause: string, obstacle: BrokenAnswerObstacle): void {
+		const { context, attempts, responseWriter } = this
 		this.reservation.settle(Infinity)
-		this.responseWriter.destroy()
-		this.recordEnd('request-failed', { cause })
+		responseWriter.destroy()
+		context.metrics.count('stallwing_broken_answers_total', `missing="${obstacle}"`)
+		this.recordEnd('request-failed', {
+			cause,
+			missing: obstacle,
+			events: responseWriter.eventCount,
+			silentMs: Math.round(attempts.silentMs),
+			...boxDelays(context),
+		})
 	}
 
 	/** Refuses the request. A retry within `availableInMs` is known to fail. */
--- a/packages/gateway/src/lib/GatewayContext.ts
+++ b/packages/gateway/src/lib/GatewayContext.ts
@@ -94,6 +94,8 @@
 	shouldCloseConnection(socket: Socket): boolean
 	/** True while the link of this box delays what it waits for. */
 	isLinkSaturated(): boolean
+	/** Time that input waits on the link before this box can read it, in ms; 0 if the link is not measured. */
+	linkDelayMs(): number
 	/** Sustained delay of the event loop, in ms. */
 	sustainedDelayMs(): number
 	/** Current delay of the event loop and of the link, in ms: input may have waited that long before it is read. */
--- a/packages/gateway/src/lib/createGatewayContext.ts
+++ b/packages/gateway/src/lib/createGatewayContext.ts
@@ -81,8 +81,9 @@
 		retryBudget: (service) => serviceLimits.retryBudget(service),
 		shouldCloseConnection: (socket) => context.isStopping || boxLoad?.shouldClose(socket) === true,
 		isLinkSaturated: boxLoad?.isLinkSaturated ?? (() => false),
+		linkDelayMs: () => boxLoad?.linkDelayMs ?? 0,
 		sustainedDelayMs: () => loopDelay.sustainedMs,
-		currentDelayMs: () => Math.max(loopDelay.currentMs, boxLoad?.linkDelayMs ?? 0),
+		currentDelayMs: () => Math.max(loopDelay.currentMs, context.linkDelayMs()),
 		boxCount: () => membership.size,
 	}
 	return context
--- a/packages/gateway/src/lib/exchangeEvents.ts
+++ b/packages/gateway/src/lib/exchangeEvents.ts
@@ -70,6 +70,16 @@
 	}
 }
 
+/** Delays of this box, in ms, which may explain why nothing was read from a target. */
+export function boxDelays(
+	context: Pick<GatewayContext, 'currentDelayMs' | 'linkDelayMs'>,
+): Readonly<Record<'boxDelayMs' | 'linkDelayMs', number>> {
+	return {
+		boxDelayMs: Math.round(context.currentDelayMs()),
+		linkDelayMs: Math.round(context.linkDelayMs()),
+	}
+}
+
 /** Log event for the end of a request; `request` is undefined if its head could not be parsed. */
 export function requestEndEvent(
 	name: LogEventName,
