Time-outs for input first read what has arrived

Cause: after a delay of the event loop, due timers run before sockets are read, so the box took its own delay for the silence of its targets. Change: InputTimeout waits for a full iteration of the event loop when it is due, and elapses only if nothing was read in it. Used wherever a timer declares that somebody else sends nothing: silence of targets, opening of connections to targets, bodies that targets do not read, bodies of callers, calls to the store and to other boxes, checks of the paths to targets. Why it works: what arrived during the delay is in the socket by then, and one poll reads all sockets.

--- a/packages/gateway/src/lib/Attempt.ts
+++ b/packages/gateway/src/lib/Attempt.ts
@@ -6,6 +6,7 @@
 	type TargetOutcome,
 	type Placement,
 } from '@stallwing/core'
+import { InputTimeout } from '@stallwing/store'
 import { isSelfDelimiting, type ResponseWriter } from './ResponseWriter.js'
 import type { CallerRequest } from './CallerRequest.js'
 import type { GatewayContext } from './GatewayContext.js'
@@ -71,7 +72,7 @@
 	/** Time of the head, the last data, or the end of the last pause; undefined until a head arrives. */
 	private lastDataAt: number | undefined
 	private isPaused = false
-	private timeout: NodeJS.Timeout | undefined
+	private readonly timeout = new InputTimeout(() => this.handleTimeout())
 	private startedAt = 0
 	private firstByteMs = -1
 	/** True if this box, not the target, aborted the response. */
@@ -158,7 +159,7 @@
 		const now = this.context.now()
 		this.lastDataAt = now
 		this.handle?.noteByte(now)
-		this.timeout?.refresh()
+		this.timeout.refresh()
 		if (this.splitter) {
 			this.forwardEvents(this.splitter, chunk)
 			return
@@ -169,7 +170,7 @@
 	}
 
 	onBodyProgress(): void {
-		this.timeout?.refresh()
+		this.timeout.refresh()
 	}
 
 	onEnd(): void {
@@ -286,7 +287,7 @@
 		// A target that is not read cannot be found silent. Without bounded memory, the timeout ends the pause.
 		if (!this.responseWriter.memory) return
 		this.isPaused = true
-		clearTimeout(this.timeout)
+		this.timeout.stop()
 	}
 
 	/** Reads on after a pause. */
@@ -311,9 +312,7 @@
 	}
 
 	private startTimeout(ms: number): void {
-		clearTimeout(this.timeout)
-		if (!this.mayRetryElsewhere) return
-		this.timeout = setTimeout(() => this.handleTimeout(), ms)
+		if (this.mayRetryElsewhere) this.timeout.start(ms)
 	}
 
 	private handleTimeout(): void {
@@ -372,7 +371,7 @@
 
 	private release(targetOutcome: TargetOutcome, isAnswerKept = false): void {
 		this.hasEnded = true
-		clearTimeout(this.timeout)
+		this.timeout.stop()
 		this.responseWriter.memory?.endAttempt(isAnswerKept)
 		if (!this.mayHaveSentBytes) this.handle?.noteUnsent()
 		this.handle?.end(targetOutcome, this.context.now())
--- a/packages/gateway/src/lib/ConnectionPool.ts
+++ b/packages/gateway/src/lib/ConnectionPool.ts
@@ -1,4 +1,5 @@
 import { connect, type Socket } from 'node:net'
+import { InputTimeout } from '@stallwing/store'
 import { parseAddress } from './parseAddress.js'
 
 /** Timeouts of a {@link ConnectionPool}, in ms. */
@@ -128,18 +129,16 @@
 		socket.once('close', () => this.remove(socket))
 		return new Promise((resolve, reject) => {
 			const fail = (error: Error): void => {
-				clearTimeout(timer)
+				timeout.stop()
 				socket.destroy()
 				this.onFailed()
 				reject(error)
 			}
-			const timer = setTimeout(
-				() => fail(new Error('connect timed out')),
-				this.timeouts.connectTimeoutMs(),
-			)
+			const timeout = new InputTimeout(() => fail(new Error('connect timed out')))
+			timeout.start(this.timeouts.connectTimeoutMs())
 			socket.once('error', fail)
 			socket.once('connect', () => {
-				clearTimeout(timer)
+				timeout.stop()
 				socket.off('error', fail)
 				socket.on('error', () => socket.destroy())
 				this.onOpened(socket)
--- a/packages/gateway/src/lib/forwarding/PathCall.ts
+++ b/packages/gateway/src/lib/forwarding/PathCall.ts
@@ -1,4 +1,5 @@
 import type { ServiceName, TargetEntry, TargetName } from '@stallwing/core'
+import { InputTimeout } from '@stallwing/store'
 import type { ConnectionPool } from '../ConnectionPool.js'
 import {
 	sendToTarget,
@@ -44,7 +45,7 @@
 /** One request to a target, sent directly or through another box. */
 export class PathCall implements TargetCall, ResponseListener {
 	private call: TargetCall | undefined
-	private silenceTimer: NodeJS.Timeout | undefined
+	private silenceTimeout: InputTimeout | undefined
 	private endForwarding: (() => void) | undefined
 
 	constructor(
@@ -77,7 +78,7 @@
 	}
 
 	onHead(head: ResponseHead): boolean {
-		clearTimeout(this.silenceTimer)
+		this.silenceTimeout?.stop()
 		this.noteReceived()
 		return this.request.listener.onHead(head)
 	}
@@ -126,14 +127,14 @@
 
 	private watchSilence(): void {
 		const sentAt = this.paths.now()
-		this.silenceTimer = setTimeout(
-			() => this.paths.noteSilence(this.request.target, sentAt),
-			this.request.silenceMs,
+		this.silenceTimeout = new InputTimeout(() =>
+			this.paths.noteSilence(this.request.target, sentAt),
 		)
+		this.silenceTimeout.start(this.request.silenceMs)
 	}
 
 	private finish(): void {
-		clearTimeout(this.silenceTimer)
+		this.silenceTimeout?.stop()
 		this.endForwarding?.()
 		this.endForwarding = undefined
 	}
--- a/packages/gateway/src/lib/memory/sendBodyInPieces.ts
+++ b/packages/gateway/src/lib/memory/sendBodyInPieces.ts
@@ -1,4 +1,5 @@
 import type { ClientRequest } from 'node:http'
+import { InputTimeout } from '@stallwing/store'
 
 /** How the progress of a body is reported. */
 export interface BodyProgress {
@@ -27,14 +28,15 @@
 	}
 	let sentBytes = 0
 	let hasStopped = false
-	const timer = setTimeout(onStalled, stallMs)
+	const timeout = new InputTimeout(onStalled)
+	timeout.start(stallMs)
 	const stop = (): void => {
 		hasStopped = true
-		clearTimeout(timer)
+		timeout.stop()
 	}
 	const sendNext = (error?: Error | null): void => {
 		if (hasStopped || error) return
-		timer.refresh()
+		timeout.refresh()
 		if (sentBytes > 0) onProgress()
 		const piece = body.subarray(sentBytes, sentBytes + PIECE_BYTES)
 		sentBytes += piece.length
--- a/packages/gateway/src/lib/readBody.ts
+++ b/packages/gateway/src/lib/readBody.ts
@@ -1,5 +1,6 @@
 import type { IncomingMessage } from 'node:http'
 import type { RequestLimits } from '@stallwing/core'
+import { InputTimeout } from '@stallwing/store'
 import type { ExchangeMemory } from './memory/ExchangeMemory.js'
 
 /** Result of reading a body. */
@@ -28,14 +29,15 @@
 		const finish = (result: BodyResult): void => {
 			if (hasFinished) return
 			hasFinished = true
-			clearTimeout(timer)
+			timeout.stop()
 			message.off('data', onData)
 			if (result.kind !== 'whole') memory?.holdBody(0)
 			resolve(result)
 		}
 		const handleTimeout = (): void =>
 			finish({ kind: 'body-late', detail: `idle for ${idleTimeoutMs} ms` })
-		const timer = setTimeout(handleTimeout, idleTimeoutMs)
+		const timeout = new InputTimeout(handleTimeout)
+		timeout.start(idleTimeoutMs)
 		const onData = (chunk: Buffer): void => {
 			bytes += chunk.length
 			if (bytes > maxBodyBytes) {
@@ -51,7 +53,7 @@
 			}
 			if (stated && bytes <= statedBytes) chunk.copy(stated, bytes - chunk.length)
 			else chunks.push(chunk)
-			timer.refresh()
+			timeout.refresh()
 		}
 		message.on('data', onData)
 		message.once('end', () => {
--- a/packages/gateway/src/lib/waitForPendingDisconnect.ts
+++ b/packages/gateway/src/lib/waitForPendingDisconnect.ts
@@ -1,5 +1,5 @@
 import type { Socket } from 'node:net'
-import { nextEventLoopIteration } from './nextEventLoopIteration.js'
+import { nextEventLoopIteration } from '@stallwing/store'
 
 /** Delay of this process, or wait for a connection, after which the end of a connection may be unread, in ms. */
 const MIN_DELAY_MS = 25
--- a/packages/store/src/index.ts
+++ b/packages/store/src/index.ts
@@ -41,6 +41,8 @@
 	type PrefixFollowerOptions,
 	type StoreContact,
 } from './lib/PrefixFollower.js'
+export { InputTimeout } from './lib/InputTimeout.js'
+export { nextEventLoopIteration } from './lib/nextEventLoopIteration.js'
 export {
 	HttpClient,
 	type HttpRequest,
--- a/packages/store/src/lib/HttpClient.ts
+++ b/packages/store/src/lib/HttpClient.ts
@@ -1,5 +1,6 @@
 import { Agent, request, type ClientRequest, type IncomingHttpHeaders } from 'node:http'
 import type { Socket } from 'node:net'
+import { InputTimeout } from './InputTimeout.js'
 
 /** Server address and connection limit of an {@link HttpClient}. @public */
 export interface HttpClientOptions {
@@ -66,13 +67,13 @@
 				headers,
 				agent: this.agent,
 			})
-			const timer = setTimeout(
-				() => outgoing.destroy(new Error(`no answer in ${message.timeoutMs} ms`)),
-				message.timeoutMs,
+			const timeout = new InputTimeout(() =>
+				outgoing.destroy(new Error(`no answer in ${message.timeoutMs} ms`)),
 			)
+			timeout.start(message.timeoutMs)
 			const deadline = performance.now() + message.timeoutMs * MAX_TIMEOUT_MULTIPLE
 			const fail = (error: Error): void => {
-				clearTimeout(timer)
+				timeout.stop()
 				reject(error)
 			}
 			outgoing.on('error', fail)
@@ -81,11 +82,11 @@
 				const chunks: Buffer[] = []
 				response.on('data', (chunk: Buffer) => {
 					chunks.push(chunk)
-					if (performance.now() < deadline) timer.refresh()
+					if (performance.now() < deadline) timeout.refresh()
 				})
 				response.on('error', fail)
 				response.on('end', () => {
-					clearTimeout(timer)
+					timeout.stop()
 					if (!response.complete) reject(new Error('answer broken off'))
 					else
 						resolve({
