Answers are not given up before another target has taken over

Symptom: callers got streams that ended before their last event, and 502 for plain requests, while their target only paused. Cause: an attempt was ended as silent first; then attempts were counted, a retry was asked of the fleet's budget and a target was looked for. Where one of these was missing, or the next target rejected the request, the answer was lost. Change: the silent attempt goes on while another one is made, and is closed once the other one brings an event, or after 250 ms. If the other target can't be reached, rejects the request or fails, the silent attempt goes on. Only complete events count as progress; an attempt that is paused because its caller reads slowly is never silent. While all targets of a service are silent, one attempt at a time is replaced, so that one pause does not use up the retries. Why it works: nothing that may go on is closed before its successor has been accepted, and both run together for less than the 400 ms that the platform allows.

--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -257,6 +257,7 @@
 export { type TargetOutcome } from './lib/placement/TargetState.js'
 export { type SpeedEstimate } from './lib/placement/TargetSpeed.js'
 export { type TargetSpeedReport, type TargetSpeedStatus } from './lib/placement/TargetSpeeds.js'
+export { ReplacementLimiter } from './lib/retry/ReplacementLimiter.js'
 export { RetryBudget, type RetryLimits } from './lib/retry/RetryBudget.js'
 export {
 	decideAfterAttempt,
--- a/packages/core/src/lib/placement/TargetRegistry.ts
+++ b/packages/core/src/lib/placement/TargetRegistry.ts
@@ -274,6 +274,7 @@
 				speed?.noteFirstByte(now)
 				this.noteFirstByte(service, attempt, state, now)
 			},
+			noteSilent: (now) => state?.noteOutcome('failed', now),
 			noteLoad: (load, now) => {
 				const isUnreadable = state?.noteLoad(load, now) ?? false
 				speed?.noteLoad(now)
--- a/packages/core/src/lib/router/logEvents.ts
+++ b/packages/core/src/lib/router/logEvents.ts
@@ -62,6 +62,14 @@
 		number: 124,
 		text: 'Requests with a part of prompts that was held may run again',
 	},
+	'target-silent': {
+		number: 125,
+		text: 'A target is silent while it runs a request; the event names what replaces it, or what is missing for that',
+	},
+	'replacement-ended': {
+		number: 126,
+		text: 'The replacement of a silent target took over a request, or was given up',
+	},
 	'slice-asked': { number: 200, text: 'Tokens were requested from the zone leader' },
 	'slice-granted': { number: 201, text: 'Tokens were granted by the zone leader' },
 	'slice-returned': { number: 202, text: 'Idle tokens were returned to the zone' },
--- a/packages/gateway/src/lib/Exchange.ts
+++ b/packages/gateway/src/lib/Exchange.ts
@@ -5,12 +5,12 @@
 	maxTotalTokens,
 	type LogValue,
 	type LogEventName,
-	type RetryObstacle,
 } from '@stallwing/core'
 import * as E from 'fp-ts/lib/Either.js'
 import { ResponseWriter } from './ResponseWriter.js'
-import type { AttemptEnd } from './Attempt.js'
-import { AttemptSeries } from './AttemptSeries.js'
+import type { AttemptEnd } from './attempts/AttemptEnd.js'
+import type { ReplacementObstacle } from './attempts/attemptEvents.js'
+import { AttemptSeries } from './attempts/AttemptSeries.js'
 import { readCallerRequest, type CallerRequest } from './CallerRequest.js'
 import { chargeFor } from './chargeFor.js'
 import type { GateEntry } from './admission/RequestGate.js'
@@ -18,14 +18,7 @@
 import { findEarlyRefusal, type EarlyRefusal } from './findEarlyRefusal.js'
 import { findUnavailability } from './findUnavailability.js'
 import type { GatewayContext, ActiveTraffic } from './GatewayContext.js'
-import {
-	responseTimes,
-	boxDelays,
-	targetChosenEvent,
-	requestEndEvent,
-	streamResumedEvent,
-} from './exchangeEvents.js'
-import { reportRunEnd } from './reportRunEnd.js'
+import { responseTimes, boxDelays, requestEndEvent, streamResumedEvent } from './exchangeEvents.js'
 import { waitForPendingDisconnect } from './waitForPendingDisconnect.js'
 import { readBody } from './readBody.js'
 import { createRefusal, type RefusalKind } from './Refusal.js'
@@ -42,13 +35,8 @@
 /** Remaining time below which a request is not sent to a target, in ms. */
 const MIN_REMAINING_MS = 10
 
-/**
- * What an answer that is broken off lacked to go on.
- * - `target`: no other target accepts the request.
- * - `quarantined`: the request, or a part of it, may crash targets.
- * - `status`: the target that was to go on answered with a status instead.
- */
-type BrokenAnswerObstacle = RetryObstacle | 'target' | 'quarantined' | 'status'
+/** What an answer that is broken off lacked to go on; `status`: a target that was to go on answered with a status. */
+type BrokenAnswerObstacle = ReplacementObstacle | 'status'
 
 /** One request of a caller, from its head to the end of the response. */
 export class Exchange {
@@ -233,23 +221,8 @@
 				this.fail('no target is open', 'target')
 				return
 			}
-			this.context.log(
-				targetChosenEvent(
-					this.context,
-					request,
-					traffic,
-					placement,
-					this.timeLimit.remainingMs(request),
-				),
-			)
-			const startedAt = this.context.now()
-			const end = await this.attempts.run(request, placement, body, content)
-			const crashCheck = reportRunEnd(this.context.crashProtection, {
-				content,
-				target: placement.target,
-				startedAt,
-				end,
-			})
+			const run = { request, traffic, body, content }
+			const { crashCheck, end } = await this.attempts.start(run, placement)
 			if (this.hasEnded || !this.shouldRetry(request, end)) return
 			await Promise.race([crashCheck, sleep(MAX_CRASH_CHECK_WAIT_MS)])
 		}
@@ -392,7 +365,6 @@
 
 	private finish(): void {
 		this.hasEnded = true
-		this.attempts.finish()
 		this.gateEntry?.leave()
 		this.timeLimit.stop()
 	}
--- a/packages/gateway/src/lib/GatewayContext.ts
+++ b/packages/gateway/src/lib/GatewayContext.ts
@@ -2,6 +2,7 @@
 import type {
 	BoxName,
 	LogEvent,
+	ReplacementLimiter,
 	RetryBudget,
 	RetryLimits,
 	ServiceName,
@@ -90,6 +91,8 @@
 	 */
 	onTargetRate(target: TargetEntry, perSecond: number | undefined, hasChanged: boolean): void
 	retryBudget(service: ServiceName): RetryBudget
+	/** Limits how many attempts at silent targets are replaced at once. */
+	readonly replacementLimiter: ReplacementLimiter
 	/** True if the connection of a caller should be closed after the current response. */
 	shouldCloseConnection(socket: Socket): boolean
 	/** True while the link of this box delays what it waits for. */
--- /dev/null
+++ b/packages/gateway/src/lib/attempts/Attempt.ts
@@ -0,0 +1,454 @@
+import {
+	EventSplitter,
+	exhaustive,
+	type AttemptHandle,
+	type AttemptResult,
+	type TargetOutcome,
+	type TargetEntry,
+} from '@stallwing/core'
+import { InputTimeout } from '@stallwing/store'
+import { applyTargetNotice } from '../applyTargetNotice.js'
+import { isSuccess } from '../isSuccess.js'
+import { readTargetNotice, type TargetNotice } from '../readTargetNotice.js'
+import { isSelfDelimiting } from '../ResponseWriter.js'
+import type {
+	ResponseHead,
+	ResponseListener,
+	TargetCall,
+	TargetFailure,
+	TargetRequest,
+} from '../sendToTarget.js'
+import type { AttemptEnd, CompleteResponse } from './AttemptEnd.js'
+import type { AttemptOptions } from './AttemptOptions.js'
+import { attemptEndedEvent } from './attemptEvents.js'
+import { responseTimeouts, type ResponseTimeouts } from './responseTimeouts.js'
+
+const EVENT_STREAM_TYPE = 'text/event-stream'
+const MAX_BUFFERED_RESPONSE_BYTES = 16 * 1024 * 1024
+/** Where memory is bounded, an incomplete event must not grow further. Events of this size are not expected. */
+const MAX_EVENT_BYTES = 1024 * 1024
+/**
+ * Time after which a target that reads nothing of a request body has failed, in ms. Applies also to requests that must
+ * not be repeated: a body that is not read in this time would not be in time for its answer.
+ */
+const MAX_BODY_STALL_MS = 4_000
+/** Interval at which a silence is reported again, in ms: what another attempt lacks may become available. */
+const SILENCE_REPORT_INTERVAL_MS = 250
+
+/**
+ * One attempt to serve a request at one target. Only the current attempt of a request writes to the caller. The silence
+ * of the target does not end an attempt.
+ */
+export class Attempt implements ResponseListener {
+	private call: TargetCall | undefined
+	private handle: AttemptHandle | undefined
+	private resolve: ((end: AttemptEnd) => void) | undefined
+	private responseHead: ResponseHead | undefined
+	/** What the response head reports about the target; undefined until a head arrives. */
+	private notice: TargetNotice | undefined
+	private splitter: EventSplitter | undefined
+	private chunks: Buffer[] = []
+	private bufferedBytes = 0
+	/** Time of the head, the last data, or the end of the last pause; undefined until a head arrives. */
+	private lastDataAt: number | undefined
+	private isPaused = false
+	private readonly silenceTimeout = new InputTimeout(() => this.handleSilence())
+	private hasReportedSilence = false
+	private startedAt = 0
+	private firstByteMs = -1
+	/** True if this box, not the target, aborted the response. */
+	private isAborted = false
+	private mayHaveSentBytes = false
+	private mayHaveRunRequest = true
+	private hasEnded = false
+
+	constructor(
+		private readonly options: AttemptOptions,
+		/** True if the attempt may write to the caller. */
+		private isCurrent: boolean,
+	) {}
+
+	get target(): TargetEntry {
+		return this.options.placement.target
+	}
+
+	/** True if bytes of the request were sent, as far as known. */
+	get wasSent(): boolean {
+		return this.mayHaveSentBytes
+	}
+
+	/** The target may have run the request, or may be running it. */
+	get mayHaveRun(): boolean {
+		return this.mayHaveRunRequest
+	}
+
+	/** Time since the last bytes of the target, or since the start of the attempt, in ms. */
+	get silentMs(): number {
+		return this.options.context.now() - (this.lastDataAt ?? this.startedAt)
+	}
+
+	/** Sends the request and forwards the events of its response. Never rejects. */
+	run(message: TargetRequest): Promise<AttemptEnd> {
+		const { context, placement, request, responseWriter } = this.options
+		this.startedAt = context.now()
+		responseWriter.memory?.beginAttempt()
+		this.handle = context.registry.beginAttempt(placement, request.work, this.startedAt)
+		return new Promise((resolve) => {
+			this.resolve = resolve
+			const { firstByteMs } = this.timeouts()
+			this.startSilenceTimeout(firstByteMs)
+			this.call = context.callTarget({
+				target: placement.target,
+				message,
+				listener: this,
+				silenceMs: firstByteMs,
+				bodyStallMs: responseWriter.memory && MAX_BODY_STALL_MS,
+			})
+		})
+	}
+
+	/** Allows the attempt to write to the caller. */
+	becomeCurrent(): void {
+		this.isCurrent = true
+		if (this.splitter && this.responseHead) this.startStream(this.responseHead)
+	}
+
+	/** Ends the attempt because another one has taken its place. */
+	abandon(): void {
+		if (!this.hasEnded) this.abort('silent')
+	}
+
+	/**
+	 * Closes the connection when the caller has disconnected, the time limit is reached, or the attempt is not needed any
+	 * more. The promise of `run` then stays pending.
+	 */
+	cancel(): void {
+		if (this.hasEnded) return
+		const isOverdue =
+			this.responseHead === undefined && this.elapsedMs() > this.timeouts().firstByteMs
+		if (isOverdue) this.closeIdleConnections()
+		this.mayHaveRunRequest = this.mayHaveSentBytes
+		this.release(isOverdue || this.isStalled ? 'failed' : 'cancelled', false)
+		this.call?.abort()
+	}
+
+	/**
+	 * Checks again after connecting: meanwhile the caller may have disconnected, or an operator or the target itself
+	 * may have stopped new work.
+	 */
+	async maySend(): Promise<boolean> {
+		if (await this.options.hasCallerDisconnected(this.elapsedMs())) return false
+		const now = this.options.context.now()
+		this.mayHaveSentBytes = !this.hasEnded && (this.handle?.maySend(now) ?? false)
+		if (this.mayHaveSentBytes) this.options.onSending()
+		return this.mayHaveSentBytes
+	}
+
+	onHead(head: ResponseHead): boolean {
+		const { context, placement, request } = this.options
+		const now = context.now()
+		if (!this.isResponseToThisRequest(head)) return false
+		this.noteReceived(now)
+		this.firstByteMs = now - this.startedAt
+		this.responseHead = head
+		this.notice = readTargetNotice(head, context.dialect)
+		context.unknownHeaders.inspect(head, placement.target)
+		if (this.handle)
+			applyTargetNotice(context, { handle: this.handle, placement, request }, this.notice)
+		this.noteProgress(now)
+		if (isSuccess(head.status) && isEventStream(head)) {
+			this.splitter = new EventSplitter()
+			if (this.isCurrent) this.startStream(head)
+			return true
+		}
+		if (this.isUsable(head)) this.takeOver()
+		this.holdCollected()
+		return true
+	}
+
+	onData(chunk: Buffer): void {
+		const now = this.options.context.now()
+		this.noteReceived(now)
+		if (this.splitter) {
+			this.forwardEvents(this.splitter, chunk, now)
+			return
+		}
+		this.noteProgress(now)
+		this.bufferedBytes += chunk.length
+		if (this.bufferedBytes > MAX_BUFFERED_RESPONSE_BYTES) this.abort('answer too large')
+		else this.collect(chunk)
+	}
+
+	onBodyProgress(): void {
+		this.silenceTimeout.refresh()
+	}
+
+	onEnd(): void {
+		const head = this.responseHead
+		if (!head || this.hasEnded) return
+		const { responseWriter } = this.options
+		if (this.splitter?.hasPartialEvent) {
+			this.onFailure({ kind: 'broken', cause: 'ended inside an event' })
+			return
+		}
+		if (this.splitter && responseWriter.isSelfDelimiting && !isSelfDelimiting(head)) {
+			this.onFailure({ kind: 'broken', cause: 'unframed end of a framed stream' })
+			return
+		}
+		if (this.splitter) {
+			this.takeOver()
+			this.end('good', { kind: 'answered', failed: false }, 'stream ended', undefined)
+			return
+		}
+		this.endWithCompleteResponse({ head, body: this.chunks })
+	}
+
+	onFailure({ kind, cause }: TargetFailure): void {
+		switch (kind) {
+			case 'broken':
+				this.end('failed', { kind: 'unknown' }, cause, undefined)
+				return
+			case 'not-reached':
+				this.mayHaveSentBytes = false
+				// Behind a saturated link, a target that could not be reached in time may be fine.
+				this.end(
+					this.options.context.isLinkSaturated() ? 'cancelled' : 'unreachable',
+					{ kind: 'not-sent' },
+					cause,
+					undefined,
+				)
+				return
+			case 'withdrawn':
+				this.end('cancelled', { kind: 'not-sent' }, cause, undefined)
+				return
+			default:
+				exhaustive(kind)
+		}
+	}
+
+	private endWithCompleteResponse(response: CompleteResponse): void {
+		const { head } = response
+		if (this.isRejection(head)) {
+			const isWrongTarget = head.status === this.options.context.dialect.wrongTargetStatus
+			const targetOutcome = isWrongTarget ? 'unreachable' : 'full'
+			this.end(targetOutcome, { kind: 'rejected' }, `status ${head.status}`, undefined)
+			return
+		}
+		const failed = isFailure(head)
+		const targetOutcome = failed ? 'failed' : 'good'
+		this.end(targetOutcome, { kind: 'answered', failed }, `status ${head.status}`, response)
+	}
+
+	/** True if the response belongs to this request and, for a success, comes from a target. */
+	private isResponseToThisRequest(head: ResponseHead): boolean {
+		const { requestId, signature } = this.options.context.dialect.headers
+		const id = head.headers[requestId]
+		if (id !== undefined && id !== this.options.request.id) return false
+		return !isSuccess(head.status) || (id !== undefined && head.headers[signature] !== undefined)
+	}
+
+	/** True if the target states that it did not run the request. */
+	private isRejection(head: ResponseHead): boolean {
+		const { headers, wrongTargetStatus } = this.options.context.dialect
+		return head.status === wrongTargetStatus || head.headers[headers.notRun] !== undefined
+	}
+
+	/** True if the response, once it is complete, is better for the caller than waiting for another attempt. */
+	private isUsable(head: ResponseHead): boolean {
+		const isStreamStarted = this.options.responseWriter.isStreamStarted
+		return !isStreamStarted && !this.isRejection(head) && !isFailure(head)
+	}
+
+	/** Becomes the current attempt because a part of the answer can be forwarded. */
+	private takeOver(): void {
+		if (!this.isCurrent) this.options.onAnswering()
+	}
+
+	private startStream(head: ResponseHead): void {
+		const { responseWriter } = this.options
+		if (!responseWriter.isStreamStarted) responseWriter.startStream(head)
+	}
+
+	private forwardEvents(splitter: EventSplitter, chunk: Buffer, now: number): void {
+		const { responseWriter } = this.options
+		const events = splitter.push(chunk)
+		if (events.length > 0) {
+			this.noteProgress(now)
+			this.takeOver()
+		}
+		let isWritable = true
+		for (const event of events) {
+			const lastEventId = responseWriter.lastEventId
+			if (event.id !== undefined && lastEventId !== undefined && event.id <= lastEventId) {
+				this.abort(`event ${event.id} after ${lastEventId}`)
+				return
+			}
+			isWritable = responseWriter.sendEvent(event)
+		}
+		const { memory } = responseWriter
+		if (memory && splitter.partialBytes > MAX_EVENT_BYTES) {
+			this.abort('event too large')
+			return
+		}
+		if (isWritable || memory?.isCallerGone) return
+		this.pause()
+		memory?.notePaused(() => this.resume())
+		responseWriter.onDrain(() => (memory ?? this).resume())
+	}
+
+	/** Keeps a piece of an answer that must be complete before it is forwarded, and waits if memory is scarce. */
+	private collect(chunk: Buffer): void {
+		const { memory } = this.options.responseWriter
+		if (memory?.isCallerGone) return
+		this.chunks.push(chunk)
+		this.holdCollected()
+	}
+
+	private holdCollected(): void {
+		// What another attempt has collected is counted until this one takes over.
+		if (!this.isCurrent) return
+		const statedBytes = Number(this.responseHead?.headers['content-length'] ?? 0)
+		const { memory } = this.options.responseWriter
+		const step = memory?.collect(this.bufferedBytes, statedBytes, () => this.resume())
+		if (step === 'wait') this.pause()
+		if (step !== 'end') return
+		this.isAborted = true
+		this.call?.abort()
+		// The target is not at fault, but it may have run the request.
+		this.end('cancelled', { kind: 'unknown' }, 'no memory for the answer', undefined)
+	}
+
+	/** Stops reading. A target that is not read cannot be found silent. */
+	private pause(): void {
+		this.call?.pause()
+		this.isPaused = true
+		this.silenceTimeout.stop()
+	}
+
+	/** Reads on after a pause. */
+	resume(): void {
+		this.call?.resume()
+		if (!this.isPaused || this.hasEnded) return
+		this.isPaused = false
+		this.lastDataAt = this.options.context.now()
+		this.startSilenceTimeout(this.timeouts().idleMs)
+	}
+
+	/** The target has stopped sending an answer that it had begun. */
+	private get isStalled(): boolean {
+		const isMemoryBounded = this.options.responseWriter.memory !== undefined
+		if (!isMemoryBounded || this.lastDataAt === undefined || this.isPaused) return false
+		return this.silentMs > this.timeouts().idleMs
+	}
+
+	private abort(cause: string): void {
+		this.isAborted = true
+		this.call?.abort()
+		this.onFailure({ kind: 'broken', cause })
+	}
+
+	/** The target has sent something. */
+	private noteReceived(now: number): void {
+		this.handle?.noteByte(now)
+		this.options.context.replacementLimiter.noteReceived(this.target.service, now)
+	}
+
+	/** The target has sent a part of its answer. */
+	private noteProgress(now: number): void {
+		const isFirst = this.lastDataAt === undefined
+		this.lastDataAt = now
+		if (isFirst || this.hasReportedSilence) this.startSilenceTimeout(this.timeouts().idleMs)
+		else this.silenceTimeout.refresh()
+		if (!this.hasReportedSilence) return
+		this.hasReportedSilence = false
+		this.options.silenceListener?.onResumed()
+	}
+
+	private startSilenceTimeout(ms: number): void {
+		// Input that is delayed on the link of this box is not missing.
+		if (this.options.silenceListener)
+			this.silenceTimeout.start(ms + this.options.context.linkDelayMs())
+	}
+
+	/** Reports the silence of the target again if it lasts. */
+	reportSilence(): void {
+		if (this.hasReportedSilence && !this.hasEnded) this.options.silenceListener?.onSilent()
+	}
+
+	private handleSilence(): void {
+		if (this.hasEnded) return
+		if (!this.hasReportedSilence) {
+			this.hasReportedSilence = true
+			this.closeIdleConnections()
+			this.handle?.noteSilent(this.options.context.now())
+		}
+		this.silenceTimeout.start(SILENCE_REPORT_INTERVAL_MS)
+		this.reportSilence()
+	}
+
+	/** A network fault may have broken all idle connections while new ones work. */
+	private closeIdleConnections(): void {
+		this.options.context.poolFor(this.target).closeIdle()
+	}
+
+	private timeouts(): ResponseTimeouts {
+		const { placement, request } = this.options
+		return responseTimeouts(request.route.kind, placement.cost.expectedMs)
+	}
+
+	private end(
+		targetOutcome: TargetOutcome,
+		outcome: AttemptResult,
+		cause: string,
+		completeResponse: CompleteResponse | undefined,
+	): void {
+		if (this.hasEnded) return
+		const { context, responseWriter } = this.options
+		this.mayHaveRunRequest = outcome.kind === 'unknown' || outcome.kind === 'answered'
+		this.release(targetOutcome, completeResponse !== undefined)
+		context.metrics.count('stallwing_attempts_total', `outcome="${outcome.kind}"`)
+		context.log(
+			attemptEndedEvent(this.options, {
+				outcome,
+				cause,
+				tookMs: this.elapsedMs(),
+				firstByteMs: this.firstByteMs,
+				silentMs: this.silentMs,
+				eventCount: responseWriter.eventCount,
+				notice: this.notice,
+			}),
+		)
+		this.resolve?.({
+			outcome,
+			cause,
+			status: this.responseHead?.status ?? 0,
+			closedByTarget: outcome.kind === 'unknown' && !this.isAborted,
+			isSelfDelimiting: this.responseHead !== undefined && isSelfDelimiting(this.responseHead),
+			completeResponse,
+		})
+	}
+
+	private release(targetOutcome: TargetOutcome, isAnswerKept: boolean): void {
+		this.hasEnded = true
+		this.silenceTimeout.stop()
+		// An attempt that is not current holds no part of an answer.
+		this.options.responseWriter.memory?.endAttempt(isAnswerKept || !this.isCurrent)
+		if (!this.mayHaveSentBytes) this.handle?.noteUnsent()
+		// The silence was counted as a failure of the target when it was noticed.
+		const isCounted = this.hasReportedSilence && targetOutcome === 'failed'
+		this.handle?.end(isCounted ? 'cancelled' : targetOutcome, this.options.context.now())
+		this.options.onFinished()
+	}
+
+	private elapsedMs(): number {
+		return this.options.context.now() - this.startedAt
+	}
+}
+
+function isEventStream(head: ResponseHead): boolean {
+	return String(head.headers['content-type'] ?? '').startsWith(EVENT_STREAM_TYPE)
+}
+
+function isFailure({ status }: ResponseHead): boolean {
+	return status >= 500
+}
--- a/packages/gateway/src/lib/responseTimeouts.ts
+++ b/packages/gateway/src/lib/attempts/responseTimeouts.ts
@@ -1,4 +1,4 @@
-import type { CallerRequest } from './CallerRequest.js'
+import type { CallerRequest } from '../CallerRequest.js'
 
 /** Maximum times that a target may be silent before the request is retried at another one. */
 export interface ResponseTimeouts {
--- a/packages/gateway/src/lib/attempts/silentTargets.test.ts
+++ b/packages/gateway/src/lib/attempts/silentTargets.test.ts
@@ -10,8 +10,20 @@
 const SILENCE_MS = 1_400
 /** Time into a stream, in ms. */
 const MIDWAY_MS = 200
+/** Longer than any caller of the tests waits, in ms. */
+const HANG_MS = 60_000
+/** Time within which callers whose target hangs have their whole answer, in ms. */
+const MAX_HANG_MS = 4_000
+/** Time for which two targets may run a request, in ms. */
+const MAX_OVERLAP_MS = 400
+/** Time within which the box knows a change of the target list, in ms. */
+const LIST_CHANGE_MS = 300
 const NO_RETRIES = { ratio: 0, slack: 0, windowMs: 10_000 }
 
+function isAnswered({ status, isComplete }: CallerResponse): boolean {
+	return status === 200 && isComplete
+}
+
 describe('answers of targets that are silent for some time', { timeout: 30_000 }, () => {
 	let box: TestBox
 	let targets: TestStreamTargets
@@ -35,6 +47,16 @@
 		)
 	}
 
+	/** Adds targets after the requests have been sent to those that were there before. */
+	async function addLater(...names: readonly string[]): Promise<void> {
+		await targets.add(...names)
+		await sleep(LIST_CHANGE_MS)
+	}
+
+	function entryOf(name: string): object {
+		return JSON.parse(box.store.getText(`targets/${name}`) ?? '{}') as object
+	}
+
 	it('are whole if all targets are silent and no retry is left', async () => {
 		await start(['a', 'b', 'c'], { retryLimits: NO_RETRIES })
 		const responses = send('/resume/x')
@@ -50,4 +72,93 @@
 		const responses = await Promise.all(send('/again/x'))
 		expect(responses.map(({ status }) => status)).toEqual(responses.map(() => 200))
 	})
+
+	it('are whole if no other target accepts the requests', async () => {
+		await start(['a'])
+		const responses = send('/resume/x')
+		await sleep(MIDWAY_MS)
+		await addLater('b', 'c')
+		box.store.put('targets/b', JSON.stringify({ ...entryOf('b'), leaving: true }))
+		box.store.remove('targets/c')
+		await sleep(LIST_CHANGE_MS)
+		targets.silence(SILENCE_MS, 'a')
+		const whole = (await Promise.all(responses)).filter(isWholeStream)
+		expect(whole).toHaveLength(REQUEST_COUNT)
+	})
+
+	it('are whole if the other targets reject the requests', async () => {
+		await start(['a'])
+		const responses = send('/resume/x')
+		await sleep(MIDWAY_MS)
+		targets.reject('b', 'c')
+		await addLater('b', 'c')
+		targets.silence(SILENCE_MS, 'a')
+		const whole = (await Promise.all(responses)).filter(isWholeStream)
+		expect(whole).toHaveLength(REQUEST_COUNT)
+	})
+
+	it('are whole if all targets are silent and retries are left', async () => {
+		await start(['a', 'b', 'c'])
+		const responses = send('/resume/x')
+		await sleep(MIDWAY_MS)
+		targets.silence(SILENCE_MS, 'a', 'b', 'c')
+		const whole = (await Promise.all(responses)).filter(isWholeStream)
+		expect(whole).toHaveLength(REQUEST_COUNT)
+	})
+
+	it.each(['/resume/x', '/again/x'])(
+		'come from another target if theirs hangs: %s',
+		async (path) => {
+			await start(['a'])
+			const startedAt = performance.now()
+			if (path === '/again/x') targets.silence(HANG_MS, 'a')
+			const responses = send(path)
+			await sleep(MIDWAY_MS)
+			await addLater('b')
+			targets.silence(HANG_MS, 'a')
+			const received = await Promise.all(responses)
+			expect(received.filter(path === '/again/x' ? isAnswered : isWholeStream)).toHaveLength(
+				REQUEST_COUNT,
+			)
+			expect(performance.now() - startedAt).toBeLessThan(MAX_HANG_MS)
+		},
+	)
+
+	it('are run by two targets for a short time only', async () => {
+		await start(['a'])
+		const responses = send('/resume/x')
+		await sleep(MIDWAY_MS)
+		await addLater('b')
+		targets.silence(HANG_MS, 'a')
+		await sleep(MIDWAY_MS)
+		// The second target begins later than the silent run may go on beside it.
+		targets.silence(SILENCE_MS, 'b')
+		const whole = (await Promise.all(responses)).filter(isWholeStream)
+		expect(whole).toHaveLength(REQUEST_COUNT)
+		expect(targets.runs).toHaveLength(2 * REQUEST_COUNT)
+		expect(targets.longestOverlapMs).toBeLessThan(MAX_OVERLAP_MS)
+	})
+
+	it('stay at their target if it goes on before the other one has begun', async () => {
+		await start(['a'])
+		const responses = send('/resume/x')
+		await sleep(MIDWAY_MS)
+		await addLater('b')
+		targets.silence(1_100, 'a')
+		targets.silence(HANG_MS, 'b')
+		const received = await Promise.all(responses)
+		expect(received.filter(isWholeStream)).toHaveLength(REQUEST_COUNT)
+		expect(received.filter(({ body }) => body.includes('data: b'))).toEqual([])
+	})
+
+	it.each(['/once/x', '/stream/x'])(
+		'of requests that may run once are waited for: %s',
+		async (path) => {
+			await start(['a', 'b', 'c'])
+			targets.silence(SILENCE_MS, 'a', 'b', 'c')
+			const received = await Promise.all(send(path))
+			expect(received.map(({ status }) => status)).toEqual(received.map(() => 200))
+			expect(targets.runs).toHaveLength(REQUEST_COUNT)
+		},
+	)
 })
--- a/packages/gateway/src/lib/attempts/testStreamTargets.ts
+++ b/packages/gateway/src/lib/attempts/testStreamTargets.ts
@@ -12,8 +12,8 @@
 	readonly target: string
 	readonly requestId: string
 	readonly receivedAt: number
-	/** Time at which the box closed the connection before the answer was complete; undefined if it did not. */
-	closedAt?: number
+	/** Time at which the answer was complete, or the box closed the connection; undefined while it runs. */
+	endedAt?: number
 }
 
 /** For tests: targets that answer with streams or plain bodies, and can be silenced, hung or told to reject requests. */
@@ -42,6 +42,23 @@
 		for (const name of names) this.rejecting.add(name)
 	}
 
+	/** The targets accept requests again. */
+	accept(...names: readonly string[]): void {
+		for (const name of names) this.rejecting.delete(name)
+	}
+
+	/** Longest time for which two targets ran the same request, in ms. */
+	get longestOverlapMs(): number {
+		let longest = 0
+		for (const later of this.runs)
+			for (const earlier of this.runsOf(later.requestId)) {
+				if (earlier.receivedAt >= later.receivedAt) continue
+				const end = Math.min(earlier.endedAt ?? Infinity, later.endedAt ?? Infinity)
+				longest = Math.max(longest, end - later.receivedAt)
+			}
+		return longest
+	}
+
 	runsOf(requestId: string): readonly TargetRun[] {
 		return this.runs.filter((run) => run.requestId === requestId)
 	}
@@ -59,10 +76,10 @@
 		const run: TargetRun = { target, requestId, receivedAt: performance.now() }
 		this.runs.push(run)
 		response.once('close', () => {
-			if (!response.writableFinished) run.closedAt = performance.now()
+			run.endedAt = performance.now()
 		})
 		await this.waitWhileSilent(target)
-		if (message.url?.startsWith('/again/')) {
+		if (message.url?.startsWith('/again/') || message.url?.startsWith('/once/')) {
 			response.end('done')
 			return
 		}
--- a/packages/gateway/src/lib/createGatewayContext.ts
+++ b/packages/gateway/src/lib/createGatewayContext.ts
@@ -1,4 +1,4 @@
-import { allowsRegion, type TargetRegistry } from '@stallwing/core'
+import { ReplacementLimiter, allowsRegion, type TargetRegistry } from '@stallwing/core'
 import type { AllowanceClient } from './AllowanceClient.js'
 import type { BoxLoadControl } from './balance/BoxLoadControl.js'
 import type { EventLoopDelay } from './EventLoopDelay.js'
@@ -79,6 +79,7 @@
 		onTargetRate: (target, perSecond, hasChanged) =>
 			sharing.rateSharing.share(target, perSecond, hasChanged),
 		retryBudget: (service) => serviceLimits.retryBudget(service),
+		replacementLimiter: new ReplacementLimiter(),
 		shouldCloseConnection: (socket) => context.isStopping || boxLoad?.shouldClose(socket) === true,
 		isLinkSaturated: boxLoad?.isLinkSaturated ?? (() => false),
 		linkDelayMs: () => boxLoad?.linkDelayMs ?? 0,
--- a/packages/gateway/src/lib/reportRunEnd.ts
+++ b/packages/gateway/src/lib/reportRunEnd.ts
@@ -1,5 +1,5 @@
 import type { TargetEntry } from '@stallwing/core'
-import type { AttemptEnd } from './Attempt.js'
+import type { AttemptEnd } from './attempts/AttemptEnd.js'
 import type { CrashProtection } from './CrashProtection.js'
 import type { RequestContent } from './RequestContent.js'
 
