--- a/packages/core/src/lib/admission/placeUseOf.ts
+++ b/packages/core/src/lib/admission/placeUseOf.ts
@@ -23,7 +23,7 @@
 	let reportedAgeSum = 0
 	let isKnown = false
 	for (const target of targets) {
-		if (target.ejectedUntil > now || overdueMs(target, now) > 0) continue
+		if (target.isEjected(now) || overdueMs(target, now) > 0) continue
 		const { load } = target
 		places += Math.min(maxPerTarget, load?.slots ?? target.entry.slots)
 		own += target.openAttempts.size
--- a/packages/core/src/lib/placement/AttemptHandle.ts
+++ b/packages/core/src/lib/placement/AttemptHandle.ts
@@ -12,8 +12,8 @@
 	maySend(now: Millis): boolean
 	/** Records that bytes of the response arrived. */
 	noteByte(now: Millis): void
-	/** Records that the target has been silent for too long, which counts as a failure. */
-	noteSilent(now: Millis): void
+	/** Records that the attempt has received nothing for `silentMs`, which is too long. */
+	noteSilent(silentMs: Millis, now: Millis): void
 	/** Records the remaining cold phase that the target reported. */
 	noteCold(coldMs: Millis, now: Millis): void
 	/** True if the current slowdown of the target could not be parsed, for the first time at this target. */
--- a/packages/core/src/lib/placement/Placement.ts
+++ b/packages/core/src/lib/placement/Placement.ts
@@ -14,6 +14,11 @@
 	readonly tried: ReadonlySet<TargetIncarnation>
 	/** Software version of the targets that may be chosen; undefined for any. */
 	readonly version?: SoftwareVersion | undefined
+	/**
+	 * Targets that are running requests of this box and have sent nothing since this time are chosen only if there are no
+	 * others; undefined if that does not matter.
+	 */
+	readonly aliveSince?: Millis | undefined
 	/** True if the target cannot accept another connection from this box. */
 	readonly isFull: (target: TargetName) => boolean
 	/** True if the request may run in the zone. */
--- a/packages/core/src/lib/placement/TargetRegistry.test.ts
+++ b/packages/core/src/lib/placement/TargetRegistry.test.ts
@@ -53,6 +53,48 @@
 		expect(registry.choose(query({ isFull: () => true }), 1)).toBeUndefined()
 	})
 
+	it('prefers targets that are not quiet if one of them has to go on with a silent request', () => {
+		const registry = registryOf(entry('a'), entry('bb'), entry('ccc'))
+		for (const name of ['a', 'bb']) {
+			const others = ['a', 'bb', 'ccc'].filter((other) => other !== name)
+			const tried = new Set(others.flatMap((other) => [...incarnations(other)]))
+			const handle = registry.beginAttempt(registry.choose(query({ tried }), 0)!, undefined, 0)
+			handle.noteByte(name === 'a' ? 100 : 900)
+		}
+		expect(registry.choose(query(), 1_000)?.candidates).toBe(3)
+		expect(registry.choose(query({ aliveSince: 500 }), 1_000)?.candidates).toBe(2)
+		const tried = new Set([...incarnations('bb'), ...incarnations('ccc')])
+		expect(registry.choose(query({ aliveSince: 500, tried }), 1_000)?.target.name).toBe('a')
+	})
+
+	describe('a target from which one request has received nothing for 1 s', () => {
+		const registry = registryOf(entry('a'), entry('bb'))
+		const silent = registry.choose(query({ tried: incarnations('bb') }), 0)!
+		const other = registry.choose(query({ tried: incarnations('bb') }), 0)!
+		const handles = [silent, other].map((to) => registry.beginAttempt(to, undefined, 0))
+
+		it('gets no others for some time if no other one has either', () => {
+			handles[0]?.noteByte(10)
+			handles[0]?.noteSilent(1_000, 1_010)
+			expect(registry.choose(query(), 1_020)?.candidates).toBe(1)
+			expect(registry.choose(query({ tried: incarnations('bb') }), 1_020)?.target.name).toBe('a')
+			expect(registry.choose(query(), 4_000)?.candidates).toBe(2)
+		})
+
+		it('gets others again once it sends something', () => {
+			handles[0]?.noteSilent(1_000, 5_000)
+			expect(registry.choose(query(), 5_010)?.candidates).toBe(1)
+			handles[1]?.noteByte(5_020)
+			expect(registry.choose(query(), 5_030)?.candidates).toBe(2)
+		})
+
+		it('gets others if it goes on with one of them', () => {
+			handles[1]?.noteByte(6_700)
+			handles[0]?.noteSilent(1_000, 7_000)
+			expect(registry.choose(query(), 7_010)?.candidates).toBe(2)
+		})
+	})
+
 	it('avoids a target that rejects requests, for some time', () => {
 		// A target that rejects everything has no load, so its cost must rise through its failures.
 		const registry = registryOf(entry('a'), entry('bb'))
--- a/packages/core/src/lib/placement/TargetRegistry.ts
+++ b/packages/core/src/lib/placement/TargetRegistry.ts
@@ -222,20 +222,21 @@
 		}
 	}
 
-	/** Targets that accept the request. Ejected targets are included only if there are no others. */
+	/** Targets that accept the request. Ejected and quiet targets are included only if there are no others. */
 	private candidates(
 		listed: readonly TargetState[],
 		query: PlacementQuery,
 		now: Millis,
 	): readonly TargetState[] {
 		const healthy: TargetState[] = []
-		const ejected: TargetState[] = []
+		const doubtful: TargetState[] = []
+		const { aliveSince = Number.NEGATIVE_INFINITY } = query
 		for (const state of listed) {
 			if (!this.isOpen(state, query, now)) continue
-			if (state.ejectedUntil <= now) healthy.push(state)
-			else ejected.push(state)
+			if (state.isEjected(now) || state.isQuietSince(aliveSince)) doubtful.push(state)
+			else healthy.push(state)
 		}
-		return healthy.length > 0 ? healthy : ejected
+		return healthy.length > 0 ? healthy : doubtful
 	}
 
 	/** Starts an attempt at the chosen target. */
@@ -268,13 +269,13 @@
 			maySend: (now) => this.maySend(placement.target, attempt, now),
 			noteByte: (now) => {
 				if (!state) return
-				state.lastByteAt = now
+				state.noteByte(now)
 				if (attempt.hasFirstByte) return
 				attempt.hasFirstByte = true
 				speed?.noteFirstByte(now)
 				this.noteFirstByte(service, attempt, state, now)
 			},
-			noteSilent: (now) => state?.noteOutcome('failed', now),
+			noteSilent: (silentMs, now) => state?.noteSilent(silentMs, now),
 			noteLoad: (load, now) => {
 				const isUnreadable = state?.noteLoad(load, now) ?? false
 				speed?.noteLoad(now)
--- a/packages/core/src/lib/placement/TargetState.ts
+++ b/packages/core/src/lib/placement/TargetState.ts
@@ -37,6 +37,10 @@
 /** Ejection time of a target after the first failed connection, in ms; doubles with each further one. */
 const INITIAL_EJECTION_MS = 250
 const MAX_EJECTION_MS = 3_000
+/** Ejection time of a target that sends nothing, in ms. */
+const SILENT_EJECTION_MS = 2_000
+/** A target is alive if it sent something within this fraction of the silence of one request. */
+const ALIVE_FRACTION = 0.5
 
 /** The state of one target as this box knows it, from its own requests and from reports of the target and other boxes. */
 export class TargetState {
@@ -44,8 +48,11 @@
 	readonly openAttempts = new Set<OpenAttempt>()
 	load: TargetLoad | undefined
 	loadReportedAt: Millis = Number.NEGATIVE_INFINITY
+	/** Time at which the target last sent this box something. */
 	lastByteAt: Millis = Number.NEGATIVE_INFINITY
-	ejectedUntil: Millis = Number.NEGATIVE_INFINITY
+	private ejectedUntil: Millis = Number.NEGATIVE_INFINITY
+	/** End of the time for which the target gets no requests because it sends nothing. */
+	private silentUntil: Millis = Number.NEGATIVE_INFINITY
 	/** Latest work report of each other box. */
 	readonly peerWork = new Map<BoxName, PeerWork>()
 	readonly speed = new TargetSpeed()
@@ -103,6 +110,32 @@
 		return this.lastFailureRate * 2 ** (-(now - this.failureUpdatedAt) / FAILURE_HALF_LIFE_MS)
 	}
 
+	/** True while the target gets requests only if there is no other one. */
+	isEjected(now: Millis): boolean {
+		return this.ejectedUntil > now || this.silentUntil > now
+	}
+
+	/** True if the target is running requests of this box and has sent nothing since `time`. */
+	isQuietSince(time: Millis): boolean {
+		return this.openAttempts.size > 0 && this.lastByteAt < time
+	}
+
+	/** The target sent something. */
+	noteByte(now: Millis): void {
+		this.lastByteAt = now
+		this.silentUntil = Number.NEGATIVE_INFINITY
+	}
+
+	/**
+	 * One request has received nothing from the target for `silentMs`, which counts as a failure. If no other one has
+	 * either, the target may hang, and gets no requests for some time.
+	 */
+	noteSilent(silentMs: Millis, now: Millis): void {
+		this.updateFailureRate(1, now)
+		if (now - this.lastByteAt >= ALIVE_FRACTION * silentMs)
+			this.silentUntil = now + SILENT_EJECTION_MS
+	}
+
 	noteOutcome(outcome: TargetOutcome, now: Millis): void {
 		switch (outcome) {
 			case 'good':
--- a/packages/gateway/src/lib/attempts/Attempt.ts
+++ b/packages/gateway/src/lib/attempts/Attempt.ts
@@ -380,7 +380,7 @@
 		if (!this.hasReportedSilence) {
 			this.hasReportedSilence = true
 			this.closeIdleConnections()
-			this.handle?.noteSilent(this.options.context.now())
+			this.handle?.noteSilent(this.silentMs, this.options.context.now())
 		}
 		this.silenceTimeout.start(SILENCE_REPORT_INTERVAL_MS)
 		this.reportSilence()
--- a/packages/gateway/src/lib/attempts/AttemptSeries.ts
+++ b/packages/gateway/src/lib/attempts/AttemptSeries.ts
@@ -99,8 +99,8 @@
 		return this.current?.silentMs ?? 0
 	}
 
-	/** Undefined if no target accepts the request. */
-	chooseTarget(request: CallerRequest): Placement | undefined {
+	/** Undefined if no target accepts the request. See `PlacementQuery` for `aliveSince`. */
+	chooseTarget(request: CallerRequest, aliveSince?: number): Placement | undefined {
 		const { context } = this.options
 		return context.registry.choose(
 			{
@@ -109,6 +109,7 @@
 				work: request.work,
 				version: this.continuation.version,
 				tried: this.triedTargets,
+				aliveSince,
 				isFull: (target) => context.isAtConnectionLimit(target),
 				hasIdleConnection: (target) => context.hasIdleConnection(target),
 				mayRunIn: (zone) => context.mayRunIn(zone, request),
@@ -188,7 +189,7 @@
 		const { service } = request
 		if (!context.replacementLimiter.mayReplace(service, silent.silentMs, context.now()))
 			return E.left('all-silent')
-		const placement = this.chooseTarget(request)
+		const placement = this.chooseTarget(request, context.now() - silent.silentMs / 2)
 		if (!placement) return E.left('target')
 		return this.hasUnusedRetry || facts.takeRetry() ? E.right(placement) : E.left('budget')
 	}
