Test: early Retry-After is judged by what the box had read, not by what targets had sent

targetNotices.test.ts, 'make a box refuse requests while all targets back off', failed once in a run of all tests beside other load (1 premature instead of 0). The check took a backoff as known to the box from when the target had received the request, and a refusal as made when the caller had read it; under load tens of ms lie between, and a target may reject in that time. The check now uses the times at which the box logged the backoff and the refusal. It is as strict: it no longer counts the way of the refusal to the caller, and allows 1 ms for rounding.

--- a/packages/gateway/src/lib/testBox.ts
+++ b/packages/gateway/src/lib/testBox.ts
@@ -47,6 +47,8 @@
 	suspendedMs = 0
 	readonly store: MemoryStore
 	readonly logEvents: LogEvent[] = []
+	/** Times at which the events were logged, in ms. */
+	readonly logTimes = new Map<LogEvent, number>()
 	private onLogEvent: (event: LogEvent) => void = () => undefined
 	readonly receivedRequests: {
 		target: string
@@ -115,6 +117,7 @@
 			metrics: new Metrics(),
 			log: (event) => {
 				this.logEvents.push(event)
+				this.logTimes.set(event, performance.now())
 				this.onLogEvent(event)
 			},
 			now: () => performance.now(),
--- a/packages/gateway/src/lib/testNoticeFleet.ts
+++ b/packages/gateway/src/lib/testNoticeFleet.ts
@@ -1,3 +1,4 @@
+import type { LogEvent, LogEventName } from '@stallwing/core'
 import { MemoryStore, NotifyingTarget, type NotifyingResponse } from '@stallwing/standins'
 import { freePort } from './freePort.js'
 import { sleep } from './sleep.js'
@@ -19,6 +20,8 @@
 export const BACKOFF_MS = 1_500
 /** Time after a notice in which requests that were already in flight may arrive, in ms. */
 const IN_FLIGHT_MS = 500
+/** Maximum error of a `Retry-After`, in ms. */
+const ROUNDING_MS = 1
 
 /** A success without a notice. */
 export const OK: NotifyingResponse = {
@@ -41,7 +44,8 @@
 
 /** A request of a caller with its response. */
 interface SentRequest {
-	readonly box: string
+	readonly box: number
+	readonly id: string
 	readonly sentAt: number
 	readonly answeredAt: number
 	readonly response: CallerResponse
@@ -115,7 +119,8 @@
 		const response = await this.boxes[box]?.sendRequest(path, { id })
 		if (response)
 			this.sentRequests.push({
-				box: `box-${box}`,
+				box,
+				id,
 				sentAt,
 				answeredAt: performance.now(),
 				response,
@@ -199,30 +204,41 @@
 		return Math.max(0, ...refused.map(({ sentAt, answeredAt }) => answeredAt - sentAt))
 	}
 
-	/** Refusals whose `Retry-After` ends before any target accepts work of the box again. */
+	/** Refusals whose `Retry-After` ends before any target accepts work of the box again, as far as the box knew. */
 	get prematureRetryCount(): number {
-		return this.sentRequests.filter(({ box, answeredAt, response }) => {
+		return this.sentRequests.filter(({ box, id, response }) => {
 			if (response.status !== 503) return false
-			const retryAt = answeredAt + Number(response.headers['retry-after'] ?? 0) * 1_000
-			return retryAt < this.firstAvailableAt(box, answeredAt)
+			const refusedAt = this.loggedAt(box, 'request-refused', ({ request }) => request === id)[0]
+			if (refusedAt === undefined) throw new Error(`no refusal of ${id} is logged`)
+			const retryAt = refusedAt + Number(response.headers['retry-after'] ?? 0) * 1_000
+			return retryAt + ROUNDING_MS < this.firstAvailableAt(box, refusedAt)
 		}).length
 	}
 
 	/**
-	 * Time at which the first target accepts work of a box again, as far as the box knew at `now`; 0 if one accepts
-	 * it now.
+	 * Time at which the first target accepts work of a box again, by the responses that the box had read at `now`; 0 if
+	 * one accepts it now.
 	 */
-	private firstAvailableAt(box: string, now: number): number {
-		const availableTimes = this.targets.map(({ requests }) => {
-			const backoffs = requests.filter(
-				({ requestId, receivedAt, response }) =>
-					boxNameOf(requestId) === box && receivedAt < now && asksForBackoff(response),
-			)
-			return Math.max(0, ...backoffs.map(({ receivedAt }) => receivedAt + BACKOFF_MS))
+	private firstAvailableAt(box: number, now: number): number {
+		const availableTimes = this.targets.map((_, i) => {
+			const readTimes = this.loggedAt(box, 'target-backoff', ({ target }) => target === `t${i}`)
+			return Math.max(0, ...readTimes.filter((at) => at < now).map((at) => at + BACKOFF_MS))
 		})
 		return Math.min(...availableTimes)
 	}
 
+	/** Times at which a box logged an event whose fields match. */
+	private loggedAt(
+		box: number,
+		name: LogEventName,
+		matches: (fields: LogEvent['fields']) => boolean,
+	): readonly number[] {
+		const { logEvents, logTimes } = this.boxes[box] ?? { logEvents: [], logTimes: new Map() }
+		return logEvents
+			.filter((event) => event.name === name && matches(event.fields))
+			.map((event) => logTimes.get(event) ?? 0)
+	}
+
 	/** Sum of `count` over all pairs of a target and a box, applied to the requests of that pair. */
 	private sumOverPairs(count: (requests: NotifyingTarget['requests']) => number): number {
 		let sum = 0
