--- a/packages/gateway/src/lib/testBox.ts
+++ b/packages/gateway/src/lib/testBox.ts
@@ -48,7 +48,7 @@
 	readonly store: MemoryStore
 	readonly logEvents: LogEvent[] = []
 	/** Times at which the events were logged, in ms. */
-	readonly logTimes = new Map<LogEvent, number>()
+	readonly logTimes = new WeakMap<LogEvent, number>()
 	private onLogEvent: (event: LogEvent) => void = () => undefined
 	readonly receivedRequests: {
 		target: string
--- a/packages/gateway/src/lib/testNoticeFleet.ts
+++ b/packages/gateway/src/lib/testNoticeFleet.ts
@@ -233,7 +233,10 @@
 		name: LogEventName,
 		matches: (fields: LogEvent['fields']) => boolean,
 	): readonly number[] {
-		const { logEvents, logTimes } = this.boxes[box] ?? { logEvents: [], logTimes: new Map() }
+		const { logEvents, logTimes } = this.boxes[box] ?? {
+			logEvents: [],
+			logTimes: new WeakMap<LogEvent, number>(),
+		}
 		return logEvents
 			.filter((event) => event.name === name && matches(event.fields))
 			.map((event) => logTimes.get(event) ?? 0)
