--- a/packages/gateway/src/lib/attempts/Attempt.ts
+++ b/packages/gateway/src/lib/attempts/Attempt.ts
@@ -24,6 +24,7 @@
 import { responseTimeouts, type ResponseTimeouts } from './responseTimeouts.js'
 
 const EVENT_STREAM_TYPE = 'text/event-stream'
+/** Limit on an answer that is collected, and on an event where memory is not bounded. */
 const MAX_BUFFERED_RESPONSE_BYTES = 16 * 1024 * 1024
 /** Where memory is bounded, an incomplete event must not grow further. Events of this size are not expected. */
 const MAX_EVENT_BYTES = 1024 * 1024
@@ -286,7 +287,7 @@
 			isWritable = responseWriter.sendEvent(event)
 		}
 		const { memory } = responseWriter
-		if (memory && splitter.partialBytes > MAX_EVENT_BYTES) {
+		if (splitter.partialBytes > (memory ? MAX_EVENT_BYTES : MAX_BUFFERED_RESPONSE_BYTES)) {
 			this.abort('event too large')
 			return
 		}
