--- a/packages/gateway/src/lib/attempts/Attempt.ts
+++ b/packages/gateway/src/lib/attempts/Attempt.ts
@@ -6,9 +6,7 @@
 	type TargetOutcome,
 	type TargetEntry,
 } from '@stallwing/core'
-import { InputTimeout } from '@stallwing/store'
 import { applyTargetNotice } from '../applyTargetNotice.js'
-import { isSuccess } from '../isSuccess.js'
 import { readTargetNotice, type TargetNotice } from '../readTargetNotice.js'
 import { isSelfDelimiting } from '../ResponseWriter.js'
 import type {
@@ -21,9 +19,16 @@
 import type { AttemptEnd, CompleteResponse } from './AttemptEnd.js'
 import type { AttemptOptions } from './AttemptOptions.js'
 import { attemptEndedEvent } from './attemptEvents.js'
+import {
+	isEventStream,
+	isFailure,
+	isFromWrongTarget,
+	isRejection,
+	isResponseTo,
+} from './classifyResponse.js'
 import { responseTimeouts, type ResponseTimeouts } from './responseTimeouts.js'
+import { TargetSilence } from './TargetSilence.js'
 
-const EVENT_STREAM_TYPE = 'text/event-stream'
 /** Limit on an answer that is collected, and on an event where memory is not bounded. */
 const MAX_BUFFERED_RESPONSE_BYTES = 16 * 1024 * 1024
 /** Where memory is bounded, an incomplete event must not grow further. Events of this size are not expected. */
@@ -33,8 +38,6 @@
  * not be repeated: a body that is not read in this time would not be in time for its answer.
  */
 const MAX_BODY_STALL_MS = 4_000
-/** Interval at which a silence is reported again, in ms: what another attempt lacks may become available. */
-const SILENCE_REPORT_INTERVAL_MS = 250
 
 /**
  * One attempt to serve a request at one target. Only the current attempt of a request writes to the caller. The silence
@@ -50,11 +53,8 @@
 	private splitter: EventSplitter | undefined
 	private chunks: Buffer[] = []
 	private bufferedBytes = 0
-	/** Time of the head, the last data, or the end of the last pause; undefined until a head arrives. */
-	private lastDataAt: number | undefined
-	private isPaused = false
-	private readonly silenceTimeout = new InputTimeout(() => this.handleSilence())
-	private hasReportedSilence = false
+	private readonly timeouts: ResponseTimeouts
+	private readonly silence: TargetSilence
 	private startedAt = 0
 	private firstByteMs = -1
 	/** True if this box, not the target, aborted the response. */
@@ -67,7 +67,17 @@
 		private readonly options: AttemptOptions,
 		/** True if the attempt may write to the caller. */
 		private isCurrent: boolean,
-	) {}
+	) {
+		const { context, placement, request, silenceListener } = options
+		this.timeouts = responseTimeouts(request.route.kind, placement.cost.expectedMs)
+		this.silence = new TargetSilence({
+			timeouts: this.timeouts,
+			listener: silenceListener,
+			onNoticed: () => this.handleSilence(),
+			linkDelayMs: () => context.linkDelayMs(),
+			now: () => context.now(),
+		})
+	}
 
 	get target(): TargetEntry {
 		return this.options.placement.target
@@ -83,9 +93,9 @@
 		return this.mayHaveRunRequest
 	}
 
-	/** Time since the last bytes of the target, or since the start of the attempt, in ms. */
+	/** Time since the last progress of the answer, or since the start of the attempt, in ms. */
 	get silentMs(): number {
-		return this.options.context.now() - (this.lastDataAt ?? this.startedAt)
+		return this.silence.silentMs
 	}
 
 	/** Sends the request and forwards the events of its response. Never rejects. */
@@ -96,13 +106,12 @@
 		this.handle = context.registry.beginAttempt(placement, request.work, this.startedAt)
 		return new Promise((resolve) => {
 			this.resolve = resolve
-			const { firstByteMs } = this.timeouts()
-			this.startSilenceTimeout(firstByteMs)
+			this.silence.start()
 			this.call = context.callTarget({
 				target: placement.target,
 				message,
 				listener: this,
-				silenceMs: firstByteMs,
+				silenceMs: this.timeouts.firstByteMs,
 				bodyStallMs: responseWriter.memory && MAX_BODY_STALL_MS,
 			})
 		})
@@ -111,7 +120,9 @@
 	/** Allows the attempt to write to the caller. */
 	becomeCurrent(): void {
 		this.isCurrent = true
-		if (this.splitter && this.responseHead) this.startStream(this.responseHead)
+		if (!this.responseHead) return
+		if (this.splitter) this.startStream(this.responseHead)
+		else this.holdCollected()
 	}
 
 	/** Ends the attempt because another one has taken its place. */
@@ -126,10 +137,11 @@
 	cancel(): void {
 		if (this.hasEnded) return
 		const isOverdue =
-			this.responseHead === undefined && this.elapsedMs() > this.timeouts().firstByteMs
+			this.responseHead === undefined && this.elapsedMs() > this.timeouts.firstByteMs
 		if (isOverdue) this.closeIdleConnections()
 		this.mayHaveRunRequest = this.mayHaveSentBytes
-		this.release(isOverdue || this.isStalled ? 'failed' : 'cancelled', false)
+		const isStalled = this.options.responseWriter.memory !== undefined && this.silence.isStalled
+		this.release(isOverdue || isStalled ? 'failed' : 'cancelled', false)
 		this.call?.abort()
 	}
 
@@ -148,7 +160,7 @@
 	onHead(head: ResponseHead): boolean {
 		const { context, placement, request } = this.options
 		const now = context.now()
-		if (!this.isResponseToThisRequest(head)) return false
+		if (!isResponseTo(request.id, head, context.dialect)) return false
 		this.noteReceived(now)
 		this.firstByteMs = now - this.startedAt
 		this.responseHead = head
@@ -156,8 +168,8 @@
 		context.unknownHeaders.inspect(head, placement.target)
 		if (this.handle)
 			applyTargetNotice(context, { handle: this.handle, placement, request }, this.notice)
-		this.noteProgress(now)
-		if (isSuccess(head.status) && isEventStream(head)) {
+		this.silence.noteProgress()
+		if (isEventStream(head)) {
 			this.splitter = new EventSplitter()
 			if (this.isCurrent) this.startStream(head)
 			return true
@@ -168,20 +180,19 @@
 	}
 
 	onData(chunk: Buffer): void {
-		const now = this.options.context.now()
-		this.noteReceived(now)
+		this.noteReceived(this.options.context.now())
 		if (this.splitter) {
-			this.forwardEvents(this.splitter, chunk, now)
+			this.forwardEvents(this.splitter, chunk)
 			return
 		}
-		this.noteProgress(now)
+		this.silence.noteProgress()
 		this.bufferedBytes += chunk.length
 		if (this.bufferedBytes > MAX_BUFFERED_RESPONSE_BYTES) this.abort('answer too large')
 		else this.collect(chunk)
 	}
 
 	onBodyProgress(): void {
-		this.silenceTimeout.refresh()
+		this.silence.noteBodyProgress()
 	}
 
 	onEnd(): void {
@@ -228,36 +239,23 @@
 	}
 
 	private endWithCompleteResponse(response: CompleteResponse): void {
+		const { dialect } = this.options.context
 		const { head } = response
-		if (this.isRejection(head)) {
-			const isWrongTarget = head.status === this.options.context.dialect.wrongTargetStatus
-			const targetOutcome = isWrongTarget ? 'unreachable' : 'full'
-			this.end(targetOutcome, { kind: 'rejected' }, `status ${head.status}`, undefined)
+		const cause = `status ${head.status}`
+		if (isRejection(head, dialect)) {
+			const targetOutcome = isFromWrongTarget(head, dialect) ? 'unreachable' : 'full'
+			this.end(targetOutcome, { kind: 'rejected' }, cause, undefined)
 			return
 		}
 		const failed = isFailure(head)
-		const targetOutcome = failed ? 'failed' : 'good'
-		this.end(targetOutcome, { kind: 'answered', failed }, `status ${head.status}`, response)
-	}
-
-	/** True if the response belongs to this request and, for a success, comes from a target. */
-	private isResponseToThisRequest(head: ResponseHead): boolean {
-		const { requestId, signature } = this.options.context.dialect.headers
-		const id = head.headers[requestId]
-		if (id !== undefined && id !== this.options.request.id) return false
-		return !isSuccess(head.status) || (id !== undefined && head.headers[signature] !== undefined)
-	}
-
-	/** True if the target states that it did not run the request. */
-	private isRejection(head: ResponseHead): boolean {
-		const { headers, wrongTargetStatus } = this.options.context.dialect
-		return head.status === wrongTargetStatus || head.headers[headers.notRun] !== undefined
+		this.end(failed ? 'failed' : 'good', { kind: 'answered', failed }, cause, response)
 	}
 
 	/** True if the response, once it is complete, is better for the caller than waiting for another attempt. */
 	private isUsable(head: ResponseHead): boolean {
-		const isStreamStarted = this.options.responseWriter.isStreamStarted
-		return !isStreamStarted && !this.isRejection(head) && !isFailure(head)
+		const { context, responseWriter } = this.options
+		const isStreamStarted = responseWriter.isStreamStarted
+		return !isStreamStarted && !isRejection(head, context.dialect) && !isFailure(head)
 	}
 
 	/** Becomes the current attempt because a part of the answer can be forwarded. */
@@ -270,13 +268,10 @@
 		if (!responseWriter.isStreamStarted) responseWriter.startStream(head)
 	}
 
-	private forwardEvents(splitter: EventSplitter, chunk: Buffer, now: number): void {
+	private forwardEvents(splitter: EventSplitter, chunk: Buffer): void {
 		const { responseWriter } = this.options
 		const events = splitter.push(chunk)
-		if (events.length > 0) {
-			this.noteProgress(now)
-			this.takeOver()
-		}
+		if (events.length > 0) this.silence.noteProgress()
 		let isWritable = true
 		for (const event of events) {
 			const lastEventId = responseWriter.lastEventId
@@ -284,6 +279,7 @@
 				this.abort(`event ${event.id} after ${lastEventId}`)
 				return
 			}
+			this.takeOver()
 			isWritable = responseWriter.sendEvent(event)
 		}
 		const { memory } = responseWriter
@@ -319,27 +315,15 @@
 		this.end('cancelled', { kind: 'unknown' }, 'no memory for the answer', undefined)
 	}
 
-	/** Stops reading. A target that is not read cannot be found silent. */
 	private pause(): void {
 		this.call?.pause()
-		this.isPaused = true
-		this.silenceTimeout.stop()
+		this.silence.pause()
 	}
 
 	/** Reads on after a pause. */
 	resume(): void {
 		this.call?.resume()
-		if (!this.isPaused || this.hasEnded) return
-		this.isPaused = false
-		this.lastDataAt = this.options.context.now()
-		this.startSilenceTimeout(this.timeouts().idleMs)
-	}
-
-	/** The target has stopped sending an answer that it had begun. */
-	private get isStalled(): boolean {
-		const isMemoryBounded = this.options.responseWriter.memory !== undefined
-		if (!isMemoryBounded || this.lastDataAt === undefined || this.isPaused) return false
-		return this.silentMs > this.timeouts().idleMs
+		if (!this.hasEnded) this.silence.resume()
 	}
 
 	private abort(cause: string): void {
@@ -354,37 +338,14 @@
 		this.options.context.replacementLimiter.noteReceived(this.target.service, now)
 	}
 
-	/** The target has sent a part of its answer. */
-	private noteProgress(now: number): void {
-		const isFirst = this.lastDataAt === undefined
-		this.lastDataAt = now
-		if (isFirst || this.hasReportedSilence) this.startSilenceTimeout(this.timeouts().idleMs)
-		else this.silenceTimeout.refresh()
-		if (!this.hasReportedSilence) return
-		this.hasReportedSilence = false
-		this.options.silenceListener?.onResumed()
-	}
-
-	private startSilenceTimeout(ms: number): void {
-		// Input that is delayed on the link of this box is not missing.
-		if (this.options.silenceListener)
-			this.silenceTimeout.start(ms + this.options.context.linkDelayMs())
-	}
-
 	/** Reports the silence of the target again if it lasts. */
 	reportSilence(): void {
-		if (this.hasReportedSilence && !this.hasEnded) this.options.silenceListener?.onSilent()
+		if (!this.hasEnded) this.silence.report()
 	}
 
 	private handleSilence(): void {
-		if (this.hasEnded) return
-		if (!this.hasReportedSilence) {
-			this.hasReportedSilence = true
-			this.closeIdleConnections()
-			this.handle?.noteSilent(this.silentMs, this.options.context.now())
-		}
-		this.silenceTimeout.start(SILENCE_REPORT_INTERVAL_MS)
-		this.reportSilence()
+		this.closeIdleConnections()
+		this.handle?.noteSilent(this.silentMs, this.options.context.now())
 	}
 
 	/** A network fault may have broken all idle connections while new ones work. */
@@ -392,11 +353,6 @@
 		this.options.context.poolFor(this.target).closeIdle()
 	}
 
-	private timeouts(): ResponseTimeouts {
-		const { placement, request } = this.options
-		return responseTimeouts(request.route.kind, placement.cost.expectedMs)
-	}
-
 	private end(
 		targetOutcome: TargetOutcome,
 		outcome: AttemptResult,
@@ -431,12 +387,12 @@
 
 	private release(targetOutcome: TargetOutcome, isAnswerKept: boolean): void {
 		this.hasEnded = true
-		this.silenceTimeout.stop()
+		this.silence.stop()
 		// An attempt that is not current holds no part of an answer.
 		this.options.responseWriter.memory?.endAttempt(isAnswerKept || !this.isCurrent)
 		if (!this.mayHaveSentBytes) this.handle?.noteUnsent()
 		// The silence was counted as a failure of the target when it was noticed.
-		const isCounted = this.hasReportedSilence && targetOutcome === 'failed'
+		const isCounted = this.silence.wasReported && targetOutcome === 'failed'
 		this.handle?.end(isCounted ? 'cancelled' : targetOutcome, this.options.context.now())
 		this.options.onFinished()
 	}
@@ -445,11 +401,3 @@
 		return this.options.context.now() - this.startedAt
 	}
 }
-
-function isEventStream(head: ResponseHead): boolean {
-	return String(head.headers['content-type'] ?? '').startsWith(EVENT_STREAM_TYPE)
-}
-
-function isFailure({ status }: ResponseHead): boolean {
-	return status >= 500
-}
--- a/packages/gateway/src/lib/attempts/AttemptSeries.ts
+++ b/packages/gateway/src/lib/attempts/AttemptSeries.ts
@@ -13,6 +13,7 @@
 import { reportRunEnd } from '../reportRunEnd.js'
 import type { RequestContent } from '../RequestContent.js'
 import type { ResponseWriter } from '../ResponseWriter.js'
+import type { TargetRequest } from '../sendToTarget.js'
 import { StreamContinuation } from '../streams/StreamContinuation.js'
 import type { TimeLimit } from '../TimeLimit.js'
 import { Attempt } from './Attempt.js'
@@ -74,6 +75,7 @@
 	private endTrial: () => void = () => undefined
 	private sentAt: number | undefined
 	private onEnded: (end: SeriesEnd) => void = () => undefined
+	private onInternalError: (error: unknown) => void = () => undefined
 
 	constructor(private readonly options: AttemptSeriesOptions) {
 		this.continuation = new StreamContinuation(options.context)
@@ -122,8 +124,9 @@
 	/** Makes an attempt, and others in its place while targets are silent. Resolves once none is running any more. */
 	start(run: RequestRun, placement: Placement): Promise<SeriesEnd> {
 		this.run = run
-		return new Promise((resolve) => {
+		return new Promise((resolve, reject) => {
 			this.onEnded = resolve
+			this.onInternalError = reject
 			this.current = this.begin(run, placement, true)
 		})
 	}
@@ -244,15 +247,22 @@
 			Math.floor(remainingMs),
 			responseWriter.lastEventId,
 		)
-		const startedAt = context.now()
-		void attempt.run(message).then((end) => {
-			const { target } = placement
-			const ended = { content, target, startedAt, end }
-			this.handleEnd(attempt, end, reportRunEnd(context.crashProtection, ended))
-		})
+		void this.runAttempt(attempt, message, run).catch(this.onInternalError)
 		return attempt
 	}
 
+	private async runAttempt(
+		attempt: Attempt,
+		message: TargetRequest,
+		{ content }: RequestRun,
+	): Promise<void> {
+		const { crashProtection, now } = this.options.context
+		const startedAt = now()
+		const end = await attempt.run(message)
+		const ended = { content, target: attempt.target, startedAt, end }
+		this.handleEnd(attempt, end, reportRunEnd(crashProtection, ended))
+	}
+
 	private silenceListener(attempt: () => Attempt, run: RequestRun): SilenceListener {
 		return {
 			onSilent: () => this.handleSilence(attempt(), run),
