Boxes log when the store has not confirmed their configuration in time, and what their calls met

Change: configuration-unconfirmed and configuration-confirmed name the version, the age of its confirmation, who confirmed it last, the calls since then that were not answered or failed, and the delays of the event loop and the link; target-chosen has the age of the confirmation and these delays. No logic changed. Measured: ConfigurationMonitor.test.ts passes; nothing else measured.

--- a/packages/core/src/lib/router/logEvents.ts
+++ b/packages/core/src/lib/router/logEvents.ts
@@ -159,6 +159,14 @@
 		number: 406,
 		text: 'A load report of another box is invalid and is ignored; logged once for each sender',
 	},
+	'configuration-unconfirmed': {
+		number: 407,
+		text: 'This box serves with a configuration that the store has not confirmed in time; the event has what its calls met',
+	},
+	'configuration-confirmed': {
+		number: 408,
+		text: 'The store has confirmed the configuration of this box again',
+	},
 	'target-ejected': { number: 500, text: 'A failing target receives no requests for some time' },
 	'target-restored': { number: 501, text: 'An ejected target receives requests again' },
 	'target-leaving': { number: 502, text: 'A target is leaving and receives no new requests' },
--- a/packages/gateway/src/lib/FeedRelay.ts
+++ b/packages/gateway/src/lib/FeedRelay.ts
@@ -9,6 +9,7 @@
 import * as E from 'fp-ts/lib/Either.js'
 import { handleFeedRequest, changesByteLength, type FeedResponse } from './handleFeedRequest.js'
 import { FeedState } from './FeedState.js'
+import type { FeedSourceStatus } from './feed/FeedSourceStatus.js'
 import {
 	PeerFeedReader,
 	MAX_RELAY_WAIT_MS,
@@ -197,6 +198,11 @@
 		return this.feed(prefix).storeAvailableMs(this.options.now())
 	}
 
+	/** What the calls about a prefix have brought since the store last confirmed its data. */
+	sourceStatus(prefix: string): FeedSourceStatus {
+		return this.feed(prefix).sourceStatus
+	}
+
 	/** Answers a request of another box, as {@link handleFeedRequest} describes. */
 	handleRequest(
 		prefix: string,
--- a/packages/gateway/src/lib/FeedState.ts
+++ b/packages/gateway/src/lib/FeedState.ts
@@ -1,6 +1,9 @@
 import { ChangeLog, type StoreFault, type StoreListing } from '@stallwing/store'
+import type { FeedSourceStatus } from './feed/FeedSourceStatus.js'
 
 const NEVER = Number.NEGATIVE_INFINITY
+/** Source of a confirmation that this box got without another box. */
+const STORE = 'store'
 
 /** Changes that a box knows below one prefix of the store, and when the store confirmed them. Times are in ms. */
 export class FeedState {
@@ -21,6 +24,9 @@
 	private storeAvailableSince: number | undefined
 	/** True if the follower of this prefix has not yet received the last applied listing. */
 	private hasPendingListing = false
+	private confirmedBy = ''
+	private unansweredCalls = 0
+	private failedCalls = 0
 
 	/** True if the last call to the store about this prefix failed. */
 	get hasStoreFault(): boolean {
@@ -28,6 +34,7 @@
 	}
 
 	noteStoreFault(fault: StoreFault): void {
+		this.noteFailedCall(fault.kind === 'no-answer')
 		this.directlyConfirmedAt = NEVER
 		this.fault = fault
 		this.needsListing = true
@@ -39,13 +46,31 @@
 	noteStoreResponse(at: number, now: number): void {
 		this.fault = undefined
 		this.directlyConfirmedAt = at
-		this.noteConfirmed(at)
+		this.noteConfirmed(at, STORE)
 		this.storeAvailableSince ??= now
 	}
 
-	/** Records that the store confirmed the data at `at`, directly or through a peer. */
-	noteConfirmed(at: number): void {
+	/** Records that the store confirmed the data at `at`, directly or through the peer at the address `by`. */
+	noteConfirmed(at: number, by: string): void {
 		this.confirmedAt = Math.max(this.confirmedAt, at)
+		this.confirmedBy = by
+		this.unansweredCalls = 0
+		this.failedCalls = 0
+	}
+
+	/** Counts a call to the store or a peer that confirmed nothing. */
+	noteFailedCall(isUnanswered: boolean): void {
+		if (isUnanswered) this.unansweredCalls++
+		else this.failedCalls++
+	}
+
+	/** What the calls have brought since the last confirmation. */
+	get sourceStatus(): FeedSourceStatus {
+		return {
+			confirmedBy: this.confirmedBy,
+			unanswered: this.unansweredCalls,
+			failed: this.failedCalls,
+		}
 	}
 
 	/** Records since when a peer has continuously reached the store. */
--- a/packages/gateway/src/lib/Gateway.ts
+++ b/packages/gateway/src/lib/Gateway.ts
@@ -6,6 +6,8 @@
 import { createBoxLoadControl, type BoxLoadControl } from './balance/BoxLoadControl.js'
 import { createAllowanceClient } from './createAllowanceClient.js'
 import { createFleetMembership } from './createFleetMembership.js'
+import { createConfigurationMonitor } from './feed/createConfigurationMonitor.js'
+import type { ConfigurationMonitor } from './feed/ConfigurationMonitor.js'
 import { createGatewayContext } from './createGatewayContext.js'
 import { createPeerHandlers } from './createPeerHandlers.js'
 import { createTargetDirectory } from './createTargetDirectory.js'
@@ -54,6 +56,7 @@
 	private readonly feed: FeedRelay
 	private readonly allowance: AllowanceClient
 	private readonly context: GatewayContext
+	private readonly configurationMonitor: ConfigurationMonitor
 	private readonly report: GatewayReport
 	private readonly callerServer: Server
 	private readonly readinessServer: ReadinessServer
@@ -172,6 +175,11 @@
 			sharing: this.sharing,
 			boxLoad: this.boxLoad,
 		})
+		this.configurationMonitor = createConfigurationMonitor({
+			gateway: options,
+			feed: this.feed,
+			context: this.context,
+		})
 		this.report = new GatewayReport({
 			context: this.context,
 			registry: this.registry,
@@ -291,6 +299,7 @@
 		this.pools.closeExpired()
 		this.targets.maintain()
 		this.cordons.maintain()
+		this.configurationMonitor.check()
 		this.sharing.crashProtection.expireRecords()
 		this.sharing.streams.maintain()
 	}
--- a/packages/gateway/src/lib/GatewayContext.ts
+++ b/packages/gateway/src/lib/GatewayContext.ts
@@ -77,6 +77,8 @@
 	hasIdleConnection(target: TargetName): boolean
 	/** False if the route or the account of the request excludes the zone. */
 	mayRunIn(zone: ZoneName, request: Pick<CallerRequest, 'route' | 'account'>): boolean
+	/** Time since the store last confirmed the configuration, in ms; Infinity if it never did. */
+	configurationConfirmationAgeMs(): number
 	/** Time since the store last confirmed the list of targets, in ms; Infinity if it never did. */
 	targetListAgeMs(): number
 	/** True if the target is used although the store no longer lists it. */
--- a/packages/gateway/src/lib/PeerFeedReader.ts
+++ b/packages/gateway/src/lib/PeerFeedReader.ts
@@ -110,12 +110,14 @@
 		const response = await peers.fetchChanges(address, prefix, after, waitMs)
 		if (!response) {
 			this.backoffUntil.set(address, now() + BACKOFF_MS)
+			feed.noteFailedCall(true)
 			return { kind: 'silent' }
 		}
 		const { storeAvailableMs, changes, listing, confirmationAgeMs } = response
 		const isFresh = confirmationAgeMs < maxConfirmationAgeMs
+		if (!isFresh) feed.noteFailedCall(false)
 		if (!isFresh && changes.length === 0 && !listing) return { kind: 'stale' }
-		if (isFresh) feed.noteConfirmed(now() - confirmationAgeMs)
+		if (isFresh) feed.noteConfirmed(now() - confirmationAgeMs, address)
 		if (storeAvailableMs > 0) feed.noteStoreAvailableSince(now() - storeAvailableMs)
 		if (listing) {
 			if (!feed.applyListing(listing)) return { kind: 'stale' }
--- a/packages/gateway/src/lib/createGatewayContext.ts
+++ b/packages/gateway/src/lib/createGatewayContext.ts
@@ -69,6 +69,7 @@
 		hasIdleConnection: (target) => pools.hasIdleConnection(target),
 		mayRunIn: (zone, { route, account }) =>
 			allowsRegion(gateway.regionOf(zone), route.regions, account?.regions),
+		configurationConfirmationAgeMs: () => feed.confirmationAgeMs(gateway.storeLayout.configPrefix),
 		targetListAgeMs: () => feed.confirmationAgeMs(gateway.storeLayout.targetsPrefix),
 		isExpired: (target) => targets.isExpired(target),
 		onTargetLeaving: (target) => {
--- a/packages/gateway/src/lib/exchangeEvents.ts
+++ b/packages/gateway/src/lib/exchangeEvents.ts
@@ -44,6 +44,8 @@
 			heldBack: describeRates(context.registry.exhaustedRateLimits(request.service, context.now())),
 			configuration: traffic.index.config.version,
 			configurationAgeMs: Math.round(context.suspendAwareNow() - traffic.since),
+			configurationWordAgeMs: roundAge(context.configurationConfirmationAgeMs()),
+			...boxDelays(context),
 		},
 	}
 }
