A late answer about the configuration is used; other sources are asked beside it

Cause: a call to the store for a list, a ping or changes was given up 400 ms after its wait, one to another box after 300 ms, and its connection closed, so the answer that came later was thrown away. A box on whose link every answer waits longer gave up all its sources in turn, made the same calls again with the same limits, and never got a version while the delay lasted. Class: a fixed time-out that holds only on a quick way, and that is made again without learning from it. The box's lines: calls kv-key:no-answer in turn, configuration-unconfirmed with unanswered calls, store-lost. Change: patience and time limit are two things. After 400 ms (300 ms for boxes) other sources are asked as before, but the call stays open for 1.5 s, and what it brings reaches the feed whenever it comes; waiting for the same answer again joins the pending call, so that a slow link carries it once. Followers read from the log of changes only, never from the answer of one call, so that a late answer replaces nothing newer. Pings go out each 600 ms as before, and any answer counts. What a late answer confirms is dated by when it was given: boxes say how long they held a request (heldMs), an empty watch was held for its whole wait. Why it works: a version reaches the box one delay after it was sent, whoever is asked meanwhile; a source that is silent is still left after the same patience, since others are asked beside it. In FeedRelay.test the follower pauses as followStore does, with relay.pause, so that late answers wake it.

--- a/packages/gateway/src/lib/FeedRelay.test.ts
+++ b/packages/gateway/src/lib/FeedRelay.test.ts
@@ -70,7 +70,7 @@
 				this.received.set(box, Object.fromEntries(texts) as Record<string, string>)
 			},
 			onContact: () => undefined,
-			sleep,
+			sleep: (ms) => relay.pause(ms),
 		})
 		this.followers.push(follower)
 		void follower.run()
--- a/packages/gateway/src/lib/FeedRelay.ts
+++ b/packages/gateway/src/lib/FeedRelay.ts
@@ -10,6 +10,7 @@
 import { handleFeedRequest, changesByteLength, type FeedResponse } from './handleFeedRequest.js'
 import { FeedState } from './FeedState.js'
 import type { FeedSourceStatus } from './feed/FeedSourceStatus.js'
+import { PendingCalls, type PatientResult } from './feed/PendingCalls.js'
 import {
 	PeerFeedReader,
 	MAX_RELAY_WAIT_MS,
@@ -72,6 +73,11 @@
  * to the store and a message to every dependent box.
  */
 const BATCH_DELAY_MS = 250
+/**
+ * Time that the store may take to answer beyond the requested wait, in ms. After that, other sources are asked too, and
+ * a later answer of the store is still used.
+ */
+const STORE_PATIENCE_MS = 400
 /** Interval at which a box checks whether it has the list of boxes, in ms. */
 const FLEET_POLL_MS = 100
 /**
@@ -93,6 +99,8 @@
  */
 export class FeedRelay implements WatchableStore {
 	private readonly feeds = new Map<string, FeedState>()
+	private readonly watches: PendingCalls<StoreOutcome>
+	private readonly listings: PendingCalls<StoreOutcome>
 	private readonly peerFeeds: PeerFeedReader
 	private readonly probeSchedule: StoreProbeSchedule
 	private readonly storeRecovery: StoreRecovery
@@ -111,6 +119,8 @@
 			sleep,
 			log,
 		})
+		this.watches = new PendingCalls(options.now)
+		this.listings = new PendingCalls(options.now)
 		this.probeSchedule = new StoreProbeSchedule(options)
 		this.storeRecovery = new StoreRecovery({
 			ping: () => options.store.ping(),
@@ -121,42 +131,69 @@
 	/** Lists all items below a prefix, from the store or, if it is unreachable, from a peer. */
 	async list(prefix: string): Promise<E.Either<StoreFault, StoreListing>> {
 		const feed = this.feed(prefix)
-		const pending = feed.takePendingListing()
-		if (pending) return E.right(pending)
-		const result = feed.hasStoreFault ? undefined : await this.listStore(prefix)
-		if (!result || E.isLeft(result)) {
-			const peerResult = await this.askPeers(prefix, NO_REVISION)
-			if (peerResult.kind === 'returned') await this.listStore(prefix)
-		}
+		const sources = this.listSources(prefix).then(() => true)
+		let hasEnded = false
+		while (!feed.hasPendingListing && !hasEnded)
+			hasEnded = await Promise.race([sources, feed.nextUpdate().then(() => false)])
 		const listing = feed.takePendingListing()
 		return listing ? E.right(listing) : E.left(feed.fault ?? NO_SOURCE)
 	}
 
+	private async listSources(prefix: string): Promise<void> {
+		const feed = this.feed(prefix)
+		if (feed.hasPendingListing) return
+		const result = feed.hasStoreFault ? undefined : await this.listStore(prefix)
+		if (result?.kind === 'settled' && E.isRight(result.value)) return
+		const peerResult = await this.askPeers(prefix, NO_REVISION)
+		if (peerResult.kind === 'returned' && !feed.hasPendingListing) await this.listStore(prefix)
+	}
+
+	/**
+	 * Returns changes as soon as any source brings them, also one that was asked earlier and answers late. Returns none
+	 * if a source confirms that there are none.
+	 */
 	async watch(
 		prefix: string,
 		after: StoreRevision,
 		waitMs: number,
 	): Promise<E.Either<StoreFault, readonly StoreChange[]>> {
-		const { isFleetKnown, now, sleep } = this.options
+		const { isFleetKnown, sleep } = this.options
 		if (!isFleetKnown()) {
 			await sleep(FLEET_POLL_MS)
 			return E.right([])
 		}
+		const feed = this.feed(prefix)
+		if (feed.hasPendingListing) return E.left(RELIST)
+		const known = feed.changesAfter(after)
+		if (known && known.length > 0) return E.right(known)
+		const update = feed.nextUpdate().then((): StoreOutcome => E.right(undefined))
+		const outcome = await Promise.race([this.watchSources(prefix, after, waitMs), update])
+		if (feed.hasPendingListing) return E.left(RELIST)
+		const changes = feed.changesAfter(after) ?? []
+		return E.isLeft(outcome) && changes.length === 0 ? outcome : E.right(changes)
+	}
+
+	/** Asks the sources of this box for changes. Their answers reach the feed, also after this call has returned. */
+	private async watchSources(
+		prefix: string,
+		after: StoreRevision,
+		waitMs: number,
+	): Promise<StoreOutcome> {
 		if (this.watchesStore) return this.watchStoreOrPeers(prefix, after, waitMs)
-		if (now() < this.directWatchUntil) return this.watchDirectly(prefix, after)
+		if (this.options.now() < this.directWatchUntil) return this.watchDirectly(prefix, after)
 		const peerResult = await this.askPeers(prefix, after)
 		if (peerResult.kind === 'returned') return this.watchDirectly(prefix, after)
-		return toChanges(peerResult, this.feed(prefix).fault)
+		return toOutcome(peerResult, this.feed(prefix).fault)
 	}
 
 	/**
-	 * Sleeps between two attempts. A watcher wakes early when the store is reachable again. A box that reaches no peer
+	 * Sleeps between two attempts. Wakes early when a late answer arrives or the store is reachable again. A box that reaches no peer
 	 * pauses only briefly because its requests put no load on other boxes.
 	 */
 	pause(ms: number): Promise<void> {
-		return this.storeRecovery.pause(
-			this.peerFeeds.hasNoReachablePeer ? Math.min(ms, MAX_ISOLATED_PAUSE_MS) : ms,
-		)
+		const pauseMs = this.peerFeeds.hasNoReachablePeer ? Math.min(ms, MAX_ISOLATED_PAUSE_MS) : ms
+		const updates = [...this.feeds.values()].map((feed) => feed.nextUpdate())
+		return Promise.race([this.storeRecovery.pause(pauseMs), ...updates])
 	}
 
 	/** Stops polling an unreachable store. */
@@ -229,26 +266,39 @@
 			.finally(() => (this.pendingEraCheck = undefined))
 	}
 
-	/** Watches the store, or asks the other watchers while the store is unreachable. */
+	/** Pings the store. If the answer comes late, the next probe takes the store as reachable. */
+	private async ping(): Promise<boolean> {
+		const { sleep, store } = this.options
+		const answer = store.ping()
+		const isLate = sleep(STORE_PATIENCE_MS).then(() => false)
+		void answer.then((isReachable) => {
+			if (isReachable) this.isStoreReachable = true
+		})
+		return Promise.race([answer, isLate])
+	}
+
+	/** Watches the store, or asks the other watchers while the store is unreachable or late. */
 	private async watchStoreOrPeers(
 		prefix: string,
 		after: StoreRevision,
 		waitMs: number,
-	): Promise<E.Either<StoreFault, readonly StoreChange[]>> {
-		const { propagationLimitMs, hasDependentBoxes } = this.options
-		const maxWaitMs = hasDependentBoxes()
-			? Math.min(waitMs, Math.round(SERVING_WATCH_FRACTION * propagationLimitMs))
-			: waitMs
-		if (!this.feed(prefix).hasStoreFault) {
-			await this.awaitBatch(prefix)
-			const result = await this.watchStore(prefix, after, maxWaitMs)
-			if (hasDependentBoxes()) this.startBatch(prefix, result)
-			if (E.isRight(result) || result.left.kind === 'history-gone') return result
+	): Promise<StoreOutcome> {
+		const feed = this.feed(prefix)
+		if (!feed.hasStoreFault) {
+			const result = await this.watchStore(prefix, after, this.storeWaitMs(waitMs))
+			if (result.kind === 'settled' && isAnswer(result.value)) return result.value
 		}
+		const { updateCount } = feed
 		const peerResult = await this.askPeers(prefix, after)
-		return peerResult.kind === 'returned'
-			? this.relist(prefix)
-			: toChanges(peerResult, this.feed(prefix).fault)
+		if (feed.updateCount > updateCount) return E.right(undefined)
+		return peerResult.kind === 'returned' ? this.relist(prefix) : toOutcome(peerResult, feed.fault)
+	}
+
+	/** Longest wait of a watch of the store by a watcher, in ms. */
+	private storeWaitMs(waitMs: number): number {
+		const { propagationLimitMs, hasDependentBoxes } = this.options
+		if (!hasDependentBoxes()) return waitMs
+		return Math.min(waitMs, Math.round(SERVING_WATCH_FRACTION * propagationLimitMs))
 	}
 
 	/**
@@ -261,7 +311,7 @@
 	): Promise<PeerFeedResult | StoreReturned> {
 		if (!this.isStoreReachable) {
 			if (!this.probeSchedule.isDue(peerResult.kind === 'stale')) return peerResult
-			const isReachable = await this.options.store.ping()
+			const isReachable = await this.ping()
 			this.probeSchedule.recordResult(isReachable)
 			if (!isReachable) {
 				this.noteStoreFault(this.feed(prefix), PING_FAILED)
@@ -272,61 +322,85 @@
 		return { kind: 'returned' }
 	}
 
+	/** Watches the store, after the delay that collects changes in quick succession. */
 	private async watchStore(
 		prefix: string,
 		after: StoreRevision,
 		waitMs: number,
-	): Promise<E.Either<StoreFault, readonly StoreChange[]>> {
+	): Promise<PatientResult<StoreOutcome>> {
 		const feed = this.feed(prefix)
-		if (feed.needsListing) return this.relist(prefix)
-		const startedAt = this.options.now()
-		const result = await this.options.store.watch(prefix, after, waitMs)
+		await this.awaitBatch(feed)
+		if (feed.needsListing) return { kind: 'settled', value: await this.relist(prefix) }
+		const result = await this.watches.waitFor(prefix, waitMs + STORE_PATIENCE_MS, () =>
+			this.callWatch(feed, prefix, after, waitMs),
+		)
+		if (result.kind === 'late') this.noteLateStore(feed)
+		return result
+	}
+
+	/** Watches the store and applies the answer to the feed, also if nobody waits for it any more. */
+	private async callWatch(
+		feed: FeedState,
+		prefix: string,
+		after: StoreRevision,
+		waitMs: number,
+	): Promise<StoreOutcome> {
+		const { now, store } = this.options
+		const startedAt = now()
+		const result = await store.watch(prefix, after, waitMs)
 		if (E.isLeft(result)) {
 			if (result.left.kind !== 'history-gone') this.noteStoreFault(feed, result.left)
 			return result
 		}
-		// The transfer of changes may take long, so they confirm the data only as of the start of the call.
-		const now = this.options.now()
-		feed.noteStoreResponse(result.right.length > 0 ? startedAt : now, now)
-		feed.needsListing = changesByteLength(result.right) > MAX_WATCHED_BYTES
-		feed.log.append(result.right)
-		return result
+		const changes = result.right
+		if (changes.length > 0) this.applyWatched(feed, changes)
+		// The store held the call for the whole wait if there are no changes. The answer may have been on its way for long.
+		const confirmedAt = changes.length > 0 ? startedAt : Math.min(now(), startedAt + waitMs)
+		feed.noteStoreResponse(confirmedAt, now())
+		feed.needsListing = changesByteLength(changes) > MAX_WATCHED_BYTES
+		return E.right(undefined)
+	}
+
+	private applyWatched(feed: FeedState, changes: readonly StoreChange[]): void {
+		if (!this.watchesStore || this.options.hasDependentBoxes())
+			feed.batchUntil = this.options.now() + BATCH_DELAY_MS
+		feed.applyChanges(changes)
 	}
 
 	/** Watches the store from a box that is not a watcher. */
-	private async watchDirectly(
-		prefix: string,
-		after: StoreRevision,
-	): Promise<E.Either<StoreFault, readonly StoreChange[]>> {
-		await this.awaitBatch(prefix)
+	private async watchDirectly(prefix: string, after: StoreRevision): Promise<StoreOutcome> {
 		const result = await this.watchStore(prefix, after, MAX_RELAY_WAIT_MS)
-		this.startBatch(prefix, result)
-		this.isStoreReachable = E.isRight(result) || result.left.kind === 'history-gone'
-		return result
+		this.isStoreReachable = result.kind === 'settled' && isAnswer(result.value)
+		return result.kind === 'settled' ? result.value : E.left(NO_SOURCE)
 	}
 
 	/** Waits until the batch delay after the last changes has passed. */
-	private async awaitBatch(prefix: string): Promise<void> {
+	private async awaitBatch({ batchUntil }: FeedState): Promise<void> {
 		const { now, sleep } = this.options
-		const waitMs = this.feed(prefix).batchUntil - now()
+		const waitMs = batchUntil - now()
 		if (waitMs > 0) await sleep(waitMs)
 	}
 
-	private startBatch(prefix: string, result: E.Either<StoreFault, readonly StoreChange[]>): void {
-		if (E.isLeft(result) || result.right.length === 0) return
-		this.feed(prefix).batchUntil = this.options.now() + BATCH_DELAY_MS
-	}
-
 	/** Lists instead of watching, which transfers only the newest version of each item. */
-	private async relist(prefix: string): Promise<E.Either<StoreFault, never>> {
+	private async relist(prefix: string): Promise<StoreOutcome> {
 		const result = await this.listStore(prefix)
-		return E.isLeft(result) ? result : E.left(RELIST)
+		if (result.kind === 'late') return E.left(NO_SOURCE)
+		return E.isLeft(result.value) ? result.value : E.left(RELIST)
 	}
 
-	/** Lists the store and applies the listing to the feed. */
-	private async listStore(prefix: string): Promise<E.Either<StoreFault, void>> {
-		const { now, store } = this.options
+	/** Lists the store. */
+	private async listStore(prefix: string): Promise<PatientResult<StoreOutcome>> {
 		const feed = this.feed(prefix)
+		const result = await this.listings.waitFor(prefix, STORE_PATIENCE_MS, () =>
+			this.callList(feed, prefix),
+		)
+		if (result.kind === 'late') this.noteLateStore(feed)
+		return result
+	}
+
+	/** Lists the store and applies the listing to the feed, also if nobody waits for it any more. */
+	private async callList(feed: FeedState, prefix: string): Promise<StoreOutcome> {
+		const { now, store } = this.options
 		const startedAt = now()
 		const listing = await store.list(prefix)
 		if (E.isLeft(listing)) {
@@ -337,11 +411,16 @@
 			this.noteStoreFault(feed, PAST_ERA)
 			return E.left(PAST_ERA)
 		}
-		feed.needsListing = false
 		feed.noteStoreResponse(startedAt, now())
 		return E.right(undefined)
 	}
 
+	/** Records that the store has not answered so far; its answer may still come. */
+	private noteLateStore(feed: FeedState): void {
+		feed.noteFailedCall(true)
+		this.storeRecovery.noteUnreachable()
+	}
+
 	private noteStoreFault(feed: FeedState, fault: StoreFault): void {
 		feed.noteStoreFault(fault)
 		this.storeRecovery.noteUnreachable()
@@ -360,6 +439,9 @@
 	}
 }
 
+/** Whether a source answered; what it brought is in the feed. */
+type StoreOutcome = E.Either<StoreFault, void>
+
 /** The store is reachable again, so this box should call it directly. */
 interface StoreReturned {
 	readonly kind: 'returned'
@@ -378,14 +460,16 @@
 /** Makes the follower of a prefix list again, which returns the pending listing. */
 const RELIST: StoreFault = { kind: 'history-gone' }
 
-/** Converts a result from peers for a follower; `fault` if no peer had current data. */
-function toChanges(
-	peerResult: PeerFeedResult,
-	fault: StoreFault = NO_SOURCE,
-): E.Either<StoreFault, readonly StoreChange[]> {
+/** True if the store answered, be it that it no longer has the requested changes. */
+function isAnswer(outcome: StoreOutcome): boolean {
+	return E.isRight(outcome) || outcome.left.kind === 'history-gone'
+}
+
+/** Converts a result from peers; `fault` if no peer had current data. */
+function toOutcome(peerResult: PeerFeedResult, fault: StoreFault = NO_SOURCE): StoreOutcome {
 	switch (peerResult.kind) {
 		case 'heard':
-			return E.right(peerResult.changes)
+			return E.right(undefined)
 		case 'listed':
 			return E.left(RELIST)
 		case 'stale':
--- a/packages/gateway/src/lib/FeedState.ts
+++ b/packages/gateway/src/lib/FeedState.ts
@@ -1,4 +1,5 @@
-import { ChangeLog, type StoreFault, type StoreListing } from '@stallwing/store'
+import type { StoreRevision } from '@stallwing/core'
+import { ChangeLog, type StoreChange, type StoreFault, type StoreListing } from '@stallwing/store'
 import type { FeedSourceStatus } from './feed/FeedSourceStatus.js'
 
 const NEVER = Number.NEGATIVE_INFINITY
@@ -23,7 +24,10 @@
 	/** Time since which the store has been continuously reachable; undefined while it is not known to be. */
 	private storeAvailableSince: number | undefined
 	/** True if the follower of this prefix has not yet received the last applied listing. */
-	private hasPendingListing = false
+	hasPendingListing = false
+	/** Number of answers that brought or confirmed data. */
+	updateCount = 0
+	private update = new Signal()
 	private confirmedBy = ''
 	private unansweredCalls = 0
 	private failedCalls = 0
@@ -45,7 +49,8 @@
 	/** Records a response of the store that arrived at `now` and confirms the data as of `at`. */
 	noteStoreResponse(at: number, now: number): void {
 		this.fault = undefined
-		this.directlyConfirmedAt = at
+		this.needsListing = false
+		this.directlyConfirmedAt = Math.max(this.directlyConfirmedAt, at)
 		this.noteConfirmed(at, STORE)
 		this.storeAvailableSince ??= now
 	}
@@ -56,6 +61,19 @@
 		this.confirmedBy = by
 		this.unansweredCalls = 0
 		this.failedCalls = 0
+		this.notifyUpdate()
+	}
+
+	/** Resolves when the next answer brings or confirms data, whoever waits for that answer. */
+	nextUpdate(): Promise<void> {
+		return this.update.promise
+	}
+
+	private notifyUpdate(): void {
+		this.updateCount++
+		const { update } = this
+		this.update = new Signal()
+		update.resolve()
 	}
 
 	/** Counts a call to the store or a peer that confirmed nothing. */
@@ -89,10 +107,22 @@
 		return this.storeAvailableSince === undefined ? 0 : now - this.storeAvailableSince
 	}
 
+	/** Applies changes after a revision that the log covers. */
+	applyChanges(changes: readonly StoreChange[]): void {
+		this.log.append(changes)
+		this.notifyUpdate()
+	}
+
+	/** The newest changes after a revision; undefined if a listing is pending or needed instead. */
+	changesAfter(after: StoreRevision): readonly StoreChange[] | undefined {
+		return this.hasPendingListing ? undefined : this.log.changesSince(after)
+	}
+
 	/** Applies a listing and keeps it for the follower of this prefix. False if the era of the listing is over. */
 	applyListing(listing: StoreListing): boolean {
 		if (!this.log.applyListing(listing)) return false
 		this.hasPendingListing = true
+		this.notifyUpdate()
 		return true
 	}
 
@@ -106,3 +136,9 @@
 		return this.log.listing()
 	}
 }
+
+/** A promise that is resolved from outside. */
+class Signal {
+	resolve: () => void = () => undefined
+	readonly promise = new Promise<void>((resolve) => (this.resolve = resolve))
+}
--- a/packages/gateway/src/lib/PeerClient.ts
+++ b/packages/gateway/src/lib/PeerClient.ts
@@ -24,14 +24,17 @@
 const LOCAL_DELAY_TOLERANCE_MS = 40
 /** Timeout of calls that return only a status, in ms. */
 const STATUS_TIMEOUT_MS = 160
-/** Time that a response with changes may take beyond the requested wait, in ms. */
-const CHANGES_TIMEOUT_MARGIN_MS = 300
+/**
+ * Time that a response with changes may take beyond the requested wait, in ms. Late ones are still of use, and other
+ * boxes are asked meanwhile.
+ */
+const CHANGES_TIMEOUT_MARGIN_MS = 1_500
 const MAX_CONNECTIONS = 6
 /**
- * One connection for each prefix, and one for a call that is being aborted. These are separate from other calls
- * because an unanswered lending call occupies its connection for up to 1.5 s.
+ * Connections for the calls of two prefixes, of which late ones stay open beside newer ones. These are separate from
+ * other calls because an unanswered lending call occupies its connection for up to 1.5 s.
  */
-const MAX_CHANGES_CONNECTIONS = 3
+const MAX_CHANGES_CONNECTIONS = 8
 /** Time for which a box that did not answer is not asked for tokens again, in ms. */
 const BACKOFF_MS = 1_500
 
--- a/packages/gateway/src/lib/PeerFeedReader.ts
+++ b/packages/gateway/src/lib/PeerFeedReader.ts
@@ -1,7 +1,13 @@
-import { describeRevision, type LogEvent, type StoreRevision } from '@stallwing/core'
-import type { StoreChange } from '@stallwing/store'
+import {
+	NO_REVISION,
+	describeRevision,
+	isSameRevision,
+	type LogEvent,
+	type StoreRevision,
+} from '@stallwing/core'
 import type { FeedResponse } from './handleFeedRequest.js'
 import type { FeedState } from './FeedState.js'
+import { PendingCalls } from './feed/PendingCalls.js'
 
 /** Calls to other boxes for changes in the store. */
 export interface FeedPeers {
@@ -16,13 +22,13 @@
 
 /**
  * Result of a query to other boxes.
- * - `heard`: the changes, or confirmation that there are none.
+ * - `heard`: changes, which {@link FeedState} has taken over, or confirmation that there are none.
  * - `listed`: a complete listing, which {@link FeedState} has taken over.
  * - `stale`: boxes answered, but none had current data.
  * - `silent`: no box answered.
  */
 export type PeerFeedResult =
-	| { readonly kind: 'heard'; readonly changes: readonly StoreChange[] }
+	| { readonly kind: 'heard' }
 	| { readonly kind: 'listed' }
 	| { readonly kind: 'stale' }
 	| { readonly kind: 'silent' }
@@ -49,6 +55,8 @@
 export const MAX_RELAY_WAIT_MS = 1_000
 /** Time for which a box that did not answer is not queried, in ms. */
 const BACKOFF_MS = 2_000
+/** Time that a box may take to answer beyond the requested wait before others are asked, in ms. */
+const PATIENCE_MS = 300
 /**
  * Time to wait for one box before the next one is queried too, in ms. Querying all boxes at once would send the same
  * large configuration several times over a slow link.
@@ -62,8 +70,11 @@
 	/** True if no other box answered the last query. */
 	hasNoReachablePeer = false
 	private readonly backoffUntil = new Map<string, number>()
+	private readonly calls: PendingCalls<PeerFeedResult>
 
-	constructor(private readonly options: PeerFeedReaderOptions) {}
+	constructor(private readonly options: PeerFeedReaderOptions) {
+		this.calls = new PendingCalls(options.now)
+	}
 
 	/**
 	 * Queries the first box, then all others at once if it has no current data. If no box had current data the last
@@ -72,13 +83,14 @@
 	async query(feed: FeedState, prefix: string, after: StoreRevision): Promise<PeerFeedResult> {
 		const watchers = this.options.watchers().slice(0, MAX_QUERIED_WATCHERS)
 		const waitMs = feed.hasNoSource ? 0 : MAX_RELAY_WAIT_MS
+		const { updateCount } = feed
 		const queryPeer = (address: string): Promise<PeerFeedResult> =>
 			this.queryPeer(feed, { address, prefix, after, waitMs })
 		const result = await (feed.hasNoSource
 			? this.queryInTurn(watchers, queryPeer)
 			: queryFirstThenAll(watchers, queryPeer))
 		if (isCurrent(result)) feed.hasNoSource = false
-		else feed.noteNoSource()
+		else if (feed.updateCount === updateCount) feed.noteNoSource()
 		this.hasNoReachablePeer = result.kind === 'silent'
 		return result
 	}
@@ -103,32 +115,55 @@
 	}
 
 	private async queryPeer(feed: FeedState, query: PeerQuery): Promise<PeerFeedResult> {
-		const { address, prefix, after, waitMs } = query
-		const { maxConfirmationAgeMs, now, peers } = this.options
-		// A call without a wait times out soon, so it needs no backoff.
+		const { address, waitMs } = query
+		const { now } = this.options
+		// A call without a wait ends soon, so it needs no backoff.
 		if (waitMs > 0 && (this.backoffUntil.get(address) ?? 0) > now()) return { kind: 'silent' }
+		const result = await this.calls.waitFor(keyOf(query), waitMs + PATIENCE_MS, () =>
+			this.callPeer(feed, query),
+		)
+		if (result.kind === 'settled') return result.value
+		this.noteSilent(feed, address)
+		return { kind: 'silent' }
+	}
+
+	/** Calls a box and applies its answer to the feed, also if nobody waits for it any more. */
+	private async callPeer(feed: FeedState, query: PeerQuery): Promise<PeerFeedResult> {
+		const { address, prefix, after, waitMs } = query
+		const { now, peers } = this.options
+		const startedAt = now()
 		const response = await peers.fetchChanges(address, prefix, after, waitMs)
 		if (!response) {
-			this.backoffUntil.set(address, now() + BACKOFF_MS)
-			feed.noteFailedCall(true)
+			this.noteSilent(feed, address)
 			return { kind: 'silent' }
 		}
-		const { storeAvailableMs, changes, listing, confirmationAgeMs } = response
-		const isFresh = confirmationAgeMs < maxConfirmationAgeMs
+		this.backoffUntil.delete(address)
+		const transitMs = Math.max(0, now() - startedAt - (response.heldMs ?? 0))
+		return this.applyResponse(feed, query, response, now() - transitMs)
+	}
+
+	private noteSilent(feed: FeedState, address: string): void {
+		this.backoffUntil.set(address, this.options.now() + BACKOFF_MS)
+		feed.noteFailedCall(true)
+	}
+
+	/** Applies a response that its sender gave at `sentAt` at the latest. */
+	private applyResponse(
+		feed: FeedState,
+		query: PeerQuery,
+		{ storeAvailableMs, changes, listing, confirmationAgeMs }: FeedResponse,
+		sentAt: number,
+	): PeerFeedResult {
+		const isFresh = confirmationAgeMs < this.options.maxConfirmationAgeMs
 		if (!isFresh) feed.noteFailedCall(false)
 		if (!isFresh && changes.length === 0 && !listing) return { kind: 'stale' }
-		if (isFresh) feed.noteConfirmed(now() - confirmationAgeMs, address)
-		if (storeAvailableMs > 0) feed.noteStoreAvailableSince(now() - storeAvailableMs)
-		if (listing) {
-			if (!feed.applyListing(listing)) return { kind: 'stale' }
-			this.logRelayed(query, listing.items.length)
-			return { kind: 'listed' }
-		}
-		if (changes.length > 0) {
-			feed.log.append(changes)
-			this.logRelayed(query, changes.length)
-		}
-		return { kind: 'heard', changes }
+		if (storeAvailableMs > 0) feed.noteStoreAvailableSince(sentAt - storeAvailableMs)
+		if (listing && !feed.applyListing(listing)) return { kind: 'stale' }
+		if (changes.length > 0) feed.applyChanges(changes)
+		if (isFresh) feed.noteConfirmed(sentAt - confirmationAgeMs, query.address)
+		const changeCount = listing?.items.length ?? changes.length
+		if (changeCount > 0) this.logRelayed(query, changeCount)
+		return listing ? { kind: 'listed' } : { kind: 'heard' }
 	}
 
 	private logRelayed({ address, after, prefix }: PeerQuery, changes: number): void {
@@ -137,6 +172,12 @@
 	}
 }
 
+/** Calls with the same key have answers of the same use. */
+function keyOf({ address, prefix, after, waitMs }: PeerQuery): string {
+	const kind = isSameRevision(after, NO_REVISION) ? 'list' : 'changes'
+	return `${address} ${prefix} ${kind} ${waitMs}`
+}
+
 function isCurrent(result: PeerFeedResult): boolean {
 	return result.kind === 'heard' || result.kind === 'listed'
 }
--- a/packages/gateway/src/lib/StoreRecovery.ts
+++ b/packages/gateway/src/lib/StoreRecovery.ts
@@ -6,12 +6,17 @@
 }
 
 /**
- * Pause between two pings of an unreachable store, in ms. With the ping timeout of 400 ms, a recovery is detected within
- * 0.6 s. A box must follow the store within 3 s, and expired targets are kept for 1.7 s of that.
+ * Interval between two pings of an unreachable store, in ms, which bounds the time until a recovery is detected. A box
+ * must follow the store within 3 s, and expired targets are kept for 1.7 s of that.
  */
-const PING_INTERVAL_MS = 200
+const PING_INTERVAL_MS = 600
+/** Pause after a ping that failed, in ms. */
+const FAILED_PING_PAUSE_MS = 200
 
-/** Detects when an unreachable store responds again, with one ping at a time for all waiting callers. */
+/**
+ * Detects when an unreachable store responds again, for all waiting callers. A ping that is answered late counts too, so
+ * the next one is sent beside it.
+ */
 export class StoreRecovery {
 	private pendingProbe: Promise<void> | undefined
 	/** True if the store has responded to a ping since the last failed call. */
@@ -47,9 +52,17 @@
 	}
 
 	private async pollUntilReachable(): Promise<void> {
-		while (!(await this.options.ping())) {
+		let hasResponded = false
+		let noteResponse = (): void => undefined
+		const response = new Promise<void>((resolve) => (noteResponse = resolve))
+		const ping = async (): Promise<void> => {
+			if (!(await this.options.ping())) return this.options.sleep(FAILED_PING_PAUSE_MS)
+			hasResponded = true
+			noteResponse()
+		}
+		while (!hasResponded) {
 			if (this.stopped) return new Promise(() => undefined)
-			await this.options.sleep(PING_INTERVAL_MS)
+			await Promise.race([response, ping(), this.options.sleep(PING_INTERVAL_MS)])
 		}
 		this.pendingProbe = undefined
 		this.isRecovered = true
--- a/packages/gateway/src/lib/feedCodec.ts
+++ b/packages/gateway/src/lib/feedCodec.ts
@@ -19,6 +19,8 @@
 	readonly wordAgeMs: number
 	/** Time for which the store has been reachable, in ms. Missing if the sender runs an older version; read as 0. */
 	readonly answeredMs?: number
+	/** Time for which the sender held the request, in ms. Missing if it runs an older version. */
+	readonly heldMs?: number
 	/** Era of all revisions. Missing if the sender runs an older version; read as the era of the requesting box. */
 	readonly era?: number
 	readonly changes: readonly WireChange[]
@@ -43,10 +45,11 @@
 
 /** Converts a response to its JSON document. */
 export function encodeFeedResponse(response: FeedResponse): WireFeedResponse {
-	const { storeAvailableMs, changes, listing, confirmationAgeMs } = response
+	const { storeAvailableMs, changes, heldMs, listing, confirmationAgeMs } = response
 	return {
 		wordAgeMs: roundAge(confirmationAgeMs),
 		answeredMs: Math.round(storeAvailableMs),
+		...(heldMs !== undefined && { heldMs: Math.round(heldMs) }),
 		era: eraOf(response),
 		changes: changes.map(encodeChange),
 		...(listing && { listing: { at: listing.at.number, items: listing.items.map(encodeItem) } }),
@@ -72,6 +75,7 @@
 		return {
 			confirmationAgeMs: wire.wordAgeMs < 0 ? Number.POSITIVE_INFINITY : wire.wordAgeMs,
 			storeAvailableMs: typeof wire.answeredMs === 'number' ? wire.answeredMs : 0,
+			...(typeof wire.heldMs === 'number' && { heldMs: wire.heldMs }),
 			changes: (wire.changes as WireChange[]).map((change) => decodeChange(change, era)),
 			...(wire.listing && { listing: decodeListing(wire.listing, era) }),
 		}
--- a/packages/gateway/src/lib/handleFeedRequest.ts
+++ b/packages/gateway/src/lib/handleFeedRequest.ts
@@ -8,6 +8,8 @@
 	readonly confirmationAgeMs: number
 	/** Time for which the store has been continuously reachable, in ms; 0 if it is not. */
 	readonly storeAvailableMs: number
+	/** Time for which the responding box held the request, in ms; undefined if it runs an older version. */
+	readonly heldMs?: number
 	readonly changes: readonly StoreChange[]
 	/** All items, if the requesting box is too far behind to receive changes. */
 	readonly listing?: StoreListing
@@ -42,6 +44,13 @@
 	feed: FeedState,
 	request: FeedRequest,
 ): Promise<FeedResponse> {
+	const { now } = request
+	const receivedAt = now()
+	const response = await answer(feed, request)
+	return { ...response, heldMs: now() - receivedAt }
+}
+
+async function answer(feed: FeedState, request: FeedRequest): Promise<FeedResponse> {
 	const { after, maxConfirmationAgeMs, now, waitMs } = request
 	const waitUntil = now() + waitMs
 	for (;;) {
--- a/packages/gateway/src/lib/testFleet.ts
+++ b/packages/gateway/src/lib/testFleet.ts
@@ -27,12 +27,8 @@
 import { watchDurationMs } from './watchDurationMs.js'
 import { sleep } from './sleep.js'
 
-/** Timeout of calls to the store other than watches, in ms. */
-const STORE_CALL_TIMEOUT_MS = 400
-/** Time after the end of its wait at which a watch times out, in ms. */
-const WATCH_GRACE_MS = 400
-/** Time after the end of its wait at which a request to another box times out, in ms. */
-const PEER_GRACE_MS = 300
+/** Time after the end of its wait at which a call to the store or another box times out, in ms. */
+const CALL_TIMEOUT_MS = 1_500
 const PEER_LATENCY_MS = 3
 const WATCH_POLL_MS = 100
 /** Time over which the starts of boxes are spread, so that their watches are not synchronized, in ms. */
@@ -275,7 +271,7 @@
 					if (Date.now() >= startedAt + waitMs) return result
 					await sleep(WATCH_POLL_MS)
 				}
-				await sleep(Math.max(0, startedAt + waitMs + WATCH_GRACE_MS - Date.now()))
+				await sleepUntil(startedAt + waitMs + CALL_TIMEOUT_MS)
 				return E.left(NO_ANSWER)
 			},
 		}
@@ -283,7 +279,7 @@
 
 	private async callStore<T>(box: string, call: () => Promise<T>, failure: T): Promise<T> {
 		if (!this.boxesWithoutStore.has(box)) return call()
-		await sleep(STORE_CALL_TIMEOUT_MS)
+		await sleepUntil(Date.now() + CALL_TIMEOUT_MS)
 		return failure
 	}
 
@@ -301,13 +297,27 @@
 					(partitionChanges === this.partitionChanges || !this.areDisconnected(box, address))
 				)
 					return response
-				await sleep(Math.max(0, startedAt + waitMs + PEER_GRACE_MS - Date.now()))
+				await sleepUntil(startedAt + waitMs + CALL_TIMEOUT_MS)
 				return undefined
 			},
 		}
 	}
 }
 
+/** Granularity of {@link sleepUntil}, in ms. */
+const SLEEP_STEP_MS = 20
+const sleeps = new Map<number, Promise<void>>()
+
+/** Sleeps until a time, rounded up. Calls for the same time share a timer, because fake timers are slow if there are many. */
+function sleepUntil(time: number): Promise<void> {
+	const due = Math.ceil(time / SLEEP_STEP_MS) * SLEEP_STEP_MS
+	const shared = sleeps.get(due)
+	if (shared) return shared
+	const started = sleep(Math.max(0, due - Date.now())).finally(() => sleeps.delete(due))
+	sleeps.set(due, started)
+	return started
+}
+
 /** Name of the target under a key. */
 function targetNameOf(key: string): string {
 	return key.slice(key.indexOf('/') + 1)
