--- a/packages/gateway/src/lib/sendToTarget.ts
+++ b/packages/gateway/src/lib/sendToTarget.ts
@@ -135,8 +135,8 @@
 		// Without an agent, Node closes the connection after the request unless this is set.
 		outgoing.shouldKeepAlive = true
 		this.request = outgoing
-		outgoing.on('error', (error) => this.fail('broken', describeFailure(error)))
-		outgoing.on('close', () => this.fail('broken', 'connection closed'))
+		outgoing.on('error', (error) => this.failUnlessComplete(describeFailure(error)))
+		outgoing.on('close', () => this.failUnlessComplete('connection closed'))
 		outgoing.on('response', (response) => this.handleResponse(response))
 		if (this.bodyStallMs === undefined) outgoing.end(this.message.body)
 		else this.stopSendingBody = this.sendBody(outgoing, this.bodyStallMs)
@@ -197,6 +197,11 @@
 		})
 	}
 
+	/** A response that is complete still ends normally, whatever the target sends after it. */
+	private failUnlessComplete(cause: string): void {
+		if (!this.response?.complete) this.fail('broken', cause)
+	}
+
 	private fail(kind: TargetFailure['kind'], cause: string): void {
 		if (this.hasEnded) return
 		this.hasEnded = true
