--- a/packages/store/src/lib/HttpClient.ts
+++ b/packages/store/src/lib/HttpClient.ts
@@ -31,6 +31,8 @@
 	readonly status: number
 	readonly headers: IncomingHttpHeaders
 	readonly text: string
+	/** Time from the call of {@link HttpClient.send} to the end of the response, in ms. */
+	readonly tookMs: number
 }
 
 /**
@@ -71,7 +73,8 @@
 				outgoing.destroy(new Error(`no answer in ${message.timeoutMs} ms`)),
 			)
 			timeout.start(message.timeoutMs)
-			const deadline = performance.now() + message.timeoutMs * MAX_TIMEOUT_MULTIPLE
+			const startedAt = performance.now()
+			const deadline = startedAt + message.timeoutMs * MAX_TIMEOUT_MULTIPLE
 			const fail = (error: Error): void => {
 				timeout.stop()
 				reject(error)
@@ -93,6 +96,7 @@
 							status: response.statusCode ?? 0,
 							headers: response.headers,
 							text: Buffer.concat(chunks).toString('utf8'),
+							tookMs: performance.now() - startedAt,
 						})
 				})
 			})
