--- a/packages/gateway/src/lib/testFleet.ts
+++ b/packages/gateway/src/lib/testFleet.ts
@@ -50,6 +50,8 @@
 	/** Number of boxes per zone that watch the store; the others ask them. */
 	readonly watchersPerZone: number
 	readonly random: () => number
+	/** Time within which a change must reach every box, in ms; 2 s by default. */
+	readonly propagationLimitMs?: number
 }
 
 /**
@@ -66,11 +68,15 @@
 	private readonly registries = new Map<string, TargetRegistry>()
 	private readonly relays = new Map<string, FeedRelay>()
 	private readonly followers = new Map<string, PrefixFollower[]>()
+	/** Time that answers to a box wait on its link, in ms. */
+	readonly answerDelayMs = new Map<string, number>()
 	private readonly timers: NodeJS.Timeout[] = []
 	private boxesWithoutStore: ReadonlySet<string> = new Set()
 	private areDisconnected: (a: string, b: string) => boolean = () => false
 	/** Incremented whenever a partition begins or ends. */
 	private partitionChanges = 0
+	/** Number of times that the watches of a box failed silently, by box. */
+	private readonly interruptions = new Map<string, number>()
 
 	constructor(private readonly options: TestFleetOptions) {
 		this.members = Object.entries(options.zones).flatMap(([zone, count]) =>
@@ -102,8 +108,30 @@
 		if (member) this.start(member)
 	}
 
-	/** Disconnects boxes from the store, and pairs of boxes from each other. */
+	/** Disconnects boxes from the store, and pairs of boxes from each other. Watches of all boxes fail silently. */
 	partition(boxes: readonly string[], areDisconnected: (a: string, b: string) => boolean): void {
+		this.interruptWatches(this.members.map(({ box }) => box))
+		this.replacePartition(boxes, areDisconnected)
+	}
+
+	/** Like {@link partition}, but only the watches of boxes that are or were cut off fail. */
+	cut(boxes: readonly string[], areDisconnected: (a: string, b: string) => boolean): void {
+		this.interruptWatches([...this.boxesWithoutStore, ...boxes])
+		this.replacePartition(boxes, areDisconnected)
+	}
+
+	private interruptWatches(boxes: readonly string[]): void {
+		for (const box of boxes) this.interruptions.set(box, this.interruptionsOf(box) + 1)
+	}
+
+	private interruptionsOf(box: string): number {
+		return this.interruptions.get(box) ?? 0
+	}
+
+	private replacePartition(
+		boxes: readonly string[],
+		areDisconnected: (a: string, b: string) => boolean,
+	): void {
 		this.boxesWithoutStore = new Set(boxes)
 		this.areDisconnected = areDisconnected
 		this.partitionChanges++
@@ -212,7 +240,7 @@
 			hasDependentBoxes: () => this.members.some((other) => !this.isWatcher(other)),
 			isFleetKnown: () => true,
 			watcherAddresses: () => watchers,
-			propagationLimitMs: 2_000,
+			propagationLimitMs: this.options.propagationLimitMs ?? 2_000,
 			storeReadsPerSecond: 2_000,
 			fleetSize: () => this.members.length,
 			now: () => Date.now(),
@@ -264,11 +292,14 @@
 			list: (prefix) => this.callStore(box, () => store.list(prefix), E.left(NO_ANSWER)),
 			watch: async (prefix, after, waitMs) => {
 				const startedAt = Date.now()
-				const partitionChanges = this.partitionChanges
-				while (this.partitionChanges === partitionChanges && !this.boxesWithoutStore.has(box)) {
+				const interruptions = this.interruptionsOf(box)
+				while (this.interruptionsOf(box) === interruptions && !this.boxesWithoutStore.has(box)) {
 					const result = await store.watch(prefix, after, 0)
-					if (E.isLeft(result) || result.right.length > 0) return result
-					if (Date.now() >= startedAt + waitMs) return result
+					const isDue = Date.now() >= startedAt + waitMs
+					if (E.isLeft(result) || result.right.length > 0 || isDue) {
+						await this.delayAnswer(box)
+						return result
+					}
 					await sleep(WATCH_POLL_MS)
 				}
 				await sleepUntil(startedAt + waitMs + CALL_TIMEOUT_MS)
@@ -277,8 +308,18 @@
 		}
 	}
 
+	/** Waits while an answer waits on the link of its box; shorter than the time limit of a call. */
+	private async delayAnswer(box: string): Promise<void> {
+		const delayMs = this.answerDelayMs.get(box) ?? 0
+		if (delayMs > 0) await sleep(delayMs)
+	}
+
 	private async callStore<T>(box: string, call: () => Promise<T>, failure: T): Promise<T> {
-		if (!this.boxesWithoutStore.has(box)) return call()
+		if (!this.boxesWithoutStore.has(box)) {
+			const result = await call()
+			await this.delayAnswer(box)
+			return result
+		}
 		await sleepUntil(Date.now() + CALL_TIMEOUT_MS)
 		return failure
 	}
@@ -295,8 +336,11 @@
 				if (
 					response &&
 					(partitionChanges === this.partitionChanges || !this.areDisconnected(box, address))
-				)
+				) {
+					await this.delayAnswer(address)
+					await this.delayAnswer(box)
 					return response
+				}
 				await sleepUntil(startedAt + waitMs + CALL_TIMEOUT_MS)
 				return undefined
 			},
