Late calls are made anew once the store has answered since, and fail nothing that was answered later

Cause: where a watch of the store had failed silently, its call stayed open for 1.5 s, and each turn of the follower joined it, counted it as late at once, pinged the store, which answered, and was woken by that: a turn each 5 ms. When the call ended at last, its failure counted against a store that had answered since, and caused another listing. Change: a call counts as late once; when the store has answered a ping since, the next call is made beside it; a failure is ignored if a later call was answered.

--- a/packages/gateway/src/lib/FeedRelay.ts
+++ b/packages/gateway/src/lib/FeedRelay.ts
@@ -145,7 +145,9 @@
 		const result = feed.hasStoreFault ? undefined : await this.listStore(prefix)
 		if (result?.kind === 'settled' && E.isRight(result.value)) return
 		const peerResult = await this.askPeers(prefix, NO_REVISION)
-		if (peerResult.kind === 'returned' && !feed.hasPendingListing) await this.listStore(prefix)
+		if (peerResult.kind !== 'returned' || feed.hasPendingListing) return
+		this.repeatLateCalls(prefix)
+		await this.listStore(prefix)
 	}
 
 	/**
@@ -291,7 +293,15 @@
 		const { updateCount } = feed
 		const peerResult = await this.askPeers(prefix, after)
 		if (feed.updateCount > updateCount) return E.right(undefined)
-		return peerResult.kind === 'returned' ? this.relist(prefix) : toOutcome(peerResult, feed.fault)
+		if (peerResult.kind !== 'returned') return toOutcome(peerResult, feed.fault)
+		this.repeatLateCalls(prefix)
+		return this.relist(prefix)
+	}
+
+	/** Makes late calls anew when asked for next: the store has answered since, so their connections may have failed. */
+	private repeatLateCalls(prefix: string): void {
+		this.watches.repeatLate(prefix)
+		this.listings.repeatLate(prefix)
 	}
 
 	/** Longest wait of a watch of the store by a watcher, in ms. */
@@ -318,6 +328,7 @@
 				return peerResult
 			}
 		}
+		this.repeatLateCalls(prefix)
 		this.directWatchUntil = this.options.now() + DIRECT_WATCH_MS
 		return { kind: 'returned' }
 	}
@@ -334,7 +345,7 @@
 		const result = await this.watches.waitFor(prefix, waitMs + STORE_PATIENCE_MS, () =>
 			this.callWatch(feed, prefix, after, waitMs),
 		)
-		if (result.kind === 'late') this.noteLateStore(feed)
+		if (result.kind === 'late' && result.isFirst) this.noteLateStore(feed)
 		return result
 	}
 
@@ -349,7 +360,7 @@
 		const startedAt = now()
 		const result = await store.watch(prefix, after, waitMs)
 		if (E.isLeft(result)) {
-			if (result.left.kind !== 'history-gone') this.noteStoreFault(feed, result.left)
+			if (result.left.kind !== 'history-gone') this.noteFailedCall(feed, startedAt, result.left)
 			return result
 		}
 		const changes = result.right
@@ -394,7 +405,7 @@
 		const result = await this.listings.waitFor(prefix, STORE_PATIENCE_MS, () =>
 			this.callList(feed, prefix),
 		)
-		if (result.kind === 'late') this.noteLateStore(feed)
+		if (result.kind === 'late' && result.isFirst) this.noteLateStore(feed)
 		return result
 	}
 
@@ -404,7 +415,7 @@
 		const startedAt = now()
 		const listing = await store.list(prefix)
 		if (E.isLeft(listing)) {
-			this.noteStoreFault(feed, listing.left)
+			this.noteFailedCall(feed, startedAt, listing.left)
 			return listing
 		}
 		if (!feed.applyListing(listing.right)) {
@@ -415,6 +426,11 @@
 		return E.right(undefined)
 	}
 
+	/** Records that a call failed, unless the store has answered a later one. */
+	private noteFailedCall(feed: FeedState, startedAt: number, fault: StoreFault): void {
+		if (feed.storeRespondedAt <= startedAt) this.noteStoreFault(feed, fault)
+	}
+
 	/** Records that the store has not answered so far; its answer may still come. */
 	private noteLateStore(feed: FeedState): void {
 		feed.noteFailedCall(true)
--- a/packages/gateway/src/lib/FeedState.ts
+++ b/packages/gateway/src/lib/FeedState.ts
@@ -21,6 +21,8 @@
 	hasNoSource = false
 	/** Time before which no watch starts, so that changes in quick succession are fetched together. */
 	batchUntil = NEVER
+	/** When the last answer of the store to this box arrived. */
+	storeRespondedAt = NEVER
 	/** Time since which the store has been continuously reachable; undefined while it is not known to be. */
 	private storeAvailableSince: number | undefined
 	/** True if the follower of this prefix has not yet received the last applied listing. */
@@ -50,6 +52,7 @@
 	noteStoreResponse(at: number, now: number): void {
 		this.fault = undefined
 		this.needsListing = false
+		this.storeRespondedAt = now
 		this.directlyConfirmedAt = Math.max(this.directlyConfirmedAt, at)
 		this.noteConfirmed(at, STORE)
 		this.storeAvailableSince ??= now
--- a/packages/gateway/src/lib/PeerFeedReader.ts
+++ b/packages/gateway/src/lib/PeerFeedReader.ts
@@ -134,7 +134,8 @@
 		const startedAt = now()
 		const response = await peers.fetchChanges(address, prefix, after, waitMs)
 		if (!response) {
-			this.noteSilent(feed, address)
+			// A call that was late before has been counted then, and the box may have answered others since.
+			if (now() < startedAt + waitMs + PATIENCE_MS) this.noteSilent(feed, address)
 			return { kind: 'silent' }
 		}
 		this.backoffUntil.delete(address)
--- a/packages/gateway/src/lib/feed/PendingCalls.ts
+++ b/packages/gateway/src/lib/feed/PendingCalls.ts
@@ -1,10 +1,15 @@
-/** Result of waiting for a call: its value, or `late` if it takes longer than the caller waits. */
+/**
+ * Result of waiting for a call: its value, or `late` if it takes longer than the caller waits. `isFirst` is false if the
+ * same call was late before.
+ */
 export type PatientResult<T> =
-	{ readonly kind: 'settled'; readonly value: T } | { readonly kind: 'late' }
+	| { readonly kind: 'settled'; readonly value: T }
+	| { readonly kind: 'late'; readonly isFirst: boolean }
 
 interface PendingCall<T> {
 	readonly startedAt: number
 	readonly result: Promise<T>
+	wasLate: boolean
 }
 
 /**
@@ -26,21 +31,32 @@
 		patienceMs: number,
 		start: () => Promise<T>,
 	): Promise<PatientResult<T>> {
-		const { result, startedAt } = this.calls.get(key) ?? this.start(key, start)
-		const waitMs = Math.max(0, startedAt + patienceMs - this.now())
+		const call = this.calls.get(key) ?? this.start(key, start)
+		const waitMs = Math.max(0, call.startedAt + patienceMs - this.now())
 		return new Promise((resolve) => {
-			const timer = setTimeout(() => resolve({ kind: 'late' }), waitMs)
-			void result.then((value) => {
+			const timer = setTimeout(() => {
+				const isFirst = !call.wasLate
+				call.wasLate = true
+				resolve({ kind: 'late', isFirst })
+			}, waitMs)
+			void call.result.then((value) => {
 				clearTimeout(timer)
 				resolve({ kind: 'settled', value })
 			})
 		})
 	}
 
+	/** The next call with this key is made beside a late one, whose connection may have failed. */
+	repeatLate(key: string): void {
+		if (this.calls.get(key)?.wasLate) this.calls.delete(key)
+	}
+
 	private start(key: string, start: () => Promise<T>): PendingCall<T> {
-		const call = { startedAt: this.now(), result: start() }
+		const call = { startedAt: this.now(), result: start(), wasLate: false }
 		this.calls.set(key, call)
-		void call.result.finally(() => this.calls.delete(key))
+		void call.result.finally(() => {
+			if (this.calls.get(key) === call) this.calls.delete(key)
+		})
 		return call
 	}
 }
