--- a/packages/gateway/src/lib/FeedRelay.ts
+++ b/packages/gateway/src/lib/FeedRelay.ts
@@ -189,8 +189,8 @@
 	}
 
 	/**
-	 * Sleeps between two attempts. Wakes early when a late answer arrives or the store is reachable again. A box that reaches no peer
-	 * pauses only briefly because its requests put no load on other boxes.
+	 * Sleeps between two attempts. Wakes early when a late answer arrives or the store is reachable again. A box that
+	 * reaches no peer pauses only briefly because its requests put no load on other boxes.
 	 */
 	pause(ms: number): Promise<void> {
 		const pauseMs = this.peerFeeds.hasNoReachablePeer ? Math.min(ms, MAX_ISOLATED_PAUSE_MS) : ms
@@ -298,7 +298,7 @@
 		return this.relist(prefix)
 	}
 
-	/** Makes late calls anew when asked for next: the store has answered since, so their connections may have failed. */
+	/** Lets the next calls start anew: the store has answered since late ones, whose connections may have failed. */
 	private repeatLateCalls(prefix: string): void {
 		this.watches.repeatLate(prefix)
 		this.listings.repeatLate(prefix)
