Answers in tiny chunks are bounded by the memory that they take

Cause: the limit of 16 MiB counted the bytes of the chunks, each of which takes many times that. The test's bound is halved to that of its other cases, 200 MB.

--- a/packages/gateway/src/lib/attempts/garbageAnswers.test.ts
+++ b/packages/gateway/src/lib/attempts/garbageAnswers.test.ts
@@ -155,7 +155,7 @@
 		const { response, tookMs, grownBytes } = await send('/once/x')
 		expect(response.isComplete && response.status === 200).toBe(false)
 		expect(tookMs).toBeLessThan(DEADLINE_MS + 500)
-		expect(grownBytes).toBeLessThan(2 * MAX_GROWTH_BYTES)
+		expect(grownBytes).toBeLessThan(MAX_GROWTH_BYTES)
 		await expectClosed()
 	})
 })
