--- a/packages/gateway/src/lib/attempts/Attempt.ts
+++ b/packages/gateway/src/lib/attempts/Attempt.ts
@@ -31,8 +31,6 @@
 
 /** Limit on an answer that is collected, and on an event where memory is not bounded. */
 const MAX_BUFFERED_RESPONSE_BYTES = 16 * 1024 * 1024
-/** Memory that a received chunk takes at least, in bytes. An answer in tiny chunks takes many times its size. */
-const MIN_CHUNK_BYTES = 128
 /** Where memory is bounded, an incomplete event must not grow further. Events of this size are not expected. */
 const MAX_EVENT_BYTES = 1024 * 1024
 /**
@@ -188,7 +186,7 @@
 			return
 		}
 		this.silence.noteProgress()
-		this.bufferedBytes += Math.max(chunk.length, MIN_CHUNK_BYTES)
+		this.bufferedBytes += chunk.length
 		if (this.bufferedBytes > MAX_BUFFERED_RESPONSE_BYTES) this.abort('answer too large')
 		else this.collect(chunk)
 	}
