Answers that have all their bytes do not wait for memory

What callers saw: where memory is bounded and large answers compete for it, an answer that had arrived whole was thrown away and asked for again, or ended with 502: attempt-ended unknown, 'connection closed', 6 s after its target had sent it. Change: an answer that has its stated length is read on and ends.

--- a/packages/gateway/src/lib/memory/BoxMemory.test.ts
+++ b/packages/gateway/src/lib/memory/BoxMemory.test.ts
@@ -83,6 +83,22 @@
 		expect(box.status().paused).toBe(0)
 	})
 
+	it('lets an answer end that has all its bytes, although others wait for memory', () => {
+		const box = new BoxMemory(optionsOf(true, MEMORY_BYTES), MEMORY_BYTES)
+		const length = 6_000_000
+		const open = () => {
+			const memory = box.open(messageOf(), responseOf())
+			memory.beginAttempt()
+			return { memory, step: memory.collect(0, length, () => undefined) }
+		}
+		const answers = Array.from({ length: 20 }, open)
+		expect(answers.some(({ step }) => step === 'wait')).toBe(true)
+		const reading = answers.filter(({ step }) => step === 'read')
+		expect(reading.length).toBeGreaterThan(2)
+		const steps = reading.map(({ memory }) => memory.collect(length, length, () => undefined))
+		expect(new Set(steps)).toEqual(new Set(['read']))
+	})
+
 	it('refuses by rank with a reason, and names the level in a metric', () => {
 		const options = optionsOf(true, MEMORY_BYTES)
 		const box = new BoxMemory(options, MEMORY_BYTES)
--- a/packages/gateway/src/lib/memory/ExchangeMemory.ts
+++ b/packages/gateway/src/lib/memory/ExchangeMemory.ts
@@ -134,8 +134,9 @@
 		this.statedBytes = statedBytes
 		this.holdAnswer(Math.max(bytes, this.reservedBytes))
 		const isSmall = Math.max(bytes, statedBytes) <= LARGE_ANSWER_BYTES
+		const isComplete = statedBytes > 0 && bytes >= statedBytes
 		const { budget, turns } = this.options
-		if (isSmall || bytes < this.reservedBytes || turns.mayRead(this)) return 'read'
+		if (isSmall || isComplete || bytes < this.reservedBytes || turns.mayRead(this)) return 'read'
 		if (!budget.mayWait(turns.waitingCount * READ_AHEAD_BYTES)) return 'end'
 		this.notePaused(onResume)
 		return 'wait'
