Answers in tiny chunks are bounded by the memory that they take

What callers saw: a target that answers in chunks of 5 bytes without end made its box grow by 227 to 484 MB until the caller's deadline. Cause: the limit of 16 MiB on a collected answer, and the budget of memory, counted the bytes of chunks; each chunk takes over 100 bytes beside them. Change: a chunk counts for 128 bytes at least.

--- a/packages/gateway/src/lib/attempts/Attempt.ts
+++ b/packages/gateway/src/lib/attempts/Attempt.ts
@@ -31,6 +31,8 @@
 
 /** Limit on an answer that is collected, and on an event where memory is not bounded. */
 const MAX_BUFFERED_RESPONSE_BYTES = 16 * 1024 * 1024
+/** Memory that a received chunk takes at least, in bytes: an answer in tiny chunks takes many times its size. */
+const MIN_CHUNK_BYTES = 128
 /** Where memory is bounded, an incomplete event must not grow further. Events of this size are not expected. */
 const MAX_EVENT_BYTES = 1024 * 1024
 /**
@@ -52,7 +54,9 @@
 	private notice: TargetNotice | undefined
 	private splitter: EventSplitter | undefined
 	private chunks: Buffer[] = []
-	private bufferedBytes = 0
+	private receivedBytes = 0
+	/** Memory that the collected chunks take, in bytes. */
+	private heldBytes = 0
 	private readonly timeouts: ResponseTimeouts
 	private readonly silence: TargetSilence
 	private startedAt = 0
@@ -186,8 +190,9 @@
 			return
 		}
 		this.silence.noteProgress()
-		this.bufferedBytes += chunk.length
-		if (this.bufferedBytes > MAX_BUFFERED_RESPONSE_BYTES) this.abort('answer too large')
+		this.receivedBytes += chunk.length
+		this.heldBytes += Math.max(chunk.length, MIN_CHUNK_BYTES)
+		if (this.heldBytes > MAX_BUFFERED_RESPONSE_BYTES) this.abort('answer too large')
 		else this.collect(chunk)
 	}
 
@@ -305,8 +310,9 @@
 		// What another attempt has collected is counted until this one takes over.
 		if (!this.isCurrent) return
 		const statedBytes = Number(this.responseHead?.headers['content-length'] ?? 0)
+		const { heldBytes, receivedBytes } = this
 		const { memory } = this.options.responseWriter
-		const step = memory?.collect(this.bufferedBytes, statedBytes, () => this.resume())
+		const step = memory?.collect({ heldBytes, receivedBytes, statedBytes }, () => this.resume())
 		if (step === 'wait') this.pause()
 		if (step !== 'end') return
 		this.isAborted = true
--- a/packages/gateway/src/lib/memory/BoxMemory.test.ts
+++ b/packages/gateway/src/lib/memory/BoxMemory.test.ts
@@ -7,6 +7,7 @@
 import type { GatewayOptions } from '../GatewayOptions.js'
 import { TEST_DIALECT } from '../testDialect.js'
 import { BoxMemory, createBoxMemory } from './BoxMemory.js'
+import type { CollectedAnswer } from './ExchangeMemory.js'
 
 const MEMORY_BYTES = 250_000_000
 
@@ -30,6 +31,10 @@
 	return new EventEmitter() as ServerResponse
 }
 
+function answerOf(bytes: number, statedBytes: number): CollectedAnswer {
+	return { receivedBytes: bytes, heldBytes: bytes, statedBytes }
+}
+
 describe('createBoxMemory', () => {
 	it('counts nothing unless the deployment states both pressure and a limit', () => {
 		expect(createBoxMemory(optionsOf(false, MEMORY_BYTES))).toBe(undefined)
@@ -47,7 +52,7 @@
 			memory.holdBody(1_000)
 			memory.beginAttempt()
 			expect(box.status().heldBytes).toMatchObject({ bodies: 0, retries: 1_000 })
-			memory.collect(500, 0, () => undefined)
+			memory.collect(answerOf(500, 0), () => undefined)
 			if (leavesFirst) response.emit('close')
 			expect(box.status().heldBytes.retries).toBe(1_000)
 			memory.endAttempt(false)
@@ -66,7 +71,7 @@
 			const response = responseOf()
 			const memory = box.open(messageOf(), response)
 			memory.beginAttempt()
-			const step = memory.collect(0, 16_000_000, () => void resumed.push(index))
+			const step = memory.collect(answerOf(0, 16_000_000), () => void resumed.push(index))
 			return { response, step }
 		})
 		const steps = exchanges.map(({ step }) => step)
@@ -89,13 +94,15 @@
 		const open = () => {
 			const memory = box.open(messageOf(), responseOf())
 			memory.beginAttempt()
-			return { memory, step: memory.collect(0, length, () => undefined) }
+			return { memory, step: memory.collect(answerOf(0, length), () => undefined) }
 		}
 		const answers = Array.from({ length: 20 }, open)
 		expect(answers.some(({ step }) => step === 'wait')).toBe(true)
 		const reading = answers.filter(({ step }) => step === 'read')
 		expect(reading.length).toBeGreaterThan(2)
-		const steps = reading.map(({ memory }) => memory.collect(length, length, () => undefined))
+		const steps = reading.map(({ memory }) =>
+			memory.collect(answerOf(length, length), () => undefined),
+		)
 		expect(new Set(steps)).toEqual(new Set(['read']))
 	})
 
--- a/packages/gateway/src/lib/memory/ExchangeMemory.ts
+++ b/packages/gateway/src/lib/memory/ExchangeMemory.ts
@@ -30,6 +30,16 @@
  */
 export type CollectStep = 'read' | 'wait' | 'end'
 
+/** What has arrived of an answer that is collected. */
+export interface CollectedAnswer {
+	/** Bytes of the answer so far. */
+	readonly receivedBytes: number
+	/** Memory that these bytes take, in bytes. */
+	readonly heldBytes: number
+	/** Length of the answer if the target states it, else 0. */
+	readonly statedBytes: number
+}
+
 /** What a stalled caller has not read, and for how long. */
 export interface Stall {
 	readonly unreadBytes: number
@@ -124,19 +134,18 @@
 		if (this.hasCallerLeft && this.openAttempts === 0) this.release()
 	}
 
-	/**
-	 * Holds `bytes` of an answer that is collected until it is complete; `statedBytes` is its length if the target states
-	 * it, else 0.
-	 */
-	collect(bytes: number, statedBytes: number, onResume: () => void): CollectStep {
+	/** Holds the memory of an answer that is collected until it is complete. */
+	collect(answer: CollectedAnswer, onResume: () => void): CollectStep {
 		if (this.hasCallerLeft) return 'read'
-		this.collectedBytes = bytes
+		const { heldBytes, receivedBytes, statedBytes } = answer
+		this.collectedBytes = heldBytes
 		this.statedBytes = statedBytes
-		this.holdAnswer(Math.max(bytes, this.reservedBytes))
-		const isSmall = Math.max(bytes, statedBytes) <= LARGE_ANSWER_BYTES
-		const isComplete = statedBytes > 0 && bytes >= statedBytes
+		this.holdAnswer(Math.max(heldBytes, this.reservedBytes))
+		const isSmall = Math.max(heldBytes, statedBytes) <= LARGE_ANSWER_BYTES
+		const isComplete = statedBytes > 0 && receivedBytes >= statedBytes
 		const { budget, turns } = this.options
-		if (isSmall || isComplete || bytes < this.reservedBytes || turns.mayRead(this)) return 'read'
+		if (isSmall || isComplete || heldBytes < this.reservedBytes || turns.mayRead(this))
+			return 'read'
 		if (!budget.mayWait(turns.waitingCount * READ_AHEAD_BYTES)) return 'end'
 		this.notePaused(onResume)
 		return 'wait'
