A late box uses its draws: confirmations count whenever they come, and their limit follows the delay

Cause: a draw counts once another box confirms it, within 40 ms, or 80 or 120 ms where more boxes are asked; each call was given up after 160 ms. Later confirmations were thrown away, and the draw was written and replicated again with the same limits. Change: further boxes are asked after 40 ms, as before; a confirmation counts whenever it comes. For the first one the box waits 160 ms, up to 1.5 s while other boxes answer late (AnswerTimeouts, which was StoreTimeouts). Calls for a status, to hand tokens over and for where a stream began have the same limit. What callers of a late box get with budgets was not measured, nor another way played.

--- a/packages/gateway/src/lib/AllowanceClient.ts
+++ b/packages/gateway/src/lib/AllowanceClient.ts
@@ -63,6 +63,7 @@
 		const replicator = new DrawReplicator({
 			replicaAddresses: options.replicaAddresses,
 			send: (address, draws) => options.tokenPeers.sendDraws(address, draws),
+			answerTimeoutMs: () => options.tokenPeers.answerTimeoutMs,
 			sleep: options.sleep,
 		})
 		this.drawer = new AllowanceDrawer({
--- a/packages/gateway/src/lib/DrawReplicator.ts
+++ b/packages/gateway/src/lib/DrawReplicator.ts
@@ -19,13 +19,15 @@
 	readonly replicaAddresses: () => readonly string[]
 	/** Sends draws to one box; resolves to false unless the box confirms that it stored them. */
 	readonly send: (address: string, draws: ReplicatedDraws) => Promise<boolean>
+	/** Time to wait for the first confirmation of a draw, in ms; longer while answers are late. */
+	readonly answerTimeoutMs: () => number
 	readonly sleep: (ms: number) => Promise<void>
 }
 
 /** Number of boxes contacted at once: one more than required, in case one is unavailable. */
 const BATCH_SIZE = MIN_DRAW_REPLICAS + 1
 /** Time to wait for confirmations before contacting the next boxes, in ms. */
-const BATCH_TIMEOUT_MS = 40
+const BATCH_DELAY_MS = 40
 /** Maximum number of boxes contacted for one draw. */
 const MAX_BOXES_CONTACTED = 9
 
@@ -38,41 +40,47 @@
 	 * others do not answer. Also true if there are no other boxes.
 	 */
 	async replicate(draws: ReplicatedDraws): Promise<boolean> {
-		const addresses = this.options.replicaAddresses().slice(0, MAX_BOXES_CONTACTED)
+		const { answerTimeoutMs, replicaAddresses, send, sleep } = this.options
+		const addresses = replicaAddresses().slice(0, MAX_BOXES_CONTACTED)
 		if (addresses.length === 0) return true
-		let confirmed = 0
+		const required = Math.min(MIN_DRAW_REPLICAS, addresses.length)
+		const confirmations = new Confirmations()
+		const timeout = sleep(answerTimeoutMs())
 		for (let start = 0; start < addresses.length; start += BATCH_SIZE) {
-			const batch = addresses.slice(start, start + BATCH_SIZE)
-			confirmed += await this.sendBatch(
-				batch,
-				draws,
-				Math.min(MIN_DRAW_REPLICAS, addresses.length) - confirmed,
-			)
-			if (confirmed >= MIN_DRAW_REPLICAS) return true
+			for (const address of addresses.slice(start, start + BATCH_SIZE))
+				confirmations.add(send(address, draws))
+			await Promise.race([confirmations.waitFor(required), sleep(BATCH_DELAY_MS)])
+			if (confirmations.count >= required) return true
 		}
-		return confirmed > 0
+		await Promise.race([confirmations.waitFor(1), timeout])
+		return confirmations.count > 0
 	}
+}
 
-	/**
-	 * Sends draws to several boxes. Resolves to the number of confirmations once `required` are in, all boxes
-	 * have answered, or {@link BATCH_TIMEOUT_MS} has passed.
-	 */
-	private sendBatch(
-		addresses: readonly string[],
-		draws: ReplicatedDraws,
-		required: number,
-	): Promise<number> {
+/** Counts the boxes that have confirmed one draw, whenever their answers come. */
+class Confirmations {
+	count = 0
+	private pending = 0
+	private readonly listeners = new Set<() => void>()
+
+	/** Adds a call that resolves to true if its box confirms the draw. */
+	add(call: Promise<boolean>): void {
+		this.pending++
+		void call.then((isStored) => {
+			this.pending--
+			if (isStored) this.count++
+			for (const notify of this.listeners) notify()
+		})
+	}
+
+	/** Resolves once the required number of boxes have confirmed the draw, or all calls have ended. */
+	waitFor(required: number): Promise<void> {
 		return new Promise((resolve) => {
-			let confirmed = 0
-			let pending = addresses.length
-			void this.options.sleep(BATCH_TIMEOUT_MS).then(() => resolve(confirmed))
-			for (const address of addresses) {
-				void this.options.send(address, draws).then((isStored) => {
-					pending--
-					if (isStored) confirmed++
-					if (confirmed >= required || pending === 0) resolve(confirmed)
-				})
+			const check = (): void => {
+				if (this.count >= required || this.pending === 0) resolve()
 			}
+			this.listeners.add(check)
+			check()
 		})
 	}
 }
--- a/packages/gateway/src/lib/PeerClient.ts
+++ b/packages/gateway/src/lib/PeerClient.ts
@@ -1,6 +1,11 @@
 import type { Socket } from 'node:net'
 import type { AccountName, BoxName, ServiceName, StoreRevision, TargetWork } from '@stallwing/core'
-import { HttpClient } from '@stallwing/store'
+import {
+	AnswerTimeouts,
+	HttpClient,
+	LATE_ANSWER_TIMEOUT_MS,
+	type HttpRequest,
+} from '@stallwing/store'
 import {
 	EMPTY_LEND_RESPONSE,
 	type RemainingBudget,
@@ -22,13 +27,8 @@
 const LEND_TIMEOUT_MS = 1_500
 /** A timeout that fires more than this after its due time shows that this box was overloaded, in ms. */
 const LOCAL_DELAY_TOLERANCE_MS = 40
-/** Timeout of calls that return only a status, in ms. */
+/** Timeout of calls that return only a status while answers are not late, in ms. */
 const STATUS_TIMEOUT_MS = 160
-/**
- * Time that a response with changes may take beyond the requested wait, in ms. Late ones are still of use, and other
- * boxes are asked meanwhile.
- */
-const CHANGES_TIMEOUT_MARGIN_MS = 1_500
 const MAX_CONNECTIONS = 6
 /**
  * Connections for the calls of two prefixes, of which late ones stay open beside newer ones. These are separate from
@@ -44,6 +44,7 @@
 	private readonly changesClients = new Map<string, HttpClient>()
 	/** For each box that did not answer, the time until which it is not asked again. */
 	private readonly backoffUntil = new Map<string, number>()
+	private readonly timeouts: AnswerTimeouts
 
 	constructor(
 		private readonly box: BoxName,
@@ -54,7 +55,13 @@
 		private readonly onConnection?: (socket: Socket) => void,
 		/** True while the link of this box delays all responses. */
 		private readonly isLinkSaturated: () => boolean = () => false,
-	) {}
+	) {
+		this.timeouts = new AnswerTimeouts(now, STATUS_TIMEOUT_MS)
+	}
+
+	get answerTimeoutMs(): number {
+		return this.timeouts.limitMs
+	}
 
 	async requestTokens(
 		address: string,
@@ -99,11 +106,16 @@
 			waitMs: String(waitMs),
 		}
 		const path = `${CHANGES_PATH}?${new URLSearchParams(fields)}`
-		const timeoutMs = waitMs + CHANGES_TIMEOUT_MARGIN_MS
+		// Late changes are still of use, and other boxes are asked meanwhile.
+		const timeoutMs = waitMs + LATE_ANSWER_TIMEOUT_MS
 		try {
 			const client = this.getOrCreateClient(this.changesClients, address, MAX_CHANGES_CONNECTIONS)
 			const response = await client.send({ method: 'GET', path, timeoutMs })
-			return response.status === 200 ? decodeFeedResponse(response.text, after.era) : undefined
+			if (response.status !== 200) return undefined
+			const changes = decodeFeedResponse(response.text, after.era)
+			if (changes?.heldMs !== undefined)
+				this.timeouts.recordAnswer(response.tookMs - changes.heldMs, LATE_ANSWER_TIMEOUT_MS)
+			return changes
 		} catch {
 			return undefined
 		}
@@ -118,7 +130,8 @@
 		const path = `${ORIGIN_PATH}?${new URLSearchParams({ request, service })}`
 		try {
 			const client = this.clientFor(address)
-			const response = await client.send({ method: 'GET', path, timeoutMs: STATUS_TIMEOUT_MS })
+			const timeoutMs = this.answerTimeoutMs
+			const response = await client.send({ method: 'GET', path, timeoutMs })
 			return response.status === 200 ? decodeOriginResponse(response.text) : undefined
 		} catch {
 			return undefined
@@ -126,11 +139,12 @@
 	}
 
 	async sendDraws(address: string, draws: ReplicatedDraws): Promise<boolean> {
-		return (await this.requestStatus(address, 'POST', DRAWS_PATH, draws)) === 200
+		const request = { method: 'POST', path: DRAWS_PATH, body: draws } as const
+		return (await this.requestStatus(address, request, LATE_ANSWER_TIMEOUT_MS)) === 200
 	}
 
 	async isReachable(address: string): Promise<boolean> {
-		return (await this.requestStatus(address, 'GET', OPEN_PATH)) === 200
+		return (await this.requestStatus(address, { method: 'GET', path: OPEN_PATH })) === 200
 	}
 
 	async transferTokens(
@@ -144,20 +158,20 @@
 			tokens: String(tokens),
 			budgetsVersion: String(budgetsVersion),
 		})
-		return (await this.requestStatus(address, 'POST', `${ACCEPT_PATH}?${query}`)) === 200
+		const path = `${ACCEPT_PATH}?${query}`
+		return (await this.requestStatus(address, { method: 'POST', path })) === 200
 	}
 
 	/** Returns the HTTP status, or undefined if the box did not answer. */
 	private async requestStatus(
 		address: string,
-		method: 'GET' | 'POST',
-		path: string,
-		body?: unknown,
+		request: Omit<HttpRequest, 'timeoutMs'>,
+		timeoutMs = this.answerTimeoutMs,
 	): Promise<number | undefined> {
 		try {
-			return (
-				await this.clientFor(address).send({ method, path, body, timeoutMs: STATUS_TIMEOUT_MS })
-			).status
+			const { status, tookMs } = await this.clientFor(address).send({ ...request, timeoutMs })
+			this.timeouts.recordAnswer(tookMs, timeoutMs)
+			return status
 		} catch {
 			return undefined
 		}
--- a/packages/gateway/src/lib/TokenLending.test.ts
+++ b/packages/gateway/src/lib/TokenLending.test.ts
@@ -14,6 +14,7 @@
 ): TokenPeers {
 	return {
 		requestTokens: () => Promise.resolve(EMPTY_LEND_RESPONSE),
+		answerTimeoutMs: 160,
 		sendDraws: () => Promise.resolve(true),
 		isReachable: async (address) => {
 			await sleep(address === reachable ? 2 : UNREACHABLE_TIMEOUT_MS)
--- a/packages/gateway/src/lib/TokenLending.ts
+++ b/packages/gateway/src/lib/TokenLending.ts
@@ -46,6 +46,8 @@
 
 /** Calls to other boxes that move tokens or replicate draws. */
 export interface TokenPeers {
+	/** Time limit of short calls, in ms; longer while answers are late. */
+	readonly answerTimeoutMs: number
 	/**
 	 * Requests tokens from one box, which may lend some in advance. Resolves to {@link EMPTY_LEND_RESPONSE} if
 	 * the box does not answer. A late response still delivers its tokens.
--- a/packages/gateway/src/lib/testBudgetFleet.ts
+++ b/packages/gateway/src/lib/testBudgetFleet.ts
@@ -225,6 +225,7 @@
 				const isLost = this.losesResponses && this.lendResponseCount++ % 7 === 6
 				return isLost ? EMPTY_LEND_RESPONSE : response
 			},
+			answerTimeoutMs: 160,
 			sendDraws: async (address, draws) => {
 				await sleep(2)
 				const isStored = clientAt(address)?.receiveDraws(draws) ?? false
--- a/packages/store/src/index.ts
+++ b/packages/store/src/index.ts
@@ -42,7 +42,7 @@
 	type StoreContact,
 } from './lib/PrefixFollower.js'
 export { InputTimeout } from './lib/InputTimeout.js'
-export { LATE_ANSWER_TIMEOUT_MS, StoreTimeouts } from './lib/StoreTimeouts.js'
+export { AnswerTimeouts, LATE_ANSWER_TIMEOUT_MS } from './lib/AnswerTimeouts.js'
 export { nextEventLoopIteration } from './lib/nextEventLoopIteration.js'
 export {
 	HttpClient,
--- a/packages/store/src/lib/StoreTimeouts.ts
+++ b/packages/store/src/lib/AnswerTimeouts.ts
@@ -4,25 +4,29 @@
  * @public
  */
 export const LATE_ANSWER_TIMEOUT_MS = 1_500
-/** Time limit of other calls while answers are not late, in ms. */
-const USUAL_TIMEOUT_MS = 400
+/** Time limit of other calls to the store while its answers are not late, in ms. */
+const STORE_TIMEOUT_MS = 400
 /** Time limit as a multiple of the longest recent delay of an answer. */
 const TIMEOUT_FACTOR = 2
 /** Time over which the longest delay counts, in ms; the current window and the one before it are kept. */
 const WINDOW_MS = 5_000
 
 /**
- * Time limits of calls to the store. They follow the delay of its answers as this process sees it, with the delays of its
- * own link and event loop, so that they hold on a slow link too.
+ * Time limit of calls to the store, or to other boxes. It follows the delay of their answers as this process sees it, with
+ * the delays of its own link and event loop, so that it holds on a slow link too.
  * @public
  */
-export class StoreTimeouts {
+export class AnswerTimeouts {
 	private windowStartedAt = Number.NEGATIVE_INFINITY
 	private longestMs = 0
 	private previousLongestMs = 0
 
-	/** `now` is a monotonic clock, in ms. */
-	constructor(private readonly now: () => number) {}
+	constructor(
+		/** Monotonic clock, in ms. */
+		private readonly now: () => number,
+		/** Time limit while answers are not late, in ms. */
+		private readonly usualMs = STORE_TIMEOUT_MS,
+	) {}
 
 	/** Records an answer to a call with this time limit, in ms. Calls that the server may have held say nothing. */
 	recordAnswer(tookMs: number, timeoutMs: number): void {
@@ -31,10 +35,10 @@
 	}
 
 	/** Time limit of a call whose late answer is of no use, in ms; longer while answers are late. */
-	get usualMs(): number {
+	get limitMs(): number {
 		this.rotate()
 		const longestMs = Math.max(this.longestMs, this.previousLongestMs)
-		return Math.max(USUAL_TIMEOUT_MS, Math.min(LATE_ANSWER_TIMEOUT_MS, TIMEOUT_FACTOR * longestMs))
+		return Math.max(this.usualMs, Math.min(LATE_ANSWER_TIMEOUT_MS, TIMEOUT_FACTOR * longestMs))
 	}
 
 	private rotate(): void {
