A late box reads what a silent target has sent before it leaves it for its replacement

What callers saw: a stream broke off at a box whose event loop was late, although its target had gone on and ended it: the box left the target for the replacement, which had not begun. Cause: the end of the overlap of two targets was a plain timer. After a delay of the event loop, due timers run before sockets are read. Evidence: lateBox.test.ts, 'reads what has arrived before it leaves a silent target for its replacement', failed before (incomplete). Change: the overlap ends by InputTimeout, which reads what has arrived first, as the time-outs for silence do.

--- a/packages/gateway/src/lib/attempts/AttemptSeries.ts
+++ b/packages/gateway/src/lib/attempts/AttemptSeries.ts
@@ -5,6 +5,7 @@
 	type Placement,
 	type TargetIncarnation,
 } from '@stallwing/core'
+import { InputTimeout } from '@stallwing/store'
 import * as E from 'fp-ts/lib/Either.js'
 import { buildTargetRequest } from '../buildTargetRequest.js'
 import { isRepeatable, type CallerRequest } from '../CallerRequest.js'
@@ -67,7 +68,9 @@
 	private current: Attempt | undefined
 	/** Runs beside the current attempt, whose target is silent, until one of the two goes on. */
 	private replacement: Attempt | undefined
-	private overlapTimer: NodeJS.Timeout | undefined
+	private readonly overlapTimeout = new InputTimeout(() => {
+		this.promoteReplacement('overlap ended')
+	})
 	private loggedObstacle: ReplacementObstacle | undefined
 	/** A retry was taken from the budget for a replacement that was not sent. */
 	private hasUnusedRetry = false
@@ -149,7 +152,7 @@
 
 	/** Cancels the attempts that are running. */
 	cancel(): void {
-		clearTimeout(this.overlapTimer)
+		this.overlapTimeout.stop()
 		this.endTrial()
 		this.replacement?.cancel()
 		this.current?.cancel()
@@ -277,8 +280,7 @@
 
 	private handleSending(attempt: Attempt): void {
 		if (attempt !== this.replacement) return
-		clearTimeout(this.overlapTimer)
-		this.overlapTimer = setTimeout(() => this.promoteReplacement('overlap ended'), MAX_OVERLAP_MS)
+		this.overlapTimeout.start(MAX_OVERLAP_MS)
 	}
 
 	private handleEnd(attempt: Attempt, end: AttemptEnd, crashCheck: Promise<void>): void {
@@ -316,7 +318,7 @@
 	}
 
 	private endReplacement(replacement: Attempt, result: ReplacementResult): void {
-		clearTimeout(this.overlapTimer)
+		this.overlapTimeout.stop()
 		this.endTrial()
 		this.replacement = undefined
 		this.hasUnusedRetry = !replacement.wasSent
--- a/packages/gateway/src/lib/attempts/lateBox.test.ts
+++ b/packages/gateway/src/lib/attempts/lateBox.test.ts
@@ -3,8 +3,7 @@
 import { sleep } from '../sleep.js'
 import { TestBox } from '../testBox.js'
 
-// Guards against answers that end because their box was late: timers run before sockets are read, so the box held its
-// targets for silent while their events waited in its sockets.
+// Guards against answers that end because their box was late: it held targets for silent whose events lay in its sockets.
 
 /** Longer than any time-out for silence, in ms. */
 const BLOCKED_MS = 1_600
@@ -46,4 +45,27 @@
 		expect(response).toMatchObject({ status: 200, isComplete: true })
 		expect(runs).toHaveLength(1)
 	})
+
+	it('reads what has arrived before it leaves a silent target for its replacement', async () => {
+		let answer: ServerResponse | undefined
+		box = new TestBox()
+		await box.start()
+		box.configure()
+		for (const name of ['a', 'b'])
+			await box.addTarget(name, (_message, response) => {
+				response.writeHead(200, { 'Content-Type': 'text/event-stream' })
+				if (!answer) {
+					answer = response
+					response.write('id: 1\ndata: x\n\n')
+					return
+				}
+				const silent = answer
+				// Ends just before the overlap does.
+				setTimeout(() => setImmediate(() => endAndBlock(silent)), 200)
+			})
+		await box.waitUntilReady()
+		const response = await box.sendRequest('/resume/x')
+		expect(response).toMatchObject({ status: 200, isComplete: true })
+		expect(response.body).toContain('id: 2')
+	})
 })
