--- a/packages/gateway/src/lib/GatewayReport.ts
+++ b/packages/gateway/src/lib/GatewayReport.ts
@@ -10,7 +10,7 @@
 import type { AllowanceClient } from './AllowanceClient.js'
 import type { QuarantineStatus } from './CrashProtection.js'
 import type { HeldPartStatus } from './quarantine/PartProtection.js'
-import type { FeedRelay } from './FeedRelay.js'
+import type { FeedRelay } from './feed/FeedRelay.js'
 import type { FleetMembership } from './FleetMembership.js'
 import type { GatewayContext } from './GatewayContext.js'
 import type { EventLoopDelay } from './EventLoopDelay.js'
--- a/packages/gateway/src/lib/PeerClient.ts
+++ b/packages/gateway/src/lib/PeerClient.ts
@@ -14,9 +14,9 @@
 	type TokenPeers,
 } from './TokenLending.js'
 import type { ReplicatedDraws } from './DrawReplicator.js'
-import { decodeFeedResponse } from './feedCodec.js'
-import type { FeedResponse } from './handleFeedRequest.js'
-import type { FeedPeers } from './PeerFeedReader.js'
+import { decodeFeedResponse } from './feed/feedCodec.js'
+import type { FeedResponse } from './feed/handleFeedRequest.js'
+import type { FeedPeers } from './feed/PeerFeedReader.js'
 import { parseAddress } from './parseAddress.js'
 import { ORIGIN_PATH, decodeOriginResponse } from './streams/originResponseCodec.js'
 import type { OriginResponse } from './streams/StreamOriginSharing.js'
--- a/packages/gateway/src/lib/PeerServer.ts
+++ b/packages/gateway/src/lib/PeerServer.ts
@@ -7,11 +7,11 @@
 	type ServiceName,
 	type TargetWork,
 } from '@stallwing/core'
-import type { RequestedRevision } from './FeedRelay.js'
-import { encodeFeedResponse } from './feedCodec.js'
+import type { RequestedRevision } from './feed/FeedRelay.js'
+import { encodeFeedResponse } from './feed/feedCodec.js'
 import type { ReplicatedDraws } from './DrawReplicator.js'
 import { readReplicatedDraws } from './readReplicatedDraws.js'
-import type { FeedResponse } from './handleFeedRequest.js'
+import type { FeedResponse } from './feed/handleFeedRequest.js'
 import type { LendResponse, LendRequest } from './TokenLending.js'
 import { toWireWork } from './workCodec.js'
 import { ORIGIN_PATH, encodeOriginResponse } from './streams/originResponseCodec.js'
--- a/packages/gateway/src/lib/attempts/randomSilences.test.ts
+++ b/packages/gateway/src/lib/attempts/randomSilences.test.ts
@@ -7,8 +7,7 @@
 import { trafficConfigOf } from '../testTrafficConfig.js'
 import { isWholeStream, TestStreamTargets } from './testStreamTargets.js'
 
-// Guards against answers that end although their target, their caller and their time allow them to go on, in random
-// series of silences, rejections, delays of the process, versions of the configuration and targets that leave.
+// Guards against answers that end although their target, their caller and their time allow them to go on.
 // More seeds: SEEDS=50 npx vitest run packages/gateway/src/lib/attempts/randomSilences
 
 const SEED_COUNT = Number(process.env.SEEDS ?? 2)
--- a/packages/gateway/src/lib/createGatewayContext.ts
+++ b/packages/gateway/src/lib/createGatewayContext.ts
@@ -2,7 +2,7 @@
 import type { AllowanceClient } from './AllowanceClient.js'
 import type { BoxLoadControl } from './balance/BoxLoadControl.js'
 import type { EventLoopDelay } from './EventLoopDelay.js'
-import type { FeedRelay } from './FeedRelay.js'
+import type { FeedRelay } from './feed/FeedRelay.js'
 import type { FleetMembership } from './FleetMembership.js'
 import type { TargetPaths } from './forwarding/TargetPaths.js'
 import type { GatewayContext } from './GatewayContext.js'
--- a/packages/gateway/src/lib/createPeerHandlers.ts
+++ b/packages/gateway/src/lib/createPeerHandlers.ts
@@ -1,5 +1,5 @@
 import type { AllowanceClient } from './AllowanceClient.js'
-import type { FeedRelay } from './FeedRelay.js'
+import type { FeedRelay } from './feed/FeedRelay.js'
 import type { FleetMembership } from './FleetMembership.js'
 import type { PeerHandlers } from './PeerServer.js'
 import type { ForwardingServer } from './forwarding/ForwardingServer.js'
--- a/packages/gateway/src/lib/createTargetDirectory.ts
+++ b/packages/gateway/src/lib/createTargetDirectory.ts
@@ -1,6 +1,6 @@
 import type { TargetRegistry } from '@stallwing/core'
 import type { CrashProtection } from './CrashProtection.js'
-import type { FeedRelay } from './FeedRelay.js'
+import type { FeedRelay } from './feed/FeedRelay.js'
 import type { GatewayOptions } from './GatewayOptions.js'
 import { TargetDirectory } from './TargetDirectory.js'
 import type { TargetPools } from './TargetPools.js'
--- a/packages/gateway/src/lib/feed/ConfigurationMonitor.ts
+++ b/packages/gateway/src/lib/feed/ConfigurationMonitor.ts
@@ -19,7 +19,10 @@
 	readonly log: (event: LogEvent) => void
 }
 
-/** Logs when this box serves with a configuration that nobody has confirmed in time, and when it is confirmed again. */
+/**
+ * Logs when the store has not confirmed the configuration of this box for longer than operators rely on, and when it has
+ * confirmed it again.
+ */
 export class ConfigurationMonitor {
 	private unconfirmedSince: number | undefined
 
--- a/packages/gateway/src/lib/FeedRelay.test.ts
+++ b/packages/gateway/src/lib/feed/FeedRelay.test.ts
@@ -11,7 +11,7 @@
 import { FeedRelay } from './FeedRelay.js'
 import type { FeedPeers } from './PeerFeedReader.js'
 import { decodeFeedResponse, encodeFeedResponse } from './feedCodec.js'
-import { sleep } from './sleep.js'
+import { sleep } from '../sleep.js'
 
 /** Two boxes that watch the store, and one that asks them. */
 class TestZone {
--- a/packages/gateway/src/lib/FeedRelay.ts
+++ b/packages/gateway/src/lib/feed/FeedRelay.ts
@@ -7,16 +7,23 @@
 	StoreListing,
 } from '@stallwing/store'
 import * as E from 'fp-ts/lib/Either.js'
-import { handleFeedRequest, changesByteLength, type FeedResponse } from './handleFeedRequest.js'
+import { handleFeedRequest, type FeedResponse } from './handleFeedRequest.js'
 import { FeedState } from './FeedState.js'
-import type { FeedSourceStatus } from './feed/FeedSourceStatus.js'
-import { PendingCalls, type PatientResult } from './feed/PendingCalls.js'
+import type { FeedSourceStatus } from './FeedSourceStatus.js'
 import {
 	PeerFeedReader,
 	MAX_RELAY_WAIT_MS,
 	type FeedPeers,
 	type PeerFeedResult,
 } from './PeerFeedReader.js'
+import {
+	NO_SOURCE,
+	RELIST,
+	STORE_PATIENCE_MS,
+	StoreFeedReader,
+	isAnswer,
+	type StoreOutcome,
+} from './StoreFeedReader.js'
 import { StoreProbeSchedule } from './StoreProbeSchedule.js'
 import { StoreRecovery } from './StoreRecovery.js'
 
@@ -68,23 +75,8 @@
  * have recovered soon after that.
  */
 const DIRECT_WATCH_MS = 1_500
-/**
- * Pause between a change and the next watch, in ms. Changes often come in bursts, and each watch response costs a call
- * to the store and a message to every dependent box.
- */
-const BATCH_DELAY_MS = 250
-/**
- * Time that the store may take to answer beyond the requested wait, in ms. After that, other sources are asked too, and
- * a later answer of the store is still used.
- */
-const STORE_PATIENCE_MS = 400
 /** Interval at which a box checks whether it has the list of boxes, in ms. */
 const FLEET_POLL_MS = 100
-/**
- * Size of a watch response, in bytes, above which the next call lists instead of watching: newer versions may have been
- * written during the transfer. 64 KiB take 50 ms on a link of 10 Mbit/s.
- */
-const MAX_WATCHED_BYTES = 64 * 1024
 /**
  * Longest pause between attempts of a box that reaches no peer, in ms. It is part of the 3 s within which the box must
  * have all missed changes.
@@ -99,9 +91,8 @@
  */
 export class FeedRelay implements WatchableStore {
 	private readonly feeds = new Map<string, FeedState>()
-	private readonly watches: PendingCalls<StoreOutcome>
-	private readonly listings: PendingCalls<StoreOutcome>
 	private readonly peerFeeds: PeerFeedReader
+	private readonly storeFeeds: StoreFeedReader
 	private readonly probeSchedule: StoreProbeSchedule
 	private readonly storeRecovery: StoreRecovery
 	private pendingEraCheck: Promise<boolean> | undefined
@@ -110,7 +101,7 @@
 	private isStoreReachable = false
 
 	constructor(private readonly options: FeedRelayOptions) {
-		const { log, now, peers, sleep, watcherAddresses } = options
+		const { hasDependentBoxes, log, now, peers, sleep, store, watcherAddresses } = options
 		this.peerFeeds = new PeerFeedReader({
 			peers,
 			watchers: watcherAddresses,
@@ -119,12 +110,17 @@
 			sleep,
 			log,
 		})
-		this.watches = new PendingCalls(options.now)
-		this.listings = new PendingCalls(options.now)
+		this.storeFeeds = new StoreFeedReader({
+			store,
+			collectsChanges: () => !this.watchesStore || hasDependentBoxes(),
+			onUnreachable: () => this.storeRecovery.noteUnreachable(),
+			now,
+			sleep,
+		})
 		this.probeSchedule = new StoreProbeSchedule(options)
 		this.storeRecovery = new StoreRecovery({
-			ping: () => options.store.ping(),
-			sleep: (ms) => options.sleep(ms),
+			ping: () => store.ping(),
+			sleep: (ms) => sleep(ms),
 		})
 	}
 
@@ -142,12 +138,12 @@
 	private async listSources(prefix: string): Promise<void> {
 		const feed = this.feed(prefix)
 		if (feed.hasPendingListing) return
-		const result = feed.hasStoreFault ? undefined : await this.listStore(prefix)
+		const result = feed.hasStoreFault ? undefined : await this.storeFeeds.list(feed, prefix)
 		if (result?.kind === 'settled' && E.isRight(result.value)) return
 		const peerResult = await this.askPeers(prefix, NO_REVISION)
 		if (peerResult.kind !== 'returned' || feed.hasPendingListing) return
-		this.repeatLateCalls(prefix)
-		await this.listStore(prefix)
+		this.storeFeeds.repeatLateCalls(prefix)
+		await this.storeFeeds.list(feed, prefix)
 	}
 
 	/**
@@ -287,21 +283,15 @@
 	): Promise<StoreOutcome> {
 		const feed = this.feed(prefix)
 		if (!feed.hasStoreFault) {
-			const result = await this.watchStore(prefix, after, this.storeWaitMs(waitMs))
+			const result = await this.storeFeeds.watch(feed, prefix, after, this.storeWaitMs(waitMs))
 			if (result.kind === 'settled' && isAnswer(result.value)) return result.value
 		}
 		const { updateCount } = feed
 		const peerResult = await this.askPeers(prefix, after)
 		if (feed.updateCount > updateCount) return E.right(undefined)
 		if (peerResult.kind !== 'returned') return toOutcome(peerResult, feed.fault)
-		this.repeatLateCalls(prefix)
-		return this.relist(prefix)
-	}
-
-	/** Lets the next calls start anew: the store has answered since late ones, whose connections may have failed. */
-	private repeatLateCalls(prefix: string): void {
-		this.watches.repeatLate(prefix)
-		this.listings.repeatLate(prefix)
+		this.storeFeeds.repeatLateCalls(prefix)
+		return this.storeFeeds.relist(feed, prefix)
 	}
 
 	/** Longest wait of a watch of the store by a watcher, in ms. */
@@ -324,124 +314,22 @@
 			const isReachable = await this.ping()
 			this.probeSchedule.recordResult(isReachable)
 			if (!isReachable) {
-				this.noteStoreFault(this.feed(prefix), PING_FAILED)
+				this.storeFeeds.noteFault(this.feed(prefix), PING_FAILED)
 				return peerResult
 			}
 		}
-		this.repeatLateCalls(prefix)
+		this.storeFeeds.repeatLateCalls(prefix)
 		this.directWatchUntil = this.options.now() + DIRECT_WATCH_MS
 		return { kind: 'returned' }
 	}
 
-	/** Watches the store, after the delay that collects changes in quick succession. */
-	private async watchStore(
-		prefix: string,
-		after: StoreRevision,
-		waitMs: number,
-	): Promise<PatientResult<StoreOutcome>> {
-		const feed = this.feed(prefix)
-		await this.awaitBatch(feed)
-		if (feed.needsListing) return { kind: 'settled', value: await this.relist(prefix) }
-		const result = await this.watches.waitFor(prefix, waitMs + STORE_PATIENCE_MS, () =>
-			this.callWatch(feed, prefix, after, waitMs),
-		)
-		if (result.kind === 'late' && result.isFirst) this.noteLateStore(feed)
-		return result
-	}
-
-	/** Watches the store and applies the answer to the feed, also if nobody waits for it any more. */
-	private async callWatch(
-		feed: FeedState,
-		prefix: string,
-		after: StoreRevision,
-		waitMs: number,
-	): Promise<StoreOutcome> {
-		const { now, store } = this.options
-		const startedAt = now()
-		const result = await store.watch(prefix, after, waitMs)
-		if (E.isLeft(result)) {
-			if (result.left.kind !== 'history-gone') this.noteFailedCall(feed, startedAt, result.left)
-			return result
-		}
-		const changes = result.right
-		if (changes.length > 0) this.applyWatched(feed, changes)
-		// The store held the call for the whole wait if there are no changes. The answer may have been on its way for long.
-		const confirmedAt = changes.length > 0 ? startedAt : Math.min(now(), startedAt + waitMs)
-		feed.noteStoreResponse(confirmedAt, now())
-		feed.needsListing = changesByteLength(changes) > MAX_WATCHED_BYTES
-		return E.right(undefined)
-	}
-
-	private applyWatched(feed: FeedState, changes: readonly StoreChange[]): void {
-		if (!this.watchesStore || this.options.hasDependentBoxes())
-			feed.batchUntil = this.options.now() + BATCH_DELAY_MS
-		feed.applyChanges(changes)
-	}
-
 	/** Watches the store from a box that is not a watcher. */
 	private async watchDirectly(prefix: string, after: StoreRevision): Promise<StoreOutcome> {
-		const result = await this.watchStore(prefix, after, MAX_RELAY_WAIT_MS)
+		const result = await this.storeFeeds.watch(this.feed(prefix), prefix, after, MAX_RELAY_WAIT_MS)
 		this.isStoreReachable = result.kind === 'settled' && isAnswer(result.value)
 		return result.kind === 'settled' ? result.value : E.left(NO_SOURCE)
 	}
 
-	/** Waits until the batch delay after the last changes has passed. */
-	private async awaitBatch({ batchUntil }: FeedState): Promise<void> {
-		const { now, sleep } = this.options
-		const waitMs = batchUntil - now()
-		if (waitMs > 0) await sleep(waitMs)
-	}
-
-	/** Lists instead of watching, which transfers only the newest version of each item. */
-	private async relist(prefix: string): Promise<StoreOutcome> {
-		const result = await this.listStore(prefix)
-		if (result.kind === 'late') return E.left(NO_SOURCE)
-		return E.isLeft(result.value) ? result.value : E.left(RELIST)
-	}
-
-	/** Lists the store. */
-	private async listStore(prefix: string): Promise<PatientResult<StoreOutcome>> {
-		const feed = this.feed(prefix)
-		const result = await this.listings.waitFor(prefix, STORE_PATIENCE_MS, () =>
-			this.callList(feed, prefix),
-		)
-		if (result.kind === 'late' && result.isFirst) this.noteLateStore(feed)
-		return result
-	}
-
-	/** Lists the store and applies the listing to the feed, also if nobody waits for it any more. */
-	private async callList(feed: FeedState, prefix: string): Promise<StoreOutcome> {
-		const { now, store } = this.options
-		const startedAt = now()
-		const listing = await store.list(prefix)
-		if (E.isLeft(listing)) {
-			this.noteFailedCall(feed, startedAt, listing.left)
-			return listing
-		}
-		if (!feed.applyListing(listing.right)) {
-			this.noteStoreFault(feed, PAST_ERA)
-			return E.left(PAST_ERA)
-		}
-		feed.noteStoreResponse(startedAt, now())
-		return E.right(undefined)
-	}
-
-	/** Records that a call failed, unless the store has answered a later one. */
-	private noteFailedCall(feed: FeedState, startedAt: number, fault: StoreFault): void {
-		if (feed.storeRespondedAt <= startedAt) this.noteStoreFault(feed, fault)
-	}
-
-	/** Records that the store has not answered so far; its answer may still come. */
-	private noteLateStore(feed: FeedState): void {
-		feed.noteFailedCall(true)
-		this.storeRecovery.noteUnreachable()
-	}
-
-	private noteStoreFault(feed: FeedState, fault: StoreFault): void {
-		feed.noteStoreFault(fault)
-		this.storeRecovery.noteUnreachable()
-	}
-
 	private get maxConfirmationAgeMs(): number {
 		return MAX_CONFIRMATION_AGE_FRACTION * this.options.propagationLimitMs
 	}
@@ -455,9 +343,6 @@
 	}
 }
 
-/** Whether a source answered; what it brought is in the feed. */
-type StoreOutcome = E.Either<StoreFault, void>
-
 /** The store is reachable again, so this box should call it directly. */
 interface StoreReturned {
 	readonly kind: 'returned'
@@ -467,20 +352,6 @@
 	kind: 'no-answer',
 	cause: 'the store did not respond to a ping',
 }
-const NO_SOURCE: StoreFault = {
-	kind: 'no-answer',
-	cause: 'neither the store nor any peer provided current data',
-}
-/** The response of the store is of a past era: other boxes know a newer one. */
-const PAST_ERA: StoreFault = { kind: 'past-era' }
-/** Makes the follower of a prefix list again, which returns the pending listing. */
-const RELIST: StoreFault = { kind: 'history-gone' }
-
-/** True if the store answered, be it that it no longer has the requested changes. */
-function isAnswer(outcome: StoreOutcome): boolean {
-	return E.isRight(outcome) || outcome.left.kind === 'history-gone'
-}
-
 /** Converts a result from peers; `fault` if no peer had current data. */
 function toOutcome(peerResult: PeerFeedResult, fault: StoreFault = NO_SOURCE): StoreOutcome {
 	switch (peerResult.kind) {
--- a/packages/gateway/src/lib/FeedState.ts
+++ b/packages/gateway/src/lib/feed/FeedState.ts
@@ -1,6 +1,6 @@
 import type { StoreRevision } from '@stallwing/core'
 import { ChangeLog, type StoreChange, type StoreFault, type StoreListing } from '@stallwing/store'
-import type { FeedSourceStatus } from './feed/FeedSourceStatus.js'
+import type { FeedSourceStatus } from './FeedSourceStatus.js'
 
 const NEVER = Number.NEGATIVE_INFINITY
 /** Source of a confirmation that this box got without another box. */
--- a/packages/gateway/src/lib/PeerFeedReader.ts
+++ b/packages/gateway/src/lib/feed/PeerFeedReader.ts
@@ -7,7 +7,7 @@
 } from '@stallwing/core'
 import type { FeedResponse } from './handleFeedRequest.js'
 import type { FeedState } from './FeedState.js'
-import { PendingCalls } from './feed/PendingCalls.js'
+import { PendingCalls } from './PendingCalls.js'
 
 /** Calls to other boxes for changes in the store. */
 export interface FeedPeers {
@@ -22,8 +22,8 @@
 
 /**
  * Result of a query to other boxes.
- * - `heard`: changes, which {@link FeedState} has taken over, or confirmation that there are none.
- * - `listed`: a complete listing, which {@link FeedState} has taken over.
+ * - `heard`: changes, which are in the {@link FeedState} now, or confirmation that there are none.
+ * - `listed`: a complete listing, which is in the {@link FeedState} now.
  * - `stale`: boxes answered, but none had current data.
  * - `silent`: no box answered.
  */
@@ -127,14 +127,14 @@
 		return { kind: 'silent' }
 	}
 
-	/** Calls a box and applies its answer to the feed, also if nobody waits for it any more. */
+	/** Calls a box and applies its answer to the feed, even if {@link query} has stopped waiting for it. */
 	private async callPeer(feed: FeedState, query: PeerQuery): Promise<PeerFeedResult> {
 		const { address, prefix, after, waitMs } = query
 		const { now, peers } = this.options
 		const startedAt = now()
 		const response = await peers.fetchChanges(address, prefix, after, waitMs)
 		if (!response) {
-			// A call that was late before has been counted then, and the box may have answered others since.
+			// After `PATIENCE_MS`, the call was counted as late, and the box may have answered others since.
 			if (now() < startedAt + waitMs + PATIENCE_MS) this.noteSilent(feed, address)
 			return { kind: 'silent' }
 		}
--- a/packages/gateway/src/lib/feed/PendingCalls.ts
+++ b/packages/gateway/src/lib/feed/PendingCalls.ts
@@ -46,7 +46,7 @@
 		})
 	}
 
-	/** The next call with this key is made beside a late one, whose connection may have failed. */
+	/** Forgets a late call with this key, so that the next one is sent again. The late one stays open. */
 	repeatLate(key: string): void {
 		if (this.calls.get(key)?.wasLate) this.calls.delete(key)
 	}
--- a/packages/gateway/src/lib/PrefixFollower.test.ts
+++ b/packages/gateway/src/lib/feed/PrefixFollower.test.ts
@@ -1,7 +1,7 @@
 import { MemoryStore, type CallOutcome } from '@stallwing/standins'
 import { PrefixFollower, type StoreItem } from '@stallwing/store'
 import { afterEach, beforeEach, describe, expect, it, vi } from 'vitest'
-import { sleep } from './sleep.js'
+import { sleep } from '../sleep.js'
 
 describe('PrefixFollower', () => {
 	let outcome: CallOutcome
--- a/packages/gateway/src/lib/StoreRecovery.test.ts
+++ b/packages/gateway/src/lib/feed/StoreRecovery.test.ts
@@ -1,6 +1,6 @@
 import { afterEach, beforeEach, describe, expect, it, vi } from 'vitest'
 import { StoreRecovery } from './StoreRecovery.js'
-import { sleep } from './sleep.js'
+import { sleep } from '../sleep.js'
 
 const PING_TIMEOUT_MS = 400
 
--- a/packages/gateway/src/lib/feed/createConfigurationMonitor.ts
+++ b/packages/gateway/src/lib/feed/createConfigurationMonitor.ts
@@ -1,4 +1,4 @@
-import type { FeedRelay } from '../FeedRelay.js'
+import type { FeedRelay } from './FeedRelay.js'
 import type { GatewayContext } from '../GatewayContext.js'
 import type { GatewayOptions } from '../GatewayOptions.js'
 import { boxDelays } from '../exchangeEvents.js'
--- a/packages/gateway/src/lib/createFeedRelay.ts
+++ b/packages/gateway/src/lib/feed/createFeedRelay.ts
@@ -1,7 +1,7 @@
 import { FeedRelay, type FeedRelayOptions } from './FeedRelay.js'
-import type { FleetMembership } from './FleetMembership.js'
-import type { GatewayOptions } from './GatewayOptions.js'
-import { sleep } from './sleep.js'
+import type { FleetMembership } from '../FleetMembership.js'
+import type { GatewayOptions } from '../GatewayOptions.js'
+import { sleep } from '../sleep.js'
 
 export interface FeedSources {
 	readonly gateway: GatewayOptions
--- a/packages/gateway/src/lib/feedCodec.ts
+++ b/packages/gateway/src/lib/feed/feedCodec.ts
@@ -1,7 +1,7 @@
 import { gunzipSync, gzipSync } from 'node:zlib'
 import type { StoreChange, StoreItem, StoreListing } from '@stallwing/store'
 import type { FeedResponse } from './handleFeedRequest.js'
-import { roundAge } from './roundAge.js'
+import { roundAge } from '../roundAge.js'
 
 /** A change in a message between boxes; a missing value means that the key was deleted. */
 interface WireChange {
--- a/packages/gateway/src/lib/followDocuments.ts
+++ b/packages/gateway/src/lib/feed/followDocuments.ts
@@ -1,11 +1,11 @@
 import type { PrefixFollower } from '@stallwing/store'
-import type { CordonDirectory } from './CordonDirectory.js'
+import type { CordonDirectory } from '../CordonDirectory.js'
 import type { FeedRelay } from './FeedRelay.js'
-import type { GatewayOptions } from './GatewayOptions.js'
-import type { TargetDirectory } from './TargetDirectory.js'
-import { TrafficDirectory, type TrafficDirectoryOptions } from './TrafficDirectory.js'
+import type { GatewayOptions } from '../GatewayOptions.js'
+import type { TargetDirectory } from '../TargetDirectory.js'
+import { TrafficDirectory, type TrafficDirectoryOptions } from '../TrafficDirectory.js'
 import { followStore } from './followStore.js'
-import { watchDurationMs } from './watchDurationMs.js'
+import { watchDurationMs } from '../watchDurationMs.js'
 
 /** Sources and receivers of the documents that operators and targets write. */
 export interface FollowDocumentsOptions {
--- a/packages/gateway/src/lib/feed/lateLinks.test.ts
+++ b/packages/gateway/src/lib/feed/lateLinks.test.ts
@@ -1,8 +1,7 @@
 import { afterEach, beforeEach, describe, expect, it, vi } from 'vitest'
 import { CONFIG_KEY, TestFleet, seededRandom } from '../testFleet.js'
 
-// Guards against boxes that keep an old configuration, or return to one, while their links delay all answers, at random
-// times and beside boxes that are cut off.
+// Guards against boxes that keep an old configuration, or return to one, while their links delay all answers.
 
 /** Time within which every box in touch must apply a new configuration, in ms. */
 const CONFIG_APPLY_MS = 3_000
--- a/packages/gateway/src/lib/testFleet.ts
+++ b/packages/gateway/src/lib/testFleet.ts
@@ -11,26 +11,17 @@
 	type ZoneName,
 } from '@stallwing/core'
 import { MemoryStore } from '@stallwing/standins'
-import {
-	PrefixFollower,
-	type WatchableStore,
-	type PrefixFollowerOptions,
-	type KeyValueStore,
-	type StoreFault,
-} from '@stallwing/store'
+import { PrefixFollower, type PrefixFollowerOptions } from '@stallwing/store'
 import * as E from 'fp-ts/lib/Either.js'
 import { CordonDirectory } from './CordonDirectory.js'
-import { FeedRelay } from './FeedRelay.js'
-import type { FeedPeers } from './PeerFeedReader.js'
+import { FeedRelay } from './feed/FeedRelay.js'
+import type { FeedPeers } from './feed/PeerFeedReader.js'
 import { TargetDirectory } from './TargetDirectory.js'
 import { TrafficDirectory } from './TrafficDirectory.js'
 import { watchDurationMs } from './watchDurationMs.js'
 import { sleep } from './sleep.js'
+import { TestNetwork } from './testNetwork.js'
 
-/** Time after the end of its wait at which a call to the store or another box times out, in ms. */
-const CALL_TIMEOUT_MS = 1_500
-const PEER_LATENCY_MS = 3
-const WATCH_POLL_MS = 100
 /** Time over which the starts of boxes are spread, so that their watches are not synchronized, in ms. */
 const START_SPREAD_MS = 3_500
 /** Time after the end of a partition within which a box must have all missed changes, in ms. */
@@ -55,8 +46,7 @@
 }
 
 /**
- * Simulates boxes that follow configuration and targets, with fake timers and an in-memory store. Boxes can be
- * partitioned from the store and from each other. Calls in progress when a partition begins or ends get no response.
+ * Simulates boxes that follow configuration and targets, with fake timers, an in-memory store and a {@link TestNetwork}.
  */
 export class TestFleet {
 	readonly store = new MemoryStore({ now: () => Date.now(), sleep })
@@ -68,16 +58,8 @@
 	private readonly registries = new Map<string, TargetRegistry>()
 	private readonly relays = new Map<string, FeedRelay>()
 	private readonly followers = new Map<string, PrefixFollower[]>()
-	/** Time that answers to a box wait on its link, in ms. */
-	readonly answerDelayMs = new Map<string, number>()
+	private readonly network = new TestNetwork()
 	private readonly timers: NodeJS.Timeout[] = []
-	private boxesWithoutStore: ReadonlySet<string> = new Set()
-	private areDisconnected: (a: string, b: string) => boolean = () => false
-	/** Incremented whenever a partition begins or ends. */
-	private partitionChanges = 0
-	/** Number of times that the watches of a box failed silently, by box. */
-	private readonly interruptions = new Map<string, number>()
-
 	constructor(private readonly options: TestFleetOptions) {
 		this.members = Object.entries(options.zones).flatMap(([zone, count]) =>
 			Array.from({ length: count }, (_, index) => memberOf(zone, index + 1)),
@@ -108,33 +90,21 @@
 		if (member) this.start(member)
 	}
 
+	/** Time that answers to a box wait on its link, in ms. */
+	get answerDelayMs(): Map<string, number> {
+		return this.network.answerDelayMs
+	}
+
 	/** Disconnects boxes from the store, and pairs of boxes from each other. Watches of all boxes fail silently. */
 	partition(boxes: readonly string[], areDisconnected: (a: string, b: string) => boolean): void {
-		this.interruptWatches(this.members.map(({ box }) => box))
-		this.replacePartition(boxes, areDisconnected)
+		this.network.interruptWatches(this.members.map(({ box }) => box))
+		this.network.partition(boxes, areDisconnected)
 	}
 
 	/** Like {@link partition}, but only the watches of boxes that are or were cut off fail. */
 	cut(boxes: readonly string[], areDisconnected: (a: string, b: string) => boolean): void {
-		this.interruptWatches([...this.boxesWithoutStore, ...boxes])
-		this.replacePartition(boxes, areDisconnected)
-	}
-
-	private interruptWatches(boxes: readonly string[]): void {
-		for (const box of boxes) this.interruptions.set(box, this.interruptionsOf(box) + 1)
-	}
-
-	private interruptionsOf(box: string): number {
-		return this.interruptions.get(box) ?? 0
-	}
-
-	private replacePartition(
-		boxes: readonly string[],
-		areDisconnected: (a: string, b: string) => boolean,
-	): void {
-		this.boxesWithoutStore = new Set(boxes)
-		this.areDisconnected = areDisconnected
-		this.partitionChanges++
+		this.network.interruptWatches(boxes)
+		this.network.partition(boxes, areDisconnected)
 	}
 
 	heal(): void {
@@ -231,11 +201,19 @@
 		)
 	}
 
+	/** Answers of other boxes, without any network. */
+	private get peers(): FeedPeers {
+		return {
+			fetchChanges: async (address, prefix, after, waitMs) =>
+				this.relays.get(address)?.handleRequest(prefix, after, waitMs),
+		}
+	}
+
 	private relayOf(member: FleetMember): FeedRelay {
 		const watchers = this.watchersOf(member)
 		return new FeedRelay({
-			store: this.storeOf(member.box),
-			peers: this.peersOf(member.box),
+			store: this.network.storeFor(member.box, this.store.connect(member.box)),
+			peers: this.network.peersFor(member.box, this.peers),
 			isWatcher: () => this.isWatcher(member),
 			hasDependentBoxes: () => this.members.some((other) => !this.isWatcher(other)),
 			isFleetKnown: () => true,
@@ -281,85 +259,6 @@
 		this.followers.set(box, [...(this.followers.get(box) ?? []), follower])
 		void follower.run()
 	}
-
-	private storeOf(box: string): WatchableStore & Pick<KeyValueStore, 'era' | 'ping'> {
-		const store = this.store.connect(box)
-		return {
-			get era() {
-				return store.era
-			},
-			ping: () => this.callStore(box, () => store.ping(), false),
-			list: (prefix) => this.callStore(box, () => store.list(prefix), E.left(NO_ANSWER)),
-			watch: async (prefix, after, waitMs) => {
-				const startedAt = Date.now()
-				const interruptions = this.interruptionsOf(box)
-				while (this.interruptionsOf(box) === interruptions && !this.boxesWithoutStore.has(box)) {
-					const result = await store.watch(prefix, after, 0)
-					const isDue = Date.now() >= startedAt + waitMs
-					if (E.isLeft(result) || result.right.length > 0 || isDue) {
-						await this.delayAnswer(box)
-						return result
-					}
-					await sleep(WATCH_POLL_MS)
-				}
-				await sleepUntil(startedAt + waitMs + CALL_TIMEOUT_MS)
-				return E.left(NO_ANSWER)
-			},
-		}
-	}
-
-	/** Waits while an answer waits on the link of its box; shorter than the time limit of a call. */
-	private async delayAnswer(box: string): Promise<void> {
-		const delayMs = this.answerDelayMs.get(box) ?? 0
-		if (delayMs > 0) await sleep(delayMs)
-	}
-
-	private async callStore<T>(box: string, call: () => Promise<T>, failure: T): Promise<T> {
-		if (!this.boxesWithoutStore.has(box)) {
-			const result = await call()
-			await this.delayAnswer(box)
-			return result
-		}
-		await sleepUntil(Date.now() + CALL_TIMEOUT_MS)
-		return failure
-	}
-
-	private peersOf(box: string): FeedPeers {
-		return {
-			fetchChanges: async (address, prefix, after, waitMs) => {
-				const partitionChanges = this.partitionChanges
-				const startedAt = Date.now()
-				await sleep(PEER_LATENCY_MS)
-				const response = this.areDisconnected(box, address)
-					? undefined
-					: await this.relays.get(address)?.handleRequest(prefix, after, waitMs)
-				if (
-					response &&
-					(partitionChanges === this.partitionChanges || !this.areDisconnected(box, address))
-				) {
-					await this.delayAnswer(address)
-					await this.delayAnswer(box)
-					return response
-				}
-				await sleepUntil(startedAt + waitMs + CALL_TIMEOUT_MS)
-				return undefined
-			},
-		}
-	}
-}
-
-/** Granularity of {@link sleepUntil}, in ms. */
-const SLEEP_STEP_MS = 20
-const sleeps = new Map<number, Promise<void>>()
-
-/** Sleeps until a time, rounded up. Calls for the same time share a timer, because fake timers are slow if there are many. */
-function sleepUntil(time: number): Promise<void> {
-	const due = Math.ceil(time / SLEEP_STEP_MS) * SLEEP_STEP_MS
-	const shared = sleeps.get(due)
-	if (shared) return shared
-	const started = sleep(Math.max(0, due - Date.now())).finally(() => sleeps.delete(due))
-	sleeps.set(due, started)
-	return started
 }
 
 /** Name of the target under a key. */
@@ -386,8 +285,6 @@
 	}
 }
 
-const NO_ANSWER: StoreFault = { kind: 'no-answer', cause: 'partitioned' }
-
 function memberOf(zone: string, index: number): FleetMember {
 	const box = `${zone}-${index}`
 	return { box: brandId<BoxName>(box), zone: brandId<ZoneName>(zone), address: box, cores: 1 }
