An event without an end costs a box its bytes once, not again with each chunk

What callers saw: while a target sends an event without an end, its box does little else, and the caller's time is gone before the stream goes on at another target. Change: the incomplete event is kept in one buffer that doubles; a scan begins at the last two bytes of the chunk before.

--- a/packages/core/src/lib/stream/EventSplitter.ts
+++ b/packages/core/src/lib/stream/EventSplitter.ts
@@ -8,38 +8,67 @@
 const LINE_FEED = 0x0a
 const ID_FIELD = 'id:'
 const EMPTY = Buffer.alloc(0)
+/** Bytes of a blank line, `\n\r\n`, that may be in the chunk before the one that ends it. */
+const BLANK_LINE_OVERLAP = 2
+/** Growth of a full buffer, so that all copies together are at most as long as the event. */
+const GROWTH_FACTOR = 2
 
-/** Splits the bytes of a `text/event-stream` into complete events, each with its closing blank line. @public */
+/**
+ * Splits the bytes of a `text/event-stream` into complete events, each with its closing blank line. Each byte is scanned
+ * once, and copied a bounded number of times, however many chunks an event has.
+ * @public
+ */
 export class EventSplitter {
-	private partialEvent: Buffer = EMPTY
+	/** Buffer of the incomplete event, with room for more. Events that were returned are never in it. */
+	private storage = EMPTY
+	private storedBytes = 0
 
 	/** True while bytes of an incomplete event are buffered. */
 	get hasPartialEvent(): boolean {
-		return this.partialEvent.length > 0
+		return this.storedBytes > 0
 	}
 
 	/** Buffered bytes of an incomplete event. */
 	get partialBytes(): number {
-		return this.partialEvent.length
+		return this.storedBytes
 	}
 
 	/** Adds a chunk and returns the events that it completes. */
 	push(chunk: Buffer): StreamEvent[] {
-		const bytes = this.partialEvent.length === 0 ? chunk : Buffer.concat([this.partialEvent, chunk])
+		// The blank line may begin in the bytes before.
+		const scannedBytes = Math.max(0, this.storedBytes - BLANK_LINE_OVERLAP)
+		this.store(chunk)
+		const bytes = this.storage.subarray(0, this.storedBytes)
 		const events: StreamEvent[] = []
 		let start = 0
-		for (;;) {
-			const end = endOfEvent(bytes, start)
-			if (end < 0) break
+		for (let end = endOfEvent(bytes, scannedBytes); end >= 0; end = endOfEvent(bytes, start)) {
 			events.push(parseEvent(bytes.subarray(start, end)))
 			start = end
 		}
-		this.partialEvent = bytes.subarray(start)
+		if (start > 0) this.restart(bytes.subarray(start))
 		return events
 	}
+
+	private store(chunk: Buffer): void {
+		const length = this.storedBytes + chunk.length
+		if (length > this.storage.length) {
+			const larger = Buffer.allocUnsafe(Math.max(length, GROWTH_FACTOR * this.storedBytes))
+			this.storage.copy(larger, 0, 0, this.storedBytes)
+			this.storage = larger
+		}
+		chunk.copy(this.storage, this.storedBytes)
+		this.storedBytes = length
+	}
+
+	/** Begins a new event with the bytes after the last complete one. */
+	private restart(rest: Buffer): void {
+		this.storage = EMPTY
+		this.storedBytes = 0
+		this.store(rest)
+	}
 }
 
-/** Index after the blank line that ends the event at `start`; -1 if the event is incomplete. Supports LF and CRLF. */
+/** Index after the first blank line at `start` or later; -1 if there is none. Supports LF and CRLF. */
 function endOfEvent(bytes: Buffer, start: number): number {
 	for (let at = bytes.indexOf(LINE_FEED, start); at >= 0; at = bytes.indexOf(LINE_FEED, at + 1)) {
 		const next = bytes[at + 1] === 0x0d ? at + 2 : at + 1
