--- a/packages/gateway/src/lib/attempts/Attempt.ts
+++ b/packages/gateway/src/lib/attempts/Attempt.ts
@@ -16,6 +16,7 @@
 	TargetFailure,
 	TargetRequest,
 } from '../sendToTarget.js'
+import { CollectedChunks, MAX_COLLECTED_BYTES } from './CollectedChunks.js'
 import type { AttemptEnd, CompleteResponse } from './AttemptEnd.js'
 import type { AttemptOptions } from './AttemptOptions.js'
 import { attemptEndedEvent } from './attemptEvents.js'
@@ -29,10 +30,6 @@
 import { responseTimeouts, type ResponseTimeouts } from './responseTimeouts.js'
 import { TargetSilence } from './TargetSilence.js'
 
-/** Limit on an answer that is collected, and on an event where memory is not bounded. */
-const MAX_BUFFERED_RESPONSE_BYTES = 16 * 1024 * 1024
-/** Memory that a received chunk takes at least, in bytes: an answer in tiny chunks takes many times its size. */
-const MIN_CHUNK_BYTES = 128
 /** Where memory is bounded, an incomplete event must not grow further. Events of this size are not expected. */
 const MAX_EVENT_BYTES = 1024 * 1024
 /**
@@ -53,10 +50,7 @@
 	/** What the response head reports about the target; undefined until a head arrives. */
 	private notice: TargetNotice | undefined
 	private splitter: EventSplitter | undefined
-	private chunks: Buffer[] = []
-	private receivedBytes = 0
-	/** Memory that the collected chunks take, in bytes. */
-	private heldBytes = 0
+	private readonly collected = new CollectedChunks()
 	private readonly timeouts: ResponseTimeouts
 	private readonly silence: TargetSilence
 	private startedAt = 0
@@ -190,9 +184,8 @@
 			return
 		}
 		this.silence.noteProgress()
-		this.receivedBytes += chunk.length
-		this.heldBytes += Math.max(chunk.length, MIN_CHUNK_BYTES)
-		if (this.heldBytes > MAX_BUFFERED_RESPONSE_BYTES) this.abort('answer too large')
+		this.collected.count(chunk)
+		if (this.collected.isTooLarge) this.abort('answer too large')
 		else this.collect(chunk)
 	}
 
@@ -217,7 +210,7 @@
 			this.end('good', { kind: 'answered', failed: false }, 'stream ended', undefined)
 			return
 		}
-		this.endWithCompleteResponse({ head, body: this.chunks })
+		this.endWithCompleteResponse({ head, body: this.collected.chunks })
 	}
 
 	onFailure({ kind, cause }: TargetFailure): void {
@@ -288,7 +281,7 @@
 			isWritable = responseWriter.sendEvent(event)
 		}
 		const { memory } = responseWriter
-		if (splitter.partialBytes > (memory ? MAX_EVENT_BYTES : MAX_BUFFERED_RESPONSE_BYTES)) {
+		if (splitter.partialBytes > (memory ? MAX_EVENT_BYTES : MAX_COLLECTED_BYTES)) {
 			this.abort('event too large')
 			return
 		}
@@ -302,7 +295,7 @@
 	private collect(chunk: Buffer): void {
 		const { memory } = this.options.responseWriter
 		if (memory?.isCallerGone) return
-		this.chunks.push(chunk)
+		this.collected.keep(chunk)
 		this.holdCollected()
 	}
 
@@ -310,9 +303,8 @@
 		// What another attempt has collected is counted until this one takes over.
 		if (!this.isCurrent) return
 		const statedBytes = Number(this.responseHead?.headers['content-length'] ?? 0)
-		const { heldBytes, receivedBytes } = this
 		const { memory } = this.options.responseWriter
-		const step = memory?.collect({ heldBytes, receivedBytes, statedBytes }, () => this.resume())
+		const step = memory?.collect(this.collected.progressOf(statedBytes), () => this.resume())
 		if (step === 'wait') this.pause()
 		if (step !== 'end') return
 		this.isAborted = true
--- a/packages/gateway/src/lib/feed/PeerFeedReader.ts
+++ b/packages/gateway/src/lib/feed/PeerFeedReader.ts
@@ -22,8 +22,8 @@
 
 /**
  * Result of a query to other boxes.
- * - `heard`: changes, which are in the {@link FeedState} now, or confirmation that there are none.
- * - `listed`: a complete listing, which is in the {@link FeedState} now.
+ * - `heard`: changes, already applied to the {@link FeedState}, or confirmation that there are none.
+ * - `listed`: a complete listing, already applied to the {@link FeedState}.
  * - `stale`: boxes answered, but none had current data.
  * - `silent`: no box answered.
  */
--- a/packages/gateway/src/lib/feed/PendingCalls.ts
+++ b/packages/gateway/src/lib/feed/PendingCalls.ts
@@ -23,8 +23,8 @@
 	constructor(private readonly now: () => number) {}
 
 	/**
-	 * Waits until `patienceMs` after its start for the pending call with this key, or for a new one. `start` must use
-	 * the answer itself, because nobody may be waiting for it any more when it comes.
+	 * Waits for the pending call with this key, or starts one, for at most `patienceMs` after the start of the call. An
+	 * answer after that is not returned to anyone, so the call that `start` makes must apply it itself.
 	 */
 	async waitFor(
 		key: string,
