Review, case 1: bodies in small chunks end the process of a box

Case: four clients send bodies of 4,000,000 bytes (MaxBodyBytes is 4,194,304) in chunks of 16 bytes, while eight requests that may run only once are at work at a sound server. With the same bodies with a length (TROUBLE=0) all is answered. Cause: readBody keeps a Buffer object for each chunk and counts the bytes of the body only. Nothing is mended.

--- /dev/null
+++ b/review/lib/sleep.mjs
@@ -0,0 +1,1 @@
+export { setTimeout as sleep } from 'node:timers/promises'
