Messages in tiny chunks: joined, kept in few buffers, read at a bounded rate

Cause: each received chunk was kept as a buffer object until its message was complete. An object takes about 210 bytes of heap and some 340 of resident memory whatever its size; the limits counted 128 bytes of buffers, or, for bodies, the bytes only. Beyond the memory, each chunk was handled by itself, and the event loop reads up to 32 times 64 KiB of a connection in one turn, so a few such senders took the whole loop (685 ms without a turn with 24 senders of chunks of 16 bytes, with flat memory).

Change: `ByteCollector` copies small chunks into buffers of up to 64 KiB; `ChunkBatch` delivers the chunks of one read together; `MessageFlow` pauses the connection after the current read and keeps nothing in the stream; `ReadThrottle` lets all messages of a box together bring 100,000 small chunks per core and second, beyond 1,000 a second for each. Who would have to wait for over a second is given up: the attempt as failed, the body as overloaded (503, not run). The limit on small chunks of one answer stays.

--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -290,6 +290,8 @@
 } from './lib/overload/shedFraction.js'
 export { ArrivalEstimator } from './lib/overload/ArrivalEstimator.js'
 export { MAX_ACCEPT_WAIT_SHARE, StartPacer } from './lib/overload/StartPacer.js'
+export { SmallChunkLimiter } from './lib/overload/SmallChunkLimiter.js'
+export { SmallChunkMeter } from './lib/overload/SmallChunkMeter.js'
 export { StartDelayLimit } from './lib/overload/StartDelayLimit.js'
 export {
 	type BalanceDecision,
@@ -325,6 +327,7 @@
 	type MemoryLimits,
 } from './lib/memory/MemoryBudget.js'
 export { AnswerTurns, type WaitingAnswer } from './lib/memory/AnswerTurns.js'
+export { ByteCollector } from './lib/memory/ByteCollector.js'
 export { ReadProgress } from './lib/memory/ReadProgress.js'
 export {
 	displacementCostMs,
--- a/packages/gateway/src/lib/ConnectionPool.ts
+++ b/packages/gateway/src/lib/ConnectionPool.ts
@@ -1,4 +1,5 @@
 import { connect, type Socket } from 'node:net'
+import { SmallChunkLimiter } from '@stallwing/core'
 import { InputTimeout } from '@stallwing/store'
 import { parseAddress } from './parseAddress.js'
 
@@ -38,6 +39,8 @@
 		private readonly onOpened: (socket: Socket) => void,
 		/** Called when opening a connection failed. */
 		private readonly onFailed: () => void = () => undefined,
+		/** Counts the small chunks of responses; the pools of a box share it. */
+		readonly chunkLimiter = new SmallChunkLimiter(1, now),
 	) {}
 
 	/** Open connections, in use or idle. */
--- a/packages/gateway/src/lib/Exchange.ts
+++ b/packages/gateway/src/lib/Exchange.ts
@@ -158,7 +158,9 @@
 
 	private async readBody(traffic: ActiveTraffic): Promise<Buffer | undefined> {
 		const { limits } = traffic.index.config
-		const result = await readBody(this.message, limits, this.responseWriter.memory)
+		const { memory } = this.responseWriter
+		const { chunkLimiter } = this.context
+		const result = await readBody(this.message, { limits, chunkLimiter, memory })
 		if (this.hasEnded) return undefined
 		if (result.kind === 'whole') return result.body
 		if (result.kind === 'caller-left') this.finish()
--- a/packages/gateway/src/lib/GatewayContext.ts
+++ b/packages/gateway/src/lib/GatewayContext.ts
@@ -6,6 +6,7 @@
 	RetryBudget,
 	RetryLimits,
 	ServiceName,
+	SmallChunkLimiter,
 	StartDelayLimit,
 	StoreRevision,
 	TargetRegistry,
@@ -54,6 +55,8 @@
 	readonly gate: RequestGate
 	/** Undefined if memory is not bounded. */
 	readonly memory: BoxMemory | undefined
+	/** Counts the small chunks that this box receives. */
+	readonly chunkLimiter: SmallChunkLimiter
 	/** See `GatewayOptions`. */
 	readonly isUnderPressure: boolean
 	/** Undefined until the first configuration is applied. Only `Gateway` writes it. */
--- a/packages/gateway/src/lib/ResponseWriter.ts
+++ b/packages/gateway/src/lib/ResponseWriter.ts
@@ -69,6 +69,15 @@
 		return this.response.write(event.bytes)
 	}
 
+	/** Sends what `send` writes, several events, in one piece. Returns its result. */
+	sendTogether<Result>(eventCount: number, send: () => Result): Result {
+		if (eventCount < 2) return send()
+		this.response.cork()
+		const result = send()
+		this.response.uncork()
+		return result
+	}
+
 	private recordEventTime(): void {
 		const now = this.now()
 		if (this.firstWriteAt === undefined) this.firstWriteAt = now
--- a/packages/gateway/src/lib/TargetPools.ts
+++ b/packages/gateway/src/lib/TargetPools.ts
@@ -1,5 +1,5 @@
 import type { Socket } from 'node:net'
-import type { TargetEntry, TargetName } from '@stallwing/core'
+import { SmallChunkLimiter, type TargetEntry, type TargetName } from '@stallwing/core'
 import { ConnectionPool, type PoolTimeouts } from './ConnectionPool.js'
 
 const CONNECT_TIMEOUT_MS = 300
@@ -25,6 +25,8 @@
 		private readonly onConnection: (target: TargetEntry, isOpen: boolean) => void = () => undefined,
 		/** True while the link of this box delays all responses. */
 		isLinkSaturated: () => boolean = () => false,
+		/** Counts the small chunks that this box receives. */
+		readonly chunkLimiter = new SmallChunkLimiter(1, now),
 	) {
 		this.timeouts = {
 			...POOL_TIMEOUTS,
@@ -45,6 +47,7 @@
 				this.onConnection(target, true)
 			},
 			() => this.onConnection(target, false),
+			this.chunkLimiter,
 		)
 		this.pools.set(target.name, pool)
 		return pool
@@ -52,7 +55,9 @@
 
 	/** Creates a pool of connections to another box, with the same timeouts. */
 	createPeerPool(address: string, onOpened: (socket: Socket) => void): ConnectionPool {
-		return new ConnectionPool(address, this.timeouts, this.now, onOpened)
+		const onFailed = (): void => undefined
+		const { chunkLimiter, now, timeouts } = this
+		return new ConnectionPool(address, timeouts, now, onOpened, onFailed, chunkLimiter)
 	}
 
 	/** Number of connections that serve a request. */
--- a/packages/gateway/src/lib/attempts/Attempt.ts
+++ b/packages/gateway/src/lib/attempts/Attempt.ts
@@ -3,6 +3,7 @@
 	exhaustive,
 	type AttemptHandle,
 	type AttemptResult,
+	type StreamEvent,
 	type TargetOutcome,
 	type TargetEntry,
 } from '@stallwing/core'
@@ -55,6 +56,8 @@
 	private readonly silence: TargetSilence
 	private startedAt = 0
 	private firstByteMs = -1
+	/** The caller reads too slowly; the response is read on once it has taken what was sent. */
+	private isWaitingForCaller = false
 	/** True if this box, not the target, aborted the response. */
 	private isAborted = false
 	private mayHaveSentBytes = false
@@ -177,16 +180,14 @@
 		return true
 	}
 
-	onData(chunk: Buffer): void {
+	onData(chunk: Buffer): number {
 		this.noteReceived(this.options.context.now())
-		if (this.splitter) {
-			this.forwardEvents(this.splitter, chunk)
-			return
-		}
+		if (this.splitter) return this.forwardEvents(this.splitter, chunk)
 		this.silence.noteProgress()
 		this.collected.count(chunk)
 		if (this.collected.isTooLarge) this.abort('answer too large')
 		else this.collect(chunk)
+		return 1
 	}
 
 	onBodyProgress(): void {
@@ -210,7 +211,7 @@
 			this.end('good', { kind: 'answered', failed: false }, 'stream ended', undefined)
 			return
 		}
-		this.endWithCompleteResponse({ head, body: this.collected.chunks })
+		this.endWithCompleteResponse({ head, body: this.collected.buffers })
 	}
 
 	onFailure({ kind, cause }: TargetFailure): void {
@@ -266,26 +267,41 @@
 		if (!responseWriter.isStreamStarted) responseWriter.startStream(head)
 	}
 
-	private forwardEvents(splitter: EventSplitter, chunk: Buffer): void {
+	/** Forwards the events that a chunk completes. Returns their number, at least 1. */
+	private forwardEvents(splitter: EventSplitter, chunk: Buffer): number {
 		const { responseWriter } = this.options
+		const { memory } = responseWriter
 		const events = splitter.push(chunk)
 		if (events.length > 0) this.silence.noteProgress()
+		const isWritable = responseWriter.sendTogether(events.length, () => this.sendEvents(events))
+		if (this.hasEnded) return events.length
+		if (splitter.partialBytes > (memory ? MAX_EVENT_BYTES : MAX_COLLECTED_BYTES))
+			this.abort('event too large')
+		else if (!isWritable && !memory?.isCallerGone) this.waitForCaller()
+		return Math.max(1, events.length)
+	}
+
+	/** Returns false if the caller reads too slowly. */
+	private sendEvents(events: readonly StreamEvent[]): boolean {
+		const { responseWriter } = this.options
 		let isWritable = true
 		for (const event of events) {
-			const lastEventId = responseWriter.lastEventId
+			const { lastEventId } = responseWriter
 			if (event.id !== undefined && lastEventId !== undefined && event.id <= lastEventId) {
 				this.abort(`event ${event.id} after ${lastEventId}`)
-				return
+				return true
 			}
 			this.takeOver()
 			isWritable = responseWriter.sendEvent(event)
 		}
+		return isWritable
+	}
+
+	private waitForCaller(): void {
+		if (this.isWaitingForCaller) return
+		this.isWaitingForCaller = true
+		const { responseWriter } = this.options
 		const { memory } = responseWriter
-		if (splitter.partialBytes > (memory ? MAX_EVENT_BYTES : MAX_COLLECTED_BYTES)) {
-			this.abort('event too large')
-			return
-		}
-		if (isWritable || memory?.isCallerGone) return
 		this.pause()
 		memory?.notePaused(() => this.resume())
 		responseWriter.onDrain(() => (memory ?? this).resume())
@@ -320,6 +336,7 @@
 
 	/** Reads on after a pause. */
 	resume(): void {
+		this.isWaitingForCaller = false
 		this.call?.resume()
 		if (!this.hasEnded) this.silence.resume()
 	}
--- a/packages/gateway/src/lib/createGatewayContext.ts
+++ b/packages/gateway/src/lib/createGatewayContext.ts
@@ -59,6 +59,7 @@
 		bodyGuards: presentOnly([memory, ...(boxLoad?.bodyGuards ?? [])]),
 		startDelays: new StartDelayLimit(),
 		gate: sharing.admission.gate,
+		chunkLimiter: pools.chunkLimiter,
 		isUnderPressure: gateway.isUnderPressure,
 		traffic: undefined,
 		retryLimits: gateway.retryLimits,
--- a/packages/gateway/src/lib/forwarding/ForwardedCall.ts
+++ b/packages/gateway/src/lib/forwarding/ForwardedCall.ts
@@ -141,13 +141,10 @@
 		return true
 	}
 
-	onData(chunk: Buffer): void {
-		if (this.hasHead) {
-			this.listener.onData(chunk)
-			return
-		}
+	onData(chunk: Buffer): number {
+		if (this.hasHead) return this.listener.onData(chunk)
 		this.received = Buffer.concat([this.received, chunk])
-		if (this.status === OK) this.readHead()
+		return this.status === OK ? this.readHead() : 1
 	}
 
 	onEnd(): void {
@@ -161,16 +158,17 @@
 		else this.call.fail(failure)
 	}
 
-	private readHead(): void {
+	/** Returns the number of parts that were handled one by one. */
+	private readHead(): number {
 		const parts = splitHead(this.received)
-		if (!parts) return
+		if (!parts) return 1
 		const head = decodeForwardedHead(parts.head)
 		this.hasHead = true
 		if (!head || !this.listener.onHead(head)) {
 			this.call.rejectResponse()
-			return
+			return 1
 		}
-		if (parts.rest.length > 0) this.listener.onData(parts.rest)
+		return parts.rest.length > 0 ? this.listener.onData(parts.rest) : 1
 	}
 }
 
--- a/packages/gateway/src/lib/forwarding/ForwardingServer.ts
+++ b/packages/gateway/src/lib/forwarding/ForwardingServer.ts
@@ -1,5 +1,5 @@
 import type { IncomingMessage, ServerResponse } from 'node:http'
-import type { TargetEntry, TargetName } from '@stallwing/core'
+import { ByteCollector, type TargetEntry, type TargetName } from '@stallwing/core'
 import { nextEventLoopIteration } from '@stallwing/store'
 import type { ConnectionPool } from '../ConnectionPool.js'
 import {
@@ -73,6 +73,7 @@
 class ResponseRelay implements ResponseListener {
 	call: TargetCall | undefined
 	private hasEnded = false
+	private isWaitingForDrain = false
 
 	constructor(
 		private readonly response: ServerResponse,
@@ -97,8 +98,9 @@
 		return true
 	}
 
-	onData(chunk: Buffer): void {
+	onData(chunk: Buffer): number {
 		this.write(chunk)
+		return 1
 	}
 
 	onEnd(): void {
@@ -113,9 +115,13 @@
 	}
 
 	private write(bytes: Buffer): void {
-		if (this.response.write(bytes)) return
+		if (this.response.write(bytes) || this.isWaitingForDrain) return
+		this.isWaitingForDrain = true
 		this.call?.pause()
-		this.response.once('drain', () => this.call?.resume())
+		this.response.once('drain', () => {
+			this.isWaitingForDrain = false
+			this.call?.resume()
+		})
 	}
 }
 
@@ -126,13 +132,13 @@
 /** Reads a message; undefined if it is longer than `maxBytes` or its sender has left. */
 function readAll(request: IncomingMessage, maxBytes: number): Promise<Buffer | undefined> {
 	return new Promise((resolve) => {
-		const chunks: Buffer[] = []
+		const collector = new ByteCollector()
 		let length = 0
 		request.on('data', (chunk: Buffer) => {
 			length += chunk.length
-			if (length <= maxBytes) chunks.push(chunk)
+			if (length <= maxBytes) collector.add(chunk)
 		})
-		request.on('end', () => resolve(length <= maxBytes ? Buffer.concat(chunks) : undefined))
+		request.on('end', () => resolve(length <= maxBytes ? collector.concat() : undefined))
 		request.on('close', () => resolve(undefined))
 	})
 }
--- a/packages/gateway/src/lib/forwarding/PathCall.ts
+++ b/packages/gateway/src/lib/forwarding/PathCall.ts
@@ -83,9 +83,9 @@
 		return this.request.listener.onHead(head)
 	}
 
-	onData(chunk: Buffer): void {
+	onData(chunk: Buffer): number {
 		this.noteReceived()
-		this.request.listener.onData(chunk)
+		return this.request.listener.onData(chunk)
 	}
 
 	onBodyProgress(): void {
--- a/packages/gateway/src/lib/forwarding/createTargetPaths.ts
+++ b/packages/gateway/src/lib/forwarding/createTargetPaths.ts
@@ -1,3 +1,4 @@
+import { SmallChunkLimiter } from '@stallwing/core'
 import type { BoxLoadControl } from '../balance/BoxLoadControl.js'
 import type { FleetMembership } from '../FleetMembership.js'
 import type { GatewayOptions } from '../GatewayOptions.js'
@@ -28,6 +29,7 @@
 		},
 		(target, isOpen) => paths.noteConnection(target, isOpen),
 		isLinkSaturated,
+		new SmallChunkLimiter(gateway.capacity.cores || 1, gateway.now),
 	)
 	const paths = new TargetPaths({
 		...gateway,
--- a/packages/gateway/src/lib/forwarding/lateForwarding.test.ts
+++ b/packages/gateway/src/lib/forwarding/lateForwarding.test.ts
@@ -141,7 +141,7 @@
 				{
 					maySend: () => Promise.resolve(true),
 					onHead: () => true,
-					onData: () => undefined,
+					onData: () => 1,
 					onEnd: () => undefined,
 					onFailure: () => undefined,
 				},
--- a/packages/gateway/src/lib/readBody.ts
+++ b/packages/gateway/src/lib/readBody.ts
@@ -1,7 +1,10 @@
 import type { IncomingMessage } from 'node:http'
-import type { RequestLimits } from '@stallwing/core'
+import { ByteCollector, type RequestLimits, type SmallChunkLimiter } from '@stallwing/core'
 import { InputTimeout } from '@stallwing/store'
 import type { ExchangeMemory } from './memory/ExchangeMemory.js'
+import { ChunkBatch } from './overload/ChunkBatch.js'
+import { MessageFlow } from './overload/MessageFlow.js'
+import { ReadThrottle } from './overload/ReadThrottle.js'
 
 /** Result of reading a body. */
 export type BodyResult =
@@ -9,58 +12,122 @@
 	| { readonly kind: 'caller-left' }
 	| { readonly kind: 'body-too-large' | 'body-late' | 'overloaded'; readonly detail: string }
 
+export interface BodyOptions {
+	readonly limits: Pick<RequestLimits, 'maxBodyBytes' | 'idleTimeoutMs'>
+	/** Counts the small chunks that this box receives; undefined for bodies of other boxes. */
+	readonly chunkLimiter?: SmallChunkLimiter
+	/** Memory of the exchange; undefined if it is not bounded. */
+	readonly memory?: ExchangeMemory | undefined
+}
+
 /**
  * Reads a complete body. Fails if no data arrives for the idle timeout, or if it exceeds the maximum size. The memory of
  * a body with a stated length is held from the start, that of others as they grow.
  */
-export function readBody(
-	message: IncomingMessage,
-	{ maxBodyBytes, idleTimeoutMs }: Pick<RequestLimits, 'maxBodyBytes' | 'idleTimeoutMs'>,
-	memory?: ExchangeMemory,
-): Promise<BodyResult> {
-	return new Promise((resolve) => {
-		const statedBytes = Math.min(maxBodyBytes, Number(message.headers['content-length'] ?? 0))
-		memory?.holdBody(statedBytes)
-		const chunks: Buffer[] = []
-		// Chunks that are kept until the body is complete would take its size twice.
-		const stated = memory && Buffer.allocUnsafeSlow(statedBytes)
-		let bytes = 0
-		let hasFinished = false
-		const finish = (result: BodyResult): void => {
-			if (hasFinished) return
-			hasFinished = true
-			timeout.stop()
-			message.off('data', onData)
-			if (result.kind !== 'whole') memory?.holdBody(0)
-			resolve(result)
+export function readBody(message: IncomingMessage, options: BodyOptions): Promise<BodyResult> {
+	return new Promise((resolve) => new BodyReader(message, options, resolve).start())
+}
+
+class BodyReader {
+	private readonly collector = new ByteCollector()
+	private readonly statedBytes: number
+	/** Buffer for a body of stated length: collected chunks would take its size twice. */
+	private readonly stated: Buffer | undefined
+	private readonly timeout: InputTimeout
+	private readonly throttle: ReadThrottle | undefined
+	private bytes = 0
+	private hasFinished = false
+	private readonly received = new ChunkBatch((bytes, chunkCount) =>
+		this.handleData(bytes, chunkCount),
+	)
+	private readonly onData = (chunk: Buffer): void => this.received.add(chunk)
+
+	constructor(
+		private readonly message: IncomingMessage,
+		private readonly options: BodyOptions,
+		private readonly resolve: (result: BodyResult) => void,
+	) {
+		const { chunkLimiter, limits, memory } = options
+		const contentLength = Number(message.headers['content-length'] ?? 0)
+		this.statedBytes = Math.min(limits.maxBodyBytes, contentLength)
+		this.stated = memory && Buffer.allocUnsafeSlow(this.statedBytes)
+		this.timeout = new InputTimeout(() => this.handleTimeout())
+		this.throttle = chunkLimiter && this.createThrottle(chunkLimiter)
+	}
+
+	start(): void {
+		const { message, options, statedBytes } = this
+		options.memory?.holdBody(statedBytes)
+		this.timeout.start(options.limits.idleTimeoutMs)
+		message.on('data', this.onData)
+		message.once('end', () => this.handleEnd())
+		message.once('error', () => this.finish({ kind: 'caller-left' }))
+		message.once('close', () => this.finish({ kind: 'caller-left' }))
+	}
+
+	private createThrottle(limiter: SmallChunkLimiter): ReadThrottle {
+		const { message, options } = this
+		const flow = new MessageFlow(message)
+		return new ReadThrottle(limiter, {
+			pause: () => {
+				this.timeout.stop()
+				flow.pause()
+			},
+			resume: () => {
+				this.timeout.start(options.limits.idleTimeoutMs)
+				flow.resume()
+			},
+			onOverload: () => this.finish({ kind: 'overloaded', detail: 'too many small chunks' }),
+		})
+	}
+
+	private handleTimeout(): void {
+		this.finish({ kind: 'body-late', detail: `idle for ${this.options.limits.idleTimeoutMs} ms` })
+	}
+
+	private handleEnd(): void {
+		this.received.flush()
+		this.finish({ kind: 'whole', body: this.takeBody() })
+	}
+
+	private handleData(chunk: Buffer, chunkCount: number): void {
+		const { limits, memory } = this.options
+		this.bytes += chunk.length
+		if (this.bytes > limits.maxBodyBytes) {
+			this.finish({ kind: 'body-too-large', detail: `over ${limits.maxBodyBytes} bytes` })
+			return
 		}
-		const handleTimeout = (): void =>
-			finish({ kind: 'body-late', detail: `idle for ${idleTimeoutMs} ms` })
-		const timeout = new InputTimeout(handleTimeout)
-		timeout.start(idleTimeoutMs)
-		const onData = (chunk: Buffer): void => {
-			bytes += chunk.length
-			if (bytes > maxBodyBytes) {
-				finish({ kind: 'body-too-large', detail: `over ${maxBodyBytes} bytes` })
+		if (memory && this.bytes > this.statedBytes) {
+			if (!memory.mayGrowBody(this.bytes)) {
+				this.finish({ kind: 'overloaded', detail: `memory: body of over ${this.bytes} bytes` })
 				return
 			}
-			if (memory && bytes > statedBytes) {
-				if (!memory.mayGrowBody(bytes)) {
-					finish({ kind: 'overloaded', detail: `memory: body of over ${bytes} bytes` })
-					return
-				}
-				memory.holdBody(bytes)
-			}
-			if (stated && bytes <= statedBytes) chunk.copy(stated, bytes - chunk.length)
-			else chunks.push(chunk)
-			timeout.refresh()
+			memory.holdBody(Math.max(this.bytes, this.collector.heldBytes))
 		}
-		message.on('data', onData)
-		message.once('end', () => {
-			const isStated = stated && bytes === statedBytes
-			finish({ kind: 'whole', body: isStated ? stated : Buffer.concat(chunks, bytes) })
-		})
-		message.once('error', () => finish({ kind: 'caller-left' }))
-		message.once('close', () => finish({ kind: 'caller-left' }))
-	})
+		this.keep(chunk)
+		this.timeout.refresh()
+		this.throttle?.count(chunkCount, chunk.length)
+	}
+
+	private keep(chunk: Buffer): void {
+		const { bytes, stated, statedBytes } = this
+		if (stated && bytes <= statedBytes) chunk.copy(stated, bytes - chunk.length)
+		else this.collector.add(chunk)
+	}
+
+	private takeBody(): Buffer {
+		const { bytes, collector, stated, statedBytes } = this
+		return stated && bytes === statedBytes ? stated : collector.concat()
+	}
+
+	private finish(result: BodyResult): void {
+		if (this.hasFinished) return
+		this.hasFinished = true
+		this.timeout.stop()
+		this.throttle?.stop()
+		this.received.clear()
+		this.message.off('data', this.onData)
+		if (result.kind !== 'whole') this.options.memory?.holdBody(0)
+		this.resolve(result)
+	}
 }
--- a/packages/gateway/src/lib/readReplicatedDraws.ts
+++ b/packages/gateway/src/lib/readReplicatedDraws.ts
@@ -13,7 +13,7 @@
 export async function readReplicatedDraws(
 	message: IncomingMessage,
 ): Promise<ReplicatedDraws | undefined> {
-	const read = await readBody(message, LIMITS)
+	const read = await readBody(message, { limits: LIMITS })
 	if (read.kind !== 'whole') return undefined
 	try {
 		const draws = JSON.parse(read.body.toString('utf8')) as Partial<ReplicatedDraws> | null
--- a/packages/gateway/src/lib/sendToTarget.test.ts
+++ b/packages/gateway/src/lib/sendToTarget.test.ts
@@ -56,7 +56,10 @@
 					head = received
 					return true
 				},
-				onData: (chunk) => (body += chunk.toString()),
+				onData: (chunk) => {
+					body += chunk.toString()
+					return 1
+				},
 				onEnd: () => resolve({ head, body, end: 'whole' }),
 				onFailure: ({ kind }) =>
 					resolve({ head, body, end: kind === 'broken' ? 'broken' : 'not-sent' }),
--- a/packages/gateway/src/lib/sendToTarget.ts
+++ b/packages/gateway/src/lib/sendToTarget.ts
@@ -2,6 +2,9 @@
 import type { Socket } from 'node:net'
 import type { ConnectionPool } from './ConnectionPool.js'
 import { sendBodyInPieces } from './memory/sendBodyInPieces.js'
+import { ChunkBatch } from './overload/ChunkBatch.js'
+import { MessageFlow } from './overload/MessageFlow.js'
+import { ReadThrottle } from './overload/ReadThrottle.js'
 
 /** A request as it is sent to a target. */
 export interface TargetRequest {
@@ -38,7 +41,8 @@
 	maySend(): Promise<boolean>
 	/** Returns false if the response belongs to another request; the connection is then closed. */
 	onHead(head: ResponseHead): boolean
-	onData(chunk: Buffer): void
+	/** Returns the number of parts, such as events, that were handled one by one. */
+	onData(chunk: Buffer): number
 	/** Called when a part of a large request body has been passed to the kernel. */
 	onBodyProgress?(): void
 	/** Called when the response is complete. */
@@ -73,6 +77,11 @@
 	private socket: Socket | undefined
 	private request: ClientRequest | undefined
 	private response: IncomingMessage | undefined
+	private flow: MessageFlow | undefined
+	private readonly received = new ChunkBatch((bytes, chunkCount) => this.receive(bytes, chunkCount))
+	private readonly throttle: ReadThrottle
+	private isPausedByListener = false
+	private isThrottled = false
 	private hasEnded = false
 	private hasSocketError = false
 	private stopSendingBody: () => void = () => undefined
@@ -82,7 +91,13 @@
 		private readonly message: TargetRequest,
 		private readonly listener: ResponseListener,
 		private readonly bodyStallMs: number | undefined,
-	) {}
+	) {
+		this.throttle = new ReadThrottle(pool.chunkLimiter, {
+			pause: () => this.setThrottled(true),
+			resume: () => this.setThrottled(false),
+			onOverload: () => this.fail('broken', 'too many small chunks'),
+		})
+	}
 
 	async start(): Promise<void> {
 		try {
@@ -106,21 +121,33 @@
 	}
 
 	pause(): void {
-		this.response?.pause()
+		this.isPausedByListener = true
+		this.updateFlow()
 	}
 
 	resume(): void {
-		this.response?.resume()
+		this.isPausedByListener = false
+		this.updateFlow()
 	}
 
 	abort(): void {
 		if (this.hasEnded) return
-		this.hasEnded = true
-		this.stopSendingBody()
+		this.markEnded()
 		this.request?.destroy()
 		if (this.request) this.socket?.destroy()
 	}
 
+	private setThrottled(isThrottled: boolean): void {
+		this.isThrottled = isThrottled
+		this.updateFlow()
+	}
+
+	private updateFlow(): void {
+		if (this.hasEnded) return
+		if (this.isPausedByListener || this.isThrottled) this.flow?.pause()
+		else this.flow?.resume()
+	}
+
 	private send(socket: Socket): void {
 		// For a close-delimited response, only an error of the socket distinguishes a reset from a normal close.
 		socket.prependOnceListener('error', () => {
@@ -153,6 +180,7 @@
 	private handleResponse(response: IncomingMessage): void {
 		if (this.hasEnded) return
 		this.response = response
+		this.flow = new MessageFlow(response)
 		const accepted = this.listener.onHead({
 			status: response.statusCode ?? 0,
 			rawHeaders: response.rawHeaders,
@@ -163,21 +191,26 @@
 			return
 		}
 		response.on('data', (chunk: Buffer) => {
-			if (!this.hasEnded) this.listener.onData(chunk)
+			if (!this.hasEnded) this.received.add(chunk)
 		})
 		response.on('error', (error) => this.fail('broken', describeFailure(error)))
 		response.on('aborted', () => this.fail('broken', 'answer broken off'))
 		response.on('end', () => this.finish(response))
 	}
 
+	private receive(bytes: Buffer, chunkCount: number): void {
+		const partCount = this.listener.onData(bytes)
+		if (!this.hasEnded) this.throttle.count(Math.max(partCount, chunkCount), bytes.length)
+	}
+
 	private finish(response: IncomingMessage): void {
+		this.received.flush()
 		if (this.hasEnded) return
 		if (!response.complete || this.hasSocketError) {
 			this.fail('broken', 'answer broken off')
 			return
 		}
-		this.hasEnded = true
-		this.stopSendingBody()
+		this.markEnded()
 		this.releaseSocket(response)
 		this.listener.onEnd()
 	}
@@ -202,10 +235,17 @@
 		if (!this.response?.complete) this.fail('broken', cause)
 	}
 
-	private fail(kind: TargetFailure['kind'], cause: string): void {
-		if (this.hasEnded) return
+	private markEnded(): void {
 		this.hasEnded = true
+		this.received.clear()
+		this.throttle.stop()
 		this.stopSendingBody()
+	}
+
+	private fail(kind: TargetFailure['kind'], cause: string): void {
+		this.received.flush()
+		if (this.hasEnded) return
+		this.markEnded()
 		this.request?.destroy()
 		this.socket?.destroy()
 		this.listener.onFailure({ kind, cause })
--- a/packages/store/src/lib/HttpClient.ts
+++ b/packages/store/src/lib/HttpClient.ts
@@ -1,5 +1,6 @@
 import { Agent, request, type ClientRequest, type IncomingHttpHeaders } from 'node:http'
 import type { Socket } from 'node:net'
+import { ByteCollector } from '@stallwing/core'
 import { InputTimeout } from './InputTimeout.js'
 
 /** Server address and connection limit of an {@link HttpClient}. @public */
@@ -82,9 +83,9 @@
 			outgoing.on('error', fail)
 			if (this.connectionListener) reportNewConnection(outgoing, this.connectionListener)
 			outgoing.on('response', (response) => {
-				const chunks: Buffer[] = []
+				const collector = new ByteCollector()
 				response.on('data', (chunk: Buffer) => {
-					chunks.push(chunk)
+					collector.add(chunk)
 					if (performance.now() < deadline) timeout.refresh()
 				})
 				response.on('error', fail)
@@ -95,7 +96,7 @@
 						resolve({
 							status: response.statusCode ?? 0,
 							headers: response.headers,
-							text: Buffer.concat(chunks).toString('utf8'),
+							text: collector.concat().toString('utf8'),
 							tookMs: performance.now() - startedAt,
 						})
 				})
