A target that sends interim responses only has failed after 50 of them

Cause: nothing bounded the interim responses before a head. One read of 64 KiB holds about 2,600, and the HTTP client makes a message and an event for each (2 to 4 us each here). A request that must not be repeated is not given up for silence, so the connection was read until the time limit of its route.

Change: beyond 50 the attempt ends as `broken`, and the target counts as failed, so that later requests avoid it. Closing the socket inside the event doesn't stop the parse of the rest of that read (2,605 more events, 5 to 12 ms), which happens once for a connection. A target that sends a few of them and then its response is served as before (new test).

--- a/packages/gateway/src/lib/overload/smallChunks.test.ts
+++ b/packages/gateway/src/lib/overload/smallChunks.test.ts
@@ -41,6 +41,8 @@
 	{ name: 'chunks of 1 byte', path: '/stream/', head: CHUNKED, part: chunkOf('x') },
 	{ name: 'chunks of 16 bytes', path: '/again/', head: CHUNKED, part: chunkOf('x'.repeat(16)) },
 	{ name: 'chunks of 200 bytes', path: '/once/', head: CHUNKED, part: chunkOf('x'.repeat(200)) },
+	{ name: 'interim responses', path: '/stream/', head: '', part: 'HTTP/1.1 100 Continue\r\n\r\n' },
+	{ name: 'early hints', path: '/once/', head: '', part: 'HTTP/1.1 103 Hints\r\na: b\r\n\r\n' },
 	{ name: 'chunks of an event', path: '/stream/', head: EVENTS, part: chunkOf('x') },
 ]
 
--- a/packages/gateway/src/lib/sendToTarget.test.ts
+++ b/packages/gateway/src/lib/sendToTarget.test.ts
@@ -80,6 +80,24 @@
 		for (const server of servers.splice(0)) server.close()
 	})
 
+	// Guards against limits on interim responses that a sound target would reach.
+	it('waits for the response behind some interim ones', async () => {
+		const hints = 'HTTP/1.1 103 Early Hints\r\na: b\r\n\r\n'.repeat(3)
+		const pool = await startTarget((socket) =>
+			socket.write(`HTTP/1.1 100 Continue\r\n\r\n${hints}${OK}`),
+		)
+		expect(await send(pool)).toMatchObject({ body: 'ok', end: 'whole' })
+	})
+
+	// Guards against a target that never gets beyond interim responses and takes the whole event loop.
+	it('closes the connection of a target that sends interim responses only', async () => {
+		const pool = await startTarget((socket) =>
+			socket.write('HTTP/1.1 102 Processing\r\n\r\n'.repeat(1_000)),
+		)
+		expect(await send(pool)).toMatchObject({ head: undefined, end: 'broken' })
+		await waitForPoolSize(pool, 0)
+	})
+
 	it('reuses a connection after a complete response', async () => {
 		const pool = await startTarget((socket) => socket.write(OK))
 		expect((await send(pool)).body).toBe('ok')
--- a/packages/gateway/src/lib/sendToTarget.ts
+++ b/packages/gateway/src/lib/sendToTarget.ts
@@ -58,6 +58,9 @@
 	abort(): void
 }
 
+/** Interim responses that a target may send before the response; each takes as much time as a response. */
+const MAX_INTERIM_RESPONSES = 50
+
 /**
  * Sends a request on a connection of the pool. Never throws; failures are passed to the listener. The call fails if the
  * target reads nothing of the body for `bodyStallMs`; if that is undefined, the body is written at once.
@@ -82,6 +85,7 @@
 	private readonly throttle: ReadThrottle
 	private isPausedByListener = false
 	private isThrottled = false
+	private interimResponses = 0
 	private hasEnded = false
 	private hasSocketError = false
 	private stopSendingBody: () => void = () => undefined
@@ -164,6 +168,7 @@
 		this.request = outgoing
 		outgoing.on('error', (error) => this.failUnlessComplete(describeFailure(error)))
 		outgoing.on('close', () => this.failUnlessComplete('connection closed'))
+		outgoing.on('information', () => this.countInterimResponse(outgoing))
 		outgoing.on('response', (response) => this.handleResponse(response))
 		if (this.bodyStallMs === undefined) outgoing.end(this.message.body)
 		else this.stopSendingBody = this.sendBody(outgoing, this.bodyStallMs)
@@ -177,6 +182,14 @@
 		})
 	}
 
+	private countInterimResponse(outgoing: ClientRequest): void {
+		this.interimResponses++
+		if (this.interimResponses <= MAX_INTERIM_RESPONSES) return
+		// The parser still reports those that were read at once with this one.
+		outgoing.removeAllListeners('information')
+		this.fail('broken', 'too many interim responses')
+	}
+
 	private handleResponse(response: IncomingMessage): void {
 		if (this.hasEnded) return
 		this.response = response
