A request that may run only once keeps its time limit when its caller leaves

Cause: the end of an exchange stopped its time limit, while its attempt went on on purpose.

Change: the limit goes on while the attempt does, and then closes the connection. An attempt that has sent nothing yet is cancelled.

--- a/packages/gateway/src/lib/Exchange.ts
+++ b/packages/gateway/src/lib/Exchange.ts
@@ -39,6 +39,8 @@
 	private readonly timeLimit: TimeLimit
 	private gateEntry: GateEntry | undefined
 	private hasEnded = false
+	/** The caller has disconnected, and the attempt that was sent goes on. */
+	private continuesWithoutCaller = false
 	/** Time from the arrival of the request until it was started, in ms; -1 if it was not. */
 	private startedMs = -1
 	private readonly attempts: AttemptSeries
@@ -169,8 +171,8 @@
 	}
 
 	private handleTimeLimit(): void {
-		if (this.hasEnded) return
 		this.attempts.cancel()
+		if (this.hasEnded) return
 		if (this.responseWriter.isStreamStarted) this.abortResponse('time limit', 'time')
 		else this.refuse(this.attempts.mayHaveRun ? 'timed-out' : 'too-late', 'time limit')
 	}
@@ -219,6 +221,7 @@
 			}
 			const run = { request, traffic, body, content }
 			const { crashCheck, end } = await this.attempts.start(run, placement)
+			this.stopTimeLimitIfEnded()
 			if (this.hasEnded || !this.shouldRetry(request, end)) return
 			await Promise.race([crashCheck, sleep(MAX_CRASH_CHECK_WAIT_MS)])
 		}
@@ -334,8 +337,9 @@
 
 	private handleDisconnect(): void {
 		if (this.hasEnded) return
-		// A request that may run only once continues, because it cannot be repeated later.
-		if (this.request?.route.kind !== 'once') this.attempts.cancel()
+		// A request that may run only once continues until its time limit, because it cannot be repeated later.
+		this.continuesWithoutCaller = this.request?.route.kind === 'once' && this.attempts.sentCount > 0
+		if (!this.continuesWithoutCaller) this.attempts.cancel()
 		this.reservation.settle(this.attempts.mayHaveRun ? Infinity : 0)
 		this.recordEnd('request-cancelled', {})
 	}
@@ -363,6 +367,11 @@
 	private finish(): void {
 		this.hasEnded = true
 		this.gateEntry?.leave()
-		this.timeLimit.stop()
+		if (!this.continuesWithoutCaller) this.timeLimit.stop()
+	}
+
+	/** The attempt of a request whose caller has left is over. */
+	private stopTimeLimitIfEnded(): void {
+		if (this.hasEnded) this.timeLimit.stop()
 	}
 }
