Event streams: blank lines belong to the event before them, and an id is found without splitting lines

What callers saw: while targets sent blank lines or comments as event streams without end, other requests were not answered in time (`smallChunks.test.ts`: the process ended with blank lines, 19 of 100 in time with comments).

Cause: each blank line was an event that was parsed, by splitting its text into lines, and written by itself: 32,000 of them in one read.

Change: the blank lines after an event are a part of it; ids are found by a search in the bytes. What is forwarded stays the same bytes.

--- a/packages/core/src/lib/stream/EventSplitter.ts
+++ b/packages/core/src/lib/stream/EventSplitter.ts
@@ -1,4 +1,4 @@
-/** A complete event of an event stream with its original bytes. @public */
+/** A complete event of an event stream with its original bytes, and the blank lines after it. @public */
 export interface StreamEvent {
 	readonly bytes: Buffer
 	/** Value of the `id` field; undefined if the field is missing or not an integer. */
@@ -6,6 +6,7 @@
 }
 
 const LINE_FEED = 0x0a
+const CARRIAGE_RETURN = 0x0d
 const ID_FIELD = 'id:'
 const EMPTY = Buffer.alloc(0)
 /** Bytes of a blank line, `\n\r\n`, that may be in the chunk before the one that ends it. */
@@ -41,7 +42,8 @@
 		const bytes = this.storage.subarray(0, this.storedBytes)
 		const events: StreamEvent[] = []
 		let start = 0
-		for (let end = endOfEvent(bytes, scannedBytes); end >= 0; end = endOfEvent(bytes, start)) {
+		for (let at = endOfEvent(bytes, scannedBytes); at >= 0; at = endOfEvent(bytes, start)) {
+			const end = endOfBlankLines(bytes, at)
 			events.push(parseEvent(bytes.subarray(start, end)))
 			start = end
 		}
@@ -71,18 +73,32 @@
 /** Index after the first blank line at `start` or later; -1 if there is none. Supports LF and CRLF. */
 function endOfEvent(bytes: Buffer, start: number): number {
 	for (let at = bytes.indexOf(LINE_FEED, start); at >= 0; at = bytes.indexOf(LINE_FEED, at + 1)) {
-		const next = bytes[at + 1] === 0x0d ? at + 2 : at + 1
+		const next = bytes[at + 1] === CARRIAGE_RETURN ? at + 2 : at + 1
 		if (bytes[next] === LINE_FEED) return next + 1
 	}
 	return -1
 }
 
+/** Index after the line ends from `start` on: blank lines without end are not an event each. */
+function endOfBlankLines(bytes: Buffer, start: number): number {
+	let at = start
+	while (bytes[at] === LINE_FEED || bytes[at] === CARRIAGE_RETURN) at++
+	return at
+}
+
 function parseEvent(bytes: Buffer): StreamEvent {
-	const line = bytes
-		.toString('latin1')
-		.split('\n')
-		.find((candidate) => candidate.startsWith(ID_FIELD))
-	if (line === undefined) return { bytes, id: undefined }
-	const id = Number(line.slice(ID_FIELD.length).trim())
+	const value = valueOfId(bytes)
+	if (value === undefined) return { bytes, id: undefined }
+	const id = Number(value)
 	return { bytes, id: Number.isSafeInteger(id) ? id : undefined }
 }
+
+/** Value of the first line that is an `id` field. */
+function valueOfId(bytes: Buffer): string | undefined {
+	for (let at = bytes.indexOf(ID_FIELD); at >= 0; at = bytes.indexOf(ID_FIELD, at + 1)) {
+		if (at > 0 && bytes[at - 1] !== LINE_FEED) continue
+		const end = bytes.indexOf(LINE_FEED, at)
+		return bytes.toString('latin1', at + ID_FIELD.length, end < 0 ? bytes.length : end).trim()
+	}
+	return undefined
+}
--- a/packages/gateway/src/lib/overload/smallChunks.test.ts
+++ b/packages/gateway/src/lib/overload/smallChunks.test.ts
@@ -31,6 +31,7 @@
 const OK = 'HTTP/1.1 200 OK\r\nrequest-id: {id}\r\ntarget-mark: t\r\n'
 const CHUNKED = `${OK}Transfer-Encoding: chunked\r\n\r\n`
 const EVENTS = `${OK}Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n`
+const UNFRAMED_EVENTS = `${OK}Content-Type: text/event-stream\r\n\r\n`
 
 function chunkOf(text: string): string {
 	return `${text.length.toString(16)}\r\n${text}\r\n`
@@ -43,6 +44,8 @@
 	{ name: 'chunks of 200 bytes', path: '/once/', head: CHUNKED, part: chunkOf('x'.repeat(200)) },
 	{ name: 'interim responses', path: '/stream/', head: '', part: 'HTTP/1.1 100 Continue\r\n\r\n' },
 	{ name: 'early hints', path: '/once/', head: '', part: 'HTTP/1.1 103 Hints\r\na: b\r\n\r\n' },
+	{ name: 'blank lines', path: '/resume/', head: UNFRAMED_EVENTS, part: '\n' },
+	{ name: 'comments', path: '/stream/', head: UNFRAMED_EVENTS, part: ':\n\n' },
 	{ name: 'chunks of an event', path: '/stream/', head: EVENTS, part: chunkOf('x') },
 ]
 
