Events of one read are sent in one piece

Cause: each event of a read was written by itself, and a connection whose caller reads slowly keeps an object for each: 21,800 comments of three bytes in a read of 64 KiB.

Change: `ResponseWriter.sendEvents` joins them. Events before one whose id repeats are still sent, as before.

Result: `smallChunks.test.ts`, comments without end for callers that read nothing: fails on, passes here; 138 tests of attempts, streams, memory and the gateway pass.

--- a/packages/gateway/src/lib/ResponseWriter.ts
+++ b/packages/gateway/src/lib/ResponseWriter.ts
@@ -60,22 +60,20 @@
 		this.response.flushHeaders()
 	}
 
-	/** Forwards one event. Returns false if the caller reads too slowly; then wait for {@link onDrain}. */
-	sendEvent(event: StreamEvent): boolean {
+	/**
+	 * Forwards events in one piece, because a connection keeps an object for each. Returns false if the caller reads too
+	 * slowly; then wait for {@link onDrain}.
+	 */
+	sendEvents(events: readonly StreamEvent[]): boolean {
+		const [first] = events
+		if (!first) return true
 		if (this.eventCount === 0) this.onFirstEvent()
-		this.eventCount++
+		this.eventCount += events.length
 		this.recordEventTime()
-		if (event.id !== undefined) this.lastEventId = event.id
-		return this.response.write(event.bytes)
-	}
-
-	/** Sends what `send` writes, several events, in one piece. Returns its result. */
-	sendTogether<Result>(eventCount: number, send: () => Result): Result {
-		if (eventCount < 2) return send()
-		this.response.cork()
-		const result = send()
-		this.response.uncork()
-		return result
+		this.lastEventId = events.findLast(({ id }) => id !== undefined)?.id ?? this.lastEventId
+		const bytes =
+			events.length === 1 ? first.bytes : Buffer.concat(events.map((event) => event.bytes))
+		return this.response.write(bytes)
 	}
 
 	private recordEventTime(): void {
--- a/packages/gateway/src/lib/attempts/Attempt.ts
+++ b/packages/gateway/src/lib/attempts/Attempt.ts
@@ -272,8 +272,7 @@
 		const { responseWriter } = this.options
 		const { memory } = responseWriter
 		const events = splitter.push(chunk)
-		if (events.length > 0) this.silence.noteProgress()
-		const isWritable = responseWriter.sendTogether(events.length, () => this.sendEvents(events))
+		const isWritable = this.sendEvents(events)
 		if (this.hasEnded) return events.length
 		if (splitter.partialBytes > (memory ? MAX_EVENT_BYTES : MAX_COLLECTED_BYTES))
 			this.abort('event too large')
@@ -283,17 +282,14 @@
 
 	/** Returns false if the caller reads too slowly. */
 	private sendEvents(events: readonly StreamEvent[]): boolean {
+		if (events.length === 0) return true
+		this.silence.noteProgress()
 		const { responseWriter } = this.options
-		let isWritable = true
-		for (const event of events) {
-			const { lastEventId } = responseWriter
-			if (event.id !== undefined && lastEventId !== undefined && event.id <= lastEventId) {
-				this.abort(`event ${event.id} after ${lastEventId}`)
-				return true
-			}
-			this.takeOver()
-			isWritable = responseWriter.sendEvent(event)
-		}
+		const repeated = findRepeated(events, responseWriter.lastEventId)
+		const sent = repeated ? events.slice(0, events.indexOf(repeated.event)) : events
+		if (sent.length > 0) this.takeOver()
+		const isWritable = responseWriter.sendEvents(sent)
+		if (repeated) this.abort(`event ${repeated.event.id} after ${repeated.lastId}`)
 		return isWritable
 	}
 
@@ -416,3 +412,17 @@
 		return this.options.context.now() - this.startedAt
 	}
 }
+
+/** The first event whose id does not follow those before it, with the last of these. */
+function findRepeated(
+	events: readonly StreamEvent[],
+	lastEventId: number | undefined,
+): { readonly event: StreamEvent; readonly lastId: number } | undefined {
+	let lastId = lastEventId ?? -Infinity
+	for (const event of events) {
+		if (event.id === undefined) continue
+		if (event.id <= lastId) return { event, lastId }
+		lastId = event.id
+	}
+	return undefined
+}
--- a/packages/gateway/src/lib/overload/smallChunks.test.ts
+++ b/packages/gateway/src/lib/overload/smallChunks.test.ts
@@ -26,6 +26,8 @@
 	readonly path: string
 	readonly head: string
 	readonly part: string
+	/** The callers read nothing. */
+	readonly isUnread?: boolean
 }
 
 const OK = 'HTTP/1.1 200 OK\r\nrequest-id: {id}\r\ntarget-mark: t\r\n'
@@ -46,6 +48,13 @@
 	{ name: 'early hints', path: '/once/', head: '', part: 'HTTP/1.1 103 Hints\r\na: b\r\n\r\n' },
 	{ name: 'blank lines', path: '/resume/', head: UNFRAMED_EVENTS, part: '\n' },
 	{ name: 'comments', path: '/stream/', head: UNFRAMED_EVENTS, part: ':\n\n' },
+	{
+		name: 'unread comments',
+		path: '/stream/',
+		head: UNFRAMED_EVENTS,
+		part: ':\n\n',
+		isUnread: true,
+	},
 	{ name: 'chunks of an event', path: '/stream/', head: EVENTS, part: chunkOf('x') },
 ]
 
@@ -147,7 +156,10 @@
 
 	it.each(FLOODS)('lives, and answers other requests in time: $name on $path', async (flood) => {
 		await startBox(flood)
-		for (let i = 0; i < SENDERS; i++) open(`${flood.path}flood`)
+		for (let i = 0; i < SENDERS; i++) {
+			const caller = open(`${flood.path}flood`)
+			if (flood.isUnread) caller.pause()
+		}
 		const served = await probe()
 		expect(child.exitCode ?? child.signalCode).toBeNull()
 		expect(served).toBeGreaterThanOrEqual(MIN_SERVED)
