Streams without framing are sent in chunks, and broken off visibly when their box or target ends

Cause: the box passed such an answer on with the framing of its target, the end of the connection. The kernel closes the connections of a process that ends in order, so any end of the box looked like the end of the answer. The same holds for a target that crashes between two events.

Change: callers of HTTP/1.1 get streams in chunks, with the last chunk only where the end of the target is good: in order, not inside an event, and a new connection does not show that it crashed (the probe that the crash detector makes anyway; it joins the pool). Callers of HTTP/1.0 get the end of the connection; a stop resets it. A kill can't be seen by these.

Weighed: a reset at the stop only holds the claim, not a kill. The rule that a stream without framing can't end one with framing is replaced by the check of the target; `slowCallers.test.ts` now checks a missing last chunk for 1.1 and the reset for 1.0.

--- a/packages/gateway/src/lib/CrashDetector.ts
+++ b/packages/gateway/src/lib/CrashDetector.ts
@@ -75,29 +75,30 @@
 
 	/**
 	 * Records a run whose response was interrupted. Resolves after the immediate check whether the target has
-	 * crashed.
+	 * crashed, to true if it has.
 	 */
-	async noteBrokenRun(run: BrokenRun): Promise<void> {
+	async noteBrokenRun(run: BrokenRun): Promise<boolean> {
 		const { isAvailable, now } = this.options
 		const incarnation = incarnationOf(run.target)
 		// A planned shutdown also cuts off running requests, and is not a crash.
 		if (!isAvailable(incarnation, run.target.name) && !this.endedIncarnations.has(incarnation))
-			return
+			return false
 		const broken: PendingRun = { ...run, endedAt: now() }
 		if (this.endedIncarnations.has(incarnation)) {
 			this.recordCrash(broken)
-			return
+			return true
 		}
 		this.pending.push(broken)
 		if (this.pending.length > MAX_PENDING_RUNS) this.pending.shift()
-		if (!run.closedByTarget) return
+		if (!run.closedByTarget) return false
 		const result = await this.probe(run.target)
 		// If this box reaches no other target either, its own path is lost, and the target may be fine.
 		if (result === 'refused' && (await this.options.reachesAnotherTarget(run.target)))
 			this.noteTargetCrash(run.target, 'refuses connections')
-		if (result !== 'accepted') return
+		if (result !== 'accepted') return this.endedIncarnations.has(incarnation)
 		this.pending = this.pending.filter((other) => other !== broken)
 		run.onTargetAlive?.()
+		return false
 	}
 
 	/** Treats targets that restarted, or that disappeared from the list without leaving first, as crashed. */
--- a/packages/gateway/src/lib/CrashProtection.ts
+++ b/packages/gateway/src/lib/CrashProtection.ts
@@ -162,9 +162,9 @@
 
 	/**
 	 * Records a run whose response was interrupted. Resolves after the immediate check whether the target has
-	 * crashed.
+	 * crashed, to true if it has.
 	 */
-	noteBrokenRun(run: BrokenRun): Promise<void> {
+	noteBrokenRun(run: BrokenRun): Promise<boolean> {
 		return this.crashDetector.noteBrokenRun(run)
 	}
 
--- a/packages/gateway/src/lib/Exchange.ts
+++ b/packages/gateway/src/lib/Exchange.ts
@@ -23,13 +23,17 @@
 import { TokenReservation } from './TokenReservation.js'
 
 /**
- * Maximum wait of a retry until it is known whether the previous attempt crashed its target, in ms. A new connection
+ * Maximum wait of a retry, or of the end of an answer without framing, until it is known whether the previous attempt crashed its target, in ms. A new connection
  * shows this within two round trips; a target behind a network partition never answers.
  */
 const MAX_CRASH_CHECK_WAIT_MS = 50
 
-/** What an answer that is broken off lacked to go on; `status`: a target that was to go on answered with a status. */
-type BrokenAnswerObstacle = ReplacementObstacle | 'status'
+/**
+ * What an answer that is broken off lacked to go on.
+ * - `status`: a target that was to go on answered with a status.
+ * - `stopping`: the process ends.
+ */
+type BrokenAnswerObstacle = ReplacementObstacle | 'status' | 'stopping'
 
 /** One request of a caller, from its head to the end of the response. */
 export class Exchange {
@@ -152,6 +156,17 @@
 		return true
 	}
 
+	/** Breaks the response off because the process ends, if it would look complete otherwise, or is a stream. */
+	breakOff(): void {
+		if (this.hasEnded) {
+			this.responseWriter.abortUnframed()
+			return
+		}
+		if (!this.responseWriter.isStreamStarted) return
+		this.attempts.cancel()
+		this.abortResponse('planned stop', 'stopping')
+	}
+
 	/** Ends the exchange after an internal error. */
 	failInternally(): void {
 		this.attempts.cancel()
@@ -220,8 +235,9 @@
 				return
 			}
 			const run = { request, traffic, body, content }
-			const { crashCheck, end } = await this.attempts.start(run, placement)
+			const { crashCheck, end: stated } = await this.attempts.start(run, placement)
 			this.stopTimeLimitIfEnded()
+			const end = await withoutCrash(stated, crashCheck)
 			if (this.hasEnded || !this.shouldRetry(request, end)) return
 			await Promise.race([crashCheck, sleep(MAX_CRASH_CHECK_WAIT_MS)])
 		}
@@ -375,3 +391,20 @@
 		if (this.hasEnded) this.timeLimit.stop()
 	}
 }
+
+/**
+ * The end of an attempt, as broken if its target has crashed. Without a length or chunks, a crash ends an answer in the same
+ * way as the target itself.
+ */
+async function withoutCrash(end: AttemptEnd, crashCheck: Promise<boolean>): Promise<AttemptEnd> {
+	if (end.outcome.kind !== 'answered' || end.isSelfDelimiting) return end
+	const hasCrashed = await Promise.race([crashCheck, sleep(MAX_CRASH_CHECK_WAIT_MS)])
+	if (hasCrashed !== true) return end
+	return {
+		...end,
+		outcome: { kind: 'unknown' },
+		cause: 'its target crashed',
+		closedByTarget: true,
+		completeResponse: undefined,
+	}
+}
--- a/packages/gateway/src/lib/Gateway.ts
+++ b/packages/gateway/src/lib/Gateway.ts
@@ -282,6 +282,7 @@
 	}
 
 	private close(): void {
+		this.callerIntake.breakOff()
 		this.callerServer.close()
 		this.callerServer.closeIdleConnections()
 		this.readinessServer.close()
--- a/packages/gateway/src/lib/ResponseWriter.ts
+++ b/packages/gateway/src/lib/ResponseWriter.ts
@@ -40,10 +40,11 @@
 	sendComplete(head: ResponseHead, body: readonly Buffer[]): void {
 		this.firstWriteAt = this.now()
 		const headers = responseHeadersToForward(head.rawHeaders)
-		this.isSelfDelimiting = isSelfDelimiting(head)
 		const length = body.reduce((sum, piece) => sum + piece.length, 0)
+		this.isSelfDelimiting = isSelfDelimiting(head)
+		// A length would claim that the body is complete, which the close of the target's connection does not prove.
 		if (!this.isSelfDelimiting) this.delimitByClose(headers)
-		else if (mayHaveBody(head.status)) headers.push('Content-Length', String(length))
+		else headers.push(...this.lengthHeader(head, length))
 		this.writeHead(head.status, headers)
 		if (this.memory) sendPieces(this.response, body, this.memory)
 		else this.response.end(Buffer.concat(body, length))
@@ -52,7 +53,9 @@
 	/** Forwards the head of a stream. */
 	startStream(head: ResponseHead): void {
 		this.isStreamStarted = true
-		this.isSelfDelimiting = isSelfDelimiting(head)
+		// Callers that understand chunks get them, however the target ends its stream: what a process leaves that was killed
+		// must not look like a complete stream. Callers of HTTP/1.0 do not understand them.
+		this.isSelfDelimiting = this.response.useChunkedEncodingByDefault
 		this.memory?.noteStreamStarted()
 		const headers = responseHeadersToForward(head.rawHeaders)
 		if (!this.isSelfDelimiting) this.delimitByClose(headers)
@@ -116,15 +119,26 @@
 		this.response.destroy()
 	}
 
-	/**
-	 * Ends the body by closing the connection, as the target does. Any other framing would claim that the body is
-	 * complete, which the close of the target's connection does not prove.
-	 */
+	/** Aborts a response that only the close of its connection ends and that is not sent completely. */
+	abortUnframed(): void {
+		const { headersSent, writableFinished } = this.response
+		if (headersSent && !writableFinished && !this.isSelfDelimiting) this.destroy()
+	}
+
+	/** Ends the body by closing the connection. */
 	private delimitByClose(headers: string[]): void {
 		this.response.useChunkedEncodingByDefault = false
 		headers.push('Connection', 'close')
 	}
 
+	/** States the length of a body. The response to a HEAD request has none, but may state that of another request. */
+	private lengthHeader(head: ResponseHead, length: number): readonly string[] {
+		if (!mayHaveBody(head.status)) return []
+		const isHead = this.response.req.method === 'HEAD'
+		const stated = isHead ? head.headers['content-length'] : length
+		return stated === undefined ? [] : ['Content-Length', String(stated)]
+	}
+
 	private writeHead(status: number, headers: string[]): void {
 		this.response.sendDate = false
 		if (this.shouldCloseConnection() && !headers.includes('Connection'))
--- a/packages/gateway/src/lib/attempts/Attempt.ts
+++ b/packages/gateway/src/lib/attempts/Attempt.ts
@@ -197,15 +197,10 @@
 	onEnd(): void {
 		const head = this.responseHead
 		if (!head || this.hasEnded) return
-		const { responseWriter } = this.options
 		if (this.splitter?.hasPartialEvent) {
 			this.onFailure({ kind: 'broken', cause: 'ended inside an event' })
 			return
 		}
-		if (this.splitter && responseWriter.isSelfDelimiting && !isSelfDelimiting(head)) {
-			this.onFailure({ kind: 'broken', cause: 'unframed end of a framed stream' })
-			return
-		}
 		if (this.splitter) {
 			this.takeOver()
 			this.end('good', { kind: 'answered', failed: false }, 'stream ended', undefined)
--- a/packages/gateway/src/lib/memory/testCallers.ts
+++ b/packages/gateway/src/lib/memory/testCallers.ts
@@ -22,6 +22,7 @@
 	box: TestBox,
 	path: string,
 	{ statedBytes, sentBytes }: RawBody = { statedBytes: 0, sentBytes: 0 },
+	httpVersion: '1.0' | '1.1' = '1.1',
 ): Promise<RawCaller> {
 	const socket = connect({ port: box.port, host: '127.0.0.1' })
 	const chunks: Buffer[] = []
@@ -31,7 +32,7 @@
 	socket.pause()
 	socket.on('data', (chunk: Buffer) => void chunks.push(chunk))
 	socket.pause()
-	const head = `POST ${path} HTTP/1.1\r\nHost: a.example\r\nrequest-id: slow\r\nauthorization: key\r\n`
+	const head = `POST ${path} HTTP/${httpVersion}\r\nHost: a.example\r\nrequest-id: slow\r\nauthorization: key\r\n`
 	socket.write(`${head}content-length: ${statedBytes}\r\n\r\n`)
 	if (sentBytes > 0) socket.write(Buffer.alloc(sentBytes))
 	return { socket, text: () => Buffer.concat(chunks).toString('latin1'), wasReset: () => wasReset }
--- a/packages/gateway/src/lib/overload/CallerIntake.ts
+++ b/packages/gateway/src/lib/overload/CallerIntake.ts
@@ -22,6 +22,7 @@
 /** Takes the requests of callers from a server, and serves each of them in an {@link Exchange}. */
 export class CallerIntake {
 	private readonly intakeReport: IntakeReport
+	private readonly exchanges = new Set<Exchange>()
 	/** Longest time for which connections should wait to be accepted, in ms. */
 	private maxAcceptWaitMs = DEFAULT_TIMEOUT_MS * MAX_ACCEPT_WAIT_SHARE
 
@@ -61,6 +62,11 @@
 		this.maxAcceptWaitMs = shortestTimeoutMs * MAX_ACCEPT_WAIT_SHARE
 	}
 
+	/** Breaks off the responses that are still open when the process ends, so that none looks complete. */
+	breakOff(): void {
+		for (const exchange of this.exchanges) exchange.breakOff()
+	}
+
 	private open(
 		message: IncomingMessage,
 		response: ServerResponse,
@@ -68,6 +74,8 @@
 	): WaitingRequest {
 		response.once('close', this.options.countOpenRequest())
 		const exchange = new Exchange(this.options.context, message, response, arrivedAt)
+		this.exchanges.add(exchange)
+		response.once('close', () => this.exchanges.delete(exchange))
 		return {
 			get hasEnded() {
 				return exchange.isEnded
--- a/packages/gateway/src/lib/reportRunEnd.ts
+++ b/packages/gateway/src/lib/reportRunEnd.ts
@@ -17,22 +17,23 @@
 
 /**
  * Reports the end of a run to the crash protection: the request was answered, or may have crashed its target.
- * Resolves once the check for a crash is done.
+ * Resolves once the check for a crash is done, to true if the target has crashed.
  */
 export async function reportRunEnd(
 	crashes: CrashProtection,
 	{ content, target, startedAt, end }: EndedRun,
-): Promise<void> {
+): Promise<boolean> {
 	const { closedByTarget, isSelfDelimiting, outcome, status } = end
 	const run = { identity: content, parts: content.sharedParts, target, startedAt }
 	const isAnswer = outcome.kind === 'answered' && status < MIN_FAILURE_STATUS
 	if (isAnswer && isSelfDelimiting) crashes.noteAnswered(content)
 	// A crash ends such a response in the same way, so a new connection has to show that the target still runs.
 	else if (isAnswer)
-		await crashes.noteBrokenRun({
+		return crashes.noteBrokenRun({
 			...run,
 			closedByTarget: true,
 			onTargetAlive: () => crashes.noteAnswered(content),
 		})
-	else if (outcome.kind === 'unknown') await crashes.noteBrokenRun({ ...run, closedByTarget })
+	else if (outcome.kind === 'unknown') return crashes.noteBrokenRun({ ...run, closedByTarget })
+	return false
 }
