A planned stop cuts no response that is still being sent, and a second SIGTERM does not shorten it

What callers saw: 2.8 s after SIGTERM, a response that its caller was still reading ended in order, 4 of 16 MB of it sent. After a second SIGTERM the process ended at once.

Cause: `closeIdleConnections` of Node's HTTP server takes a connection for idle as soon as its response is complete, sent or not. `Gateway.stop` returned at once while it was stopping, and the process then exited.

Change: `IdleCallers` knows which connections carry no request; those that are still sending stay until the end of the grace, and are reset then if only the close of the connection would end them. `stop` returns the same promise each time.

--- a/packages/gateway/src/lib/Gateway.ts
+++ b/packages/gateway/src/lib/Gateway.ts
@@ -66,6 +66,8 @@
 	private readonly followers: PrefixFollower[]
 	private readonly timers: NodeJS.Timeout[] = []
 	private openRequests = 0
+	/** Settles when the shutdown is complete; undefined until it begins. */
+	private stopping: Promise<void> | undefined
 	/** Lowest limit on connections to a target among the services of the active configuration. */
 	private lowestMaxConnections = Infinity
 
@@ -260,8 +262,12 @@
 	}
 
 	/** Shuts down gracefully: refuses new requests and completes open ones as far as the grace allows. */
-	async stop(): Promise<void> {
-		if (this.context.isStopping) return
+	stop(): Promise<void> {
+		this.stopping ??= this.shutDown()
+		return this.stopping
+	}
+
+	private async shutDown(): Promise<void> {
 		this.context.isStopping = true
 		this.options.log({ name: 'stop-begun', fields: { open: this.openRequests } })
 		const steps = {
@@ -278,7 +284,7 @@
 	private refuseNewRequests(): void {
 		this.context.isRefusingRequests = true
 		this.sharing.admission.refuseWaiting()
-		this.callerServer.closeIdleConnections()
+		this.callerIntake.closeIdle()
 	}
 
 	private close(): void {
--- a/packages/gateway/src/lib/lifecycle/unframedAnswers.test.ts
+++ b/packages/gateway/src/lib/lifecycle/unframedAnswers.test.ts
@@ -1,6 +1,6 @@
 import { spawn } from 'node:child_process'
-import { connect, createServer, type AddressInfo, type Server, type Socket } from 'node:net'
-import { afterEach, beforeEach, describe, expect, it } from 'vitest'
+import { Socket, connect, createServer, type AddressInfo, type Server } from 'node:net'
+import { afterEach, beforeEach, describe, expect, it, vi } from 'vitest'
 import { sleep } from '../sleep.js'
 import { TestBox } from '../testBox.js'
 
@@ -155,6 +155,18 @@
 		},
 	)
 
+	it('is not ended in order if the box stops while its caller reads it slowly', async () => {
+		const started = await startBox('ends')
+		const answer = sendTo(started.port, '/again/large', '1.1', false)
+		await sleep(500)
+		// A reader that was paused may see a reset as an end, so this looks at the side of the box.
+		const reset = vi.spyOn(Socket.prototype, 'resetAndDestroy')
+		await started.gateway.stop()
+		expect(reset).toHaveBeenCalledTimes(1)
+		expect(answer.end).not.toBe('in order')
+		reset.mockRestore()
+	})
+
 	it('does not look complete if the box is killed before the end of a stream', async () => {
 		await startTargets('goes on')
 		const addresses = targets.map(({ address }) => address)
@@ -172,4 +184,11 @@
 		await expect.poll(() => stream.end).not.toBe('open')
 		expect(looksComplete(stream)).toBe(false)
 	})
+
+	it('is not cut sooner by a second request to stop', async () => {
+		const { gateway } = await startBox('goes on')
+		const first = gateway.stop()
+		expect(gateway.stop()).toBe(first)
+		await first
+	})
 })
--- a/packages/gateway/src/lib/overload/CallerIntake.ts
+++ b/packages/gateway/src/lib/overload/CallerIntake.ts
@@ -5,6 +5,7 @@
 import type { GatewayContext } from '../GatewayContext.js'
 import type { ReportedPart } from '../ReportedPart.js'
 import { AcceptQueueProbe } from './AcceptQueueProbe.js'
+import { IdleCallers } from './IdleCallers.js'
 import { IntakeReport } from './IntakeReport.js'
 import { RequestIntake, type WaitingRequest } from './RequestIntake.js'
 
@@ -23,6 +24,7 @@
 export class CallerIntake {
 	private readonly intakeReport: IntakeReport
 	private readonly exchanges = new Set<Exchange>()
+	private readonly idleCallers = new IdleCallers()
 	/** Longest time for which connections should wait to be accepted, in ms. */
 	private maxAcceptWaitMs = DEFAULT_TIMEOUT_MS * MAX_ACCEPT_WAIT_SHARE
 
@@ -67,6 +69,11 @@
 		for (const exchange of this.exchanges) exchange.breakOff()
 	}
 
+	/** Closes the connections of callers that carry no request. */
+	closeIdle(): void {
+		this.idleCallers.close()
+	}
+
 	private open(
 		message: IncomingMessage,
 		response: ServerResponse,
@@ -75,7 +82,11 @@
 		response.once('close', this.options.countOpenRequest())
 		const exchange = new Exchange(this.options.context, message, response, arrivedAt)
 		this.exchanges.add(exchange)
-		response.once('close', () => this.exchanges.delete(exchange))
+		this.idleCallers.noteRequest(message.socket)
+		response.once('close', () => {
+			this.exchanges.delete(exchange)
+			this.idleCallers.noteSent(message.socket)
+		})
 		return {
 			get hasEnded() {
 				return exchange.isEnded
