Streams keep their software version when all boxes were killed: versions and origins are stored

Cause: which versions had served, and where a stream began, was known in the memory of boxes only. If nobody knew, the one version that was listed was taken for the only one.

Change: `VersionHistory` keeps the versions of each service in one document of the store, written when the set changes (two boxes at once, the others 1 to 3 s later if it is still not there) and read with the list of boxes before a box is ready; what a starting box reads counts as serving until then, so no clock is compared. `StoredOrigins` writes the unfinished streams of services with several versions, one item by process under a lease, at most every 500 ms and 20 writes a second for all boxes. What neither a box nor the store knows is `unknown` and refused at once, no longer one version.

The protocol carries nothing that a caller brings back beside the id of its attempt, and targets don't tell where a stream began.

The test of `StreamOriginSharing` that expected `one-version` where no box knew the history is replaced by one in which another box knows it, and one that expects `unknown` where none does.

--- a/packages/core/src/lib/placement/ServiceVersions.ts
+++ b/packages/core/src/lib/placement/ServiceVersions.ts
@@ -29,12 +29,28 @@
 		return this.listed.get(service) ?? new Map<SoftwareVersion, number>()
 	}
 
-	/** True if targets of several versions have served within {@link MAX_STREAM_AGE_MS}. */
-	isMixed(service: ServiceName, now: Millis): boolean {
+	/** Notes that a version may have served until now, although this box has not seen it listed. */
+	noteRecorded(service: ServiceName, version: SoftwareVersion, now: Millis): void {
+		this.noteListed(service, version, now)
+	}
+
+	/** The services with targets that have served within {@link MAX_STREAM_AGE_MS}. */
+	servicesSince(now: Millis): readonly ServiceName[] {
+		const services = new Set([...this.listed.keys(), ...this.lastListedAt.keys()])
+		return [...services].filter((service) => this.recentOf(service, now).size > 0)
+	}
+
+	/** Versions of the targets that have served within {@link MAX_STREAM_AGE_MS}. */
+	recentOf(service: ServiceName, now: Millis): ReadonlySet<SoftwareVersion> {
 		const versions = new Set(this.countsOf(service).keys())
 		for (const [version, at] of this.lastListedAt.get(service) ?? [])
 			if (now - at <= MAX_STREAM_AGE_MS) versions.add(version)
-		return versions.size > 1
+		return versions
+	}
+
+	/** True if targets of several versions have served within {@link MAX_STREAM_AGE_MS}. */
+	isMixed(service: ServiceName, now: Millis): boolean {
+		return this.recentOf(service, now).size > 1
 	}
 
 	private count(entry: TargetEntry): void {
--- a/packages/core/src/lib/router/logEvents.ts
+++ b/packages/core/src/lib/router/logEvents.ts
@@ -70,6 +70,18 @@
 		number: 126,
 		text: 'The replacement of a silent target took over a request, or was given up',
 	},
+	'stream-record-not-stored': {
+		number: 127,
+		text: 'The versions of targets, or where streams began, could not be stored; the write is retried',
+	},
+	'stream-record-unread': {
+		number: 128,
+		text: 'Where streams began could not be read from the store; those streams are refused',
+	},
+	'stream-record-unreadable': {
+		number: 129,
+		text: 'The stored versions of targets are invalid; this box keeps what it has seen',
+	},
 	'slice-asked': { number: 200, text: 'Tokens were requested from the zone leader' },
 	'slice-granted': { number: 201, text: 'Tokens were granted by the zone leader' },
 	'slice-returned': { number: 202, text: 'Idle tokens were returned to the zone' },
--- a/packages/gateway/src/lib/Gateway.ts
+++ b/packages/gateway/src/lib/Gateway.ts
@@ -83,6 +83,7 @@
 			store: this.store,
 			address,
 			onStoredQuarantine: (item) => this.sharing.crashProtection.applyStored(item),
+			onStoredVersions: (item) => this.sharing.versionHistory.applyStored(item),
 		})
 		this.boxLoad = createBoxLoadControl({
 			gateway: options,
@@ -319,6 +320,8 @@
 		this.callerIntake.maintain()
 		this.sharing.crashProtection.expireRecords()
 		this.sharing.streams.maintain()
+		this.sharing.versionHistory.maintain()
+		this.sharing.storedOrigins.maintain()
 	}
 
 	/** Applies new retry limits when the settings are reloaded. */
--- a/packages/gateway/src/lib/PeerSharing.ts
+++ b/packages/gateway/src/lib/PeerSharing.ts
@@ -14,7 +14,9 @@
 import type { TargetPaths } from './forwarding/TargetPaths.js'
 import type { TargetPools } from './TargetPools.js'
 import { SpeedSharing } from './speeds/SpeedSharing.js'
+import { StoredOrigins } from './streams/StoredOrigins.js'
 import { StreamOriginSharing } from './streams/StreamOriginSharing.js'
+import { VersionHistory } from './streams/VersionHistory.js'
 import { WorkSharing } from './WorkSharing.js'
 
 export interface PeerSharingOptions {
@@ -41,6 +43,8 @@
 	readonly rateSharing: RateSharing
 	readonly speedSharing: SpeedSharing
 	readonly streams: StreamOriginSharing
+	readonly versionHistory: VersionHistory
+	readonly storedOrigins: StoredOrigins
 	readonly workSharing: WorkSharing
 	private readonly datagrams = new PeerDatagrams()
 	private readonly address: ListenAddress
@@ -100,8 +104,24 @@
 			datagrams,
 			peers: () => membership.otherAddresses,
 		})
+		this.versionHistory = new VersionHistory({
+			...gateway,
+			store,
+			key: gateway.storeLayout.versionsKey,
+			versions: registry.versions,
+			boxes: () => membership.boxes,
+		})
+		this.storedOrigins = new StoredOrigins({
+			...gateway,
+			store,
+			prefix: gateway.storeLayout.streamOriginPrefix,
+			boxCount: () => membership.size,
+			unfinished: () => this.streams.unfinishedOfMixed(),
+		})
 		this.streams = new StreamOriginSharing({
 			...gateway,
+			history: this.versionHistory,
+			stored: this.storedOrigins,
 			registry,
 			datagrams,
 			self: membership.self,
--- a/packages/gateway/src/lib/createFleetMembership.ts
+++ b/packages/gateway/src/lib/createFleetMembership.ts
@@ -10,6 +10,8 @@
 	readonly address: string
 	/** Receives the stored quarantine, which is listed together with the boxes; undefined if there is none. */
 	readonly onStoredQuarantine: (item: StoreItem | undefined) => void
+	/** Receives the stored versions of targets likewise. */
+	readonly onStoredVersions: (item: StoreItem | undefined) => void
 }
 
 /** Creates the membership of this box in the fleet. */
@@ -17,6 +19,7 @@
 	address,
 	gateway,
 	onStoredQuarantine,
+	onStoredVersions,
 	store,
 }: MembershipSources): FleetMembership {
 	const { box, capacity, storeLayout, zone } = gateway
@@ -24,8 +27,10 @@
 		store,
 		prefix: storeLayout.boxPrefix,
 		listPrefix: storeLayout.fleetPrefix,
-		onListed: (items) =>
-			onStoredQuarantine(items.find(({ key }) => key === storeLayout.quarantineKey)),
+		onListed: (items) => {
+			onStoredQuarantine(items.find(({ key }) => key === storeLayout.quarantineKey))
+			onStoredVersions(items.find(({ key }) => key === storeLayout.versionsKey))
+		},
 		self: { box, zone, address, cores: capacity.cores },
 		sleep,
 		random: gateway.random,
--- a/packages/gateway/src/lib/streams/StreamOriginSharing.test.ts
+++ b/packages/gateway/src/lib/streams/StreamOriginSharing.test.ts
@@ -37,6 +37,10 @@
 	questions = 0
 	/** Every n-th datagram is lost; 0 for none. */
 	lossInterval = 0
+	/** Boxes that know the versions of the time before, unless it is the first start of all. */
+	readonly knowing = new Set<BoxName>()
+	/** What a box finds in the store. */
+	readonly stored = new Map<BoxName, StreamOrigin>()
 	readonly boxes: TestBoxState[]
 	private readonly registry = new TargetRegistry()
 
@@ -83,8 +87,8 @@
 			self: member,
 			otherMembers: () => members.filter(({ box }) => box !== member.box),
 			ask: (address, request, service) => this.ask(address, request, service),
-			isFirstStart,
-			uptimeMs: () => this.now,
+			history: historyOf(() => isFirstStart || this.knowing.has(member.box)),
+			stored: { find: () => Promise.resolve(this.stored.get(member.box)) },
 			now: () => this.now,
 		})
 		return Object.assign(state, { sharing })
@@ -104,8 +108,20 @@
 	}
 }
 
+function historyOf(isKnown: () => boolean): { readonly isKnown: boolean } {
+	return {
+		get isKnown() {
+			return isKnown()
+		},
+	}
+}
+
+function boxNameOf(index: number): BoxName {
+	return brandId<BoxName>(`box-${index}`)
+}
+
 function memberOf(index: number): FleetMember {
-	const box = brandId<BoxName>(`box-${index}`)
+	const box = boxNameOf(index)
 	const zone = brandId<ZoneName>(`z${index % ZONES}`)
 	return { box, zone, address: `${box}:1`, cores: 1 }
 }
@@ -187,13 +203,31 @@
 describe('the versions before a box started', () => {
 	it('are those that another box remembers, and are asked for once', async () => {
 		const fleet = new OriginFleet(3, false)
-		fleet.now = MINUTE_MS
 		fleet.setVersions('v0')
-		expect(await fleet.lookUp(0, 'a')).toBe('one-version')
+		fleet.knowing.add(boxNameOf(2))
+		expect(await fleet.lookUp(2, 'a')).toBe('one-version')
 		expect(fleet.questions).toBe(0)
-		fleet.now = 10_000
 		expect(await fleet.lookUp(0, 'a')).toBe('one-version')
-		expect(fleet.questions).toBeGreaterThan(0)
+		const { questions } = fleet
+		expect(questions).toBeGreaterThan(0)
+		expect(await fleet.lookUp(0, 'b')).toBe('one-version')
+		expect(fleet.questions).toBe(questions)
+	})
+
+	// Guards against streams that go on at another version after all boxes were killed: the listed version was taken for the
+	// only one.
+	it('are not taken for the listed one if no box remembers them', async () => {
+		const fleet = new OriginFleet(3, false)
+		fleet.setVersions('v1')
+		expect(await fleet.lookUp(0, 'a')).toBe('unknown')
+	})
+
+	it('are looked up in the store if no box knows a stream', async () => {
+		const fleet = new OriginFleet(3, false)
+		fleet.setVersions('v0', 'v1')
+		fleet.stored.set(boxNameOf(0), originOf('a', 'v0'))
+		expect(await fleet.lookUp(0, 'a')).toBe('v0')
+		expect(await fleet.lookUp(1, 'a')).toBe('unknown')
 	})
 
 	it('count for as long as a stream can last', async () => {
--- a/packages/gateway/src/lib/streams/StreamOriginSharing.ts
+++ b/packages/gateway/src/lib/streams/StreamOriginSharing.ts
@@ -1,5 +1,4 @@
 import {
-	MAX_STREAM_AGE_MS,
 	StreamOrigins,
 	originHolders,
 	possibleOriginHolders,
@@ -10,7 +9,9 @@
 	type TargetRegistry,
 } from '@stallwing/core'
 import type { PeerDatagrams } from '../PeerDatagrams.js'
+import type { StoredOrigins } from './StoredOrigins.js'
 import { decodeOrigins, encodeOrigins } from './streamOriginCodec.js'
+import type { VersionHistory } from './VersionHistory.js'
 
 /** What a box knows about a stream, and about the versions of the service. */
 export interface OriginResponse {
@@ -56,10 +57,8 @@
 		request: string,
 		service: ServiceName,
 	) => Promise<OriginResponse | undefined>
-	/** True if no box has run before, so that no earlier stream exists. */
-	readonly isFirstStart: boolean
-	/** Time since this process started, in ms. */
-	readonly uptimeMs: () => number
+	readonly history: Pick<VersionHistory, 'isKnown'>
+	readonly stored: Pick<StoredOrigins, 'find'>
 	/** Monotonic clock, in ms. */
 	readonly now: () => number
 }
@@ -72,7 +71,8 @@
 /**
  * Knows at which software version recent streams began, at this box or at others, so that they go on at the same one. While
  * targets of several versions serve, each origin is sent to a few boxes before the first event is forwarded. A box that
- * resumes a stream asks these boxes, then others. Nothing is sent while a service has a single version.
+ * resumes a stream asks these boxes, then others, then looks in the store. Nothing is sent while a service has a single
+ * version.
  */
 export class StreamOriginSharing {
 	/** Streams that began at this box and have not completed. */
@@ -114,6 +114,12 @@
 		}
 	}
 
+	/** Streams that began at this box at services with several versions, and have not completed. */
+	unfinishedOfMixed(): readonly StreamOrigin[] {
+		const now = this.options.now()
+		return [...this.mixedServices].flatMap((service) => this.own.ofService(service, now))
+	}
+
 	/** Finds where a stream began. */
 	async find(request: string, service: ServiceName): Promise<OriginLookup> {
 		const lookup = await this.lookUp(request, service)
@@ -167,11 +173,20 @@
 			const origin = await this.askAll(addresses, request, service, responses)
 			if (origin) return { kind: 'found', origin }
 		}
-		if (isMixed || responses.some((response) => response.isMixed)) return { kind: 'unknown' }
-		if (responses.some((response) => response.knowsHistory)) this.singleBefore.add(service)
+		if (isMixed || responses.some((response) => response.isMixed))
+			return this.findStored(request, service)
+		// What no box knows is not a single version.
+		if (!responses.some((response) => response.knowsHistory)) return { kind: 'unknown' }
+		this.singleBefore.add(service)
 		return { kind: 'one-version' }
 	}
 
+	/** Looks in the store, which outlasts all boxes. */
+	private async findStored(request: string, service: ServiceName): Promise<OriginLookup> {
+		const origin = await this.options.stored.find(request)
+		return origin?.service === service ? { kind: 'found', origin } : { kind: 'unknown' }
+	}
+
 	/** Asks boxes at the same time. Resolves to the first origin that one of them knows. */
 	private askAll(
 		addresses: readonly string[],
@@ -212,8 +227,7 @@
 	}
 
 	private knowsHistory(service: ServiceName): boolean {
-		const { isFirstStart, uptimeMs } = this.options
-		return isFirstStart || uptimeMs() >= MAX_STREAM_AGE_MS || this.singleBefore.has(service)
+		return this.options.history.isKnown || this.singleBefore.has(service)
 	}
 
 	private sendToHolders(origins: readonly StreamOrigin[]): void {
--- a/packages/gateway/src/lib/streams/testVersionFleet.ts
+++ b/packages/gateway/src/lib/streams/testVersionFleet.ts
@@ -1,4 +1,5 @@
 import type { IncomingMessage, ServerResponse } from 'node:http'
+import { brandId, type Incarnation } from '@stallwing/core'
 import { MemoryStore } from '@stallwing/standins'
 import { freePort } from '../freePort.js'
 import { sleep } from '../sleep.js'
@@ -27,7 +28,6 @@
 
 /** Number of events of each stream. */
 export const EVENTS_PER_STREAM = 8
-const EVENT_INTERVAL_MS = 10
 const EVENT_PATTERN = /^id: (\d+)\ndata: (.*)$/gm
 
 /** For tests: boxes with a common store, and targets that write their software version into each event. */
@@ -35,22 +35,59 @@
 	boxes: readonly TestBox[] = []
 	/** Returns the number of events after which a target breaks a stream off; undefined if it does not. */
 	breakAfter: (requestId: string) => number | undefined = () => undefined
-	private readonly store = new MemoryStore({ now: () => performance.now(), sleep })
+	/** Interval between the events of a stream, in ms. */
+	eventIntervalMs = 10
+	private readonly killedBoxes: TestBox[] = []
+	private readonly killedConnections = new Set<string>()
+	private generation = 0
+	private readonly store = new MemoryStore({
+		now: () => performance.now(),
+		sleep,
+		outcomeOf: (caller) => (this.killedConnections.has(caller) ? 'refused' : 'served'),
+	})
 	private readonly targets = new TestBox('targets', this.store)
 	private nextId = 1
 
 	/** Starts the boxes and one target for each version listed. */
 	async start(versions: readonly (string | undefined)[], boxCount = 4): Promise<void> {
-		const ports = await Promise.all(Array.from({ length: boxCount }, freePort))
-		this.boxes = ports.map((port, i) => new TestBox(`box-${i}`, this.store, port))
 		this.store.put('config/now', JSON.stringify(trafficConfigOf(1)))
 		for (const [i, version] of versions.entries()) await this.addTarget(`t${i}`, version)
+		await this.startBoxes(boxCount)
+	}
+
+	/** Ends all boxes without their doing anything, as a kill does, and starts others under their names. */
+	async killAll(): Promise<void> {
+		for (const i of this.boxes.keys()) this.killedConnections.add(this.connectionName(i))
+		this.killedBoxes.push(...this.boxes)
+		await this.startBoxes(this.boxes.length)
+	}
+
+	/** Takes an item from the store. */
+	removeStored(key: string): void {
+		this.store.remove(key)
+	}
+
+	/** Name of the connection of a box to the store. */
+	private connectionName(index: number): string {
+		return `box-${index}#${this.generation}`
+	}
+
+	private async startBoxes(count: number): Promise<void> {
+		const ports = await Promise.all(Array.from({ length: count }, freePort))
+		this.generation++
+		const isFirstStart = this.generation === 1
+		this.boxes = ports.map((port, i) => {
+			const connection = this.store.connection(this.connectionName(i))
+			const incarnation = brandId<Incarnation>(`${this.generation} of box-${i}`)
+			const options = { store: connection, isFirstStart, incarnation }
+			return new TestBox(`box-${i}`, this.store, port, options)
+		})
 		await Promise.all(this.boxes.map((box) => box.start()))
 		await Promise.all(this.boxes.map((box) => box.waitUntilReady()))
 	}
 
 	async stop(): Promise<void> {
-		await Promise.all(this.boxes.map((box) => box.stop()))
+		await Promise.all([...this.boxes, ...this.killedBoxes].map((box) => box.stop()))
 		await this.targets.stop()
 	}
 
@@ -118,7 +155,7 @@
 				return
 			}
 			response.write(`id: ${id}\ndata: ${version}\n\n`)
-			await sleep(EVENT_INTERVAL_MS)
+			await sleep(this.eventIntervalMs)
 		}
 		response.end()
 	}
