--- a/packages/gateway/src/lib/overload/ChunkBatch.ts
+++ b/packages/gateway/src/lib/overload/ChunkBatch.ts
@@ -10,7 +10,7 @@
 
 	/** Adds a chunk. It is delivered at the latest when the current read has been handled. */
 	add(chunk: Buffer): void {
-		if (this.chunks.length === 0) process.nextTick(() => this.flush())
+		if (this.chunks.length === 0) process.nextTick(flushBatch, this)
 		this.chunks.push(chunk)
 	}
 
@@ -28,3 +28,8 @@
 		this.chunks = []
 	}
 }
+
+/** Shared by all batches, so that a read costs no closure. */
+function flushBatch(batch: ChunkBatch): void {
+	batch.flush()
+}
--- a/packages/gateway/src/lib/readBody.ts
+++ b/packages/gateway/src/lib/readBody.ts
@@ -6,6 +6,9 @@
 import { MessageFlow } from './overload/MessageFlow.js'
 import { ReadThrottle } from './overload/ReadThrottle.js'
 
+/** Chunks of a body from which they are counted against the limit of the box: most bodies have fewer. */
+const MIN_COUNTED_CHUNKS = 64
+
 /** Result of reading a body. */
 export type BodyResult =
 	| { readonly kind: 'whole'; readonly body: Buffer }
@@ -34,7 +37,9 @@
 	/** Buffer for a body of stated length: collected chunks would take its size twice. */
 	private readonly stated: Buffer | undefined
 	private readonly timeout: InputTimeout
-	private readonly throttle: ReadThrottle | undefined
+	/** Created with the first body in many chunks. */
+	private throttle: ReadThrottle | undefined
+	private chunkCount = 0
 	private bytes = 0
 	private hasFinished = false
 	private readonly received = new ChunkBatch((bytes, chunkCount) =>
@@ -47,12 +52,11 @@
 		private readonly options: BodyOptions,
 		private readonly resolve: (result: BodyResult) => void,
 	) {
-		const { chunkLimiter, limits, memory } = options
+		const { limits, memory } = options
 		const contentLength = Number(message.headers['content-length'] ?? 0)
 		this.statedBytes = Math.min(limits.maxBodyBytes, contentLength)
 		this.stated = memory && Buffer.allocUnsafeSlow(this.statedBytes)
 		this.timeout = new InputTimeout(() => this.handleTimeout())
-		this.throttle = chunkLimiter && this.createThrottle(chunkLimiter)
 	}
 
 	start(): void {
@@ -106,7 +110,15 @@
 		}
 		this.keep(chunk)
 		this.timeout.refresh()
-		this.throttle?.count(chunkCount, chunk.length)
+		this.countChunks(chunkCount, chunk.length)
+	}
+
+	private countChunks(count: number, bytes: number): void {
+		const { chunkLimiter } = this.options
+		this.chunkCount += count
+		if (!chunkLimiter || this.chunkCount < MIN_COUNTED_CHUNKS) return
+		this.throttle ??= this.createThrottle(chunkLimiter)
+		this.throttle.count(count, bytes)
 	}
 
 	private keep(chunk: Buffer): void {
--- a/packages/gateway/src/lib/sendToTarget.ts
+++ b/packages/gateway/src/lib/sendToTarget.ts
@@ -58,6 +58,8 @@
 	abort(): void
 }
 
+/** Chunks of a response from which they are counted against the limit of the box: most responses have fewer. */
+const MIN_COUNTED_CHUNKS = 64
 /** Interim responses that a target may send before the response; each takes as much time as a response. */
 const MAX_INTERIM_RESPONSES = 50
 
@@ -82,10 +84,12 @@
 	private response: IncomingMessage | undefined
 	private flow: MessageFlow | undefined
 	private readonly received = new ChunkBatch((bytes, chunkCount) => this.receive(bytes, chunkCount))
-	private readonly throttle: ReadThrottle
+	/** Created with the first response in many chunks. */
+	private throttle: ReadThrottle | undefined
 	private isPausedByListener = false
 	private isThrottled = false
 	private interimResponses = 0
+	private chunkCount = 0
 	private hasEnded = false
 	private hasSocketError = false
 	private stopSendingBody: () => void = () => undefined
@@ -95,13 +99,7 @@
 		private readonly message: TargetRequest,
 		private readonly listener: ResponseListener,
 		private readonly bodyStallMs: number | undefined,
-	) {
-		this.throttle = new ReadThrottle(pool.chunkLimiter, {
-			pause: () => this.setThrottled(true),
-			resume: () => this.setThrottled(false),
-			onOverload: () => this.fail('broken', 'too many small chunks'),
-		})
-	}
+	) {}
 
 	async start(): Promise<void> {
 		try {
@@ -148,8 +146,10 @@
 
 	private updateFlow(): void {
 		if (this.hasEnded) return
-		if (this.isPausedByListener || this.isThrottled) this.flow?.pause()
-		else this.flow?.resume()
+		if (!this.response) return
+		this.flow ??= new MessageFlow(this.response)
+		if (this.isPausedByListener || this.isThrottled) this.flow.pause()
+		else this.flow.resume()
 	}
 
 	private send(socket: Socket): void {
@@ -193,7 +193,6 @@
 	private handleResponse(response: IncomingMessage): void {
 		if (this.hasEnded) return
 		this.response = response
-		this.flow = new MessageFlow(response)
 		const accepted = this.listener.onHead({
 			status: response.statusCode ?? 0,
 			rawHeaders: response.rawHeaders,
@@ -213,7 +212,18 @@
 
 	private receive(bytes: Buffer, chunkCount: number): void {
 		const partCount = this.listener.onData(bytes)
-		if (!this.hasEnded) this.throttle.count(Math.max(partCount, chunkCount), bytes.length)
+		if (!this.hasEnded) this.countChunks(Math.max(partCount, chunkCount), bytes.length)
+	}
+
+	private countChunks(count: number, bytes: number): void {
+		this.chunkCount += count
+		if (this.chunkCount < MIN_COUNTED_CHUNKS) return
+		this.throttle ??= new ReadThrottle(this.pool.chunkLimiter, {
+			pause: () => this.setThrottled(true),
+			resume: () => this.setThrottled(false),
+			onOverload: () => this.fail('broken', 'too many small chunks'),
+		})
+		this.throttle.count(count, bytes)
 	}
 
 	private finish(response: IncomingMessage): void {
@@ -251,7 +261,7 @@
 	private markEnded(): void {
 		this.hasEnded = true
 		this.received.clear()
-		this.throttle.stop()
+		this.throttle?.stop()
 		this.stopSendingBody()
 	}
 
