--- a/packages/gateway/src/lib/Exchange.ts
+++ b/packages/gateway/src/lib/Exchange.ts
@@ -23,8 +23,9 @@
 import { TokenReservation } from './TokenReservation.js'
 
 /**
- * Maximum wait of a retry, or of the end of an answer without framing, until it is known whether the previous attempt crashed its target, in ms. A new connection
- * shows this within two round trips; a target behind a network partition never answers.
+ * Maximum wait until it is known whether the previous attempt crashed its target, in ms: before a retry, and before an answer
+ * without framing counts as complete. A new connection shows this within two round trips; a target behind a network
+ * partition never answers.
  */
 const MAX_CRASH_CHECK_WAIT_MS = 50
 
@@ -235,9 +236,9 @@
 				return
 			}
 			const run = { request, traffic, body, content }
-			const { crashCheck, end: stated } = await this.attempts.start(run, placement)
+			const { crashCheck, end: reported } = await this.attempts.start(run, placement)
 			this.stopTimeLimitIfEnded()
-			const end = await withoutCrash(stated, crashCheck)
+			const end = await checkUnframedEnd(reported, crashCheck)
 			if (this.hasEnded || !this.shouldRetry(request, end)) return
 			await Promise.race([crashCheck, sleep(MAX_CRASH_CHECK_WAIT_MS)])
 		}
@@ -396,7 +397,10 @@
  * The end of an attempt, as broken if its target has crashed. Without a length or chunks, a crash ends an answer in the same
  * way as the target itself.
  */
-async function withoutCrash(end: AttemptEnd, crashCheck: Promise<boolean>): Promise<AttemptEnd> {
+async function checkUnframedEnd(
+	end: AttemptEnd,
+	crashCheck: Promise<boolean>,
+): Promise<AttemptEnd> {
 	if (end.outcome.kind !== 'answered' || end.isSelfDelimiting) return end
 	const hasCrashed = await Promise.race([crashCheck, sleep(MAX_CRASH_CHECK_WAIT_MS)])
 	if (hasCrashed !== true) return end
--- a/packages/gateway/src/lib/sendToTarget.ts
+++ b/packages/gateway/src/lib/sendToTarget.ts
@@ -145,8 +145,7 @@
 	}
 
 	private updateFlow(): void {
-		if (this.hasEnded) return
-		if (!this.response) return
+		if (this.hasEnded || !this.response) return
 		this.flow ??= new MessageFlow(this.response)
 		if (this.isPausedByListener || this.isThrottled) this.flow.pause()
 		else this.flow.resume()
