--- a/packages/gateway/src/lib/PeerSharing.ts
+++ b/packages/gateway/src/lib/PeerSharing.ts
@@ -16,6 +16,7 @@
 import { SpeedSharing } from './speeds/SpeedSharing.js'
 import { StoredOrigins } from './streams/StoredOrigins.js'
 import { StreamOriginSharing } from './streams/StreamOriginSharing.js'
+import { STREAM_ORIGIN_PREFIX, versionsKeyOf } from './streams/streamRecordKeys.js'
 import { VersionHistory } from './streams/VersionHistory.js'
 import { WorkSharing } from './WorkSharing.js'
 
@@ -107,14 +108,14 @@
 		this.versionHistory = new VersionHistory({
 			...gateway,
 			store,
-			key: gateway.storeLayout.versionsKey,
+			key: versionsKeyOf(gateway.storeLayout),
 			versions: registry.versions,
 			boxes: () => membership.boxes,
 		})
 		this.storedOrigins = new StoredOrigins({
 			...gateway,
 			store,
-			prefix: gateway.storeLayout.streamOriginPrefix,
+			prefix: STREAM_ORIGIN_PREFIX,
 			boxCount: () => membership.size,
 			unfinished: () => this.streams.unfinishedOfMixed(),
 		})
--- a/packages/gateway/src/lib/StoreLayout.ts
+++ b/packages/gateway/src/lib/StoreLayout.ts
@@ -14,14 +14,12 @@
 	readonly spendingLimitPrefix: string
 	/** Prefix of one item for each box of the fleet. */
 	readonly boxPrefix: string
-	/** Common prefix of `boxPrefix`, `quarantineKey` and `versionsKey`, so that a single listing returns all. */
+	/**
+	 * Common prefix of `boxPrefix`, `quarantineKey` and the key of `versionsKeyOf`, so that a single listing returns all.
+	 */
 	readonly fleetPrefix: string
 	/** Document of the quarantined requests, which crash their targets. */
 	readonly quarantineKey: string
-	/** Document of the software versions of targets that have served recently. */
-	readonly versionsKey: string
-	/** Prefix of the records of streams that may be taken up again, one item for each process. */
-	readonly streamOriginPrefix: string
 	readConfig(value: Buffer): E.Either<UnreadableDocument, TrafficConfig>
 	readTarget(item: StoreItem): E.Either<UnreadableDocument, TargetEntry>
 }
--- a/packages/gateway/src/lib/createFleetMembership.ts
+++ b/packages/gateway/src/lib/createFleetMembership.ts
@@ -2,6 +2,7 @@
 import { FleetMembership } from './FleetMembership.js'
 import type { GatewayOptions } from './GatewayOptions.js'
 import { sleep } from './sleep.js'
+import { versionsKeyOf } from './streams/streamRecordKeys.js'
 
 export interface MembershipSources {
 	readonly gateway: GatewayOptions
@@ -29,7 +30,7 @@
 		listPrefix: storeLayout.fleetPrefix,
 		onListed: (items) => {
 			onStoredQuarantine(items.find(({ key }) => key === storeLayout.quarantineKey))
-			onStoredVersions(items.find(({ key }) => key === storeLayout.versionsKey))
+			onStoredVersions(items.find(({ key }) => key === versionsKeyOf(storeLayout)))
 		},
 		self: { box, zone, address, cores: capacity.cores },
 		sleep,
--- a/packages/gateway/src/lib/testBox.ts
+++ b/packages/gateway/src/lib/testBox.ts
@@ -102,8 +102,6 @@
 				boxPrefix: 'box/',
 				fleetPrefix: 'box',
 				quarantineKey: 'box-quarantine',
-				versionsKey: 'box-versions',
-				streamOriginPrefix: 'stream-origins/',
 				readConfig: (value) => readConfig(value.toString()),
 				readTarget: ({ value, revision }) => {
 					const entry = JSON.parse(value.toString()) as TargetEntry
