--- a/packages/gateway/src/lib/Exchange.ts
+++ b/packages/gateway/src/lib/Exchange.ts
@@ -5,6 +5,7 @@
 import type { AttemptEnd } from './attempts/AttemptEnd.js'
 import type { ReplacementObstacle } from './attempts/attemptEvents.js'
 import { AttemptSeries } from './attempts/AttemptSeries.js'
+import { checkUnframedEnd } from './attempts/checkUnframedEnd.js'
 import { readCallerRequest, type CallerRequest } from './CallerRequest.js'
 import { chargeFor } from './chargeFor.js'
 import type { GateEntry } from './admission/RequestGate.js'
@@ -13,9 +14,10 @@
 import { findUnavailability } from './findUnavailability.js'
 import { findOverdueRefusal } from './overload/findOverdueRefusal.js'
 import type { GatewayContext, ActiveTraffic } from './GatewayContext.js'
-import { responseTimes, boxDelays, requestEndEvent, streamResumedEvent } from './exchangeEvents.js'
+import { responseTimes, boxDelays, streamResumedEvent } from './exchangeEvents.js'
 import { waitForPendingDisconnect } from './waitForPendingDisconnect.js'
 import { readBody } from './readBody.js'
+import { recordExchangeEnd } from './recordExchangeEnd.js'
 import { createRefusal, type RefusalKind } from './Refusal.js'
 import { RequestContent } from './RequestContent.js'
 import { sleep } from './sleep.js'
@@ -44,7 +46,7 @@
 	private readonly timeLimit: TimeLimit
 	private gateEntry: GateEntry | undefined
 	private hasEnded = false
-	/** The caller has disconnected, and the attempt that was sent goes on. */
+	/** True if the attempt of a request that may run only once continues after its caller has disconnected. */
 	private continuesWithoutCaller = false
 	/** Time from the arrival of the request until it was started, in ms; -1 if it was not. */
 	private startedMs = -1
@@ -238,7 +240,7 @@
 			const run = { request, traffic, body, content }
 			const { crashCheck, end: reported } = await this.attempts.start(run, placement)
 			this.stopTimeLimitIfEnded()
-			const end = await checkUnframedEnd(reported, crashCheck)
+			const end = await checkUnframedEnd(reported, crashCheck, MAX_CRASH_CHECK_WAIT_MS)
 			if (this.hasEnded || !this.shouldRetry(request, end)) return
 			await Promise.race([crashCheck, sleep(MAX_CRASH_CHECK_WAIT_MS)])
 		}
@@ -363,22 +365,10 @@
 
 	private recordEnd(name: LogEventName, facts: Readonly<Record<string, LogValue>>): void {
 		this.finish()
-		const { metrics, traffic } = this.context
-		const elapsed = this.timeLimit.elapsedMs
-		const route = this.request?.route.name ?? ''
-		metrics.count('stallwing_requests_total', `end="${name}",route="${route}"`)
-		if (name === 'request-answered') metrics.recordDuration('stallwing_answer_ms', elapsed)
-		this.context.log(
-			requestEndEvent(name, this.request, {
-				...facts,
-				sent: this.attempts.sentCount,
-				mayHaveRun: this.attempts.mayHaveRun,
-				charged: this.reservation.charged,
-				startedMs: Math.round(this.startedMs),
-				afterMs: Math.round(elapsed),
-				configuration: traffic?.index.config.version ?? -1,
-			}),
-		)
+		const { attempts, context, request, reservation, startedMs, timeLimit } = this
+		const { elapsedMs } = timeLimit
+		const ended = { context, request, attempts, reservation, startedMs, elapsedMs }
+		recordExchangeEnd(ended, name, facts)
 	}
 
 	private finish(): void {
@@ -392,23 +382,3 @@
 		if (this.hasEnded) this.timeLimit.stop()
 	}
 }
-
-/**
- * The end of an attempt, as broken if its target has crashed. Without a length or chunks, a crash ends an answer in the same
- * way as the target itself.
- */
-async function checkUnframedEnd(
-	end: AttemptEnd,
-	crashCheck: Promise<boolean>,
-): Promise<AttemptEnd> {
-	if (end.outcome.kind !== 'answered' || end.isSelfDelimiting) return end
-	const hasCrashed = await Promise.race([crashCheck, sleep(MAX_CRASH_CHECK_WAIT_MS)])
-	if (hasCrashed !== true) return end
-	return {
-		...end,
-		outcome: { kind: 'unknown' },
-		cause: 'its target crashed',
-		closedByTarget: true,
-		completeResponse: undefined,
-	}
-}
--- a/packages/gateway/src/lib/attempts/Attempt.ts
+++ b/packages/gateway/src/lib/attempts/Attempt.ts
@@ -1,9 +1,7 @@
 import {
-	EventSplitter,
 	exhaustive,
 	type AttemptHandle,
 	type AttemptResult,
-	type StreamEvent,
 	type TargetOutcome,
 	type TargetEntry,
 } from '@stallwing/core'
@@ -17,7 +15,7 @@
 	TargetFailure,
 	TargetRequest,
 } from '../sendToTarget.js'
-import { CollectedChunks, MAX_COLLECTED_BYTES } from './CollectedChunks.js'
+import { CollectedChunks } from './CollectedChunks.js'
 import type { AttemptEnd, CompleteResponse } from './AttemptEnd.js'
 import type { AttemptOptions } from './AttemptOptions.js'
 import { attemptEndedEvent } from './attemptEvents.js'
@@ -28,11 +26,10 @@
 	isRejection,
 	isResponseTo,
 } from './classifyResponse.js'
+import { EventForwarder } from './EventForwarder.js'
 import { responseTimeouts, type ResponseTimeouts } from './responseTimeouts.js'
 import { TargetSilence } from './TargetSilence.js'
 
-/** Where memory is bounded, an incomplete event must not grow further. Events of this size are not expected. */
-const MAX_EVENT_BYTES = 1024 * 1024
 /**
  * Time after which a target that reads nothing of a request body has failed, in ms. Applies also to requests that must
  * not be repeated: a body that is not read in this time would not be in time for its answer.
@@ -50,14 +47,13 @@
 	private responseHead: ResponseHead | undefined
 	/** What the response head reports about the target; undefined until a head arrives. */
 	private notice: TargetNotice | undefined
-	private splitter: EventSplitter | undefined
+	/** Set once the response is known to be an event stream. */
+	private forwarder: EventForwarder | undefined
 	private readonly collected = new CollectedChunks()
 	private readonly timeouts: ResponseTimeouts
 	private readonly silence: TargetSilence
 	private startedAt = 0
 	private firstByteMs = -1
-	/** The caller reads too slowly; the response is read on once it has taken what was sent. */
-	private isWaitingForCaller = false
 	/** True if this box, not the target, aborted the response. */
 	private isAborted = false
 	private mayHaveSentBytes = false
@@ -122,7 +118,7 @@
 	becomeCurrent(): void {
 		this.isCurrent = true
 		if (!this.responseHead) return
-		if (this.splitter) this.startStream(this.responseHead)
+		if (this.forwarder) this.startStream(this.responseHead)
 		else this.holdCollected()
 	}
 
@@ -171,7 +167,7 @@
 			applyTargetNotice(context, { handle: this.handle, placement, request }, this.notice)
 		this.silence.noteProgress()
 		if (isEventStream(head)) {
-			this.splitter = new EventSplitter()
+			this.forwarder = this.createForwarder()
 			if (this.isCurrent) this.startStream(head)
 			return true
 		}
@@ -182,7 +178,7 @@
 
 	onData(chunk: Buffer): number {
 		this.noteReceived(this.options.context.now())
-		if (this.splitter) return this.forwardEvents(this.splitter, chunk)
+		if (this.forwarder) return this.forwardEvents(this.forwarder, chunk)
 		this.silence.noteProgress()
 		this.collected.count(chunk)
 		if (this.collected.isTooLarge) this.abort('answer too large')
@@ -197,11 +193,11 @@
 	onEnd(): void {
 		const head = this.responseHead
 		if (!head || this.hasEnded) return
-		if (this.splitter?.hasPartialEvent) {
+		if (this.forwarder?.hasPartialEvent) {
 			this.onFailure({ kind: 'broken', cause: 'ended inside an event' })
 			return
 		}
-		if (this.splitter) {
+		if (this.forwarder) {
 			this.takeOver()
 			this.end('good', { kind: 'answered', failed: false }, 'stream ended', undefined)
 			return
@@ -262,40 +258,23 @@
 		if (!responseWriter.isStreamStarted) responseWriter.startStream(head)
 	}
 
-	/** Forwards the events that a chunk completes. Returns their number, at least 1. */
-	private forwardEvents(splitter: EventSplitter, chunk: Buffer): number {
-		const { responseWriter } = this.options
-		const { memory } = responseWriter
-		const events = splitter.push(chunk)
-		const isWritable = this.sendEvents(events)
-		if (this.hasEnded) return events.length
-		if (splitter.partialBytes > (memory ? MAX_EVENT_BYTES : MAX_COLLECTED_BYTES))
-			this.abort('event too large')
-		else if (!isWritable && !memory?.isCallerGone) this.waitForCaller()
-		return Math.max(1, events.length)
-	}
-
-	/** Returns false if the caller reads too slowly. */
-	private sendEvents(events: readonly StreamEvent[]): boolean {
-		if (events.length === 0) return true
-		this.silence.noteProgress()
-		const { responseWriter } = this.options
-		const repeated = findRepeated(events, responseWriter.lastEventId)
-		const sent = repeated ? events.slice(0, events.indexOf(repeated.event)) : events
-		if (sent.length > 0) this.takeOver()
-		const isWritable = responseWriter.sendEvents(sent)
-		if (repeated) this.abort(`event ${repeated.event.id} after ${repeated.lastId}`)
-		return isWritable
+	private createForwarder(): EventForwarder {
+		return new EventForwarder({
+			responseWriter: this.options.responseWriter,
+			onEvents: () => {
+				this.silence.noteProgress()
+				this.takeOver()
+			},
+			pause: () => this.pause(),
+			resume: () => this.resume(),
+		})
 	}
 
-	private waitForCaller(): void {
-		if (this.isWaitingForCaller) return
-		this.isWaitingForCaller = true
-		const { responseWriter } = this.options
-		const { memory } = responseWriter
-		this.pause()
-		memory?.notePaused(() => this.resume())
-		responseWriter.onDrain(() => (memory ?? this).resume())
+	/** Returns the number of events that the chunk completes, at least 1. */
+	private forwardEvents(forwarder: EventForwarder, chunk: Buffer): number {
+		const { eventCount, fault } = forwarder.push(chunk)
+		if (fault !== undefined && !this.hasEnded) this.abort(fault)
+		return Math.max(1, eventCount)
 	}
 
 	/** Keeps a piece of an answer that must be complete before it is forwarded, and waits if memory is scarce. */
@@ -327,7 +306,7 @@
 
 	/** Reads on after a pause. */
 	resume(): void {
-		this.isWaitingForCaller = false
+		this.forwarder?.noteResumed()
 		this.call?.resume()
 		if (!this.hasEnded) this.silence.resume()
 	}
@@ -407,17 +386,3 @@
 		return this.options.context.now() - this.startedAt
 	}
 }
-
-/** The first event whose id does not follow those before it, with the last of these. */
-function findRepeated(
-	events: readonly StreamEvent[],
-	lastEventId: number | undefined,
-): { readonly event: StreamEvent; readonly lastId: number } | undefined {
-	let lastId = lastEventId ?? -Infinity
-	for (const event of events) {
-		if (event.id === undefined) continue
-		if (event.id <= lastId) return { event, lastId }
-		lastId = event.id
-	}
-	return undefined
-}
