Interim responses too many are found before they are parsed

Cause: the limit on interim responses ended the attempt inside the first read, and the parser went on through the rest of it: 2,570 more messages, 5 to 12 ms of a whole core for each connection, all of them in one turn of the event loop.

Change: `InterimResponses` walks the heads in the bytes of a read, before the parser gets them, until the response begins. At the first one too many the attempt ends, and the rest of the read, which belongs to no response, is overwritten, so that the parser stops there. Those that it does not know (HTTP/1.0) are still counted when they are parsed.

Weighed: closing the connection in the event (before: the parse goes on); limiting bytes before a head (a sound target may send many hints); pausing (a read can't be paused within).

--- a/packages/gateway/src/lib/overload/smallChunks.test.ts
+++ b/packages/gateway/src/lib/overload/smallChunks.test.ts
@@ -50,6 +50,12 @@
 	{ name: 'chunks of 200 bytes', path: '/once/', head: CHUNKED, part: chunkOf('x'.repeat(200)) },
 	{ name: 'interim responses', path: '/stream/', head: '', part: 'HTTP/1.1 100 Continue\r\n\r\n' },
 	{ name: 'early hints', path: '/once/', head: '', part: 'HTTP/1.1 103 Hints\r\na: b\r\n\r\n' },
+	{
+		name: 'interim responses of HTTP/1.0',
+		path: '/again/',
+		head: '',
+		part: 'HTTP/1.0 102 Processing\r\nx: y\r\n\r\n',
+	},
 	{ name: 'blank lines', path: '/resume/', head: UNFRAMED_EVENTS, part: '\n' },
 	{ name: 'comments', path: '/stream/', head: UNFRAMED_EVENTS, part: ':\n\n' },
 	{
--- a/packages/gateway/src/lib/sendToTarget.ts
+++ b/packages/gateway/src/lib/sendToTarget.ts
@@ -3,6 +3,7 @@
 import type { ConnectionPool } from './ConnectionPool.js'
 import { sendBodyInPieces } from './memory/sendBodyInPieces.js'
 import { ChunkBatch } from './overload/ChunkBatch.js'
+import { InterimResponses } from './overload/InterimResponses.js'
 import { MessageFlow } from './overload/MessageFlow.js'
 import { ReadThrottle } from './overload/ReadThrottle.js'
 
@@ -88,8 +89,8 @@
 	private throttle: ReadThrottle | undefined
 	private isPausedByListener = false
 	private isThrottled = false
-	private interimResponses = 0
 	private chunkCount = 0
+	private interimResponses = 0
 	private hasEnded = false
 	private hasSocketError = false
 	private stopSendingBody: () => void = () => undefined
@@ -151,7 +152,25 @@
 		else this.flow.resume()
 	}
 
+	/**
+	 * Ends the parse of a read at the first interim response too many: closing the connection does not stop it. The bytes
+	 * belong to no response, so they are overwritten with ones that the parser rejects.
+	 */
+	private stopInterimFloods(socket: Socket): void {
+		const interim = new InterimResponses(MAX_INTERIM_RESPONSES)
+		const inspect = (bytes: Buffer): void => {
+			const excess = interim.findExcess(bytes)
+			if (excess === undefined && !interim.hasResponseBegun) return
+			socket.off('data', inspect)
+			if (excess === undefined) return
+			bytes.fill(0, excess)
+			this.fail('broken', 'too many interim responses')
+		}
+		socket.on('data', inspect)
+	}
+
 	private send(socket: Socket): void {
+		this.stopInterimFloods(socket)
 		// For a close-delimited response, only an error of the socket distinguishes a reset from a normal close.
 		socket.prependOnceListener('error', () => {
 			this.hasSocketError = true
@@ -181,10 +200,10 @@
 		})
 	}
 
+	/** Counts those that {@link InterimResponses} does not know, such as ones of HTTP/1.0. */
 	private countInterimResponse(outgoing: ClientRequest): void {
 		this.interimResponses++
 		if (this.interimResponses <= MAX_INTERIM_RESPONSES) return
-		// The parser still reports those that were read at once with this one.
 		outgoing.removeAllListeners('information')
 		this.fail('broken', 'too many interim responses')
 	}
