--- a/packages/core/src/lib/overload/SmallChunkLimiter.ts
+++ b/packages/core/src/lib/overload/SmallChunkLimiter.ts
@@ -18,6 +18,14 @@
 	/** Chunks that were counted and are not paid for by the time since. */
 	private excess = 0
 	private countedAt: Millis = 0
+	/** Chunks that were counted. */
+	countedChunks = 0
+	/** Times at which a sender was paused. */
+	pauseCount = 0
+	/** Messages that were given up because their sender would have had to wait too long. */
+	givenUpCount = 0
+	/** Called with the sender of a message that was paused or given up. */
+	onSlowed: (sender: string) => void = () => undefined
 
 	constructor(
 		/** Cores of the box; a fraction if it has a share of one. */
@@ -30,10 +38,23 @@
 
 	/** Counts chunks. Returns the time for which their sender should not be read, in ms; 0 if it may be read on. */
 	count(chunks: number): Millis {
+		this.countedChunks += chunks
 		const now = this.now()
 		const paid = (now - this.countedAt) * this.chunksPerMs
 		this.excess = Math.max(0, this.excess - paid) + chunks
 		this.countedAt = now
 		return Math.max(0, this.excess / this.chunksPerMs - BURST_MS)
 	}
+
+	/** Notes that a sender is not read for some time. */
+	notePaused(sender: string): void {
+		this.pauseCount++
+		this.onSlowed(sender)
+	}
+
+	/** Notes that a message is given up. */
+	noteGivenUp(sender: string): void {
+		this.givenUpCount++
+		this.onSlowed(sender)
+	}
 }
--- a/packages/core/src/lib/router/logEvents.ts
+++ b/packages/core/src/lib/router/logEvents.ts
@@ -82,6 +82,18 @@
 		number: 129,
 		text: 'The stored versions of targets are invalid; this box keeps what it has seen',
 	},
+	'stream-looked-up': {
+		number: 130,
+		text: 'The software version at which a resumed stream began was searched, with where it was found',
+	},
+	'small-chunks-slowed': {
+		number: 131,
+		text: 'Messages come in more small chunks than this box has time for; their senders are read more slowly',
+	},
+	'small-chunks-current': {
+		number: 132,
+		text: 'All senders of small chunks are read without a wait again',
+	},
 	'slice-asked': { number: 200, text: 'Tokens were requested from the zone leader' },
 	'slice-granted': { number: 201, text: 'Tokens were granted by the zone leader' },
 	'slice-returned': { number: 202, text: 'Idle tokens were returned to the zone' },
--- a/packages/gateway/src/lib/ConnectionPool.ts
+++ b/packages/gateway/src/lib/ConnectionPool.ts
@@ -33,7 +33,8 @@
 	private isClosed = false
 
 	constructor(
-		private readonly address: string,
+		/** Host and port of the target. */
+		readonly address: string,
 		private readonly timeouts: PoolTimeouts,
 		private readonly now: () => number,
 		private readonly onOpened: (socket: Socket) => void,
--- a/packages/gateway/src/lib/Gateway.ts
+++ b/packages/gateway/src/lib/Gateway.ts
@@ -29,6 +29,7 @@
 import { PeerSharing } from './PeerSharing.js'
 import { ReadinessServer } from './ReadinessServer.js'
 import { CallerIntake } from './overload/CallerIntake.js'
+import type { SmallChunkReport } from './overload/SmallChunkReport.js'
 import { ServiceLimits } from './ServiceLimits.js'
 import type { TargetDirectory } from './TargetDirectory.js'
 import type { TargetPools } from './TargetPools.js'
@@ -46,6 +47,7 @@
 	private readonly registry: TargetRegistry
 	private readonly pools: TargetPools
 	private readonly paths: TargetPaths
+	private readonly smallChunks: SmallChunkReport
 	private readonly targets: TargetDirectory
 	private readonly cordons: CordonDirectory
 	private readonly serviceLimits: ServiceLimits
@@ -120,7 +122,7 @@
 			peers,
 			address,
 		})
-		const { paths, pools } = createTargetPaths({
+		const { paths, pools, smallChunks } = createTargetPaths({
 			gateway: options,
 			registry: this.registry,
 			membership: this.membership,
@@ -128,6 +130,7 @@
 		})
 		this.paths = paths
 		this.pools = pools
+		this.smallChunks = smallChunks
 		this.sharing = new PeerSharing({
 			gateway: options,
 			store: this.store,
@@ -203,6 +206,7 @@
 			targetsPrefix: options.storeLayout.targetsPrefix,
 			parts: presentOnly([
 				this.callerIntake.report,
+				this.smallChunks,
 				this.boxLoad,
 				this.context.memory,
 				...this.sharing.parts,
@@ -318,6 +322,7 @@
 		this.cordons.maintain()
 		this.configurationMonitor.check()
 		this.callerIntake.maintain()
+		this.smallChunks.check()
 		this.sharing.crashProtection.expireRecords()
 		this.sharing.streams.maintain()
 		this.sharing.versionHistory.maintain()
--- a/packages/gateway/src/lib/attempts/departedCallers.test.ts
+++ b/packages/gateway/src/lib/attempts/departedCallers.test.ts
@@ -3,8 +3,8 @@
 import { sleep } from '../sleep.js'
 import { TestBox } from '../testBox.js'
 
-// Guards against connections that stay open for as long as a target likes: a request that may run only once goes on when its
-// caller leaves, and had no time limit from then on.
+// Guards against connections to targets without a time limit: the limit of a request that may run only once ended when its
+// caller disconnected.
 
 const DEADLINE_MS = 1_000
 const SLACK_MS = 700
--- a/packages/gateway/src/lib/forwarding/createTargetPaths.ts
+++ b/packages/gateway/src/lib/forwarding/createTargetPaths.ts
@@ -2,6 +2,7 @@
 import type { BoxLoadControl } from '../balance/BoxLoadControl.js'
 import type { FleetMembership } from '../FleetMembership.js'
 import type { GatewayOptions } from '../GatewayOptions.js'
+import { SmallChunkReport } from '../overload/SmallChunkReport.js'
 import { TargetPools } from '../TargetPools.js'
 import { TargetPaths, type TargetPathsOptions } from './TargetPaths.js'
 
@@ -13,14 +14,23 @@
 	readonly boxLoad: BoxLoadControl | undefined
 }
 
+export interface TargetConnections {
+	readonly pools: TargetPools
+	readonly paths: TargetPaths
+	readonly smallChunks: SmallChunkReport
+}
+
 /** Creates the connections of this box to targets, and the paths that use them. */
 export function createTargetPaths({
 	boxLoad,
 	gateway,
 	membership,
 	registry,
-}: TargetConnectionOptions): { readonly pools: TargetPools; readonly paths: TargetPaths } {
+}: TargetConnectionOptions): TargetConnections {
 	const isLinkSaturated = boxLoad?.isLinkSaturated ?? (() => false)
+	const chunkLimiter = new SmallChunkLimiter(gateway.capacity.cores || 1, gateway.now)
+	const smallChunks = new SmallChunkReport({ ...gateway, limiter: chunkLimiter })
+	chunkLimiter.onSlowed = (sender) => smallChunks.noteSlowed(sender)
 	const pools = new TargetPools(
 		gateway.now,
 		(socket) => {
@@ -29,7 +39,7 @@
 		},
 		(target, isOpen) => paths.noteConnection(target, isOpen),
 		isLinkSaturated,
-		new SmallChunkLimiter(gateway.capacity.cores || 1, gateway.now),
+		chunkLimiter,
 	)
 	const paths = new TargetPaths({
 		...gateway,
@@ -41,5 +51,5 @@
 			pools.createPeerPool(peer, boxLoad?.trackBoxSocket ?? (() => undefined)),
 		isLinkSaturated,
 	})
-	return { pools, paths }
+	return { pools, paths, smallChunks }
 }
--- a/packages/gateway/src/lib/lifecycle/unframedAnswers.test.ts
+++ b/packages/gateway/src/lib/lifecycle/unframedAnswers.test.ts
@@ -167,23 +167,27 @@
 		reset.mockRestore()
 	})
 
-	it('does not look complete if the box is killed before the end of a stream', async () => {
-		await startTargets('goes on')
-		const addresses = targets.map(({ address }) => address)
-		const child = spawn(process.execPath, [PROCESS, '0', '1000', ...addresses], {
-			stdio: ['ignore', 'pipe', 'ignore'],
-		})
-		let port = 0
-		child.stdout.on('data', (chunk: Buffer) => {
-			port ||= Number(/"port":(\d+)/.exec(chunk.toString())?.[1] ?? 0)
-		})
-		await expect.poll(() => port, { timeout: 9_000 }).toBeGreaterThan(0)
-		const stream = sendTo(port, '/stream/x')
-		await expect.poll(() => stream.text).toContain(EVENT)
-		child.kill('SIGKILL')
-		await expect.poll(() => stream.end).not.toBe('open')
-		expect(looksComplete(stream)).toBe(false)
-	})
+	// SIGABRT ends a process whose heap is full.
+	it.each<NodeJS.Signals>(['SIGKILL', 'SIGABRT'])(
+		'does not look complete if the box ends by %s',
+		async (signal) => {
+			await startTargets('goes on')
+			const addresses = targets.map(({ address }) => address)
+			const child = spawn(process.execPath, [PROCESS, '0', '1000', ...addresses], {
+				stdio: ['ignore', 'pipe', 'ignore'],
+			})
+			let port = 0
+			child.stdout.on('data', (chunk: Buffer) => {
+				port ||= Number(/"port":(\d+)/.exec(chunk.toString())?.[1] ?? 0)
+			})
+			await expect.poll(() => port, { timeout: 9_000 }).toBeGreaterThan(0)
+			const stream = sendTo(port, '/stream/x')
+			await expect.poll(() => stream.text).toContain(EVENT)
+			child.kill(signal)
+			await expect.poll(() => stream.end).not.toBe('open')
+			expect(looksComplete(stream)).toBe(false)
+		},
+	)
 
 	it('is not cut sooner by a second request to stop', async () => {
 		const { gateway } = await startBox('goes on')
--- a/packages/gateway/src/lib/overload/ReadThrottle.ts
+++ b/packages/gateway/src/lib/overload/ReadThrottle.ts
@@ -2,6 +2,8 @@
 
 /** What a {@link ReadThrottle} does to a message. */
 export interface ThrottledMessage {
+	/** Who sends it, for operators. */
+	readonly sender: string
 	/** Stops reading at the end of the current read. */
 	readonly pause: () => void
 	readonly resume: () => void
@@ -30,11 +32,13 @@
 		const waitMs = this.meter.count(chunks, bytes)
 		if (waitMs === 0) return
 		if (waitMs > MAX_WAIT_MS) {
+			this.limiter.noteGivenUp(this.message.sender)
 			this.message.onOverload()
 			return
 		}
 		this.resumeAt = this.limiter.now() + waitMs
 		if (this.timer) return
+		this.limiter.notePaused(this.message.sender)
 		this.message.pause()
 		this.wait(waitMs)
 	}
--- a/packages/gateway/src/lib/readBody.ts
+++ b/packages/gateway/src/lib/readBody.ts
@@ -73,6 +73,7 @@
 		const { message, options } = this
 		const flow = new MessageFlow(message)
 		return new ReadThrottle(limiter, {
+			sender: `caller ${message.socket.remoteAddress ?? ''}`,
 			pause: () => {
 				this.timeout.stop()
 				flow.pause()
--- a/packages/gateway/src/lib/sendToTarget.ts
+++ b/packages/gateway/src/lib/sendToTarget.ts
@@ -237,6 +237,7 @@
 		this.chunkCount += count
 		if (this.chunkCount < MIN_COUNTED_CHUNKS) return
 		this.throttle ??= new ReadThrottle(this.pool.chunkLimiter, {
+			sender: this.pool.address,
 			pause: () => this.setThrottled(true),
 			resume: () => this.setThrottled(false),
 			onOverload: () => this.fail('broken', 'too many small chunks'),
--- a/packages/gateway/src/lib/streams/StreamOriginSharing.test.ts
+++ b/packages/gateway/src/lib/streams/StreamOriginSharing.test.ts
@@ -90,6 +90,7 @@
 			history: historyOf(() => isFirstStart || this.knowing.has(member.box)),
 			stored: { find: () => Promise.resolve(this.stored.get(member.box)) },
 			now: () => this.now,
+			log: () => undefined,
 		})
 		return Object.assign(state, { sharing })
 	}
--- a/packages/gateway/src/lib/streams/StreamOriginSharing.ts
+++ b/packages/gateway/src/lib/streams/StreamOriginSharing.ts
@@ -3,6 +3,8 @@
 	originHolders,
 	possibleOriginHolders,
 	type FleetMember,
+	type LogEvent,
+	type LogValue,
 	type ServiceName,
 	type SoftwareVersion,
 	type StreamOrigin,
@@ -22,9 +24,12 @@
 	readonly knowsHistory: boolean
 }
 
+/** Where the origin of a stream was found: at this box, at another one, or in the store. */
+export type OriginSource = 'this box' | 'another box' | 'store'
+
 /** Result of a search for the origin of a stream. */
 export type OriginLookup =
-	| { readonly kind: 'found'; readonly origin: StreamOrigin }
+	| { readonly kind: 'found'; readonly origin: StreamOrigin; readonly source: OriginSource }
 	/** All targets that can have begun the stream run the same version. */
 	| { readonly kind: 'one-version' }
 	| { readonly kind: 'unknown' }
@@ -42,6 +47,10 @@
 	readonly origins: number
 	/** Number of searches for the origin of a stream, by result, since the process started. */
 	readonly lookups: Readonly<Record<OriginLookup['kind'], number>>
+	/** Number of origins that were found, by where. */
+	readonly foundAt: Readonly<Record<OriginSource, number>>
+	/** False if a box that started lately does not know which versions had served before. */
+	readonly isHistoryKnown: boolean
 	/** Versions of the services that have more than one. */
 	readonly versions: readonly VersionStatus[]
 }
@@ -61,6 +70,7 @@
 	readonly stored: Pick<StoredOrigins, 'find'>
 	/** Monotonic clock, in ms. */
 	readonly now: () => number
+	readonly log: (event: LogEvent) => void
 }
 
 /** Maximum number of boxes that are asked if no holder knows a stream. */
@@ -87,6 +97,11 @@
 		'one-version': 0,
 		unknown: 0,
 	}
+	private readonly sourceCounts: Record<OriginSource, number> = {
+		'this box': 0,
+		'another box': 0,
+		store: 0,
+	}
 
 	constructor(private readonly options: StreamOriginSharingOptions) {
 		options.datagrams.onMessage((bytes) => this.receive(bytes))
@@ -124,6 +139,8 @@
 	async find(request: string, service: ServiceName): Promise<OriginLookup> {
 		const lookup = await this.lookUp(request, service)
 		this.lookupCounts[lookup.kind]++
+		if (lookup.kind === 'found') this.sourceCounts[lookup.source]++
+		this.options.log({ name: 'stream-looked-up', fields: describeLookup(request, service, lookup) })
 		return lookup
 	}
 
@@ -140,13 +157,22 @@
 		const gauges: Record<string, number> = { stallwing_stream_origins: this.size }
 		for (const [kind, count] of Object.entries(this.lookupCounts))
 			gauges[`stallwing_stream_lookups_total{result="${kind}"}`] = count
+		for (const [source, count] of Object.entries(this.sourceCounts))
+			gauges[`stallwing_stream_origins_found_total{source="${source}"}`] = count
+		gauges['stallwing_version_history_known'] = this.options.history.isKnown ? 1 : 0
 		for (const { service, version, targets } of this.versionRows)
 			gauges[`stallwing_version_targets{service="${service}",version="${version}"}`] = targets
 		return gauges
 	}
 
 	get status(): StreamsStatus {
-		return { origins: this.size, lookups: this.lookupCounts, versions: this.versionRows }
+		return {
+			origins: this.size,
+			lookups: this.lookupCounts,
+			foundAt: this.sourceCounts,
+			isHistoryKnown: this.options.history.isKnown,
+			versions: this.versionRows,
+		}
 	}
 
 	private get size(): number {
@@ -165,13 +191,13 @@
 
 	private async lookUp(request: string, service: ServiceName): Promise<OriginLookup> {
 		const local = this.findLocally(request)
-		if (local) return { kind: 'found', origin: local }
+		if (local) return { kind: 'found', origin: local, source: 'this box' }
 		const isMixed = this.isMixed(service)
 		if (!isMixed && this.knowsHistory(service)) return { kind: 'one-version' }
 		const responses: OriginResponse[] = []
 		for (const addresses of this.addressesToAsk(request)) {
 			const origin = await this.askAll(addresses, request, service, responses)
-			if (origin) return { kind: 'found', origin }
+			if (origin) return { kind: 'found', origin, source: 'another box' }
 		}
 		if (isMixed || responses.some((response) => response.isMixed))
 			return this.findStored(request, service)
@@ -184,7 +210,9 @@
 	/** Looks in the store, which outlasts all boxes. */
 	private async findStored(request: string, service: ServiceName): Promise<OriginLookup> {
 		const origin = await this.options.stored.find(request)
-		return origin?.service === service ? { kind: 'found', origin } : { kind: 'unknown' }
+		return origin?.service === service
+			? { kind: 'found', origin, source: 'store' }
+			: { kind: 'unknown' }
 	}
 
 	/** Asks boxes at the same time. Resolves to the first origin that one of them knows. */
@@ -252,3 +280,18 @@
 		return true
 	}
 }
+
+function describeLookup(
+	request: string,
+	service: ServiceName,
+	lookup: OriginLookup,
+): Readonly<Record<string, LogValue>> {
+	const found = lookup.kind === 'found' ? lookup : undefined
+	return {
+		resumes: request,
+		service,
+		result: lookup.kind,
+		version: found?.origin.version ?? '',
+		source: found?.source ?? '',
+	}
+}
--- a/packages/gateway/src/lib/streams/findResumption.test.ts
+++ b/packages/gateway/src/lib/streams/findResumption.test.ts
@@ -75,7 +75,7 @@
 
 	it('goes on at the service and the version that began it', async () => {
 		const expected = { service: TEST_SERVICE, version: VERSION }
-		expect(await resume({ kind: 'found', origin: ORIGIN })).toEqual(expected)
+		expect(await resume({ kind: 'found', source: 'this box', origin: ORIGIN })).toEqual(expected)
 	})
 
 	it('goes on anywhere while there is one version', async () => {
@@ -89,12 +89,16 @@
 		['is not known', { kind: 'unknown' } as const, 'no box knows where first began'],
 		[
 			'belongs to another account',
-			{ kind: 'found', origin: { ...ORIGIN, account: undefined } } as const,
+			{ kind: 'found', source: 'this box', origin: { ...ORIGIN, account: undefined } } as const,
 			'it began for another account',
 		],
 		[
 			'ran at a service that its route has left',
-			{ kind: 'found', origin: { ...ORIGIN, service: brandId<ServiceName>('old') } } as const,
+			{
+				kind: 'found',
+				source: 'this box',
+				origin: { ...ORIGIN, service: brandId<ServiceName>('old') },
+			} as const,
 			'its route no longer uses old',
 		],
 	])('is refused if its stream %s', async (_name, lookup, detail) => {
@@ -102,7 +106,7 @@
 	})
 
 	it('is refused if no target of its version is left', async () => {
-		const lookup = { kind: 'found', origin: ORIGIN } as const
+		const lookup = { kind: 'found', source: 'this box', origin: ORIGIN } as const
 		expect(await resume(lookup, ['1.2'])).toBe('no target of version 1.1 is left')
 	})
 })
--- a/packages/gateway/src/lib/streams/restartedStreams.test.ts
+++ b/packages/gateway/src/lib/streams/restartedStreams.test.ts
@@ -2,8 +2,8 @@
 import { sleep } from '../sleep.js'
 import { TestVersionFleet, type ReceivedStream } from './testVersionFleet.js'
 
-// Guards against streams with events of targets of two software versions after all boxes were killed at once: nobody knew
-// where they began, and the version that was listed then was taken for the only one.
+// Guards against streams with events of two software versions. After a restart of all boxes, no box knew where a stream had
+// begun, and the listed version was used for all of them.
 
 const STREAM_COUNT = 12
 const BOX_COUNT = 3
@@ -83,6 +83,43 @@
 		expect(whole).toBeGreaterThanOrEqual(0.9 * STREAM_COUNT)
 	})
 
+	it('go on at their version if the store is away while the boxes come back', async () => {
+		await fleet.start(['1', '2', '1', '2'], BOX_COUNT)
+		const { mixed, whole } = await restart(async () => {
+			await sleep(STORED_AFTER_MS)
+			fleet.isStoreAway = true
+			setTimeout(() => (fleet.isStoreAway = false), 1_000)
+		})
+		expect(mixed).toBe(0)
+		expect(whole).toBeGreaterThanOrEqual(0.9 * STREAM_COUNT)
+	})
+
+	it('are refused if their version has gone, after the store came back from a copy too', async () => {
+		await fleet.start(['1', '1'], BOX_COUNT)
+		await sleep(500)
+		const backup = fleet.backUpStore()
+		const outcome = await restart(async () => {
+			await fleet.addTarget('new', '2')
+			await sleep(300)
+			fleet.removeTarget('t0')
+			fleet.removeTarget('t1')
+			await sleep(300)
+			fleet.restoreStore(backup)
+		})
+		expect(outcome).toEqual({ mixed: 0, whole: 0, refused: STREAM_COUNT })
+	})
+
+	it('go on if there was one version only, after the store came back from a copy too', async () => {
+		await fleet.start(['1', '1'], BOX_COUNT)
+		await sleep(500)
+		const backup = fleet.backUpStore()
+		const { mixed, whole } = await restart(async () => {
+			await sleep(300)
+			fleet.restoreStore(backup)
+		}, 2)
+		expect({ mixed, whole }).toEqual({ mixed: 0, whole: STREAM_COUNT })
+	})
+
 	it('are not mixed if the store has lost what the boxes wrote', async () => {
 		await fleet.start(['1', '1'], BOX_COUNT)
 		const outcome = await restart(async () => {
--- a/packages/gateway/src/lib/streams/testVersionFleet.ts
+++ b/packages/gateway/src/lib/streams/testVersionFleet.ts
@@ -1,6 +1,6 @@
 import type { IncomingMessage, ServerResponse } from 'node:http'
 import { brandId, type Incarnation } from '@stallwing/core'
-import { MemoryStore } from '@stallwing/standins'
+import { MemoryStore, type MemoryStoreSnapshot } from '@stallwing/standins'
 import { freePort } from '../freePort.js'
 import { sleep } from '../sleep.js'
 import { TestBox, type CallerResponse } from '../testBox.js'
@@ -35,15 +35,19 @@
 	boxes: readonly TestBox[] = []
 	/** Returns the number of events after which a target breaks a stream off; undefined if it does not. */
 	breakAfter: (requestId: string) => number | undefined = () => undefined
+	/** The store refuses all calls. */
+	isStoreAway = false
 	/** Interval between the events of a stream, in ms. */
 	eventIntervalMs = 10
+	private readonly targetKeys = new Set<string>()
 	private readonly killedBoxes: TestBox[] = []
 	private readonly killedConnections = new Set<string>()
 	private generation = 0
 	private readonly store = new MemoryStore({
 		now: () => performance.now(),
 		sleep,
-		outcomeOf: (caller) => (this.killedConnections.has(caller) ? 'refused' : 'served'),
+		outcomeOf: (caller) =>
+			this.isStoreAway || this.killedConnections.has(caller) ? 'refused' : 'served',
 	})
 	private readonly targets = new TestBox('targets', this.store)
 	private nextId = 1
@@ -62,6 +66,22 @@
 		await this.startBoxes(this.boxes.length)
 	}
 
+	/** The state of the store, for {@link restoreStore}. */
+	backUpStore(): MemoryStoreSnapshot {
+		return this.store.snapshot()
+	}
+
+	/** Restores the store from a backup. Operators and targets write again what they had written since. */
+	restoreStore(backup: MemoryStoreSnapshot): void {
+		const written = ['config/now', ...this.targetKeys].map(
+			(key) => [key, this.store.getText(key)] as const,
+		)
+		this.store.restore(backup)
+		for (const [key, text] of written)
+			if (text === undefined) this.store.remove(key)
+			else this.store.put(key, text)
+	}
+
 	/** Takes an item from the store. */
 	removeStored(key: string): void {
 		this.store.remove(key)
@@ -97,6 +117,7 @@
 			void this.writeEvents(version ?? 'none', message, response)
 		})
 		const key = `targets/${name}`
+		this.targetKeys.add(key)
 		const entry = JSON.parse(this.store.getText(key) ?? '{}') as object
 		this.store.put(key, JSON.stringify({ ...entry, softwareVersion: version }))
 	}
