--- a/packages/core/src/lib/router/logEvents.ts
+++ b/packages/core/src/lib/router/logEvents.ts
@@ -94,6 +94,10 @@
 		number: 132,
 		text: 'All senders of small chunks are read without a wait again',
 	},
+	'answer-end-checked': {
+		number: 133,
+		text: 'An answer without a length or chunks ended; the event names what its target showed, and whether the answer counts as complete',
+	},
 	'slice-asked': { number: 200, text: 'Tokens were requested from the zone leader' },
 	'slice-granted': { number: 201, text: 'Tokens were granted by the zone leader' },
 	'slice-returned': { number: 202, text: 'Idle tokens were returned to the zone' },
--- a/packages/gateway/src/lib/ResponseWriter.ts
+++ b/packages/gateway/src/lib/ResponseWriter.ts
@@ -147,11 +147,20 @@
 	}
 }
 
+/**
+ * What marks the end of a response: a length, which an empty one has by its status, the last chunk, or the close of its
+ * connection. A length or chunks prove that the response is complete; the close of a connection may also be a crash.
+ */
+export type ResponseFraming = 'length' | 'chunks' | 'close'
+
+export function framingOf({ headers, status }: ResponseHead): ResponseFraming {
+	if (headers['transfer-encoding'] !== undefined) return 'chunks'
+	return headers['content-length'] !== undefined || !mayHaveBody(status) ? 'length' : 'close'
+}
+
 /** True if a length, chunked encoding or the status marks the end of the body, not the close of the connection. */
-export function isSelfDelimiting(head: ResponseHead): boolean {
-	if (!mayHaveBody(head.status)) return true
-	const { headers } = head
-	return headers['content-length'] !== undefined || headers['transfer-encoding'] !== undefined
+function isSelfDelimiting(head: ResponseHead): boolean {
+	return framingOf(head) !== 'close'
 }
 
 function mayHaveBody(status: number): boolean {
--- a/packages/gateway/src/lib/attempts/Attempt.ts
+++ b/packages/gateway/src/lib/attempts/Attempt.ts
@@ -7,7 +7,7 @@
 } from '@stallwing/core'
 import { applyTargetNotice } from '../applyTargetNotice.js'
 import { readTargetNotice, type TargetNotice } from '../readTargetNotice.js'
-import { isSelfDelimiting } from '../ResponseWriter.js'
+import { framingOf, type ResponseFraming } from '../ResponseWriter.js'
 import type {
 	ResponseHead,
 	ResponseListener,
@@ -95,6 +95,10 @@
 		return this.silence.silentMs
 	}
 
+	private get framing(): ResponseFraming | undefined {
+		return this.responseHead && framingOf(this.responseHead)
+	}
+
 	/** Sends the request and forwards the events of its response. Never rejects. */
 	run(message: TargetRequest): Promise<AttemptEnd> {
 		const { context, placement, request, responseWriter } = this.options
@@ -358,6 +362,7 @@
 				silentMs: this.silentMs,
 				eventCount: responseWriter.eventCount,
 				notice: this.notice,
+				framing: this.framing,
 			}),
 		)
 		this.resolve?.({
@@ -365,7 +370,7 @@
 			cause,
 			status: this.responseHead?.status ?? 0,
 			closedByTarget: outcome.kind === 'unknown' && !this.isAborted,
-			isSelfDelimiting: this.responseHead !== undefined && isSelfDelimiting(this.responseHead),
+			framing: this.framing,
 			completeResponse,
 		})
 	}
--- a/packages/gateway/src/lib/attempts/AttemptEnd.ts
+++ b/packages/gateway/src/lib/attempts/AttemptEnd.ts
@@ -1,4 +1,5 @@
 import type { AttemptResult } from '@stallwing/core'
+import type { ResponseFraming } from '../ResponseWriter.js'
 import type { ResponseHead } from '../sendToTarget.js'
 
 /** A complete response with its body in several pieces. */
@@ -14,8 +15,8 @@
 	readonly status: number
 	/** The target closed the connection before the response was complete. */
 	readonly closedByTarget: boolean
-	/** A length or chunks prove that the response is complete; the close of a connection may also be a crash. */
-	readonly isSelfDelimiting: boolean
+	/** What marks the end of the response; undefined if no head arrived. */
+	readonly framing: ResponseFraming | undefined
 	/** A complete response that has not been forwarded yet. */
 	readonly completeResponse: CompleteResponse | undefined
 }
--- a/packages/gateway/src/lib/attempts/attemptEvents.ts
+++ b/packages/gateway/src/lib/attempts/attemptEvents.ts
@@ -2,6 +2,7 @@
 import type { CallerRequest } from '../CallerRequest.js'
 import { boxDelays } from '../exchangeEvents.js'
 import type { GatewayContext } from '../GatewayContext.js'
+import type { ResponseFraming } from '../ResponseWriter.js'
 import { describeBackoff, describeRate, type TargetNotice } from '../readTargetNotice.js'
 import type { AttemptOptions } from './AttemptOptions.js'
 
@@ -25,6 +26,8 @@
 	/** Events that the caller was sent, in all attempts. */
 	readonly eventCount: number
 	readonly notice: TargetNotice | undefined
+	/** What marks the end of the response; undefined if no head arrived. */
+	readonly framing: ResponseFraming | undefined
 }
 
 /** Log event for the end of an attempt. */
@@ -48,6 +51,7 @@
 			...boxDelays(context),
 			fingerprint: outcome.kind === 'unknown' ? content.fingerprint : '',
 			parts: outcome.kind === 'unknown' ? content.sharedParts.join() : '',
+			framing: ended.framing ?? '',
 			saidLeaving: notice?.leaving ?? false,
 			saidBackoff: notice ? describeBackoff(notice.backoff) : '',
 			saidRate: notice ? describeRate(notice.rate) : '',
--- a/packages/gateway/src/lib/reportRunEnd.ts
+++ b/packages/gateway/src/lib/reportRunEnd.ts
@@ -23,10 +23,10 @@
 	crashes: CrashProtection,
 	{ content, target, startedAt, end }: EndedRun,
 ): Promise<boolean> {
-	const { closedByTarget, isSelfDelimiting, outcome, status } = end
+	const { closedByTarget, framing, outcome, status } = end
 	const run = { identity: content, parts: content.sharedParts, target, startedAt }
 	const isAnswer = outcome.kind === 'answered' && status < MIN_FAILURE_STATUS
-	if (isAnswer && isSelfDelimiting) crashes.noteAnswered(content)
+	if (isAnswer && framing !== 'close') crashes.noteAnswered(content)
 	// A crash ends such a response in the same way, so a new connection has to show that the target still runs.
 	else if (isAnswer)
 		return crashes.noteBrokenRun({
