--- a/packages/core/src/lib/traffic/TrafficConfig.ts
+++ b/packages/core/src/lib/traffic/TrafficConfig.ts
@@ -51,6 +51,8 @@
 	readonly name: ServiceName
 	/** Maximum connections to one target from all boxes together. */
 	readonly maxConnections: number
+	/** Path of the health check of its targets; undefined if they have none. */
+	readonly healthPath?: string | undefined
 	/** Tokens per event of a stream; undefined for a service without tokens. */
 	readonly tokensPerEvent: number | undefined
 	/** Requests that one of its targets processes concurrently; undefined if not stated. */
--- a/packages/gateway/src/lib/Dialect.ts
+++ b/packages/gateway/src/lib/Dialect.ts
@@ -26,6 +26,8 @@
 	readonly resumedRequest: string
 	/** In a response: proves that a target sent it. A success without this header is not a response of a target. */
 	readonly signature: string
+	/** In a response: the target that sent it. */
+	readonly instance: string
 	/** In a response: the target did not run the request. */
 	readonly notRun: string
 	/** In a response: the load of the target. */
--- a/packages/gateway/src/lib/testTrafficConfig.ts
+++ b/packages/gateway/src/lib/testTrafficConfig.ts
@@ -10,6 +10,9 @@
 /** The only service of the configuration. */
 export const TEST_SERVICE = brandId<ServiceName>('service')
 
+/** Path of the health check of the test targets. */
+export const TEST_HEALTH_PATH = '/healthz'
+
 /** For tests: a configuration with one route of each kind and one account. */
 export function trafficConfigOf(version: number): TrafficConfig {
 	const route = {
@@ -59,7 +62,13 @@
 			},
 		],
 		services: [
-			{ name: TEST_SERVICE, maxConnections: 100, tokensPerEvent: undefined, coldStart: undefined },
+			{
+				name: TEST_SERVICE,
+				maxConnections: 100,
+				healthPath: TEST_HEALTH_PATH,
+				tokensPerEvent: undefined,
+				coldStart: undefined,
+			},
 		],
 		accounts: [
 			{
--- a/packages/standins/src/lib/standinHeaders.ts
+++ b/packages/standins/src/lib/standinHeaders.ts
@@ -8,6 +8,7 @@
 	lastEvent: 'last-event-id',
 	resumedRequest: 'resumed-request',
 	signature: 'target-mark',
+	instance: 'own-instance',
 	notRun: 'not-run',
 	load: 'load',
 	coldMs: 'cold-ms',
