An answer without framing is complete only if its target answers its health check afterwards

Cause: "has it crashed?" was asked, and every other result counted as complete. That question is made for the quarantine, which must be sure before it blames a request: a target that leaves or is not listed was not asked, a refusal counted only beside another reachable target, an accepted connection counted as life, and so did no result in 50 ms. Not known was taken for whole.

Evidence: `answer-end-checked` showed "not known to have crashed" and "complete" for each short stream.

Change: after the close, the target is asked for its health (`TargetLiveness`) by its name, directly or through another box. Any answer of this target, whatever its status, was made after the close, so the process that ran the request lives. Otherwise the answer is broken: it goes on at another target if it may, or is broken off visibly; plain answers likewise. The quarantine keeps its own question. Pools without connections are dropped, as those of targets that are gone would stay.

Why it works: only a living process can answer a request that it has received after its other connection closed, and another one at the address names itself or answers that it is not the expected one.

--- a/packages/gateway/src/lib/CrashDetector.ts
+++ b/packages/gateway/src/lib/CrashDetector.ts
@@ -38,8 +38,6 @@
 	readonly startedAt: number
 	/** True if the target closed the connection, false if this box aborted the run. */
 	readonly closedByTarget: boolean
-	/** Called if a new connection shows that the target did not crash. */
-	readonly onTargetAlive?: () => void
 }
 
 /** How a crash was detected. */
@@ -75,30 +73,27 @@
 
 	/**
 	 * Records a run whose response was interrupted. Resolves after the immediate check whether the target has
-	 * crashed, to true if it has.
+	 * crashed.
 	 */
-	async noteBrokenRun(run: BrokenRun): Promise<boolean> {
+	async noteBrokenRun(run: BrokenRun): Promise<void> {
 		const { isAvailable, now } = this.options
 		const incarnation = incarnationOf(run.target)
 		// A planned shutdown also cuts off running requests, and is not a crash.
 		if (!isAvailable(incarnation, run.target.name) && !this.endedIncarnations.has(incarnation))
-			return false
+			return
 		const broken: PendingRun = { ...run, endedAt: now() }
 		if (this.endedIncarnations.has(incarnation)) {
 			this.recordCrash(broken)
-			return true
+			return
 		}
 		this.pending.push(broken)
 		if (this.pending.length > MAX_PENDING_RUNS) this.pending.shift()
-		if (!run.closedByTarget) return false
+		if (!run.closedByTarget) return
 		const result = await this.probe(run.target)
 		// If this box reaches no other target either, its own path is lost, and the target may be fine.
 		if (result === 'refused' && (await this.options.reachesAnotherTarget(run.target)))
 			this.noteTargetCrash(run.target, 'refuses connections')
-		if (result !== 'accepted') return this.endedIncarnations.has(incarnation)
-		this.pending = this.pending.filter((other) => other !== broken)
-		run.onTargetAlive?.()
-		return false
+		if (result === 'accepted') this.pending = this.pending.filter((other) => other !== broken)
 	}
 
 	/** Treats targets that restarted, or that disappeared from the list without leaving first, as crashed. */
--- a/packages/gateway/src/lib/CrashProtection.ts
+++ b/packages/gateway/src/lib/CrashProtection.ts
@@ -162,9 +162,9 @@
 
 	/**
 	 * Records a run whose response was interrupted. Resolves after the immediate check whether the target has
-	 * crashed, to true if it has.
+	 * crashed.
 	 */
-	noteBrokenRun(run: BrokenRun): Promise<boolean> {
+	noteBrokenRun(run: BrokenRun): Promise<void> {
 		return this.crashDetector.noteBrokenRun(run)
 	}
 
--- a/packages/gateway/src/lib/Exchange.ts
+++ b/packages/gateway/src/lib/Exchange.ts
@@ -1,17 +1,10 @@
 import type { IncomingMessage, ServerResponse } from 'node:http'
-import {
-	decideAfterAttempt,
-	exhaustive,
-	type LogEventName,
-	type LogValue,
-	type TargetName,
-} from '@stallwing/core'
+import { decideAfterAttempt, exhaustive, type LogEventName, type LogValue } from '@stallwing/core'
 import * as E from 'fp-ts/lib/Either.js'
 import { ResponseWriter } from './ResponseWriter.js'
 import type { AttemptEnd } from './attempts/AttemptEnd.js'
 import type { ReplacementObstacle } from './attempts/attemptEvents.js'
 import { AttemptSeries } from './attempts/AttemptSeries.js'
-import { checkUnframedEnd, type UnframedEndCheck } from './attempts/checkUnframedEnd.js'
 import { readCallerRequest, type CallerRequest } from './CallerRequest.js'
 import { chargeFor } from './chargeFor.js'
 import type { GateEntry } from './admission/RequestGate.js'
@@ -31,9 +24,8 @@
 import { TokenReservation } from './TokenReservation.js'
 
 /**
- * Maximum wait until it is known whether the previous attempt crashed its target, in ms: before a retry, and before an answer
- * without framing counts as complete. A new connection shows this within two round trips; a target behind a network
- * partition never answers.
+ * Maximum wait of a retry until it is known whether the previous attempt crashed its target, in ms. A new connection
+ * shows this within two round trips; a target behind a network partition never answers.
  */
 const MAX_CRASH_CHECK_WAIT_MS = 50
 
@@ -244,31 +236,13 @@
 				return
 			}
 			const run = { request, traffic, body, content }
-			const { crashCheck, end: reported } = await this.attempts.start(run, placement)
+			const { crashCheck, end } = await this.attempts.start(run, placement)
 			this.stopTimeLimitIfEnded()
-			const end = await checkUnframedEnd(reported, {
-				crashCheck,
-				maxWaitMs: MAX_CRASH_CHECK_WAIT_MS,
-				now: this.context.now,
-				onChecked: (check) => this.noteUnframedEnd(request, placement.target.name, check),
-			})
 			if (this.hasEnded || !this.shouldRetry(request, end)) return
 			await Promise.race([crashCheck, sleep(MAX_CRASH_CHECK_WAIT_MS)])
 		}
 	}
 
-	private noteUnframedEnd(
-		request: CallerRequest,
-		target: TargetName,
-		{ sign, tookMs }: UnframedEndCheck,
-	): void {
-		const { log, metrics } = this.context
-		const counts = sign === 'crashed' ? 'broken' : 'complete'
-		metrics.count('stallwing_unframed_ends_total', `sign="${sign}",counts="${counts}"`)
-		const fields = { request: request.id, target, sign, tookMs: Math.round(tookMs), counts }
-		log({ name: 'answer-end-checked', fields })
-	}
-
 	/**
 	 * True if the caller has disconnected. Checked before a target is chosen, and again after `waitedMs` of waiting for
 	 * a connection. A delayed process may have read the request some time before it reads the end of the connection.
--- a/packages/gateway/src/lib/GatewayContext.ts
+++ b/packages/gateway/src/lib/GatewayContext.ts
@@ -24,6 +24,7 @@
 import type { CrashProtection } from './CrashProtection.js'
 import type { Dialect } from './Dialect.js'
 import type { TargetPaths } from './forwarding/TargetPaths.js'
+import type { TargetLiveness } from './liveness/TargetLiveness.js'
 import type { BoxMemory } from './memory/BoxMemory.js'
 import type { StreamOriginSharing } from './streams/StreamOriginSharing.js'
 import type { UnknownHeaders } from './UnknownHeaders.js'
@@ -44,6 +45,8 @@
 	readonly registry: TargetRegistry
 	readonly allowance: AllowanceClient
 	readonly crashProtection: CrashProtection
+	/** Checks whether targets are alive. */
+	readonly liveness: TargetLiveness
 	readonly metrics: Metrics
 	/** Knows at which software version streams began. */
 	readonly streams: StreamOriginSharing
--- a/packages/gateway/src/lib/TargetPools.ts
+++ b/packages/gateway/src/lib/TargetPools.ts
@@ -81,9 +81,12 @@
 		this.pools.delete(target)
 	}
 
-	/** Closes idle connections that have expired. */
+	/** Closes idle connections that have expired, and drops pools without any, as of targets that are gone. */
 	closeExpired(): void {
-		for (const pool of this.pools.values()) pool.closeExpired()
+		for (const [target, pool] of this.pools) {
+			pool.closeExpired()
+			if (pool.size === 0) this.pools.delete(target)
+		}
 	}
 
 	close(): void {
--- a/packages/gateway/src/lib/attempts/Attempt.ts
+++ b/packages/gateway/src/lib/attempts/Attempt.ts
@@ -6,6 +6,7 @@
 	type TargetEntry,
 } from '@stallwing/core'
 import { applyTargetNotice } from '../applyTargetNotice.js'
+import { isAlive } from '../liveness/TargetLiveness.js'
 import { readTargetNotice, type TargetNotice } from '../readTargetNotice.js'
 import { framingOf, type ResponseFraming } from '../ResponseWriter.js'
 import type {
@@ -18,7 +19,7 @@
 import { CollectedChunks } from './CollectedChunks.js'
 import type { AttemptEnd, CompleteResponse } from './AttemptEnd.js'
 import type { AttemptOptions } from './AttemptOptions.js'
-import { attemptEndedEvent } from './attemptEvents.js'
+import { attemptEndedEvent, endCheckedEvent } from './attemptEvents.js'
 import {
 	isEventStream,
 	isFailure,
@@ -201,12 +202,39 @@
 			this.onFailure({ kind: 'broken', cause: 'ended inside an event' })
 			return
 		}
-		if (this.forwarder) {
-			this.takeOver()
-			this.end('good', { kind: 'answered', failed: false }, 'stream ended', undefined)
+		if (this.isEndInDoubt(head)) void this.confirmEnd(head)
+		else this.complete(head)
+	}
+
+	/** True if the connection of the response has closed, which a target that crashes does in the same way. */
+	private isEndInDoubt(head: ResponseHead): boolean {
+		const { context, request } = this.options
+		if (framingOf(head) !== 'close' || request.method === 'HEAD') return false
+		return !isRejection(head, context.dialect) && !isFailure(head)
+	}
+
+	/** Ends the response as complete only if its target is alive. */
+	private async confirmEnd(head: ResponseHead): Promise<void> {
+		const { context, request } = this.options
+		const startedAt = context.now()
+		this.silence.pause()
+		const sign = await context.liveness.check(this.target)
+		if (this.hasEnded) return
+		const counts = isAlive(sign) ? 'complete' : 'broken'
+		context.metrics.count('stallwing_unframed_ends_total', `sign="${sign}",counts="${counts}"`)
+		const tookMs = context.now() - startedAt
+		context.log(endCheckedEvent({ request, target: this.target, sign, counts, tookMs }))
+		if (isAlive(sign)) this.complete(head)
+		else this.onFailure({ kind: 'broken', cause: `end not confirmed: ${sign}` })
+	}
+
+	private complete(head: ResponseHead): void {
+		if (!this.forwarder) {
+			this.endWithCompleteResponse({ head, body: this.collected.buffers })
 			return
 		}
-		this.endWithCompleteResponse({ head, body: this.collected.buffers })
+		this.takeOver()
+		this.end('good', { kind: 'answered', failed: false }, 'stream ended', undefined)
 	}
 
 	onFailure({ kind, cause }: TargetFailure): void {
@@ -370,7 +398,6 @@
 			cause,
 			status: this.responseHead?.status ?? 0,
 			closedByTarget: outcome.kind === 'unknown' && !this.isAborted,
-			framing: this.framing,
 			completeResponse,
 		})
 	}
--- a/packages/gateway/src/lib/attempts/AttemptEnd.ts
+++ b/packages/gateway/src/lib/attempts/AttemptEnd.ts
@@ -1,5 +1,4 @@
 import type { AttemptResult } from '@stallwing/core'
-import type { ResponseFraming } from '../ResponseWriter.js'
 import type { ResponseHead } from '../sendToTarget.js'
 
 /** A complete response with its body in several pieces. */
@@ -15,8 +14,6 @@
 	readonly status: number
 	/** The target closed the connection before the response was complete. */
 	readonly closedByTarget: boolean
-	/** What marks the end of the response; undefined if no head arrived. */
-	readonly framing: ResponseFraming | undefined
 	/** A complete response that has not been forwarded yet. */
 	readonly completeResponse: CompleteResponse | undefined
 }
--- a/packages/gateway/src/lib/attempts/AttemptSeries.ts
+++ b/packages/gateway/src/lib/attempts/AttemptSeries.ts
@@ -46,8 +46,8 @@
 /** The end of an attempt after which no other one is running. */
 export interface SeriesEnd {
 	readonly end: AttemptEnd
-	/** Resolves to true if the target is known to have crashed. */
-	readonly crashCheck: Promise<boolean>
+	/** Settles once it is known whether the target has crashed. */
+	readonly crashCheck: Promise<void>
 }
 
 /**
@@ -283,7 +283,7 @@
 		this.overlapTimeout.start(MAX_OVERLAP_MS)
 	}
 
-	private handleEnd(attempt: Attempt, end: AttemptEnd, crashCheck: Promise<boolean>): void {
+	private handleEnd(attempt: Attempt, end: AttemptEnd, crashCheck: Promise<void>): void {
 		if (attempt === this.replacement) {
 			this.giveUpReplacement('replacement failed')
 			this.current?.reportSilence()
--- a/packages/gateway/src/lib/attempts/attemptEvents.ts
+++ b/packages/gateway/src/lib/attempts/attemptEvents.ts
@@ -1,8 +1,15 @@
-import type { AttemptResult, LogEvent, RetryObstacle, TargetName } from '@stallwing/core'
+import type {
+	AttemptResult,
+	LogEvent,
+	RetryObstacle,
+	TargetEntry,
+	TargetName,
+} from '@stallwing/core'
 import type { CallerRequest } from '../CallerRequest.js'
 import { boxDelays } from '../exchangeEvents.js'
 import type { GatewayContext } from '../GatewayContext.js'
 import type { ResponseFraming } from '../ResponseWriter.js'
+import type { LifeSign } from '../liveness/TargetLiveness.js'
 import { describeBackoff, describeRate, type TargetNotice } from '../readTargetNotice.js'
 import type { AttemptOptions } from './AttemptOptions.js'
 
@@ -59,6 +66,22 @@
 	}
 }
 
+/** The end of an answer without framing, and what its target showed then. */
+export interface CheckedEnd {
+	readonly request: CallerRequest
+	readonly target: TargetEntry
+	readonly sign: LifeSign
+	/** What the answer counts as. */
+	readonly counts: 'complete' | 'broken'
+	readonly tookMs: number
+}
+
+/** Log event for the end of an answer without framing. */
+export function endCheckedEvent({ counts, request, sign, target, tookMs }: CheckedEnd): LogEvent {
+	const fields = { request: request.id, target: target.name, sign, counts }
+	return { name: 'answer-end-checked', fields: { ...fields, tookMs: Math.round(tookMs) } }
+}
+
 /** A target that is silent while it runs a request, and what follows. */
 export interface SilentTarget {
 	readonly target: TargetName
--- a/packages/gateway/src/lib/attempts/testUnframedTarget.ts
+++ b/packages/gateway/src/lib/attempts/testUnframedTarget.ts
@@ -1,4 +1,4 @@
-import type { Socket} from 'node:net';
+import type { Socket } from 'node:net'
 import { createServer, type AddressInfo, type Server } from 'node:net'
 import { STANDIN_HEADERS } from '@stallwing/standins'
 import { TEST_HEALTH_PATH } from '../testTrafficConfig.js'
--- a/packages/gateway/src/lib/createGatewayContext.ts
+++ b/packages/gateway/src/lib/createGatewayContext.ts
@@ -12,6 +12,7 @@
 import type { TargetPaths } from './forwarding/TargetPaths.js'
 import type { GatewayContext } from './GatewayContext.js'
 import type { GatewayOptions } from './GatewayOptions.js'
+import { TargetLiveness } from './liveness/TargetLiveness.js'
 import { createBoxMemory } from './memory/BoxMemory.js'
 import type { PeerSharing } from './PeerSharing.js'
 import { presentOnly } from './presentOnly.js'
@@ -53,6 +54,12 @@
 		registry,
 		allowance,
 		crashProtection: sharing.crashProtection,
+		liveness: new TargetLiveness({
+			...gateway,
+			call: (request) => paths.call(request),
+			poolFor: (target) => pools.poolFor(target),
+			healthPathOf: (service) => context.traffic?.index.service(service)?.healthPath,
+		}),
 		streams: sharing.streams,
 		metrics: gateway.metrics,
 		memory,
--- a/packages/gateway/src/lib/reportRunEnd.ts
+++ b/packages/gateway/src/lib/reportRunEnd.ts
@@ -17,23 +17,15 @@
 
 /**
  * Reports the end of a run to the crash protection: the request was answered, or may have crashed its target.
- * Resolves once the check for a crash is done, to true if the target has crashed.
+ * Resolves once the check for a crash is done.
  */
 export async function reportRunEnd(
 	crashes: CrashProtection,
 	{ content, target, startedAt, end }: EndedRun,
-): Promise<boolean> {
-	const { closedByTarget, framing, outcome, status } = end
+): Promise<void> {
+	const { closedByTarget, outcome, status } = end
+	if (outcome.kind === 'answered' && status < MIN_FAILURE_STATUS) crashes.noteAnswered(content)
+	if (outcome.kind !== 'unknown') return
 	const run = { identity: content, parts: content.sharedParts, target, startedAt }
-	const isAnswer = outcome.kind === 'answered' && status < MIN_FAILURE_STATUS
-	if (isAnswer && framing !== 'close') crashes.noteAnswered(content)
-	// A crash ends such a response in the same way, so a new connection has to show that the target still runs.
-	else if (isAnswer)
-		return crashes.noteBrokenRun({
-			...run,
-			closedByTarget: true,
-			onTargetAlive: () => crashes.noteAnswered(content),
-		})
-	else if (outcome.kind === 'unknown') return crashes.noteBrokenRun({ ...run, closedByTarget })
-	return false
+	await crashes.noteBrokenRun({ ...run, closedByTarget })
 }
