A stream that is taken up at the only version stays at it

Callers got events of two software versions in one stream: one that they took up again while one version served went on at another version if that was listed before the first event of the take-up.

Cause: the lookup answered "one version" without naming it, so the request might go to any target until its first event. Its first attempt may be rejected, break off or be replaced after a silence, and the request may wait for a place; whatever version is listed in this time got the next attempt. The lookup also looked at the versions before it asked other boxes, and answered after that.

The version is now noted when the lookup begins, and the take-up requires it. The test that a take-up "goes on anywhere while there is one version" asked for the fault; it now demands the only version, and any only where none has served lately.

--- a/packages/gateway/src/lib/streams/StreamOriginSharing.ts
+++ b/packages/gateway/src/lib/streams/StreamOriginSharing.ts
@@ -30,8 +30,8 @@
 /** Result of a search for the origin of a stream. */
 export type OriginLookup =
 	| { readonly kind: 'found'; readonly origin: StreamOrigin; readonly source: OriginSource }
-	/** All targets that can have begun the stream run the same version. */
-	| { readonly kind: 'one-version' }
+	/** All targets that can have begun the stream run the same version; undefined if no target has served lately. */
+	| { readonly kind: 'one-version'; readonly version: SoftwareVersion | undefined }
 	| { readonly kind: 'unknown' }
 
 /** Number of listed targets of one software version of a service. @public */
@@ -193,7 +193,9 @@
 		const local = this.findLocally(request)
 		if (local) return { kind: 'found', origin: local, source: 'this box' }
 		const isMixed = this.isMixed(service)
-		if (!isMixed && this.knowsHistory(service)) return { kind: 'one-version' }
+		// Another version may be listed while boxes are asked, or before the stream goes on.
+		const [version] = this.recentVersions(service)
+		if (!isMixed && this.knowsHistory(service)) return { kind: 'one-version', version }
 		const responses: OriginResponse[] = []
 		for (const addresses of this.addressesToAsk(request)) {
 			const origin = await this.askAll(addresses, request, service, responses)
@@ -204,7 +206,7 @@
 		// What no box knows is not a single version.
 		if (!responses.some((response) => response.knowsHistory)) return { kind: 'unknown' }
 		this.singleBefore.add(service)
-		return { kind: 'one-version' }
+		return { kind: 'one-version', version }
 	}
 
 	/** Looks in the store, which outlasts all boxes. */
@@ -250,6 +252,10 @@
 		return this.own.find(request, now) ?? this.received.find(request, now)
 	}
 
+	private recentVersions(service: ServiceName): ReadonlySet<SoftwareVersion> {
+		return this.options.registry.versions.recentOf(service, this.options.now())
+	}
+
 	private isMixed(service: ServiceName): boolean {
 		return this.options.registry.versions.isMixed(service, this.options.now())
 	}
--- a/packages/gateway/src/lib/streams/findResumption.test.ts
+++ b/packages/gateway/src/lib/streams/findResumption.test.ts
@@ -78,11 +78,12 @@
 		expect(await resume({ kind: 'found', source: 'this box', origin: ORIGIN })).toEqual(expected)
 	})
 
-	it('goes on anywhere while there is one version', async () => {
-		expect(await resume({ kind: 'one-version' })).toEqual({
-			service: TEST_SERVICE,
-			version: undefined,
-		})
+	it('goes on at the only version, and anywhere if no target has served lately', async () => {
+		for (const version of [VERSION, undefined])
+			expect(await resume({ kind: 'one-version', version })).toEqual({
+				service: TEST_SERVICE,
+				version,
+			})
 	})
 
 	it.each([
--- a/packages/gateway/src/lib/streams/findResumption.ts
+++ b/packages/gateway/src/lib/streams/findResumption.ts
@@ -33,7 +33,7 @@
 ): Promise<E.Either<LostStream, Resumption>> {
 	const { account, resumedRequest, route, service } = request
 	const lookup = await streams.find(resumedRequest ?? '', service)
-	if (lookup.kind === 'one-version') return E.right({ service, version: undefined })
+	if (lookup.kind === 'one-version') return E.right({ service, version: lookup.version })
 	if (lookup.kind === 'unknown') return lost(`no box knows where ${resumedRequest ?? 'it'} began`)
 	const { origin } = lookup
 	if (origin.account !== account?.name) return lost('it began for another account')
