--- a/packages/gateway/src/lib/streams/orderHunt.test.ts
+++ b/packages/gateway/src/lib/streams/orderHunt.test.ts
@@ -19,7 +19,9 @@
 
 const FIRST_SEED = Number(process.env.FIRST_SEED ?? 1)
 const SEED_COUNT = Number(process.env.SEEDS ?? 2)
-const BOX_COUNT = 3
+/** Few boxes all hold the origins of all streams; many do not. */
+const FEW_BOXES = 3
+const MANY_BOXES = 6
 const LENGTH_MS = 5_000
 const STREAM_INTERVAL_MS = 20
 const FAULT_INTERVAL_MS = 450
@@ -80,6 +82,7 @@
 	private readonly runCounts = new Map<string, number>()
 	private readonly versions: readonly string[]
 	private readonly movesRoutes: boolean
+	private readonly boxCount: number
 
 	constructor(
 		private readonly seed: number,
@@ -87,11 +90,12 @@
 	) {
 		this.versions = seed % 2 === 0 ? ['1', '1', '1', '2', '2', '2'] : ['1', '1', '1', '1']
 		this.movesRoutes = seed % 3 === 0
+		this.boxCount = seed % 5 < 3 ? FEW_BOXES : MANY_BOXES
 		this.fleet = new TestOrderFleet(random, (run, path) => this.planRun(run, path), seed % 4 === 1)
 	}
 
 	async play(): Promise<void> {
-		await this.fleet.start(BOX_COUNT, this.versions)
+		await this.fleet.start(this.boxCount, this.versions)
 		let nextFaultMs = FAULT_INTERVAL_MS
 		for (let ms = 0; ms < LENGTH_MS; ms += STREAM_INTERVAL_MS) {
 			this.startStream(ms)
@@ -158,7 +162,7 @@
 		const targets = [...fleet.targets.values()]
 		const target = pick(targets, random)
 		const { service, version } = target.target.options
-		const box = pick(['box-0', 'box-1', 'box-2'], random)
+		const box = `box-${drawIndex(this.boxCount, random)}`
 		const isLast = targets.filter((one) => one.target.options.service === service).length < 3
 		const otherVersion = random() < 0.5 ? version : pick(['1', '2', '3'], random)
 		const faults: readonly (() => Promise<void> | void)[] = [
@@ -219,7 +223,11 @@
 			const found = streams.filter((stream) =>
 				findOrderFaults(stream, fleet.runs).some((fault) => SOUGHT.has(fault)),
 			)
-			expect(found.map((stream) => describeOrder(stream, fleet.runs)).join('\n')).toBe('')
+			const traces = found.flatMap((stream) => {
+				const requests = new Set(stream.tries.map(({ id }) => id))
+				return [describeOrder(stream, fleet.runs), ...fleet.logOf(requests)]
+			})
+			expect(traces.join('\n')).toBe('')
 		},
 	)
 })
--- a/packages/gateway/src/lib/streams/testOrderFleet.ts
+++ b/packages/gateway/src/lib/streams/testOrderFleet.ts
@@ -21,6 +21,8 @@
 	readonly connection: string
 }
 
+type NamedBox = TestBox & { readonly name: string }
+
 interface ListedTarget {
 	readonly target: TestOrderTarget
 	isLeaving: boolean
@@ -32,15 +34,16 @@
 	readonly targets = new Map<string, ListedTarget>()
 	/** Running boxes by name. */
 	readonly boxes = new Map<string, RunningBox>()
-	readonly allBoxes: TestBox[] = []
-	private readonly cutOff = new Set<string>()
+	readonly allBoxes: NamedBox[] = []
+	/** What happens to the calls of boxes that are cut off from the store. */
+	private readonly cutOff = new Map<string, 'refused' | 'lost'>()
 	private configVersion = 0
 	private generation = 0
 	private nextTarget = 1
 	private readonly store = new MemoryStore({
 		now: () => performance.now(),
 		sleep,
-		outcomeOf: (caller) => (this.cutOff.has(caller) ? 'refused' : 'served'),
+		outcomeOf: (caller) => this.cutOff.get(caller) ?? 'served',
 	})
 
 	constructor(
@@ -62,6 +65,18 @@
 		await Promise.all(this.allBoxes.map((box) => box.stop()))
 	}
 
+	/** What the boxes logged of these requests, and of the streams that these take up, with the names of the boxes. */
+	logOf(requests: ReadonlySet<string>): readonly string[] {
+		return this.allBoxes.flatMap((box) =>
+			box.logEvents
+				.filter(({ fields }) => requests.has(String(fields.request ?? fields.resumes)))
+				.map((event) => {
+					const at = Math.round(box.logTimes.get(event) ?? 0)
+					return `  ${at} ${box.name} ${event.name} ${JSON.stringify(event.fields)}`
+				}),
+		)
+	}
+
 	/** Sends streams to the two services, in these proportions. */
 	route([weight, otherWeight]: readonly [number, number]): void {
 		const shares = ORDER_SERVICES.map((name, i) => ({
@@ -125,7 +140,7 @@
 		const killed = this.boxes.get(name)
 		if (!killed) return
 		this.boxes.delete(name)
-		this.cutOff.add(killed.connection)
+		this.cutOff.set(killed.connection, 'refused')
 		for (const request of killed.open) request.destroy()
 		await sleep(this.random() * 800)
 		await this.startBox(name)
@@ -140,10 +155,10 @@
 		await this.startBox(name)
 	}
 
-	/** The store refuses the calls of a box for this time. */
+	/** The store refuses the calls of a box for this time, or does not answer them. */
 	async cutBoxOff(name: string, ms: number): Promise<void> {
 		const connection = this.boxes.get(name)?.connection ?? ''
-		this.cutOff.add(connection)
+		this.cutOff.set(connection, this.random() < 0.5 ? 'refused' : 'lost')
 		await sleep(ms)
 		// The connection of a box that was killed meanwhile stays closed.
 		if (this.boxes.get(name)?.connection === connection) this.cutOff.delete(connection)
@@ -160,7 +175,7 @@
 			isUnderPressure: this.isUnderPressure,
 			capacity: { cores: 1, memoryBytes: 400_000_000, linkBytesPerSecond: undefined },
 		})
-		this.allBoxes.push(box)
+		this.allBoxes.push(Object.assign(box, { name }))
 		await box.start()
 		await box.waitUntilReady()
 		this.boxes.set(name, { name, port: box.port, open: new Set(), box, connection })
