--- /dev/null
+++ b/packages/gateway/src/lib/lifecycle/testTargetFleet.ts
@@ -0,0 +1,261 @@
+import { connect, createServer, type AddressInfo, type Server, type Socket } from 'node:net'
+import type { LogEventName } from '@stallwing/core'
+import { MemoryStore } from '@stallwing/standins'
+import { TestTargetLink } from '../forwarding/testTargetLink.js'
+import { freePort } from '../freePort.js'
+import { sleep } from '../sleep.js'
+import { TestBox, type CallerResponse } from '../testBox.js'
+import { TestTarget } from './testTarget.js'
+import { LAST_PIECE } from './testTargetMessages.js'
+
+/** How a target ends while it sends answers. */
+export type TargetEnd =
+	| 'nothing ends'
+	| 'it leaves, finishes its answers and lives'
+	| 'it crashes'
+	| 'all crash'
+	| 'it leaves and crashes'
+	| 'its entry goes and it crashes'
+	| 'it crashes behind a proxy that goes on accepting'
+	| 'it restarts on its port'
+	| 'it restarts on its port while the box stands still'
+	| 'it crashes while the box stands still'
+
+/** What a caller got: `short` is an answer that looks complete and is not. */
+export type Outcome = 'whole' | 'short' | 'failed'
+
+/** A request of a caller and its outcome. */
+export interface FleetResult {
+	readonly id: string
+	readonly path: string
+	readonly outcome: Outcome
+	/** Times that targets ran it. */
+	readonly runs: number
+	/** True if it ran at the target that was to end, or at any if all were. */
+	readonly wasTroubled: boolean
+}
+
+const TARGET_COUNT = 3
+const REQUESTS_PER_PATH = 6
+const WAIT_TIMEOUT_MS = 9_000
+/** Time for which the box stands still, in ms. */
+const STANDSTILL_MS = 700
+/** Time from the end of the target until the others finish their answers, in ms. */
+const FINISH_DELAY_MS = 250
+/** Time until a box has noticed that connections are refused, in ms. */
+const DETECTION_MS = 200
+
+/** For tests: targets as processes of their own, and a box that reaches them directly or through a second box. */
+export class TestTargetFleet {
+	private readonly targets: TestTarget[] = []
+	private readonly closers: (() => unknown)[] = []
+	private readonly boxes: TestBox[] = []
+	private readonly entryLinks = new Map<string, TestTargetLink>()
+
+	constructor(
+		private readonly end: TargetEnd,
+		private readonly isForwarded: boolean,
+	) {}
+
+	/** Sends requests, lets the target end, and resolves once all requests have ended. */
+	async play(paths: readonly string[]): Promise<readonly FleetResult[]> {
+		await this.start()
+		const sent = paths.flatMap((path) => {
+			return Array.from({ length: REQUESTS_PER_PATH }, (_, i) => ({ path, id: `${path}-${i}` }))
+		})
+		const responses = sent.map(({ id, path }) => this.send(id, path))
+		await this.waitUntil(() => sent.every(({ id }) => this.runsOf(id) > 0))
+		const troubled = this.busiestTarget()
+		await this.letEnd(troubled)
+		await sleep(FINISH_DELAY_MS)
+		for (const target of this.targets) target.tell('finish')
+		const outcomes = (await Promise.all(responses)).map(outcomeOf)
+		return sent.map(({ id, path }, i) => ({
+			id,
+			path,
+			outcome: outcomes[i] ?? 'failed',
+			runs: this.runsOf(id),
+			wasTroubled: this.end === 'all crash' || troubled.ranIds.includes(id),
+		}))
+	}
+
+	async stop(): Promise<void> {
+		for (const target of this.targets) target.kill()
+		for (const close of this.closers) await close()
+		await Promise.all(this.boxes.map((box) => box.stop()))
+	}
+
+	private async start(): Promise<void> {
+		for (let i = 0; i < TARGET_COUNT; i++) this.targets.push(new TestTarget(`t${i}`))
+		await Promise.all(this.targets.map((target) => target.waitUntilListening()))
+		await this.startBoxes()
+		for (const target of this.targets) await this.list(target)
+		await Promise.all(this.boxes.map((box) => box.waitUntilReady()))
+		if (this.isForwarded) await this.cutEntryBox()
+	}
+
+	private async startBoxes(): Promise<void> {
+		const store = new MemoryStore({ now: () => performance.now(), sleep })
+		const names = this.isForwarded ? ['entry', 'other'] : ['entry']
+		for (const name of names) {
+			const options = { shutdownGraceMs: 0 }
+			this.boxes.push(new TestBox(name, store, await freePort(), options))
+		}
+		this.entryBox.addressOf = (address) => this.entryLinks.get(address)?.address ?? address
+		this.entryBox.configure()
+		await Promise.all(this.boxes.map((box) => box.start()))
+	}
+
+	private get entryBox(): TestBox {
+		const [box] = this.boxes
+		if (!box) throw new Error('not started')
+		return box
+	}
+
+	/** Lists a target, behind a proxy if the end is to be hidden by one. */
+	private async list(target: TestTarget, isLeaving = false): Promise<void> {
+		const direct = `127.0.0.1:${target.port}`
+		const isBehindProxy = this.end === 'it crashes behind a proxy that goes on accepting'
+		const address = isBehindProxy ? await this.startProxy(target.port) : direct
+		if (this.isForwarded && !this.entryLinks.has(address)) await this.addEntryLink(address)
+		this.entryBox.listTarget(target.id, address, isLeaving)
+	}
+
+	private async addEntryLink(address: string): Promise<void> {
+		const link = new TestTargetLink(address)
+		await link.start()
+		this.entryLinks.set(address, link)
+		this.closers.push(() => link.stop())
+	}
+
+	/** Cuts the first box off from all targets, and lets it notice. */
+	private async cutEntryBox(): Promise<void> {
+		for (const link of this.entryLinks.values()) await link.cut('reset')
+		await this.send('first', '/again/first', 300)
+		await sleep(DETECTION_MS)
+	}
+
+	private async startProxy(port: number): Promise<string> {
+		const proxy = new OrderlyProxy(port)
+		this.closers.push(() => proxy.stop())
+		return proxy.start()
+	}
+
+	private send(id: string, path: string, deadlineMs = 6_000): Promise<CallerResponse> {
+		return this.entryBox.sendRequest(path, { id, headers: { 'deadline-ms': String(deadlineMs) } })
+	}
+
+	private runsOf(id: string): number {
+		return this.targets.flatMap(({ ranIds }) => ranIds).filter((ran) => ran === id).length
+	}
+
+	private busiestTarget(): TestTarget {
+		const [busiest] = [...this.targets].sort((a, b) => b.ranIds.length - a.ranIds.length)
+		if (!busiest) throw new Error('no target')
+		return busiest
+	}
+
+	private async letEnd(target: TestTarget): Promise<void> {
+		switch (this.end) {
+			case 'nothing ends':
+				return
+			case 'it leaves, finishes its answers and lives':
+				return this.leave(target)
+			case 'it crashes':
+			case 'it crashes behind a proxy that goes on accepting':
+				target.kill()
+				return
+			case 'all crash':
+				for (const each of this.targets) each.kill()
+				return
+			case 'it leaves and crashes':
+				await this.leave(target)
+				target.kill()
+				return
+			case 'its entry goes and it crashes':
+				this.entryBox.store.remove(`targets/${target.id}`)
+				await this.waitUntilLogged('target-gone', target)
+				target.kill()
+				return
+			case 'it restarts on its port':
+				return this.restart(target, () => undefined)
+			case 'it restarts on its port while the box stands still':
+				return this.restart(target, standStill)
+			case 'it crashes while the box stands still':
+				target.kill()
+				standStill()
+		}
+	}
+
+	private async leave(target: TestTarget): Promise<void> {
+		target.tell('leave')
+		await this.list(target, true)
+		await this.waitUntilLogged('target-leaving', target)
+	}
+
+	/** Waits until all boxes know of a change of a target. */
+	private waitUntilLogged(name: LogEventName, { id }: TestTarget): Promise<void> {
+		const isKnownTo = ({ logEvents }: TestBox): boolean => {
+			return logEvents.some((event) => event.name === name && event.fields['target'] === id)
+		}
+		return this.waitUntil(() => this.boxes.every(isKnownTo))
+	}
+
+	private async restart(target: TestTarget, meanwhile: () => void): Promise<void> {
+		target.kill()
+		const successor = new TestTarget(`${target.id}-again`, target.port)
+		this.targets.push(successor)
+		meanwhile()
+		await successor.waitUntilListening()
+		await this.list(successor)
+	}
+
+	private async waitUntil(condition: () => boolean): Promise<void> {
+		const until = performance.now() + WAIT_TIMEOUT_MS
+		while (!condition()) {
+			if (performance.now() > until) throw new Error(`not reached: ${condition.toString()}`)
+			await sleep(10)
+		}
+	}
+}
+
+/** Blocks the event loop, as a machine that stands still does for all connections of a box. */
+function standStill(): void {
+	Atomics.wait(new Int32Array(new SharedArrayBuffer(4)), 0, 0, STANDSTILL_MS)
+}
+
+function outcomeOf({ body, isComplete, status }: CallerResponse): Outcome {
+	if (status !== 200 || !isComplete) return 'failed'
+	return body.trimEnd().endsWith(LAST_PIECE) ? 'whole' : 'short'
+}
+
+/** Passes connections on to a port; accepts connections whatever is behind it, and closes all of them in order. */
+class OrderlyProxy {
+	private readonly server: Server
+	private readonly sockets = new Set<Socket>()
+
+	constructor(port: number) {
+		this.server = createServer((caller) => {
+			const target = connect(port, '127.0.0.1')
+			for (const socket of [caller, target]) {
+				this.sockets.add(socket)
+				socket.on('error', () => undefined)
+			}
+			target.on('data', (bytes) => caller.write(bytes))
+			caller.on('data', (bytes) => target.write(bytes))
+			target.on('close', () => caller.end())
+			caller.on('close', () => target.destroy())
+		})
+	}
+
+	/** Resolves to its address. */
+	async start(): Promise<string> {
+		await new Promise<void>((resolve) => this.server.listen(0, '127.0.0.1', resolve))
+		return `127.0.0.1:${(this.server.address() as AddressInfo).port}`
+	}
+
+	stop(): void {
+		this.server.close()
+		for (const socket of this.sockets) socket.destroy()
+	}
+}
