--- a/packages/gateway/src/lib/lifecycle/testTargetFleet.ts
+++ b/packages/gateway/src/lib/lifecycle/testTargetFleet.ts
@@ -36,7 +36,7 @@
 }
 
 const TARGET_COUNT = 3
-const REQUESTS_PER_PATH = 6
+const REQUEST_COUNT = 12
 const WAIT_TIMEOUT_MS = 9_000
 /** Time for which the box stands still, in ms. */
 const STANDSTILL_MS = 700
@@ -60,8 +60,9 @@
 	/** Sends requests, lets the target end, and resolves once all requests have ended. */
 	async play(paths: readonly string[]): Promise<readonly FleetResult[]> {
 		await this.start()
-		const sent = paths.flatMap((path) => {
-			return Array.from({ length: REQUESTS_PER_PATH }, (_, i) => ({ path, id: `${path}-${i}` }))
+		const sent = Array.from({ length: REQUEST_COUNT }, (_, i) => {
+			const path = paths[i % paths.length] ?? ''
+			return { path, id: `${path}-${i}` }
 		})
 		const responses = sent.map(({ id, path }) => this.send(id, path))
 		await this.waitUntil(() => sent.every(({ id }) => this.runsOf(id) > 0))
