Events of a take-up are checked against the last event that its caller has

What callers saw: the last event twice, or all events from the first one on, if a target answers a take-up with events from before it.

Cause: the box compared the ids of a stream with the last one that it had itself forwarded in this answer, and at the beginning of a caller's take-up there is none.

Change: until then they are compared with the caller's `Last-Event-Id`. Such an answer is broken off before its first event and the take-up goes on at another target. Only on routes that may be resumed: elsewhere the header does not say where to begin.

--- a/packages/gateway/src/lib/attempts/Attempt.ts
+++ b/packages/gateway/src/lib/attempts/Attempt.ts
@@ -6,6 +6,7 @@
 	type TargetEntry,
 } from '@stallwing/core'
 import { applyTargetNotice } from '../applyTargetNotice.js'
+import type { CallerRequest } from '../CallerRequest.js'
 import { isAlive } from '../liveness/TargetLiveness.js'
 import { readTargetNotice, type TargetNotice } from '../readTargetNotice.js'
 import { framingOf, type ResponseFraming } from '../ResponseWriter.js'
@@ -16,6 +17,7 @@
 	TargetFailure,
 	TargetRequest,
 } from '../sendToTarget.js'
+import { isResumption } from '../streams/findResumption.js'
 import { CollectedChunks } from './CollectedChunks.js'
 import type { AttemptEnd, CompleteResponse } from './AttemptEnd.js'
 import type { AttemptOptions } from './AttemptOptions.js'
@@ -293,6 +295,7 @@
 	private createForwarder(): EventForwarder {
 		return new EventForwarder({
 			responseWriter: this.options.responseWriter,
+			callerEventId: heldEventId(this.options.request),
 			onEvents: () => {
 				this.silence.noteProgress()
 				this.takeOver()
@@ -418,3 +421,9 @@
 		return this.options.context.now() - this.startedAt
 	}
 }
+
+/** Id of the last event that the caller has of the stream that it takes up; undefined if it has none, or states no number. */
+function heldEventId(request: CallerRequest): number | undefined {
+	const id = isResumption(request) ? Number(request.lastEventId) : NaN
+	return Number.isSafeInteger(id) ? id : undefined
+}
--- a/packages/gateway/src/lib/attempts/EventForwarder.ts
+++ b/packages/gateway/src/lib/attempts/EventForwarder.ts
@@ -4,6 +4,8 @@
 
 export interface EventForwarderOptions {
 	readonly responseWriter: ResponseWriter
+	/** Id of the last event that the caller has from an earlier request; undefined if it has none. */
+	readonly callerEventId: number | undefined
 	/** Called before events are sent. */
 	readonly onEvents: () => void
 	/** Stops reading the stream until {@link resume} is called. */
@@ -36,9 +38,10 @@
 
 	/** Forwards the events that a chunk completes. */
 	push(chunk: Buffer): ForwardResult {
-		const { memory } = this.options.responseWriter
+		const { callerEventId, responseWriter } = this.options
+		const { memory } = responseWriter
 		const events = this.splitter.push(chunk)
-		const repeated = findRepeated(events, this.options.responseWriter.lastEventId)
+		const repeated = findRepeated(events, responseWriter.lastEventId ?? callerEventId)
 		const isWritable = this.send(repeated ? events.slice(0, repeated.index) : events)
 		const eventCount = events.length
 		if (repeated) return { eventCount, fault: `event ${repeated.id} after ${repeated.lastId}` }
