A stream whose last event has no id is not taken up by the box

What callers saw: events twice, or the whole stream again, if a target of a resumable route broke off after events without an id.

Cause: the box went on after the last id that it knew, or from the beginning if there was none, although events without one had been sent since.

Change: such a stream can't be repeated from where it stands, and is broken off visibly. Comments don't count; a later event with an id makes it resumable again.

--- a/packages/gateway/src/lib/ResponseWriter.ts
+++ b/packages/gateway/src/lib/ResponseWriter.ts
@@ -8,6 +8,7 @@
 import type { ResponseHead } from './sendToTarget.js'
 
 const SECOND_MS = 1_000
+const DATA_FIELD = 'data'
 
 /** Writes one response to a caller. */
 export class ResponseWriter {
@@ -15,6 +16,8 @@
 	isStreamStarted = false
 	/** Id of the last event sent. */
 	lastEventId: number | undefined
+	/** The last event sent has data and no id, so no target can be asked for what follows it. */
+	endsUnnumbered = false
 	/** The caller can tell the end of the stream from a broken connection. */
 	isSelfDelimiting = true
 	/** Number of events sent. */
@@ -74,6 +77,8 @@
 		this.eventCount += events.length
 		this.recordEventTime()
 		this.lastEventId = events.findLast(({ id }) => id !== undefined)?.id ?? this.lastEventId
+		const last = events.findLast(({ bytes, id }) => id !== undefined || bytes.includes(DATA_FIELD))
+		if (last) this.endsUnnumbered = last.id === undefined
 		const bytes =
 			events.length === 1 ? first.bytes : Buffer.concat(events.map((event) => event.bytes))
 		return this.response.write(bytes)
--- a/packages/gateway/src/lib/attempts/AttemptSeries.ts
+++ b/packages/gateway/src/lib/attempts/AttemptSeries.ts
@@ -136,9 +136,9 @@
 
 	/** What decides whether another attempt follows. */
 	factsFor(request: CallerRequest): AttemptFacts {
-		const { context, timeLimit } = this.options
+		const { context, responseWriter, timeLimit } = this.options
 		return {
-			repeatable: isRepeatable(request),
+			repeatable: isRepeatable(request) && !responseWriter.endsUnnumbered,
 			attempts: this.sentCount,
 			maxAttempts: request.route.maxAttempts,
 			mayHaveRun: this.mayHaveRun,
