A reset that a late box reads counts as a reset, not as the end of an answer without framing

Cause: libuv reports the end of a connection if it is hung up after a read that did not fill its buffer, and never reads the pending reset. So whatever the box has not yet read when the reset comes turns the reset into an end in order; the health check of the target then rightly says that it lives.

Change: when the end is reported, the kernel is asked for the address of the peer. It has none after a reset, and keeps it after an end in order, so the first kind is a broken answer (`connectionReset`).

--- a/packages/gateway/src/lib/ConnectionPool.ts
+++ b/packages/gateway/src/lib/ConnectionPool.ts
@@ -1,6 +1,7 @@
 import { connect, type Socket } from 'node:net'
 import { SmallChunkLimiter } from '@stallwing/core'
 import { InputTimeout } from '@stallwing/store'
+import { watchForReset } from './connectionReset.js'
 import { parseAddress } from './parseAddress.js'
 
 /** Timeouts of a {@link ConnectionPool}, in ms. */
@@ -144,6 +145,7 @@
 			socket.once('connect', () => {
 				timeout.stop()
 				socket.off('error', fail)
+				watchForReset(socket)
 				socket.on('error', () => socket.destroy())
 				this.onOpened(socket)
 				resolve(socket)
--- a/packages/gateway/src/lib/sendToTarget.test.ts
+++ b/packages/gateway/src/lib/sendToTarget.test.ts
@@ -1,8 +1,16 @@
+import { once } from 'node:events'
 import { createServer, type Server, type Socket } from 'node:net'
 import type { AddressInfo } from 'node:net'
+import { Worker } from 'node:worker_threads'
 import { afterEach, describe, expect, it } from 'vitest'
 import { ConnectionPool } from './ConnectionPool.js'
 import { sendToTarget, type ResponseHead } from './sendToTarget.js'
+import { sleep } from './sleep.js'
+
+const DIST = new URL('../../dist/lib/', import.meta.url)
+/** Time until the answer has begun, in ms; the target breaks it off some 100 ms later. */
+const START_MS = 50
+const STAND_STILL_MS = 400
 
 /** Result of a call. */
 interface Outcome {
@@ -139,6 +147,26 @@
 		expect((await send(garbage)).end).toBe('broken')
 	})
 
+	// Guards against answers that look complete although a reset broke them off, if this process reads it late: then libuv
+	// reports the end of the connection, and not the reset.
+	it.each([
+		['reset', 'broken'],
+		['ended', 'whole'],
+	])(
+		'distinguishes a connection that was %s while this process stood still: %s',
+		async (how, end) => {
+			const target = new Worker(new URL('testBreakingTarget.js', DIST), { workerData: { how } })
+			const [port] = (await once(target, 'message')) as [number]
+			const pool = createPool(`127.0.0.1:${port}`)
+			const response = send(pool)
+			await sleep(START_MS)
+			const until = performance.now() + STAND_STILL_MS
+			while (performance.now() < until);
+			expect((await response).end).toBe(end)
+			await target.terminate()
+		},
+	)
+
 	it('distinguishes a reset from the end of a close-delimited response', async () => {
 		const ended = await startTarget((socket) => socket.end('HTTP/1.1 200 OK\r\n\r\nabc'))
 		expect(await send(ended)).toMatchObject({ body: 'abc', end: 'whole' })
--- a/packages/gateway/src/lib/sendToTarget.ts
+++ b/packages/gateway/src/lib/sendToTarget.ts
@@ -1,6 +1,7 @@
 import { request, type ClientRequest, type IncomingMessage } from 'node:http'
 import type { Socket } from 'node:net'
 import type { ConnectionPool } from './ConnectionPool.js'
+import { wasReset } from './connectionReset.js'
 import { sendBodyInPieces } from './memory/sendBodyInPieces.js'
 import { ChunkBatch } from './overload/ChunkBatch.js'
 import { InterimResponses } from './overload/InterimResponses.js'
@@ -171,7 +172,7 @@
 
 	private send(socket: Socket): void {
 		this.stopInterimFloods(socket)
-		// For a close-delimited response, only an error of the socket distinguishes a reset from a normal close.
+		// Without framing, only the way in which the connection ended distinguishes a reset from a normal close.
 		socket.prependOnceListener('error', () => {
 			this.hasSocketError = true
 		})
@@ -248,7 +249,7 @@
 	private finish(response: IncomingMessage): void {
 		this.received.flush()
 		if (this.hasEnded) return
-		if (!response.complete || this.hasSocketError) {
+		if (!response.complete || this.hasSocketError || (this.socket && wasReset(this.socket))) {
 			this.fail('broken', 'answer broken off')
 			return
 		}
