--- a/packages/gateway/src/lib/streams/testOrderTarget.ts
+++ b/packages/gateway/src/lib/streams/testOrderTarget.ts
@@ -23,6 +23,8 @@
 	readonly batch: number
 	/** Number of writes into which a batch is split. */
 	readonly parts: number
+	/** After a whole answer, the bytes of another one for the same request follow on the connection. */
+	readonly isSentTwice: boolean
 	/** Answer to a request to go on after an event. */
 	readonly takeUp: 'goes on' | 'repeats the last piece' | 'begins again' | 'rejects' | 'fails'
 }
@@ -110,11 +112,7 @@
 			socket.write(statusHead(500, requestId, `target-mark: ${name}`))
 			return
 		}
-		const framing = plan.isChunked ? 'transfer-encoding: chunked\r\n' : ''
-		socket.write(
-			`HTTP/1.1 200 OK\r\nrequest-id: ${requestId}\r\ntarget-mark: ${name}\r\n${framing}` +
-				'content-type: text/event-stream\r\n\r\n',
-		)
+		socket.write(this.streamHead(requestId, plan.isChunked))
 		await this.writePieces(socket, path, number, plan)
 	}
 
@@ -140,8 +138,25 @@
 			await this.pause(socket, plan.intervalMs)
 		}
 		await this.pause(socket, plan.silences.get(layout.ids.length) ?? 0)
-		if (plan.isChunked) socket.write('0\r\n\r\n')
-		else socket.end()
+		if (!plan.isChunked) socket.end()
+		else socket.write('0\r\n\r\n')
+		if (plan.isChunked && plan.isSentTwice) this.sendAgain(socket, path, number)
+	}
+
+	private sendAgain(socket: Socket, path: string, number: number): void {
+		const requestId = this.options.runs[number]?.requestId ?? ''
+		const text = pieceText(streamLayoutOf(path), 0, number)
+		setTimeout(
+			() => socket.write(`${this.streamHead(requestId, true)}${chunkOf(text)}0\r\n\r\n`),
+			POLL_MS,
+		)
+	}
+
+	private streamHead(requestId: string, isChunked: boolean): string {
+		return (
+			`HTTP/1.1 200 OK\r\nrequest-id: ${requestId}\r\ntarget-mark: ${this.options.name}\r\n` +
+			`${isChunked ? 'transfer-encoding: chunked\r\n' : ''}content-type: text/event-stream\r\n\r\n`
+		)
 	}
 
 	private async write(socket: Socket, text: string, { isChunked, parts }: RunPlan): Promise<void> {
