--- a/packages/gateway/src/lib/streams/testOrderCaller.ts
+++ b/packages/gateway/src/lib/streams/testOrderCaller.ts
@@ -43,7 +43,7 @@
 	options: OrderCallerOptions,
 ): Promise<readonly CallerStream[]> {
 	const { habit, isResumable } = options
-	const stopsAfter = habit === 'reads' || habit === 'asks again' ? undefined : options.afterPieces
+	const stopsAfter = habit === 'reads' || habit === 'asks again' ? Infinity : options.afterPieces
 	const first = await openTry(options, [], { stopsAfter, pauseMs: options.readPauseMs })
 	const tries = [first]
 	if (!isResumable) return [streamOf(options, tries)]
@@ -81,7 +81,9 @@
 }
 
 interface TryOptions {
-	readonly stopsAfter?: number | undefined
+	/** Number of pieces after which the caller leaves. */
+	readonly stopsAfter?: number
+	/** Time for which it stops reading, in ms. */
 	readonly pauseMs?: number
 }
 
@@ -91,17 +93,10 @@
 async function openTry(
 	options: OrderCallerOptions,
 	before: readonly CallerTry[],
-	{ pauseMs = 0, stopsAfter }: TryOptions,
+	tryOptions: TryOptions,
 ): Promise<CallerTry> {
 	const id = `o${nextId++}`
-	const pieces = before.flatMap((one) => one.pieces)
-	const lastEventId = pieces.at(-1)?.id
-	const began = before.find((one) => one.pieces.length > 0)
-	const resumed: Record<string, string> =
-		lastEventId === undefined
-			? {}
-			: { 'last-event-id': String(lastEventId), 'resumed-request': began?.id ?? '' }
-	const layout = streamLayoutOf(options.path)
+	const lastEventId = before.flatMap(({ pieces }) => pieces).at(-1)?.id
 	const box = await options.nextBox()
 	const outgoing = request({
 		port: box.port,
@@ -113,36 +108,59 @@
 			'request-id': id,
 			authorization: 'key',
 			'deadline-ms': String(DEADLINE_MS),
-			...resumed,
+			...takeUpHeaders(before, lastEventId),
 		},
 	})
 	box.open.add(outgoing)
 	outgoing.on('close', () => box.open.delete(outgoing))
+	const { body, isComplete, status } = await receive(options, outgoing, tryOptions)
+	const pieces = status === 200 ? readPieces(streamLayoutOf(options.path), body) : []
+	return { id, box: box.name, lastEventId, status, isComplete, pieces }
+}
+
+function takeUpHeaders(
+	before: readonly CallerTry[],
+	lastEventId: number | undefined,
+): Readonly<Record<string, string>> {
+	const began = before.find(({ pieces }) => pieces.length > 0)
+	if (!began || lastEventId === undefined) return {}
+	return { 'last-event-id': String(lastEventId), 'resumed-request': began.id }
+}
+
+interface ReceivedAnswer {
+	/** 0 if no answer began. */
+	readonly status: number
+	readonly body: string
+	readonly isComplete: boolean
+}
+
+/** Sends a request. Resolves to what arrived until the end of the answer, or until the caller leaves. */
+function receive(
+	options: OrderCallerOptions,
+	outgoing: ClientRequest,
+	{ pauseMs = 0, stopsAfter = Infinity }: TryOptions,
+): Promise<ReceivedAnswer> {
 	return new Promise((resolve) => {
-		const end = (status: number, body: string, isComplete: boolean): void =>
-			resolve({
-				id,
-				box: box.name,
-				lastEventId,
-				status,
-				isComplete,
-				pieces: status === 200 ? readPieces(layout, body) : [],
-			})
-		outgoing.on('error', () => end(0, '', false))
-		outgoing.on('close', () => end(0, '', false))
+		let hasAnswer = false
+		// The request closes before its answer reports that it was broken off.
+		const endUnanswered = (): void => {
+			if (!hasAnswer) resolve({ status: 0, body: '', isComplete: false })
+		}
+		outgoing.on('error', endUnanswered)
+		outgoing.on('close', endUnanswered)
 		outgoing.on('response', (response) => {
+			hasAnswer = true
 			let body = ''
 			const status = response.statusCode ?? 0
 			if (pauseMs > 0) pauseReading(response, pauseMs)
 			response.on('data', (chunk: Buffer) => {
 				body += chunk.toString('latin1')
-				if (stopsAfter === undefined || countPieces(body) < stopsAfter) return
+				if (countPieces(body) < stopsAfter) return
 				leave(options, outgoing)
-				end(status, body, false)
+				resolve({ status, body, isComplete: false })
 			})
-			response.on('error', () => end(status, body, false))
-			response.on('close', () => end(status, body, response.complete))
-			response.on('end', () => end(status, body, response.complete))
+			response.on('error', () => resolve({ status, body, isComplete: false }))
+			response.on('close', () => resolve({ status, body, isComplete: response.complete }))
 		})
 		outgoing.end()
 	})
