--- a/packages/gateway/src/lib/lifecycle/testTargetFleet.ts
+++ b/packages/gateway/src/lib/lifecycle/testTargetFleet.ts
@@ -35,7 +35,7 @@
 	readonly wasTroubled: boolean
 }
 
-const TARGET_COUNT = 3
+const TARGET_COUNT = 2
 const REQUEST_COUNT = 12
 const WAIT_TIMEOUT_MS = 9_000
 /** Time for which the box stands still, in ms. */
