--- a/packages/gateway/src/lib/lifecycle/testTargetFleet.ts
+++ b/packages/gateway/src/lib/lifecycle/testTargetFleet.ts
@@ -12,6 +12,7 @@
 export type TargetEnd =
 	| 'nothing ends'
 	| 'it leaves, finishes its answers and lives'
+	| 'it breaks its answers off and lives'
 	| 'it crashes'
 	| 'all crash'
 	| 'it leaves and crashes'
@@ -29,6 +30,8 @@
 	readonly id: string
 	readonly path: string
 	readonly outcome: Outcome
+	/** True if a length or chunks state where the answer ends. */
+	readonly isFramed: boolean
 	/** Times that targets ran it. */
 	readonly runs: number
 	/** True if it ran at the target that was to end, or at any if all were. */
@@ -70,13 +73,16 @@
 		await this.letEnd(troubled)
 		await sleep(FINISH_DELAY_MS)
 		for (const target of this.targets) target.tell('finish')
-		const outcomes = (await Promise.all(responses)).map(outcomeOf)
-		return sent.map(({ id, path }, i) => ({
-			id,
-			path,
-			outcome: outcomes[i] ?? 'failed',
-			runs: this.runsOf(id),
-			wasTroubled: this.end === 'all crash' || troubled.ranIds.includes(id),
+		const results = (await Promise.all(responses)).map((response, i) => ({
+			id: sent[i]?.id ?? '',
+			path: sent[i]?.path ?? '',
+			outcome: outcomeOf(response),
+			isFramed: isFramed(response),
+		}))
+		return results.map((result) => ({
+			...result,
+			runs: this.runsOf(result.id),
+			wasTroubled: this.end === 'all crash' || troubled.ranIds.includes(result.id),
 		}))
 	}
 
@@ -162,6 +168,9 @@
 				return
 			case 'it leaves, finishes its answers and lives':
 				return this.leave(target)
+			case 'it breaks its answers off and lives':
+				target.tell('break-off')
+				return
 			case 'it crashes':
 			case 'it crashes behind a proxy that goes on accepting':
 				target.kill()
@@ -230,6 +239,10 @@
 	return body.trimEnd().endsWith(LAST_PIECE) ? 'whole' : 'short'
 }
 
+function isFramed({ headers }: CallerResponse): boolean {
+	return headers['content-length'] !== undefined || headers['transfer-encoding'] !== undefined
+}
+
 /** Passes connections on to a port; accepts connections whatever is behind it, and closes all of them in order. */
 class OrderlyProxy {
 	private readonly server: Server
