--- a/packages/gateway/src/lib/lifecycle/testTargetEnds.ts
+++ b/packages/gateway/src/lib/lifecycle/testTargetEnds.ts
@@ -1,10 +1,11 @@
 import { TestTargetFleet, type FleetResult, type TargetEnd } from './testTargetFleet.js'
 
 /** Ends that are played beside each other. */
-const ENDS_AT_ONCE = 4
+const ENDS_AT_ONCE = 5
 /** Ends while which the box goes on. */
 const ENDS: readonly TargetEnd[] = [
 	'nothing ends',
+	'nothing ends, and there is one target',
 	'it leaves, finishes its answers and lives',
 	'it crashes',
 	'all crash',
@@ -13,7 +14,7 @@
 	'it crashes behind a proxy that goes on accepting',
 	'it restarts on its port',
 ]
-/** Ends that block the process, which would disturb others beside them. */
+/** Ends that block the process, which would disturb others beside them but for each other. */
 const BLOCKING_ENDS: readonly TargetEnd[] = [
 	'it restarts on its port while the box stands still',
 	'it crashes while the box stands still',
@@ -21,6 +22,7 @@
 /** Ends after which every answer is whole, because no target stops before its answers are. */
 const HARMLESS_ENDS: readonly TargetEnd[] = [
 	'nothing ends',
+	'nothing ends, and there is one target',
 	'it leaves, finishes its answers and lives',
 ]
 
@@ -41,7 +43,7 @@
 	}
 	for (let i = 0; i < ENDS.length; i += ENDS_AT_ONCE)
 		await Promise.all(ENDS.slice(i, i + ENDS_AT_ONCE).map(playEnd))
-	for (const end of BLOCKING_ENDS) await playEnd(end)
+	await Promise.all(BLOCKING_ENDS.map(playEnd))
 	// A box takes some seconds to stop, so all of them stop beside each other.
 	await Promise.all(stops)
 	return wrong
--- a/packages/gateway/src/lib/lifecycle/testTargetFleet.ts
+++ b/packages/gateway/src/lib/lifecycle/testTargetFleet.ts
@@ -11,7 +11,9 @@
 /** How a target ends while it sends answers. */
 export type TargetEnd =
 	| 'nothing ends'
+	| 'nothing ends, and there is one target'
 	| 'it leaves, finishes its answers and lives'
+	| 'it breaks its answers off and lives'
 	| 'it crashes'
 	| 'all crash'
 	| 'it leaves and crashes'
@@ -29,13 +31,15 @@
 	readonly id: string
 	readonly path: string
 	readonly outcome: Outcome
+	/** True if a length or chunks state where the answer ends. */
+	readonly isFramed: boolean
 	/** Times that targets ran it. */
 	readonly runs: number
 	/** True if it ran at the target that was to end, or at any if all were. */
 	readonly wasTroubled: boolean
 }
 
-const TARGET_COUNT = 3
+const TARGET_COUNT = 2
 const REQUEST_COUNT = 12
 const WAIT_TIMEOUT_MS = 9_000
 /** Time for which the box stands still, in ms. */
@@ -70,13 +74,16 @@
 		await this.letEnd(troubled)
 		await sleep(FINISH_DELAY_MS)
 		for (const target of this.targets) target.tell('finish')
-		const outcomes = (await Promise.all(responses)).map(outcomeOf)
-		return sent.map(({ id, path }, i) => ({
-			id,
-			path,
-			outcome: outcomes[i] ?? 'failed',
-			runs: this.runsOf(id),
-			wasTroubled: this.end === 'all crash' || troubled.ranIds.includes(id),
+		const results = (await Promise.all(responses)).map((response, i) => ({
+			id: sent[i]?.id ?? '',
+			path: sent[i]?.path ?? '',
+			outcome: outcomeOf(response),
+			isFramed: isFramed(response),
+		}))
+		return results.map((result) => ({
+			...result,
+			runs: this.runsOf(result.id),
+			wasTroubled: this.end === 'all crash' || troubled.ranIds.includes(result.id),
 		}))
 	}
 
@@ -87,7 +94,8 @@
 	}
 
 	private async start(): Promise<void> {
-		for (let i = 0; i < TARGET_COUNT; i++) this.targets.push(new TestTarget(`t${i}`))
+		const targetCount = this.end === 'nothing ends, and there is one target' ? 1 : TARGET_COUNT
+		for (let i = 0; i < targetCount; i++) this.targets.push(new TestTarget(`t${i}`))
 		await Promise.all(this.targets.map((target) => target.waitUntilListening()))
 		await this.startBoxes()
 		for (const target of this.targets) await this.list(target)
@@ -159,9 +167,13 @@
 	private async letEnd(target: TestTarget): Promise<void> {
 		switch (this.end) {
 			case 'nothing ends':
+			case 'nothing ends, and there is one target':
 				return
 			case 'it leaves, finishes its answers and lives':
 				return this.leave(target)
+			case 'it breaks its answers off and lives':
+				target.tell('break-off')
+				return
 			case 'it crashes':
 			case 'it crashes behind a proxy that goes on accepting':
 				target.kill()
@@ -230,6 +242,10 @@
 	return body.trimEnd().endsWith(LAST_PIECE) ? 'whole' : 'short'
 }
 
+function isFramed({ headers }: CallerResponse): boolean {
+	return headers['content-length'] !== undefined || headers['transfer-encoding'] !== undefined
+}
+
 /** Passes connections on to a port; accepts connections whatever is behind it, and closes all of them in order. */
 class OrderlyProxy {
 	private readonly server: Server
