--- a/packages/gateway/src/lib/lifecycle/testTargetEnds.ts
+++ b/packages/gateway/src/lib/lifecycle/testTargetEnds.ts
@@ -14,7 +14,7 @@
 	'it crashes behind a proxy that goes on accepting',
 	'it restarts on its port',
 ]
-/** Ends that block the process, which would disturb others beside them but for each other. */
+/** Ends that block the process, which would disturb others beside them. */
 const BLOCKING_ENDS: readonly TargetEnd[] = [
 	'it restarts on its port while the box stands still',
 	'it crashes while the box stands still',
@@ -43,7 +43,7 @@
 	}
 	for (let i = 0; i < ENDS.length; i += ENDS_AT_ONCE)
 		await Promise.all(ENDS.slice(i, i + ENDS_AT_ONCE).map(playEnd))
-	await Promise.all(BLOCKING_ENDS.map(playEnd))
+	for (const end of BLOCKING_ENDS) await playEnd(end)
 	// A box takes some seconds to stop, so all of them stop beside each other.
 	await Promise.all(stops)
 	return wrong
