--- a/packages/gateway/src/lib/lifecycle/testTargetEnds.ts
+++ b/packages/gateway/src/lib/lifecycle/testTargetEnds.ts
@@ -14,7 +14,7 @@
 	'it crashes behind a proxy that goes on accepting',
 	'it restarts on its port',
 ]
-/** Ends that block the process, which would disturb others beside them but for each other. */
+/** Ends that block the process, which would disturb others beside them. */
 const BLOCKING_ENDS: readonly TargetEnd[] = [
 	'it restarts on its port while the box stands still',
 	'it crashes while the box stands still',
@@ -43,7 +43,7 @@
 	}
 	for (let i = 0; i < ENDS.length; i += ENDS_AT_ONCE)
 		await Promise.all(ENDS.slice(i, i + ENDS_AT_ONCE).map(playEnd))
-	await Promise.all(BLOCKING_ENDS.map(playEnd))
+	for (const end of BLOCKING_ENDS) await playEnd(end)
 	// A box takes some seconds to stop, so all of them stop beside each other.
 	await Promise.all(stops)
 	return wrong
@@ -57,16 +57,24 @@
 	}
 	return [
 		...count('short', ({ outcome }) => outcome === 'short'),
-		...count('failed at a target that lives', ({ outcome, wasTroubled }) => {
-			return outcome === 'failed' && (isHarmless || !wasTroubled)
+		...count('failed at a target that lives', (result) => {
+			return hasFailed(result) && (isHarmless || !result.wasTroubled)
 		}),
-		...count('not repeated elsewhere', ({ outcome, path }) => {
-			return outcome === 'failed' && end !== 'all crash' && isRepeatable(path)
+		...count('not repeated elsewhere', (result) => {
+			return hasFailed(result) && end !== 'all crash' && isRepeatable(result.path)
 		}),
 		...count('run more than once', ({ path, runs }) => runs > 1 && !isRepeatable(path)),
+		...count('refused as not run after a run', ({ outcome, path, runs }) => {
+			return outcome === 'refused' && runs > 0 && !isRepeatable(path)
+		}),
 	]
 }
 
+/** True if the request has run and its caller got no answer. */
+function hasFailed({ outcome, runs }: FleetResult): boolean {
+	return outcome === 'failed' || (outcome === 'refused' && runs > 0)
+}
+
 function isRepeatable(path: string): boolean {
 	return path.startsWith('/again/') || path.startsWith('/resume/')
 }
