A leaving target answers the health checks of boxes that reach it through another box

What callers saw: whole answers without framing of a leaving target fail at a box without a path to it (3 of 3 requests that may run once), since the end of an answer is confirmed by a health check.

Cause: the forwarding box forwards only to targets that may receive requests, and a leaving one may not; so nothing showed that it lives.

Change: a health check is forwarded to any listed target. It is no request, and the rule on leaving targets leaves it out.

--- a/packages/core/src/lib/placement/TargetRegistry.ts
+++ b/packages/core/src/lib/placement/TargetRegistry.ts
@@ -187,6 +187,11 @@
 		return state && !state.leaving ? state.entry : undefined
 	}
 
+	/** The listed target, also if it is leaving. */
+	listedTarget(name: TargetName): TargetEntry | undefined {
+		return this.targets.get(name)?.entry
+	}
+
 	/** The targets of a service that are not leaving. */
 	targetsOf(service: ServiceName): readonly TargetEntry[] {
 		const listed = this.byService.get(service) ?? []
--- a/packages/gateway/src/lib/forwarding/ForwardingServer.ts
+++ b/packages/gateway/src/lib/forwarding/ForwardingServer.ts
@@ -9,11 +9,20 @@
 	type TargetCall,
 	type TargetFailure,
 } from '../sendToTarget.js'
-import { decodeForwardedRequest, encodeForwardedHead, type ForwardRefusal } from './forwardCodec.js'
+import {
+	decodeForwardedRequest,
+	encodeForwardedHead,
+	type ForwardedRequest,
+	type ForwardRefusal,
+} from './forwardCodec.js'
 
 export interface ForwardingServerOptions {
 	/** The target if it is listed and may receive requests. */
 	readonly availableTarget: (name: TargetName) => TargetEntry | undefined
+	/** The target if it is listed, also if it is leaving. */
+	readonly listedTarget: (name: TargetName) => TargetEntry | undefined
+	/** Path of the health check of a target; undefined if it has none. */
+	readonly healthPathOf: (target: TargetEntry) => string | undefined
 	readonly poolFor: (target: TargetEntry) => ConnectionPool
 	/** True if this box has no path to the target itself. */
 	readonly isUnreachable: (target: TargetEntry) => boolean
@@ -57,14 +66,23 @@
 		return this.openCount < MAX_OPEN_REQUESTS && this.openBytes + length <= MAX_OPEN_BYTES
 	}
 
+	/** The target that a request may be sent to; undefined if it takes none. A leaving target still answers health checks. */
+	private targetOf({ message, target }: ForwardedRequest): TargetEntry | undefined {
+		const { availableTarget, healthPathOf, listedTarget } = this.options
+		const listed = listedTarget(target)
+		const isHealthCheck =
+			listed !== undefined && message.method === 'GET' && message.path === healthPathOf(listed)
+		return isHealthCheck ? listed : availableTarget(target)
+	}
+
 	private forward(bytes: Buffer | undefined, response: ServerResponse): void {
 		const forwarded = bytes && decodeForwardedRequest(bytes)
 		if (!forwarded) return refuse(response, 'malformed')
-		const { availableTarget, isUnreachable, poolFor } = this.options
-		const target = availableTarget(forwarded.target)
+		const { isUnreachable, poolFor } = this.options
+		const target = this.targetOf(forwarded)
 		if (!target) return refuse(response, 'target-not-reached')
 		if (isUnreachable(target)) return refuse(response, 'service-unreachable')
-		const relay = new ResponseRelay(response, () => availableTarget(target.name) !== undefined)
+		const relay = new ResponseRelay(response, () => this.targetOf(forwarded) !== undefined)
 		relay.call = sendToTarget(poolFor(target), forwarded.message, relay)
 	}
 }
--- a/packages/gateway/src/lib/forwarding/createForwardingServer.ts
+++ b/packages/gateway/src/lib/forwarding/createForwardingServer.ts
@@ -32,6 +32,8 @@
 }: ForwardingSources): ForwardingServer {
 	return new ForwardingServer({
 		availableTarget: (name) => registry.availableTarget(name),
+		listedTarget: (name) => registry.listedTarget(name),
+		healthPathOf: ({ service }) => context.traffic?.index.service(service)?.healthPath,
 		poolFor: (target) => pools.poolFor(target),
 		isUnreachable: ({ service }) => paths.isUnreachable(service),
 		isStopping: () => context.isRefusingRequests,
--- a/packages/gateway/src/lib/forwarding/endOfForwardingBox.test.ts
+++ b/packages/gateway/src/lib/forwarding/endOfForwardingBox.test.ts
@@ -73,6 +73,8 @@
 	const forwarding = new ForwardingServer({
 		availableTarget: () => ({ ...TARGET, address: targetAddress }),
 		poolFor: () => target,
+		listedTarget: () => undefined,
+		healthPathOf: () => undefined,
 		isUnreachable: () => false,
 		isStopping: () => false,
 		isOverloaded: () => false,
