The crash detector asks targets for a sign of life, too

A connection that is accepted was taken for life, which the kernel also does for a process that is ending; and the probe took this box's own lost path, where it is refused.

Change: the detector uses `TargetLiveness`, which asks by name and through another box if need be. An answer drops the run; a refusal still counts only beside another target that is reached; another target at the address is a crash at once; without an answer the run waits for the target list, as before.

The test targets answer health checks, which don't count as received requests.

--- a/packages/gateway/src/lib/CrashDetector.ts
+++ b/packages/gateway/src/lib/CrashDetector.ts
@@ -10,11 +10,12 @@
 	type TargetName,
 } from '@stallwing/core'
 import type { Metrics } from '@stallwing/telemetry'
-import type { ConnectionPool, ProbeResult } from './ConnectionPool.js'
+import { isAlive, type LifeSign } from './liveness/TargetLiveness.js'
 
 export interface CrashDetectorOptions {
 	readonly quarantine: RequestQuarantine
-	readonly pool: (target: TargetEntry) => ConnectionPool
+	/** Checks whether a target is alive. */
+	readonly checkLife: (target: TargetEntry) => Promise<LifeSign>
 	/** Returns true if this incarnation of the target is listed and is not leaving. */
 	readonly isAvailable: (incarnation: TargetIncarnation, target: TargetName) => boolean
 	/** Returns true if this box can connect to another target of the service, or knows of no other. */
@@ -59,13 +60,13 @@
 
 /**
  * Distinguishes a crashed target from other reasons for an interrupted response, and records a crash for each
- * request that the target was running. If the target closed the connection, a new connection shows at once whether
- * the target still runs: a refused one means that it crashed, if this box reaches other targets; an accepted one is
- * added to the pool. If the target does not answer the probe, or the box reaches no other target, a later change of the target list shows whether it crashed.
+ * request that the target was running. If the target closed the connection, a check of its life shows at once whether
+ * it still runs: it answers, another target answers at its address, or a connection is refused, which means that it crashed if this
+ * box reaches other targets. If nothing answers, or the box reaches no other target, a later change of the target list shows whether
+ * it crashed.
  */
 export class CrashDetector {
 	private pending: PendingRun[] = []
-	private readonly probes = new Map<TargetIncarnation, Promise<ProbeResult>>()
 	/** Incarnations that are known to have ended. */
 	private readonly endedIncarnations = new Set<TargetIncarnation>()
 
@@ -89,11 +90,16 @@
 		this.pending.push(broken)
 		if (this.pending.length > MAX_PENDING_RUNS) this.pending.shift()
 		if (!run.closedByTarget) return
-		const result = await this.probe(run.target)
+		await this.checkTarget(broken)
+	}
+
+	private async checkTarget(run: PendingRun): Promise<void> {
+		const sign = await this.options.checkLife(run.target)
+		if (isAlive(sign)) this.pending = this.pending.filter((other) => other !== run)
+		if (sign === 'other-target') this.noteTargetCrash(run.target, 'started again')
 		// If this box reaches no other target either, its own path is lost, and the target may be fine.
-		if (result === 'refused' && (await this.options.reachesAnotherTarget(run.target)))
+		if (sign === 'refused' && (await this.options.reachesAnotherTarget(run.target)))
 			this.noteTargetCrash(run.target, 'refuses connections')
-		if (result === 'accepted') this.pending = this.pending.filter((other) => other !== broken)
 	}
 
 	/** Treats targets that restarted, or that disappeared from the list without leaving first, as crashed. */
@@ -102,16 +108,6 @@
 		for (const entry of removed) if (!entry.leaving) this.noteTargetCrash(entry, 'no longer listed')
 	}
 
-	private probe(target: TargetEntry): Promise<ProbeResult> {
-		const incarnation = incarnationOf(target)
-		const active = this.probes.get(incarnation)
-		if (active) return active
-		const probe = this.options.pool(target).probe()
-		this.probes.set(incarnation, probe)
-		void probe.finally(() => this.probes.delete(incarnation))
-		return probe
-	}
-
 	private noteTargetCrash(target: TargetEntry, sign: CrashSign): void {
 		const { log, metrics } = this.options
 		this.dropExpiredRuns()
--- a/packages/gateway/src/lib/CrashProtection.ts
+++ b/packages/gateway/src/lib/CrashProtection.ts
@@ -11,8 +11,8 @@
 } from '@stallwing/core'
 import type { KeyValueStore, StoreItem } from '@stallwing/store'
 import type { Metrics } from '@stallwing/telemetry'
-import type { ConnectionPool } from './ConnectionPool.js'
 import { CrashDetector, type BrokenRun } from './CrashDetector.js'
+import type { LifeSign } from './liveness/TargetLiveness.js'
 import type { PeerDatagrams } from './PeerDatagrams.js'
 import { PartProtection, type HeldPartStatus } from './quarantine/PartProtection.js'
 import { QuarantineSharing } from './QuarantineSharing.js'
@@ -24,7 +24,8 @@
 	/** Store key of the quarantined requests. */
 	readonly key: string
 	readonly registry: TargetRegistry
-	readonly pool: (target: TargetEntry) => ConnectionPool
+	/** See {@link CrashDetector}. */
+	readonly checkLife: (target: TargetEntry) => Promise<LifeSign>
 	/** See {@link CrashDetector}. */
 	readonly reachesAnotherTarget: (target: TargetEntry) => Promise<boolean>
 	readonly datagrams: PeerDatagrams
--- a/packages/gateway/src/lib/Gateway.ts
+++ b/packages/gateway/src/lib/Gateway.ts
@@ -122,11 +122,12 @@
 			peers,
 			address,
 		})
-		const { paths, pools, smallChunks } = createTargetPaths({
+		const { liveness, paths, pools, smallChunks } = createTargetPaths({
 			gateway: options,
 			registry: this.registry,
 			membership: this.membership,
 			boxLoad: this.boxLoad,
+			healthPathOf: (service) => this.context.traffic?.index.service(service)?.healthPath,
 		})
 		this.paths = paths
 		this.pools = pools
@@ -137,6 +138,7 @@
 			registry: this.registry,
 			pools: this.pools,
 			paths: this.paths,
+			liveness,
 			membership: this.membership,
 			boxLoad: this.boxLoad,
 			peers,
@@ -171,6 +173,7 @@
 			gateway: options,
 			registry: this.registry,
 			pools: this.pools,
+			liveness,
 			paths: this.paths,
 			targets: this.targets,
 			serviceLimits: this.serviceLimits,
--- a/packages/gateway/src/lib/PeerSharing.ts
+++ b/packages/gateway/src/lib/PeerSharing.ts
@@ -12,6 +12,7 @@
 import type { ReportedPart } from './ReportedPart.js'
 import { RateSharing } from './RateSharing.js'
 import type { TargetPaths } from './forwarding/TargetPaths.js'
+import type { TargetLiveness } from './liveness/TargetLiveness.js'
 import type { TargetPools } from './TargetPools.js'
 import { SpeedSharing } from './speeds/SpeedSharing.js'
 import { StoredOrigins } from './streams/StoredOrigins.js'
@@ -26,6 +27,7 @@
 	readonly registry: TargetRegistry
 	readonly pools: TargetPools
 	readonly paths: TargetPaths
+	readonly liveness: TargetLiveness
 	readonly membership: FleetMembership
 	/** Undefined if the settings specify no link. */
 	readonly boxLoad: BoxLoadControl | undefined
@@ -52,7 +54,7 @@
 	private readonly boxLoad: BoxLoadControl | undefined
 
 	constructor(options: PeerSharingOptions) {
-		const { registry, gateway, pools, paths, membership, store, boxLoad, peers } = options
+		const { registry, gateway, liveness, pools, paths, membership, store, boxLoad, peers } = options
 		const { datagrams } = this
 		this.address = gateway.listen.peers
 		this.boxLoad = boxLoad
@@ -87,7 +89,7 @@
 			store,
 			key: gateway.storeLayout.quarantineKey,
 			registry,
-			pool: (target) => pools.poolFor(target),
+			checkLife: (target) => liveness.check(target),
 			reachesAnotherTarget: (target) => paths.reachesAnotherTarget(target),
 			datagrams,
 			peers: () => membership.otherAddresses,
--- a/packages/gateway/src/lib/createGatewayContext.ts
+++ b/packages/gateway/src/lib/createGatewayContext.ts
@@ -12,7 +12,7 @@
 import type { TargetPaths } from './forwarding/TargetPaths.js'
 import type { GatewayContext } from './GatewayContext.js'
 import type { GatewayOptions } from './GatewayOptions.js'
-import { TargetLiveness } from './liveness/TargetLiveness.js'
+import type { TargetLiveness } from './liveness/TargetLiveness.js'
 import { createBoxMemory } from './memory/BoxMemory.js'
 import type { PeerSharing } from './PeerSharing.js'
 import { presentOnly } from './presentOnly.js'
@@ -28,6 +28,7 @@
 	readonly registry: TargetRegistry
 	readonly pools: TargetPools
 	readonly paths: TargetPaths
+	readonly liveness: TargetLiveness
 	readonly targets: TargetDirectory
 	readonly serviceLimits: ServiceLimits
 	readonly loopDelay: EventLoopDelay
@@ -44,7 +45,7 @@
 
 /** Creates what the requests of a gateway use, before a configuration is known. */
 export function createGatewayContext(parts: GatewayParts): GatewayContext {
-	const { allowance, boxLoad, feed, gateway, loopDelay, membership, paths } = parts
+	const { allowance, boxLoad, feed, gateway, liveness, loopDelay, membership, paths } = parts
 	const { pools, registry, serviceLimits, sharing, targets } = parts
 	const memory = createBoxMemory(gateway)
 	const context: GatewayContext = {
@@ -54,12 +55,7 @@
 		registry,
 		allowance,
 		crashProtection: sharing.crashProtection,
-		liveness: new TargetLiveness({
-			...gateway,
-			call: (request) => paths.call(request),
-			poolFor: (target) => pools.poolFor(target),
-			healthPathOf: (service) => context.traffic?.index.service(service)?.healthPath,
-		}),
+		liveness,
 		streams: sharing.streams,
 		metrics: gateway.metrics,
 		memory,
--- a/packages/gateway/src/lib/forwarding/createTargetPaths.ts
+++ b/packages/gateway/src/lib/forwarding/createTargetPaths.ts
@@ -1,7 +1,8 @@
-import { SmallChunkLimiter } from '@stallwing/core'
+import { SmallChunkLimiter, type ServiceName } from '@stallwing/core'
 import type { BoxLoadControl } from '../balance/BoxLoadControl.js'
 import type { FleetMembership } from '../FleetMembership.js'
 import type { GatewayOptions } from '../GatewayOptions.js'
+import { TargetLiveness } from '../liveness/TargetLiveness.js'
 import { SmallChunkReport } from '../overload/SmallChunkReport.js'
 import { TargetPools } from '../TargetPools.js'
 import { TargetPaths, type TargetPathsOptions } from './TargetPaths.js'
@@ -12,11 +13,14 @@
 	readonly membership: Pick<FleetMembership, 'otherMembers'>
 	/** Undefined if the settings specify no link. */
 	readonly boxLoad: BoxLoadControl | undefined
+	/** Path of the health check of a service; undefined if it has none. */
+	readonly healthPathOf: (service: ServiceName) => string | undefined
 }
 
 export interface TargetConnections {
 	readonly pools: TargetPools
 	readonly paths: TargetPaths
+	readonly liveness: TargetLiveness
 	readonly smallChunks: SmallChunkReport
 }
 
@@ -24,6 +28,7 @@
 export function createTargetPaths({
 	boxLoad,
 	gateway,
+	healthPathOf,
 	membership,
 	registry,
 }: TargetConnectionOptions): TargetConnections {
@@ -51,5 +56,11 @@
 			pools.createPeerPool(peer, boxLoad?.trackBoxSocket ?? (() => undefined)),
 		isLinkSaturated,
 	})
-	return { pools, paths, smallChunks }
+	const liveness = new TargetLiveness({
+		...gateway,
+		call: (request) => paths.call(request),
+		poolFor: (target) => pools.poolFor(target),
+		healthPathOf,
+	})
+	return { pools, paths, liveness, smallChunks }
 }
--- a/packages/gateway/src/lib/forwarding/testPartitionedFleet.ts
+++ b/packages/gateway/src/lib/forwarding/testPartitionedFleet.ts
@@ -81,18 +81,23 @@
 		return { box, at, path, status, isServed, tookMs: performance.now() - at }
 	}
 
-	/** Requests that targets have received. */
+	/** Requests of callers that targets have received. */
 	get receivedCount(): number {
-		return this.targets?.receivedRequests.length ?? 0
+		return this.receivedIds.length
 	}
 
 	/** Ids of requests that may run only once and ran more often. */
 	get repeatedIds(): string[] {
-		const received = this.targets?.receivedRequests ?? []
-		const ids = received.map(({ headers }) => String(headers['request-id']))
+		const ids = this.receivedIds
 		return ids.filter((id, i) => ids.indexOf(id) !== i && !this.isRepeatable(id))
 	}
 
+	/** Ids of the requests of callers that targets have received; health checks have none. */
+	private get receivedIds(): string[] {
+		const received = this.targets?.receivedRequests ?? []
+		return received.flatMap(({ headers }) => headers['request-id'] ?? [])
+	}
+
 	/** Requests of the second route may run more than once. */
 	private isRepeatable(id: string): boolean {
 		const number = Number(/^r(\d+)/.exec(id)?.[1])
--- a/packages/gateway/src/lib/testBox.ts
+++ b/packages/gateway/src/lib/testBox.ts
@@ -19,7 +19,7 @@
 import type { GatewayOptions } from './GatewayOptions.js'
 import { sleep } from './sleep.js'
 import { TEST_DIALECT } from './testDialect.js'
-import { TEST_SERVICE, trafficConfigOf } from './testTrafficConfig.js'
+import { TEST_HEALTH_PATH, TEST_SERVICE, trafficConfigOf } from './testTrafficConfig.js'
 
 /** A response as the caller receives it. */
 export interface CallerResponse {
@@ -139,9 +139,13 @@
 		this.store.put('config/now', JSON.stringify(trafficConfigOf(version)))
 	}
 
-	/** Starts a target and lists it in the store. */
+	/** Starts a target and lists it in the store. It answers its health checks, which are not received requests. */
 	async addTarget(id: string, handler: TargetHandler, leaving = false): Promise<void> {
 		const server = createServer((message, response) => {
+			if (message.url === TEST_HEALTH_PATH) {
+				response.writeHead(200, { [TEST_DIALECT.headers.instance]: id }).end()
+				return
+			}
 			let body = ''
 			message.on('data', (chunk: Buffer) => (body += chunk.toString()))
 			message.on('end', () => {
