Blank lines after the last event are no partial event

Cause: any buffered byte counted as the beginning of an event.

Result: three rows of `EventSplitter.test` failed before and pass.

--- a/packages/core/src/lib/stream/EventSplitter.test.ts
+++ b/packages/core/src/lib/stream/EventSplitter.test.ts
@@ -16,6 +16,14 @@
 		expect(splitter.hasPartialEvent).toBe(true)
 	})
 
+	// Guards against whole streams that count as broken off inside an event because blank lines follow their last one.
+	it.each(['\n', '\r\n', '\n\n\n'])('has no partial event after blank lines: %j', (blankLines) => {
+		const splitter = new EventSplitter()
+		splitter.push(Buffer.from('id: 1\ndata: a\n\n'))
+		for (const character of blankLines) splitter.push(Buffer.from(character))
+		expect(splitter.hasPartialEvent).toBe(false)
+	})
+
 	it.each([
 		['LF', 'id: 1\ndata: a\n\ndata: no number\n\nid: 3\ndata: ü\n\n'],
 		['CRLF', 'id: 1\r\ndata: a\r\n\r\ndata: no number\r\n\r\nid: 3\r\ndata: ü\r\n\r\n'],
--- a/packages/core/src/lib/stream/EventSplitter.ts
+++ b/packages/core/src/lib/stream/EventSplitter.ts
@@ -24,9 +24,10 @@
 	private storage = EMPTY
 	private storedBytes = 0
 
-	/** True while bytes of an incomplete event are buffered. */
+	/** True while bytes of an incomplete event are buffered; blank lines after the last event begin none. */
 	get hasPartialEvent(): boolean {
-		return this.storedBytes > 0
+		const bytes = this.storage.subarray(0, this.storedBytes)
+		return bytes.some((byte) => byte !== LINE_FEED && byte !== CARRIAGE_RETURN)
 	}
 
 	/** Buffered bytes of an incomplete event. */
