Transfer codings that end with the connection are no framing

What callers would see: a short answer that looks complete, with a length even, if a target states a transfer coding other than chunks (`identity`, `gzip`) and breaks off in order: Node ends such a body with its connection as complete, and the end was not checked because the header was there.

--- a/packages/gateway/src/lib/ResponseWriter.ts
+++ b/packages/gateway/src/lib/ResponseWriter.ts
@@ -9,6 +9,7 @@
 
 const SECOND_MS = 1_000
 const DATA_FIELD = 'data'
+const LAST_CHUNKED_PATTERN = /(^|,)\s*chunked\s*$/i
 
 /** Writes one response to a caller. */
 export class ResponseWriter {
@@ -159,7 +160,9 @@
 export type ResponseFraming = 'length' | 'chunks' | 'close'
 
 export function framingOf({ headers, status }: ResponseHead): ResponseFraming {
-	if (headers['transfer-encoding'] !== undefined) return 'chunks'
+	const coding = headers['transfer-encoding']
+	// A last coding other than chunks ends with the connection, whatever length is stated beside it.
+	if (coding !== undefined) return LAST_CHUNKED_PATTERN.test(String(coding)) ? 'chunks' : 'close'
 	return headers['content-length'] !== undefined || !mayHaveBody(status) ? 'length' : 'close'
 }
 
