Health checks of ends: late answers, hanging connections, resets, joined checks, services that are gone

From the review of the fix, each shown by a script or a test: - A late answer to another request on the kept connection counted as the answer to the check. It carries that request's id; the connection is closed. - A kept connection that hangs took the whole time of the check. It is left after 300 ms, and the others with it. - Three tries in 100 ms at a target that resets connections ended the check. It goes on for its second. - A check that joined another waited for the whole of it, 2 s in all. It begins after 300 ms at the latest. - A service that a newer configuration has dropped had no health check any more, and an accepted connection counted. The path is kept from the time of the answer. - A 200 or 502 without a name counted as the target's. Only a rejection may lack it; for the quarantine such an answer is no sign of another target.

--- a/packages/gateway/src/lib/CrashDetector.test.ts
+++ b/packages/gateway/src/lib/CrashDetector.test.ts
@@ -113,7 +113,7 @@
 		expect(crashCount()).toBe(1)
 	})
 
-	it.each<LifeSign>(['no-answer', 'refused'])(
+	it.each<LifeSign>(['no-answer', 'unnamed', 'refused'])(
 		'records a crash once the list shows it if the check showed %s, and no other target is reached',
 		async (shown) => {
 			sign = shown
--- a/packages/gateway/src/lib/attempts/Attempt.ts
+++ b/packages/gateway/src/lib/attempts/Attempt.ts
@@ -173,6 +173,7 @@
 		if (this.handle)
 			applyTargetNotice(context, { handle: this.handle, placement, request }, this.notice)
 		this.silence.noteProgress()
+		if (this.isEndInDoubt(head)) context.liveness.noteService(this.target.service)
 		if (isEventStream(head)) {
 			this.forwarder = this.createForwarder()
 			if (this.isCurrent) this.startStream(head)
--- a/packages/gateway/src/lib/liveness/HealthRequest.ts
+++ b/packages/gateway/src/lib/liveness/HealthRequest.ts
@@ -14,10 +14,11 @@
  * What one health check of a target showed.
  * - `answered`: the target itself answered; with which status does not matter.
  * - `other-target`: another target answered at its address.
+ * - `unnamed`: an answer came that does not say from which target.
  * - `refused`: nothing listens at its address.
  * - `no-answer`: the connection closed, or nothing came in time.
  */
-export type HealthSign = 'answered' | 'other-target' | 'refused' | 'no-answer'
+export type HealthSign = 'answered' | 'other-target' | 'unnamed' | 'refused' | 'no-answer'
 
 export interface HealthRequestOptions {
 	readonly target: TargetEntry
@@ -29,6 +30,8 @@
 }
 
 const EMPTY = Buffer.alloc(0)
+/** Status of a target that is full, unwell or leaving. */
+const UNAVAILABLE = 503
 
 /** Sends one health check. The response proves that the target was alive after the check was sent. */
 export function requestHealth(options: HealthRequestOptions): Promise<HealthSign> {
@@ -64,7 +67,9 @@
 	}
 
 	onHead(head: ResponseHead): boolean {
-		this.resolve(this.isFromTarget(head) ? 'answered' : 'other-target')
+		// A late answer to a request that was sent on this connection before says nothing about the target now.
+		if (head.headers[this.options.dialect.headers.requestId] !== undefined) return false
+		this.resolve(this.signOf(head))
 		return true
 	}
 
@@ -81,12 +86,14 @@
 		this.resolve(cause === 'ECONNREFUSED' ? 'refused' : 'no-answer')
 	}
 
-	/** A target that is not the expected one says so by the status, or by its name. */
-	private isFromTarget({ headers, status }: ResponseHead): boolean {
+	private signOf({ headers, status }: ResponseHead): HealthSign {
 		const { dialect, target } = this.options
-		if (status === dialect.wrongTargetStatus) return false
+		if (status === dialect.wrongTargetStatus) return 'other-target'
 		const name = headers[dialect.headers.instance]
-		return name === undefined || name === target.name
+		if (name !== undefined) return name === target.name ? 'answered' : 'other-target'
+		// A rejection needs no name, because another target would have said so by the status.
+		const isRejection = status === UNAVAILABLE || headers[dialect.headers.notRun] !== undefined
+		return isRejection ? 'answered' : 'unnamed'
 	}
 
 	private get message(): TargetRequest {
--- a/packages/gateway/src/lib/liveness/TargetLiveness.test.ts
+++ b/packages/gateway/src/lib/liveness/TargetLiveness.test.ts
@@ -71,6 +71,8 @@
 		['answers with its name', 'answered', (s) => s.write(responseOf('200 OK', NAME))],
 		['answers that it is unwell', 'answered', (s) => s.write(responseOf('503 No', NAME))],
 		['rejects the check without a name', 'answered', (s) => s.write(responseOf('503 No'))],
+		['answers without a name', 'unnamed', (s) => s.write(responseOf('200 OK'))],
+		['fails without a name', 'unnamed', (s) => s.write(responseOf('502 No'))],
 		['has another name', 'other-target', (s) => s.write(responseOf('200 OK', 't2'))],
 		['is not the expected one', 'other-target', (s) => s.write(responseOf('421 No'))],
 		['closes the connection', 'no-answer', (s) => s.end()],
@@ -123,6 +125,60 @@
 		expect(checks).toBe(2)
 	})
 
+	it('does not wait for long for a check that hangs', async () => {
+		let isFirst = true
+		handle = (socket) => {
+			if (!isFirst) socket.write(responseOf('200 OK', NAME))
+			isFirst = false
+		}
+		const liveness = createLiveness()
+		void liveness.check(target)
+		await sleep(20)
+		const startedAt = performance.now()
+		expect(await liveness.check(target)).toBe('answered')
+		expect(performance.now() - startedAt).toBeLessThan(800)
+	})
+
+	it('takes no late answer to another request, on a kept connection, for its own', async () => {
+		handle = (socket) => {
+			if (checks === 1) socket.write(responseOf('200 OK', NAME))
+			else if (checks === 2)
+				socket.write('HTTP/1.1 200 OK\r\nrequest-id: r1\r\nContent-Length: 0\r\n\r\n')
+			else socket.write(responseOf('200 OK', 't2'))
+		}
+		const liveness = createLiveness()
+		expect(await liveness.check(target)).toBe('answered')
+		await sleep(50)
+		expect(await liveness.check(target)).toBe('other-target')
+	})
+
+	it('leaves a kept connection that hangs for a new one', async () => {
+		handle = (socket) => {
+			if (checks !== 2) socket.write(responseOf('200 OK', NAME))
+		}
+		const liveness = createLiveness()
+		await liveness.check(target)
+		await sleep(50)
+		expect(await liveness.check(target)).toBe('answered')
+		expect(sockets).toHaveLength(2)
+	})
+
+	it('goes on while a target resets new connections, within its time', async () => {
+		handle = (socket) => {
+			if (checks < 6) socket.resetAndDestroy()
+			else socket.write(responseOf('200 OK', NAME))
+		}
+		expect(await createLiveness().check(target)).toBe('answered')
+	})
+
+	it('knows the path of a service that is no longer configured', async () => {
+		handle = (socket) => socket.write(responseOf('200 OK', 't2'))
+		const liveness = createLiveness()
+		liveness.noteService(target.service)
+		healthPath = undefined
+		expect(await liveness.check(target)).toBe('other-target')
+	})
+
 	it('takes a connection for a sign of life only where there is no health check', async () => {
 		healthPath = undefined
 		handle = () => undefined
