--- a/packages/gateway/src/lib/attempts/Attempt.ts
+++ b/packages/gateway/src/lib/attempts/Attempt.ts
@@ -209,7 +209,7 @@
 		else this.complete(head)
 	}
 
-	/** True if the connection of the response has closed, which a target that crashes does in the same way. */
+	/** True if the close of its connection ends the response, because a target that crashes closes it in the same way. */
 	private isEndInDoubt(head: ResponseHead): boolean {
 		const { context, request } = this.options
 		if (framingOf(head) !== 'close' || request.method === 'HEAD') return false
