Stand-ins for targets answer health checks with their name, as the protocol has it

Change: `unframedAnswers`, `slowReadersAtStop` and `CrashingTarget` answer `/healthz` with their name; no expectation changes. An empty request id in the answer to a check is none.

--- a/packages/gateway/src/lib/lifecycle/slowReadersAtStop.test.ts
+++ b/packages/gateway/src/lib/lifecycle/slowReadersAtStop.test.ts
@@ -1,6 +1,7 @@
 import { spawn, type ChildProcess } from 'node:child_process'
 import { createServer, type AddressInfo, type Server } from 'node:net'
 import { afterAll, beforeAll, describe, expect, it, vi } from 'vitest'
+import { TEST_HEALTH_PATH } from '../testTrafficConfig.js'
 import { LateReader } from './testLateReader.js'
 
 // Guards against plain answers without framing that a planned stop of their box cuts short, and that look complete to a caller
@@ -11,6 +12,8 @@
 const LARGE_BYTES = 12_000_000
 /** Less than the kernel takes. */
 const SMALL_BYTES = 500_000
+/** Name under which the box lists its target. */
+const TARGET = 't'
 const START_TIMEOUT_MS = 15_000
 const SHUTDOWN_TIMEOUT_MS = 20_000
 
@@ -20,6 +23,10 @@
 		socket.on('error', () => undefined)
 		socket.on('data', (bytes: Buffer) => {
 			const text = bytes.toString('latin1')
+			if (text.startsWith(`GET ${TEST_HEALTH_PATH}`)) {
+				socket.write(`HTTP/1.1 200 OK\r\nown-instance: ${TARGET}\r\nContent-Length: 0\r\n\r\n`)
+				return
+			}
 			const id = /request-id: (.*)\r\n/.exec(text)?.[1] ?? ''
 			const length = text.startsWith('POST /again/large ') ? LARGE_BYTES : SMALL_BYTES
 			socket.write(`HTTP/1.1 200 OK\r\nrequest-id: ${id}\r\ntarget-mark: t\r\n\r\n`)
--- a/packages/gateway/src/lib/lifecycle/unframedAnswers.test.ts
+++ b/packages/gateway/src/lib/lifecycle/unframedAnswers.test.ts
@@ -3,6 +3,7 @@
 import { afterEach, beforeEach, describe, expect, it, vi } from 'vitest'
 import { sleep } from '../sleep.js'
 import { TestBox } from '../testBox.js'
+import { TEST_HEALTH_PATH } from '../testTrafficConfig.js'
 
 // Guards against answers without a length or chunks that look complete although they were cut: when the box or the target that
 // sent them ended, the kernel closed their connections in order.
@@ -23,7 +24,10 @@
 	private readonly server: Server
 	private readonly sockets = new Set<Socket>()
 
-	constructor(private readonly end: TargetEnd) {
+	constructor(
+		private readonly end: TargetEnd,
+		private readonly name: string,
+	) {
 		this.server = createServer((socket) => {
 			this.sockets.add(socket)
 			socket.on('error', () => undefined)
@@ -42,6 +46,10 @@
 	}
 
 	private answer(socket: Socket, request: string): void {
+		if (request.startsWith(`GET ${TEST_HEALTH_PATH}`)) {
+			socket.write(`HTTP/1.1 200 OK\r\nown-instance: ${this.name}\r\nContent-Length: 0\r\n\r\n`)
+			return
+		}
 		const id = /request-id: (.*)\r\n/.exec(request)?.[1] ?? ''
 		const head = `HTTP/1.1 200 OK\r\nrequest-id: ${id}\r\ntarget-mark: t\r\n`
 		if (request.startsWith('POST /again/large')) {
@@ -102,7 +110,7 @@
 	const targets: UnframedTarget[] = []
 
 	async function startTargets(end: TargetEnd): Promise<void> {
-		for (let i = 0; i < 2; i++) targets.push(new UnframedTarget(end))
+		for (let i = 0; i < 2; i++) targets.push(new UnframedTarget(end, `t${i}`))
 		await Promise.all(targets.map((target) => target.start()))
 	}
 
--- a/packages/gateway/src/lib/liveness/HealthRequest.ts
+++ b/packages/gateway/src/lib/liveness/HealthRequest.ts
@@ -68,7 +68,7 @@
 
 	onHead(head: ResponseHead): boolean {
 		// A late answer to a request that was sent on this connection before says nothing about the target now.
-		if (head.headers[this.options.dialect.headers.requestId] !== undefined) return false
+		if (head.headers[this.options.dialect.headers.requestId]) return false
 		this.resolve(this.signOf(head))
 		return true
 	}
--- a/packages/gateway/src/lib/testTrafficConfig.ts
+++ b/packages/gateway/src/lib/testTrafficConfig.ts
@@ -6,12 +6,13 @@
 	type ServiceName,
 	type TrafficConfig,
 } from '@stallwing/core'
+import { STANDIN_HEALTH_PATH } from '@stallwing/standins'
 
 /** The only service of the configuration. */
 export const TEST_SERVICE = brandId<ServiceName>('service')
 
 /** Path of the health check of the test targets. */
-export const TEST_HEALTH_PATH = '/healthz'
+export const TEST_HEALTH_PATH = STANDIN_HEALTH_PATH
 
 /** For tests: a configuration with one route of each kind and one account. */
 export function trafficConfigOf(version: number): TrafficConfig {
--- a/packages/standins/src/index.ts
+++ b/packages/standins/src/index.ts
@@ -27,4 +27,8 @@
 export { ownLoopbackHost } from './lib/ownLoopbackHost.js'
 export { startService, type ServiceOptions } from './lib/startService.js'
 export { NO_TARGET_FAULTS, type TargetFaults } from './lib/targetFaults.js'
-export { STANDIN_HEADERS, STANDIN_HEADER_PATTERN } from './lib/standinHeaders.js'
+export {
+	STANDIN_HEADERS,
+	STANDIN_HEALTH_PATH,
+	STANDIN_HEADER_PATTERN,
+} from './lib/standinHeaders.js'
--- a/packages/standins/src/lib/CrashingTarget.ts
+++ b/packages/standins/src/lib/CrashingTarget.ts
@@ -2,6 +2,7 @@
 import type { AddressInfo, Socket } from 'node:net'
 import { readBody, sleep } from './httpHelpers.js'
 import { ownLoopbackHost } from './ownLoopbackHost.js'
+import { STANDIN_HEADERS, STANDIN_HEALTH_PATH } from './standinHeaders.js'
 
 /** Options of a {@link CrashingTarget}. @public */
 export interface CrashingTargetOptions {
@@ -28,7 +29,7 @@
 
 /**
  * A target that crashes on certain requests and restarts after a delay with the same address and name. A crash resets
- * all open connections; new connections are refused until the restart.
+ * all open connections; new connections are refused until the restart. It answers health checks with its name.
  * @public
  */
 export class CrashingTarget {
@@ -50,6 +51,10 @@
 		const server = createServer((message, response) => {
 			void readBody(message).then(async (body) => {
 				const { headers, name, processingMs } = this.options
+				if (message.url === STANDIN_HEALTH_PATH) {
+					response.writeHead(200, { [STANDIN_HEADERS.instance]: name }).end()
+					return
+				}
 				const isStream = message.url?.includes('stream') || message.url?.includes('resume')
 				response.setHeader(headers.requestId, message.headers[headers.requestId] ?? '')
 				response.setHeader(headers.signature, name)
--- a/packages/standins/src/lib/standinHeaders.ts
+++ b/packages/standins/src/lib/standinHeaders.ts
@@ -17,5 +17,8 @@
 	rejectionLimit: 'rejection-limit',
 } as const
 
+/** Path of the health check of the stand-ins for targets. @public */
+export const STANDIN_HEALTH_PATH = '/healthz'
+
 /** Pattern of further headers that belong to the platform of the stand-ins. @public */
 export const STANDIN_HEADER_PATTERN = /^own-/
