--- a/packages/gateway/src/lib/attempts/testUnframedTarget.ts
+++ b/packages/gateway/src/lib/attempts/testUnframedTarget.ts
@@ -47,7 +47,7 @@
 		return `127.0.0.1:${this.port}`
 	}
 
-	/** Ends as the kernel ends a process: it listens no more, and all connections are closed. */
+	/** Ends as a process that is killed: its listening socket and all connections are closed. */
 	die(how: Close = 'in order'): void {
 		this.server.close()
 		this.closeConnections(how)
--- a/packages/gateway/src/lib/liveness/HealthRequest.ts
+++ b/packages/gateway/src/lib/liveness/HealthRequest.ts
@@ -67,7 +67,7 @@
 	}
 
 	onHead(head: ResponseHead): boolean {
-		// A late answer to a request that was sent on this connection before says nothing about the target now.
+		// A late answer to an earlier request on this connection does not show that the target is alive now.
 		if (head.headers[this.options.dialect.headers.requestId]) return false
 		this.resolve(this.signOf(head))
 		return true
