Review case: prompts of many parts end boxes by themselves

Case: review/13 (script). Sessions of 1,000 parts a prompt, 5.5 requests a second and box, all servers sound. Result: 7 ends by SIGABRT (heap out of memory) on 2 machines in 60 s, 14 requests of another service passed on and not answered; with 3 parts none.

--- a/review/rig/rig.mjs
+++ b/review/rig/rig.mjs
@@ -148,7 +148,9 @@
 			stdio: ['ignore', 'ignore', 'ignore'],
 		})
 		this.#child = child
-		this.exited = new Promise((done) => child.once('exit', () => done()))
+		this.exited = new Promise((done) =>
+			child.once('exit', (code, signal) => done(signal ?? `status ${code}`)),
+		)
 	}
 
 	signal(name) {
