Bound what the clients of each listener can make a box hold

What callers saw: a box ended by itself within a second when clients sent requests ahead and left the answers unread, on any of its four listeners; callers beside them got no connection.

Cause: nothing bounded what a connection makes the process hold. Node reads up to 64 KB at a time and hands over every request in it in one turn (3,600 of the smallest), answers requests without a Host header by itself, and keeps all of them until the first answer has been read. The intake of callers started 4 requests a turn while each turn read thousands. Heads that do not end, and connections without a request, were not bounded either.

Evidence: platform/src/crowds, a box as a process with 48 MB of heap on a machine of 160 MB and 400 descriptors. Heads of 14 kB sent ahead passed before.

Change: packages/http has a server that counts every request before a listener gets it, and what each connection holds: open requests, their heads, bodies that nobody reads, heads that do not end. A connection beyond its open requests is closed in the middle of a read: the rest of the read is overwritten with bytes that the parser rejects, because closing does not stop it. If all connections together hold too much, those above an equal part are closed. At the limit of connections, an idle one gives way. Callers, readiness, other boxes and operators each have their own limits, from the heap and the descriptors of the settings. Requests without a Host header reach the handlers, so that they are counted; callers get the same 400.

Ruled out: to pause the socket (Node resumes it whenever a body is read), and to close it without the overwrite (11 instead of 20,000 requests parsed in a trial; without it, all of the read).

--- a/packages/core/src/lib/router/logEvents.ts
+++ b/packages/core/src/lib/router/logEvents.ts
@@ -102,6 +102,10 @@
 		number: 134,
 		text: 'All boxes know a new software version of a service; streams may begin there',
 	},
+	'connections-closed': {
+		number: 135,
+		text: 'Clients went beyond a limit on connections, and were disconnected; the event names the limit and the last client',
+	},
 	'slice-asked': { number: 200, text: 'Tokens were requested from the zone leader' },
 	'slice-granted': { number: 201, text: 'Tokens were granted by the zone leader' },
 	'slice-returned': { number: 202, text: 'Idle tokens were returned to the zone' },
--- a/packages/gateway/src/index.ts
+++ b/packages/gateway/src/index.ts
@@ -8,13 +8,12 @@
 export { type BoxCapacity, type GatewayOptions, type GatewayPorts } from './lib/GatewayOptions.js'
 export { type CordonStatus, type GatewayStatus } from './lib/GatewayReport.js'
 export { listenOn, type ListenAddress } from './lib/listenOn.js'
-export { serveOperators, type OperatorPages } from './lib/serveOperators.js'
+export { serveOperators } from './lib/serveOperators.js'
 export {
 	createProcessServices,
 	type GatewayClocks,
 	type ProcessServices,
 } from './lib/lifecycle/createProcessServices.js'
-export { operatorPagesOf } from './lib/lifecycle/operatorPagesOf.js'
 export { controlProcess, type ProcessControls } from './lib/lifecycle/controlProcess.js'
 export { isSocketAddress, parseAddress } from './lib/parseAddress.js'
 export {
--- a/packages/gateway/src/lib/Gateway.ts
+++ b/packages/gateway/src/lib/Gateway.ts
@@ -1,9 +1,12 @@
-import { createServer, type Server } from 'node:http'
+import type { ServerOptions } from 'node:http'
 import { TargetRegistry, brandId, type AccountName, type RetryLimits } from '@stallwing/core'
+import { BoundedServer } from '@stallwing/http'
 import { EraTrackingStore, type EraChange, type PrefixFollower } from '@stallwing/store'
 import type { AllowanceClient } from './AllowanceClient.js'
 import type { ReleaseResult } from './allowance/releaseWithheld.js'
 import { createBoxLoadControl, type BoxLoadControl } from './balance/BoxLoadControl.js'
+import { ConnectionReport } from './connections/ConnectionReport.js'
+import { createListenerLimits, type Listener } from './connections/createListenerLimits.js'
 import { createAllowanceClient } from './createAllowanceClient.js'
 import { createFleetMembership } from './createFleetMembership.js'
 import { createConfigurationMonitor } from './feed/createConfigurationMonitor.js'
@@ -41,6 +44,8 @@
 const ALLOWANCE_INTERVAL_MS = 400
 const MAINTENANCE_INTERVAL_MS = 250
 const KEEP_ALIVE_MARGIN_MS = 1_000
+/** Largest head that is parsed, in bytes; the configuration states what is accepted of it. */
+const MAX_HEAD_BYTES = 65_536
 
 /** Serves callers: follows configuration, targets and budgets, and sends each request to a target. @public */
 export class Gateway {
@@ -60,7 +65,8 @@
 	private readonly configurationMonitor: ConfigurationMonitor
 	private readonly report: GatewayReport
 	private readonly callerIntake: CallerIntake
-	private readonly callerServer: Server
+	private readonly callerServer: BoundedServer
+	private readonly connectionReport: ConnectionReport
 	private readonly readinessServer: ReadinessServer
 	private readonly peerServer: PeerServer
 	private readonly sharing: PeerSharing
@@ -190,7 +196,12 @@
 			feed: this.feed,
 			context: this.context,
 		})
-		this.callerServer = createServer({ keepAlive: true, noDelay: true, maxHeaderSize: 65_536 })
+		this.connectionReport = new ConnectionReport(options)
+		this.callerServer = this.createServer('callers', {
+			keepAlive: true,
+			noDelay: true,
+			maxHeaderSize: MAX_HEAD_BYTES,
+		})
 		this.callerIntake = new CallerIntake({
 			server: this.callerServer,
 			context: this.context,
@@ -210,6 +221,7 @@
 			targetsPrefix: options.storeLayout.targetsPrefix,
 			parts: presentOnly([
 				this.callerIntake.report,
+				this.connectionReport,
 				this.smallChunks,
 				this.boxLoad,
 				this.context.memory,
@@ -220,7 +232,11 @@
 			isReady: () => this.isReady,
 		})
 		this.applyLimits()
-		this.readinessServer = new ReadinessServer(() => this.isReady, options.log)
+		this.readinessServer = new ReadinessServer(
+			this.createServer('readiness'),
+			() => this.isReady,
+			options.log,
+		)
 		const peerHandlers = createPeerHandlers({
 			allowance: this.allowance,
 			membership: this.membership,
@@ -238,7 +254,11 @@
 				onRequest: () => this.countOpenRequest(),
 			}),
 		})
-		this.peerServer = new PeerServer(peerHandlers, this.boxLoad?.trackBoxSocket)
+		this.peerServer = new PeerServer(
+			this.createServer('peers', { keepAlive: true }),
+			peerHandlers,
+			this.boxLoad?.trackBoxSocket,
+		)
 		this.followers = followDocuments({
 			gateway: options,
 			feed: this.feed,
@@ -326,6 +346,7 @@
 		this.cordons.maintain()
 		this.configurationMonitor.check()
 		this.callerIntake.maintain()
+		this.connectionReport.check()
 		this.smallChunks.check()
 		this.sharing.crashProtection.expireRecords()
 		this.sharing.streams.maintain()
@@ -339,6 +360,17 @@
 		this.context.retryLimits = limits
 	}
 
+	/** Creates a server of this box that bounds what its clients can make it hold. */
+	createServer(listener: Listener, http: ServerOptions = {}): BoundedServer {
+		const server = new BoundedServer({
+			limits: createListenerLimits(listener, this.options.capacity),
+			http,
+			onClosed: (closed) => this.connectionReport.noteClosed(listener, closed),
+		})
+		this.connectionReport.watch(listener, server)
+		return server
+	}
+
 	/** Current values of the gauges, by metric name with labels. */
 	gauges(): Record<string, number> {
 		return this.report.gauges()
--- a/packages/gateway/src/lib/GatewayOptions.ts
+++ b/packages/gateway/src/lib/GatewayOptions.ts
@@ -26,6 +26,12 @@
 	readonly memoryBytes: number | undefined
 	/** Bytes per second that the link carries in each direction; undefined if not limited. */
 	readonly linkBytesPerSecond: number | undefined
+	/** Descriptors that the process may have open; a usual limit of processes if undefined. */
+	readonly descriptors?: number | undefined
+	/** Connections of callers that may be open; follows from the other resources if undefined. */
+	readonly maxCallerConnections?: number | undefined
+	/** Requests that one connection of a caller may have open; a default if undefined. */
+	readonly maxOpenRequests?: number | undefined
 }
 
 /** Settings and dependencies of a gateway. @public */
--- a/packages/gateway/src/lib/PeerServer.ts
+++ b/packages/gateway/src/lib/PeerServer.ts
@@ -1,4 +1,4 @@
-import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http'
+import type { IncomingMessage, ServerResponse } from 'node:http'
 import type { Socket } from 'node:net'
 import {
 	brandId,
@@ -7,6 +7,7 @@
 	type ServiceName,
 	type TargetWork,
 } from '@stallwing/core'
+import type { BoundedServer } from '@stallwing/http'
 import type { RequestedRevision } from './feed/FeedRelay.js'
 import { encodeFeedResponse } from './feed/feedCodec.js'
 import type { ReplicatedDraws } from './DrawReplicator.js'
@@ -54,18 +55,16 @@
 
 /** HTTP server for other boxes. It must not be reachable for callers of the service. */
 export class PeerServer {
-	private readonly server: Server
-
 	/** `onConnection` is called with each new connection. */
 	constructor(
+		private readonly server: BoundedServer,
 		private readonly handlers: PeerHandlers,
 		onConnection?: (socket: Socket) => void,
 	) {
-		this.server = createServer(
-			{ keepAlive: true },
-			(request, response) => void this.handle(request, response),
-		)
-		if (onConnection) this.server.on('connection', onConnection)
+		server.on('request', (request: IncomingMessage, response: ServerResponse) => {
+			void this.handle(request, response)
+		})
+		if (onConnection) server.on('connection', onConnection)
 	}
 
 	async listen(address: ListenAddress): Promise<number> {
--- a/packages/gateway/src/lib/ReadinessServer.ts
+++ b/packages/gateway/src/lib/ReadinessServer.ts
@@ -1,17 +1,18 @@
-import { createServer, type Server } from 'node:http'
+import type { IncomingMessage, ServerResponse } from 'node:http'
 import type { LogEvent } from '@stallwing/core'
+import type { BoundedServer } from '@stallwing/http'
 import { listenOn, type ListenAddress } from './listenOn.js'
 
 /** Health check for the load balancer: responds 200 if this box accepts callers, 503 otherwise. */
 export class ReadinessServer {
-	private readonly server: Server
 	private wasReady = false
 
 	constructor(
+		private readonly server: BoundedServer,
 		private readonly isReady: () => boolean,
 		private readonly log: (event: LogEvent) => void,
 	) {
-		this.server = createServer((_message, response) => {
+		server.on('request', (_message: IncomingMessage, response: ServerResponse) => {
 			response.writeHead(this.checkReadiness() ? 200 : 503, { 'Content-Length': 0 })
 			response.end()
 		})
--- a/packages/gateway/src/lib/lifecycle/operatorPagesOf.ts
+++ b/packages/gateway/src/lib/lifecycle/operatorPagesOf.ts
@@ -1,8 +1,19 @@
 import type { Metrics } from '@stallwing/telemetry'
+import type { ReleaseResult } from '../allowance/releaseWithheld.js'
 import type { Gateway } from '../Gateway.js'
-import type { OperatorPages } from '../serveOperators.js'
 
-/** The operator endpoints of a gateway. @public */
+/** Contents of the operator endpoints, as text. */
+export interface OperatorPages {
+	readonly metrics: () => string
+	/** A JSON document. */
+	readonly status: () => string
+	/** Releases a quarantined request; returns false if it is not quarantined. */
+	readonly releaseQuarantined: (fingerprint: string) => boolean
+	/** Releases the withheld tokens of an account. */
+	readonly releaseWithheldTokens: (account: string) => Promise<ReleaseResult>
+}
+
+/** The operator endpoints of a gateway. */
 export function operatorPagesOf(gateway: Gateway, metrics: Metrics): OperatorPages {
 	return {
 		metrics: () => metrics.render(gateway.gauges()),
--- a/packages/gateway/src/lib/memory/ExchangeMemory.ts
+++ b/packages/gateway/src/lib/memory/ExchangeMemory.ts
@@ -7,7 +7,7 @@
 	type MemoryClass,
 	type WaitingAnswer,
 } from '@stallwing/core'
-import { resetConnection } from './resetConnection.js'
+import { resetConnection } from '@stallwing/http'
 import { connectionKeyOf, type SendQueues } from './readSendQueues.js'
 
 /** State of the box that its exchanges share. */
--- a/packages/gateway/src/lib/serveOperators.ts
+++ b/packages/gateway/src/lib/serveOperators.ts
@@ -1,18 +1,10 @@
-import { createServer, type IncomingMessage, type ServerResponse } from 'node:http'
+import type { IncomingMessage, ServerResponse } from 'node:http'
+import type { Metrics } from '@stallwing/telemetry'
 import type { ReleaseResult } from './allowance/releaseWithheld.js'
+import type { Gateway } from './Gateway.js'
+import { operatorPagesOf, type OperatorPages } from './lifecycle/operatorPagesOf.js'
 import { listenOn, type ListenAddress } from './listenOn.js'
 
-/** Contents of the operator endpoints, as text. @public */
-export interface OperatorPages {
-	readonly metrics: () => string
-	/** A JSON document. */
-	readonly status: () => string
-	/** Releases a quarantined request; returns false if it is not quarantined. */
-	readonly releaseQuarantined: (fingerprint: string) => boolean
-	/** Releases the withheld tokens of an account. */
-	readonly releaseWithheldTokens: (account: string) => Promise<ReleaseResult>
-}
-
 /** Paths used by commands of `stallwing`; all other paths return the metrics. */
 const STATUS_PATH = '/status'
 const RELEASE_PATH = '/quarantine/release'
@@ -24,9 +16,17 @@
 	'store-failed': 503,
 }
 
-/** Serves metrics and status to operators. Resolves with the port. @public */
-export function serveOperators(address: ListenAddress, pages: OperatorPages): Promise<number> {
-	const server = createServer((message, response) => handleRequest(message, response, pages))
+/** Serves the metrics and the status of a gateway to operators. Resolves with the port. @public */
+export function serveOperators(
+	gateway: Gateway,
+	metrics: Metrics,
+	address: ListenAddress,
+): Promise<number> {
+	const pages = operatorPagesOf(gateway, metrics)
+	const server = gateway.createServer('operators')
+	server.on('request', (message: IncomingMessage, response: ServerResponse) =>
+		handleRequest(message, response, pages),
+	)
 	return listenOn(server, address)
 }
 
--- a/rolldown.config.js
+++ b/rolldown.config.js
@@ -1,6 +1,6 @@
 import { defineConfig } from 'rolldown'
 
-const packages = ['core', 'store', 'telemetry', 'gateway']
+const packages = ['core', 'http', 'store', 'telemetry', 'gateway']
 
 /** Bundles the program into one file, so that the process reads only one file at startup. */
 const config = defineConfig({
