End the requests that wait behind another one when their connection closes

What callers saw: each client that sent requests ahead and left took a part of the box with it: the requests behind the first stayed open for good, with their memory, and a planned stop waited for them until the end of its grace.

Cause: Node ends the response that a connection is sending when it closes, and not those that wait behind it, so that their exchanges never heard that the caller had left.

Change: the server keeps the open responses of each connection and ends the waiting ones too.

--- a/packages/http/src/lib/BoundedServer.test.ts
+++ b/packages/http/src/lib/BoundedServer.test.ts
@@ -85,6 +85,16 @@
 		expect(closures).toEqual([])
 	})
 
+	it('ends the responses that wait behind another one when their connection closes', async () => {
+		await start()
+		const ended = vi.fn()
+		const { socket } = await send(REQUEST.repeat(3))
+		await vi.waitFor(() => expect(responses).toHaveLength(3))
+		for (const response of responses) response.once('close', ended)
+		socket.destroy()
+		await vi.waitFor(() => expect(ended).toHaveBeenCalledTimes(3))
+	})
+
 	it.each([
 		['at once', PART_OF_HEAD],
 		['behind a request', REQUEST + PART_OF_HEAD],
--- a/packages/http/src/lib/BoundedServer.ts
+++ b/packages/http/src/lib/BoundedServer.ts
@@ -67,6 +67,15 @@
 		this.table.add(socket)
 		socket.prependListener('data', (read: Buffer) => this.table.beginRead(socket, read))
 		socket.on('data', () => this.table.endRead(socket))
-		socket.once('close', () => this.table.remove(socket))
+		socket.once('close', () => this.endResponses(socket))
+	}
+
+	/** Node ends only the response that is being sent when a connection closes, not those that wait behind it. */
+	private endResponses(socket: Socket): void {
+		for (const response of this.table.remove(socket)) {
+			if (response.socket) continue
+			response.destroy()
+			response.emit('close')
+		}
 	}
 }
