Answer bytes that are no request only where no request is open

What callers saw: a client that sent a request, and then bytes that are no request or a head that did not end, got 400 or 408 in the place of the answer to the first request. A 408 promises that the request has not run; it was running at a target.

Cause: Node answers what it cannot parse, and heads that exceed their time, as long as no head of an earlier answer has been sent, whichever request is still open.

Change: with a request open, the connection is reset, which promises nothing. Without one, the statuses are those of Node.

--- a/packages/http/src/lib/BoundedServer.test.ts
+++ b/packages/http/src/lib/BoundedServer.test.ts
@@ -169,4 +169,26 @@
 		await closed
 		expect(server.connectionCount).toBe(2)
 	})
+
+	it.each([
+		['bytes that are no request', 'no request\r\n\r\n'],
+		['a head that does not end', 'GET / HTTP/1.1\r\nHost'],
+	])('sends no answer to %s in the place of an open request', async (_name, text) => {
+		await start()
+		const { closed, text: received } = await send(REQUEST + text)
+		await closed
+		expect(responses).toHaveLength(1)
+		expect(received()).toBe('')
+	})
+
+	it.each([
+		['bytes that are no request', 'no request\r\n\r\n', '400'],
+		['a head that is too large', `GET / HTTP/1.1\r\nX-A: ${'x'.repeat(41_000)}`, '431'],
+		['a head that does not end', 'GET / HTTP/1.1\r\nHost', '408'],
+	])('answers %s with its status if no request is open', async (_name, text, status) => {
+		await start()
+		const { closed, text: received } = await send(text)
+		await closed
+		expect(received()).toMatch(new RegExp(`^HTTP/1.1 ${status} `))
+	})
 })
--- a/packages/http/src/lib/BoundedServer.ts
+++ b/packages/http/src/lib/BoundedServer.ts
@@ -2,6 +2,7 @@
 import type { Socket } from 'node:net'
 import type { ConnectionLimits } from './ConnectionLimits.js'
 import { ConnectionTable, type ClosedConnection } from './ConnectionTable.js'
+import { answerParserError, type ParserError } from './answerParserError.js'
 import { resetConnection } from './resetConnection.js'
 
 /** Settings of a {@link BoundedServer}. @public */
@@ -43,6 +44,7 @@
 		this.on('checkExpectation', (_message: IncomingMessage, response: ServerResponse) => {
 			response.writeHead(EXPECTATION_FAILED, { 'Content-Length': 0 }).end()
 		})
+		this.on('clientError', (error: ParserError, socket: Socket) => this.fail(error, socket))
 	}
 
 	/** Number of open connections. */
@@ -78,4 +80,11 @@
 			response.emit('close')
 		}
 	}
+
+	private fail(error: ParserError, socket: Socket): void {
+		// An answer here would be taken for that of a request that is still open.
+		if (this.table.isClosing(socket) || this.table.openRequestsOf(socket) > 0)
+			resetConnection(socket)
+		else answerParserError(error, socket)
+	}
 }
