Start the requests of callers in turns of their connections

What callers saw: beside a client that sends many requests ahead, others waited until all of them had been started, or were refused as late.

Cause: requests were started in the order in which they were read, whichever connection they came on, and all that one connection had sent ran at the same time, although their answers leave one after the other.

Change: connections take turns (ConnectionTurns in core), and at most 4 requests of one connection run at a time; the others wait for the answers before them. With one request on each connection the order is that of arrival, as before. Fairness by client account was weighed: the account is known only after the head was checked, which is the work that a crowd multiplies; places at targets are shared by account already. Fairness by address was weighed too: one address may stand for many callers. RequestIntake.test.ts gives its requests a connection each.

--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -288,6 +288,7 @@
 	shedFractionByRank,
 	type ShedCandidate,
 } from './lib/overload/shedFraction.js'
+export { ConnectionTurns } from './lib/overload/ConnectionTurns.js'
 export { ArrivalEstimator } from './lib/overload/ArrivalEstimator.js'
 export { MAX_ACCEPT_WAIT_SHARE, StartPacer } from './lib/overload/StartPacer.js'
 export { SmallChunkLimiter } from './lib/overload/SmallChunkLimiter.js'
--- a/packages/gateway/src/lib/overload/CallerIntake.ts
+++ b/packages/gateway/src/lib/overload/CallerIntake.ts
@@ -22,6 +22,7 @@
 
 /** Takes the requests of callers from a server, and serves each of them in an {@link Exchange}. */
 export class CallerIntake {
+	private readonly intake: RequestIntake
 	private readonly intakeReport: IntakeReport
 	private readonly exchanges = new Set<Exchange>()
 	private readonly idleCallers = new IdleCallers()
@@ -30,7 +31,7 @@
 
 	constructor(private readonly options: CallerIntakeOptions) {
 		const { context, server } = options
-		const intake = new RequestIntake({
+		this.intake = new RequestIntake({
 			server,
 			probe: new AcceptQueueProbe(server, () => context.suspendAwareNow()),
 			afterTurn: setImmediate,
@@ -41,7 +42,7 @@
 			onRequest: (message, response, arrivedAt) => this.open(message, response, arrivedAt),
 		})
 		this.intakeReport = new IntakeReport({
-			intake,
+			intake: this.intake,
 			startDelays: context.startDelays,
 			now: () => context.now(),
 			log: (event) => context.log(event),
@@ -82,17 +83,23 @@
 		response.once('close', this.options.countOpenRequest())
 		const exchange = new Exchange(this.options.context, message, response, arrivedAt)
 		this.exchanges.add(exchange)
-		this.idleCallers.noteRequest(message.socket)
+		const { socket } = message
+		this.idleCallers.noteRequest(socket)
+		let isStarted = false
 		response.once('close', () => {
 			this.exchanges.delete(exchange)
-			this.idleCallers.noteSent(message.socket)
+			this.idleCallers.noteSent(socket)
+			if (isStarted) this.intake.noteEnded(socket)
 		})
 		return {
 			get hasEnded() {
 				return exchange.isEnded
 			},
 			arrivedAt,
-			start: () => this.run(exchange),
+			start: () => {
+				isStarted = true
+				this.run(exchange)
+			},
 		}
 	}
 
--- a/packages/gateway/src/lib/overload/RequestIntake.test.ts
+++ b/packages/gateway/src/lib/overload/RequestIntake.test.ts
@@ -25,7 +25,7 @@
 		}),
 	})
 	const read = (): void => {
-		server.emit('request', {} as IncomingMessage, {} as ServerResponse)
+		server.emit('request', { socket: {} } as IncomingMessage, {} as ServerResponse)
 	}
 	const endTurn = (): void => {
 		const callbacks = turns
--- a/packages/gateway/src/lib/overload/RequestIntake.ts
+++ b/packages/gateway/src/lib/overload/RequestIntake.ts
@@ -1,6 +1,11 @@
 import type { IncomingMessage, Server, ServerResponse } from 'node:http'
 import type { Socket } from 'node:net'
-import { ArrivalEstimator, StartPacer, type StartDelayLimit } from '@stallwing/core'
+import {
+	ArrivalEstimator,
+	ConnectionTurns,
+	StartPacer,
+	type StartDelayLimit,
+} from '@stallwing/core'
 import type { AcceptQueueProbe } from './AcceptQueueProbe.js'
 
 /** A request that waits to be started. */
@@ -37,6 +42,11 @@
 const MIN_PROBED_WAIT_MS = 100
 /** Time in one turn of the event loop in which waiting requests are started or refused, in ms. */
 const MAX_STARTING_MS = 10
+/**
+ * Requests of one connection that run at the same time. Their answers are sent one after the other, so that more of them
+ * only hold memory and places at targets.
+ */
+const MAX_RUNNING_PER_CONNECTION = 4
 /** Requests that one turn starts at most: their work is done in later turns, which must not take long. */
 const MAX_STARTS_PER_TURN = 4
 /**
@@ -63,7 +73,7 @@
 	private isClosingUnread = false
 	private readonly arrivals = new ArrivalEstimator<Socket>()
 	private readonly pacer = new StartPacer()
-	private backlog: WaitingRequest[] = []
+	private readonly turns = new ConnectionTurns<Socket, WaitingRequest>(MAX_RUNNING_PER_CONNECTION)
 	private isTurning = false
 	/** Since when each turn has accepted a connection. */
 	private acceptingSince: number | undefined
@@ -76,7 +86,7 @@
 
 	/** Number of requests that wait to be started. */
 	get size(): number {
-		return this.backlog.length
+		return this.turns.size
 	}
 
 	/** Longest time for which connections can have waited to be accepted, in ms. */
@@ -84,10 +94,16 @@
 		return this.arrivals.waitMs(this.options.now())
 	}
 
-	/** Time for which the oldest request that was read has waited, in ms; 0 if none waits. */
+	/** Time for which the request that is started next has waited, in ms; 0 if none may be started. */
 	get backlogWaitMs(): number {
 		const now = this.options.now()
-		return now - (this.backlog[0]?.arrivedAt ?? now)
+		return now - (this.turns.next?.arrivedAt ?? now)
+	}
+
+	/** Must be called when a request that was started has been answered completely, or its caller has left. */
+	noteEnded(connection: Socket): void {
+		this.turns.noteEnded(connection)
+		if (this.turns.next) this.scheduleTurn()
 	}
 
 	private handleConnection(socket: Socket): void {
@@ -116,8 +132,8 @@
 	private handleRequest(message: IncomingMessage, response: ServerResponse): void {
 		const { currentDelayMs, now, onRequest } = this.options
 		const arrivedAt = this.arrivals.arrivalOf(message.socket, now(), currentDelayMs())
-		this.backlog.push(onRequest(message, response, arrivedAt))
-		this.scheduleTurn()
+		this.turns.add(message.socket, onRequest(message, response, arrivedAt))
+		if (this.turns.next) this.scheduleTurn()
 	}
 
 	private scheduleTurn(): void {
@@ -133,27 +149,28 @@
 		this.acceptingSince = mayAcceptMore ? (this.acceptingSince ?? now) : undefined
 		if (this.acceptWaitMs >= MIN_PROBED_WAIT_MS) this.options.probe.send()
 		this.startNext(now)
-		if (!mayAcceptMore && this.backlog.length === 0) this.options.startDelays.noteEmpty()
-		if (mayAcceptMore || this.backlog.length > 0) this.scheduleTurn()
+		if (!mayAcceptMore && !this.turns.next) this.options.startDelays.noteEmpty()
+		if (mayAcceptMore || this.turns.next) this.scheduleTurn()
 	}
 
-	/** Starts waiting requests, oldest first, within the limits of a turn. */
+	/** Starts waiting requests, one of each connection in turn, within the limits of a turn of the event loop. */
 	private startNext(now: number): void {
 		const maxAcceptWaitMs = this.options.maxAcceptWaitMs()
 		const mayStart = this.pacer.mayStart(this.acceptWaitMs, maxAcceptWaitMs, now)
 		const overdueBefore = now - maxAcceptWaitMs * OVERDUE_FACTOR
-		let taken = 0
 		let started = 0
-		for (const request of this.backlog) {
+		for (let request = this.turns.next; request; request = this.turns.next) {
 			if (!mayStart && request.arrivedAt > overdueBefore) break
-			taken++
-			if (request.hasEnded) continue
+			const connection = this.turns.start()
+			if (request.hasEnded) {
+				if (connection) this.turns.noteEnded(connection)
+				continue
+			}
 			request.start()
 			if (!request.hasEnded) started++
 			const isOver = this.options.now() - now >= MAX_STARTING_MS
 			if (isOver || started >= MAX_STARTS_PER_TURN) break
 		}
 		if (started > 0) this.pacer.noteStart(now)
-		this.backlog = this.backlog.slice(taken)
 	}
 }
