--- a/packages/gateway/src/lib/overload/requestsAhead.test.ts
+++ b/packages/gateway/src/lib/overload/requestsAhead.test.ts
@@ -17,7 +17,9 @@
 		box.configure()
 		await box.addTarget('t-1', (message, response) => {
 			if (message.url?.includes('never')) return
-			response.end(`answer to ${String(message.headers['request-id'])}`)
+			const answer = `answer to ${String(message.headers['request-id'])}`
+			if (message.url?.includes('slow')) setTimeout(() => response.end(answer), 4_000)
+			else response.end(answer)
 		})
 		await box.start()
 		await box.waitUntilReady()
@@ -47,4 +49,29 @@
 		const cancelled = box.logEvents.filter(({ name }) => name === 'request-cancelled')
 		expect(cancelled).toHaveLength(ids.length)
 	})
+
+	it('are all answered, in their order', async () => {
+		const ids = Array.from({ length: 20 }, (_, index) => `r-${index}`)
+		const { text } = await send(ids.map((id) => requestOf('/once/x', id)).join(''))
+		await vi.waitFor(() => expect(text()).toContain(`answer to ${ids.at(-1)}`))
+		expect(text().match(/answer to r-\d+/g)).toEqual(ids.map((id) => `answer to ${id}`))
+		expect(box.receivedRequests).toHaveLength(ids.length)
+	})
+
+	it('are answered although a planned stop begins while the last one runs', async () => {
+		const { text } = await send(requestOf('/once/x', 'a') + requestOf('/once/slow', 'b'))
+		await vi.waitFor(() => expect(text()).toContain('answer to a'))
+		const stopped = box.gateway.stop()
+		await stopped
+		expect(text()).toContain('answer to b')
+	})
+
+	it('of one connection do not delay those of another', async () => {
+		const ids = Array.from({ length: 30 }, (_, index) => `r-${index}`)
+		await send(ids.map((id) => requestOf('/once/never', id)).join(''))
+		const { text } = await send(requestOf('/once/x', 'other'))
+		await vi.waitFor(() => expect(text()).toContain('answer to other'))
+		const started = box.receivedRequests.map(({ headers }) => String(headers['request-id']))
+		expect(started.filter((id) => id !== 'other').length).toBeLessThanOrEqual(4)
+	})
 })
