Count the memory of exchanges wherever the settings state a limit

What callers saw: 120 callers that sent most of a body of 1 MB took a box of 160 MB to 211 MB, which a machine of that size ends.

Cause: bodies and answers were counted, and callers that read nothing cut off, only where the deployment states `pressure`.

Change: they are counted wherever a memory limit is stated.

--- a/packages/gateway/src/lib/memory/BoxMemory.ts
+++ b/packages/gateway/src/lib/memory/BoxMemory.ts
@@ -136,11 +136,10 @@
 	}
 }
 
-/** The memory of a box; undefined where the deployment states no pressure or no limit, so that nothing is counted. */
+/** The memory of a box; undefined where the deployment states no limit, so that nothing is counted. */
 export function createBoxMemory(options: GatewayOptions): BoxMemory | undefined {
 	const { memoryBytes } = options.capacity
-	if (!options.isUnderPressure || memoryBytes === undefined) return undefined
-	return new BoxMemory(options, memoryBytes)
+	return memoryBytes === undefined ? undefined : new BoxMemory(options, memoryBytes)
 }
 
 function levelNumber(level: MemoryBudget['level']): number {
