Leave room for buffers that V8 has not collected yet on small machines

What callers saw: 120 callers that read nothing of an answer of 2 MB took a box of 160 MB to between 161 and 188 MB.

Cause: V8 begins to collect buffers that are no longer referenced once 64 MB of them have been allocated since the last collection. A machine with less than about 190 MB does not have that beside the share for buffers that are in use.

Change: on such machines the share is what that leaves, and the minimum of 8 MB. Larger machines have the same share as before.

--- a/packages/core/src/lib/memory/MemoryBudget.test.ts
+++ b/packages/core/src/lib/memory/MemoryBudget.test.ts
@@ -14,6 +14,15 @@
 		}
 	})
 
+	it('leaves room for what V8 does not collect yet, and less than its minimum only to the minimum', () => {
+		const minimum = new MemoryBudget({ processBytes: 0, heapBytes: 110_000_000 }).bufferLimit
+		for (const processBytes of [100_000_000, 160_000_000, 180_000_000, 250_000_000]) {
+			const { bufferLimit } = new MemoryBudget({ processBytes, heapBytes: 110_000_000 })
+			const leftBytes = processBytes - 85_000_000 - 64 * 1024 * 1024
+			expect(bufferLimit).toBeLessThanOrEqual(Math.max(minimum, leftBytes))
+		}
+	})
+
 	it('serves small requests in a process that is smaller than expected', () => {
 		const budget = new MemoryBudget({ processBytes: 60_000_000, heapBytes: 40_000_000 })
 		expect(budget.mayAccept(KILOBYTE, 9)).toBe(true)
--- a/packages/core/src/lib/memory/MemoryBudget.ts
+++ b/packages/core/src/lib/memory/MemoryBudget.ts
@@ -31,6 +31,8 @@
  * the next garbage collection, and the allocator does not return all of what it frees.
  */
 const BUFFER_SHARE = 0.4
+/** Memory of buffers that are no longer referenced from which V8 begins to collect them, in bytes. */
+const MAX_GARBAGE_BYTES = 64 * 1024 * 1024
 /** Largest share of the memory of the process that its heap may take: buffers are outside the heap. */
 const MAX_HEAP_SHARE_OF_PROCESS = 0.5
 /** Share of the heap for exchanges; configuration, targets and the log use the rest. */
@@ -59,9 +61,10 @@
 	}
 
 	constructor({ processBytes, heapBytes }: MemoryLimits) {
+		const freeBytes = processBytes - IDLE_PROCESS_BYTES
 		this.bufferLimit = Math.max(
 			MIN_BUFFER_BYTES,
-			(processBytes - IDLE_PROCESS_BYTES) * BUFFER_SHARE,
+			Math.min(freeBytes * BUFFER_SHARE, freeBytes - MAX_GARBAGE_BYTES),
 		)
 		// The heap limit of V8 can exceed the memory of the process.
 		const heapLimit = Math.min(heapBytes, processBytes * MAX_HEAP_SHARE_OF_PROCESS)
