Check the head of every answer in one place

What callers saw: a target in trouble answered with status 600 or 999, or with HTTP/2.0, HTTP/0.9, RTSP/1.0 or ICE/1.0 in place of HTTP/1; the caller got it as an answer. Status 000 and 099 ended in 502 "internal fault", and no second target was tried where the route may be repeated. Boxes that passed an answer on to another box could give it a head with a blank or a control byte in a name.

Cause: what a parser lets through was taken for an answer. Node's parser accepts any three digits as a status and any protocol with a head of the same form.

All faults mean the same: the target broke its answer. Names of trailers are checked too.

The one reader that could be made to fail with names was the codec between boxes.

--- a/packages/gateway/src/lib/forwarding/forwardCodec.test.ts
+++ b/packages/gateway/src/lib/forwarding/forwardCodec.test.ts
@@ -49,4 +49,17 @@
 		expect(decodeForwardedHead('{"status":"200","rawHeaders":[]}')).toBeUndefined()
 		expect(decodeForwardedHead('{"status":200,"rawHeaders":[1]}')).toBeUndefined()
 	})
+
+	it.each([
+		[0, []],
+		[99, []],
+		[600, []],
+		[200, ['Bad Name', 'x']],
+		[200, ['Content-Length ', '5']],
+		[200, ['Bad\u0001Name', 'x']],
+		[200, ['a', 'x\r\nb: y']],
+		[200, ['a', 'Ā']],
+	])('are refused with a head that is none of HTTP: %j', (status, rawHeaders) => {
+		expect(decodeForwardedHead(JSON.stringify({ status, rawHeaders }))).toBeUndefined()
+	})
 })
--- a/packages/gateway/src/lib/forwarding/forwardCodec.ts
+++ b/packages/gateway/src/lib/forwarding/forwardCodec.ts
@@ -1,4 +1,5 @@
 import { brandId, type TargetName } from '@stallwing/core'
+import { findHeadFault } from '@stallwing/http'
 import type { ResponseHead, TargetRequest } from '../sendToTarget.js'
 
 /** Endpoint of a box that sends a request to a target on behalf of another box. */
@@ -65,14 +66,14 @@
 	return { head: bytes.toString('utf8', 0, end), rest: bytes.subarray(end + HEAD_END.length) }
 }
 
-/** Parses the head of a target's response; undefined if it cannot be read. */
+/** Parses the head of a target's response; undefined if it cannot be read, or is none of HTTP. */
 export function decodeForwardedHead(text: string): ResponseHead | undefined {
 	const document = parseJson(text) as Partial<ResponseHead> | undefined
 	if (!document || typeof document.status !== 'number') return undefined
 	const { status, rawHeaders } = document
-	return isStringList(rawHeaders)
-		? { status, rawHeaders, headers: headersByName(rawHeaders) }
-		: undefined
+	if (!isStringList(rawHeaders) || findHeadFault({ status, rawHeaders }) !== undefined)
+		return undefined
+	return { status, rawHeaders, headers: headersByName(rawHeaders) }
 }
 
 /** Headers by lower-case name; the values of a repeated one are joined as in Node's `headers`. */
--- a/packages/gateway/src/lib/sendToTarget.test.ts
+++ b/packages/gateway/src/lib/sendToTarget.test.ts
@@ -21,6 +21,36 @@
 
 const servers: Server[] = []
 
+function answerOf(statusLine: string, field = ''): string {
+	return `${statusLine}\r\nContent-Length: 5\r\n${field}\r\nhello`
+}
+
+/** Answers that are none of HTTP/1, each with what is wrong. */
+const NO_ANSWERS: readonly (readonly [string, string])[] = [
+	['status 000', answerOf('HTTP/1.1 000 OK')],
+	['status 099', answerOf('HTTP/1.1 099 OK')],
+	['status 600', answerOf('HTTP/1.1 600 OK')],
+	['status 999', answerOf('HTTP/1.1 999 OK')],
+	['HTTP/2.0', answerOf('HTTP/2.0 200 OK')],
+	['HTTP/0.9', answerOf('HTTP/0.9 200 OK')],
+	['HTTP/1.2', answerOf('HTTP/1.2 200 OK')],
+	['RTSP/1.0', answerOf('RTSP/1.0 200 OK')],
+	['ICE/1.0', answerOf('ICE/1.0 200 OK')],
+	['a blank in a name', answerOf('HTTP/1.1 200 OK', 'Bad Name: x\r\n')],
+	['a blank before the colon', answerOf('HTTP/1.1 200 OK', 'Name : x\r\n')],
+	['a tab in a name', answerOf('HTTP/1.1 200 OK', 'Bad\tName: x\r\n')],
+	['a zero byte in a name', answerOf('HTTP/1.1 200 OK', 'Bad\0Name: x\r\n')],
+	['a control byte in a name', answerOf('HTTP/1.1 200 OK', 'Bad\x01Name: x\r\n')],
+	['a byte above ASCII in a name', answerOf('HTTP/1.1 200 OK', 'Bad\xe9Name: x\r\n')],
+	['a folded line', answerOf('HTTP/1.1 200 OK', 'Name: x\r\n y\r\n')],
+	['a control byte in a value', answerOf('HTTP/1.1 200 OK', 'Name: x\x01\r\n')],
+	['a line end in a value', answerOf('HTTP/1.1 200 OK', 'Name: x\ry\r\n')],
+	[
+		'a blank in the name of a trailer',
+		`HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nhello\r\n0\r\nBad Name: x\r\n\r\n`,
+	],
+]
+
 /** Starts a target on a raw socket. `respond` gets the socket and the number of the request. */
 async function startTarget(
 	respond: (socket: Socket, request: number) => void,
@@ -186,3 +216,29 @@
 		await waitForPoolSize(pool, 0)
 	})
 })
+
+describe('an answer that is none of HTTP/1', () => {
+	it.each(NO_ANSWERS)('is broken, and nothing of it is passed on: %s', async (_name, answer) => {
+		const pool = await startTarget((socket) => socket.write(Buffer.from(answer, 'latin1')))
+		expect((await send(pool)).end).toBe('broken')
+	})
+
+	it('is found in single bytes', async () => {
+		const pool = await startTarget((socket) => {
+			socket.setNoDelay(true)
+			for (const [index, char] of [...answerOf('RTSP/1.0 200 OK')].entries())
+				setTimeout(() => socket.write(char), index)
+		})
+		const { body, end, head } = await send(pool)
+		expect([body, end, head]).toEqual(['', 'broken', undefined])
+	})
+
+	it.each(['HTTP/1.0 200 OK', 'HTTP/1.1 200', 'HTTP/1.1 299 Some Words', 'HTTP/1.1 599 x'])(
+		'is not found in %j',
+		async (statusLine) => {
+			const pool = await startTarget((socket) => socket.write(answerOf(statusLine)))
+			const { body, end } = await send(pool)
+			expect([body, end]).toEqual(['hello', 'whole'])
+		},
+	)
+})
--- a/packages/gateway/src/lib/sendToTarget.ts
+++ b/packages/gateway/src/lib/sendToTarget.ts
@@ -1,10 +1,10 @@
 import { request, type ClientRequest, type IncomingMessage } from 'node:http'
 import type { Socket } from 'node:net'
+import { findFieldFault, findHeadFault, watchAnswer } from '@stallwing/http'
 import type { ConnectionPool } from './ConnectionPool.js'
 import { wasReset } from './connectionReset.js'
 import { sendBodyInPieces } from './memory/sendBodyInPieces.js'
 import { ChunkBatch } from './overload/ChunkBatch.js'
-import { InterimResponses } from './overload/InterimResponses.js'
 import { MessageFlow } from './overload/MessageFlow.js'
 import { ReadThrottle } from './overload/ReadThrottle.js'
 
@@ -153,25 +153,8 @@
 		else this.flow.resume()
 	}
 
-	/**
-	 * Ends the parse of a read at the first interim response too many: closing the connection does not stop it. The bytes
-	 * belong to no response, so they are overwritten with ones that the parser rejects.
-	 */
-	private stopInterimFloods(socket: Socket): void {
-		const interim = new InterimResponses(MAX_INTERIM_RESPONSES)
-		const inspect = (bytes: Buffer): void => {
-			const excess = interim.findExcess(bytes)
-			if (excess === undefined && !interim.hasResponseBegun) return
-			socket.off('data', inspect)
-			if (excess === undefined) return
-			bytes.fill(0, excess)
-			this.fail('broken', 'too many interim responses')
-		}
-		socket.on('data', inspect)
-	}
-
 	private send(socket: Socket): void {
-		this.stopInterimFloods(socket)
+		watchAnswer(socket, (cause) => this.fail('broken', cause))
 		// Without framing, only the way in which the connection ended distinguishes a reset from a normal close.
 		socket.prependOnceListener('error', () => {
 			this.hasSocketError = true
@@ -201,7 +184,7 @@
 		})
 	}
 
-	/** Counts those that {@link InterimResponses} does not know, such as ones of HTTP/1.0. */
+	/** Counts those that {@link watchAnswer} does not know, such as ones of HTTP/1.0. */
 	private countInterimResponse(outgoing: ClientRequest): void {
 		this.interimResponses++
 		if (this.interimResponses <= MAX_INTERIM_RESPONSES) return
@@ -212,11 +195,13 @@
 	private handleResponse(response: IncomingMessage): void {
 		if (this.hasEnded) return
 		this.response = response
-		const accepted = this.listener.onHead({
-			status: response.statusCode ?? 0,
-			rawHeaders: response.rawHeaders,
-			headers: response.headers,
-		})
+		const { headers, httpVersion, rawHeaders, statusCode: status = 0 } = response
+		const fault = findHeadFault({ status, httpVersion, rawHeaders })
+		if (fault !== undefined) {
+			this.fail('broken', `no HTTP answer: ${fault}`)
+			return
+		}
+		const accepted = this.listener.onHead({ status, rawHeaders, headers })
 		if (!accepted) {
 			this.fail('broken', 'answer of another request')
 			return
@@ -253,6 +238,10 @@
 			this.fail('broken', 'answer broken off')
 			return
 		}
+		if (findFieldFault(response.rawTrailers) !== undefined) {
+			this.fail('broken', 'no HTTP trailers')
+			return
+		}
 		this.markEnded()
 		this.releaseSocket(response)
 		this.listener.onEnd()
--- a/packages/http/src/index.ts
+++ b/packages/http/src/index.ts
@@ -1,4 +1,6 @@
 export { BoundedServer, type BoundedServerOptions } from './lib/BoundedServer.js'
 export { CONNECTION_ALLOWANCE_BYTES, type ConnectionLimits } from './lib/ConnectionLimits.js'
 export type { CloseReason, ClosedConnection } from './lib/ConnectionTable.js'
+export { findFieldFault, findHeadFault, type AnswerHead } from './lib/findHeadFault.js'
+export { watchAnswer } from './lib/watchAnswer.js'
 export { resetConnection } from './lib/resetConnection.js'
--- a/packages/gateway/src/lib/overload/InterimResponses.ts
+++ b/packages/http/src/lib/InterimResponses.ts
@@ -1,4 +1,5 @@
 const INTERIM_START = Buffer.from('HTTP/1.1 1')
+const PROTOCOL = Buffer.from('HTTP/1.')
 const HEAD_END = Buffer.from('\r\n\r\n')
 const CARRIAGE_RETURN = 0x0d
 const LINE_FEED = 0x0a
@@ -15,6 +16,8 @@
 	/** The head of an interim response has begun and not ended. */
 	private isInside = false
 	private isOver = false
+	/** The response begins as none of HTTP/1 does. */
+	isOtherProtocol = false
 
 	constructor(private readonly maxCount: number) {}
 
@@ -38,7 +41,11 @@
 			}
 			at = skipLineEnds(bytes, at)
 			const start = bytes.subarray(at, at + INTERIM_START.length)
-			if (!INTERIM_START.subarray(0, start.length).equals(start)) this.isOver = true
+			if (!INTERIM_START.subarray(0, start.length).equals(start)) {
+				this.isOver = true
+				const known = PROTOCOL.subarray(0, start.length)
+				this.isOtherProtocol = !known.equals(start.subarray(0, PROTOCOL.length))
+			}
 			if (this.isOver || start.length < INTERIM_START.length) return this.carry(bytes, at)
 			this.isInside = true
 			this.count++
--- a/packages/router/src/lib/AttemptRunner.ts
+++ b/packages/router/src/lib/AttemptRunner.ts
@@ -1,4 +1,5 @@
 import type { AttemptOutcome, CoreAction, RequestId } from '@stallwing/core'
+import { findHeadFault } from '@stallwing/http'
 import { Agent, request, type Dispatcher } from 'undici'
 import type { OutgoingCall } from './OutgoingCall.js'
 import type { RunResponse } from './RunResponse.js'
@@ -99,6 +100,11 @@
 		active: ActiveAttempt,
 	): Promise<AttemptOutcome> {
 		const reply = await this.send(action, call, active)
+		const fault = findHeadFault({ status: reply.statusCode, rawHeaders: fieldsOf(reply.headers) })
+		if (fault !== undefined) {
+			await reply.body.dump()
+			return brokenOutcome(`no HTTP answer: ${fault}`, 0)
+		}
 		if (REJECTION_STATUSES.has(reply.statusCode) || (action.resume && reply.statusCode >= 400)) {
 			await reply.body.dump()
 			return rejectedOutcome(reply)
@@ -217,6 +223,13 @@
 	}
 }
 
+/** Names and values alternate. */
+function fieldsOf(headers: Dispatcher.ResponseData['headers']): readonly string[] {
+	return Object.entries(headers).flatMap(([name, values = '']) => {
+		return [values].flat().flatMap((value) => [name, value])
+	})
+}
+
 function resumePath(id: RequestId, call: OutgoingCall): string {
 	const action = call.chat?.stream ? 'stream' : 'resume'
 	return `/v1/runs/${encodeURIComponent(id)}/${action}`
--- a/packages/store/src/lib/HttpClient.test.ts
+++ b/packages/store/src/lib/HttpClient.test.ts
@@ -1,5 +1,5 @@
 import { createServer, type Server } from 'node:http'
-import type { AddressInfo, Socket } from 'node:net'
+import { createServer as createRawServer, type AddressInfo, type Socket } from 'node:net'
 import { afterEach, describe, expect, it } from 'vitest'
 import { HttpClient } from './HttpClient.js'
 
@@ -60,6 +60,30 @@
 		expect(sockets).toHaveLength(2)
 	})
 
+	it.each([
+		'HTTP/1.1 000 OK',
+		'HTTP/1.1 099 OK',
+		'HTTP/1.1 600 OK',
+		'HTTP/1.1 999 OK',
+		'HTTP/2.0 200 OK',
+		'HTTP/0.9 200 OK',
+		'RTSP/1.0 200 OK',
+		'ICE/1.0 200 OK',
+		'HTTP/1.1 200 OK\r\nBad Name: x',
+		'HTTP/1.1 200 OK\r\nContent-Length : 1',
+	])('rejects a response that is none of HTTP/1: %j', async (head) => {
+		const rawServer = createRawServer((socket) => {
+			socket.on('error', () => undefined)
+			socket.once('data', () => socket.write(`${head}\r\nContent-Length: 5\r\n\r\nhello`))
+		})
+		await new Promise<void>((resolve) => rawServer.listen(0, '127.0.0.1', resolve))
+		const { port } = rawServer.address() as AddressInfo
+		client = new HttpClient({ host: '127.0.0.1', port, maxConnections: 1 })
+		const response = client.send({ method: 'GET', path: '/', timeoutMs: TIMEOUT_MS })
+		await expect(response).rejects.toThrow()
+		rawServer.close()
+	})
+
 	it('rejects a response that stalls', async () => {
 		const request = (await start(2)).send({ method: 'GET', path: '/', timeoutMs: TIMEOUT_MS })
 		await expect(request).rejects.toThrow('no answer')
--- a/packages/store/src/lib/HttpClient.ts
+++ b/packages/store/src/lib/HttpClient.ts
@@ -1,6 +1,7 @@
 import { Agent, request, type ClientRequest, type IncomingHttpHeaders } from 'node:http'
 import type { Socket } from 'node:net'
 import { ByteCollector } from '@stallwing/core'
+import { findHeadFault, watchAnswer } from '@stallwing/http'
 import { InputTimeout } from './InputTimeout.js'
 
 /** Server address and connection limit of an {@link HttpClient}. @public */
@@ -81,8 +82,18 @@
 				reject(error)
 			}
 			outgoing.on('error', fail)
+			outgoing.once('socket', (socket) => {
+				watchAnswer(socket, (cause) => outgoing.destroy(new Error(cause)))
+			})
 			if (this.connectionListener) reportNewConnection(outgoing, this.connectionListener)
 			outgoing.on('response', (response) => {
+				const { headers, httpVersion, rawHeaders, statusCode: status = 0 } = response
+				const fault = findHeadFault({ status, httpVersion, rawHeaders })
+				if (fault !== undefined) {
+					outgoing.destroy()
+					fail(new Error(`no HTTP answer: ${fault}`))
+					return
+				}
 				const collector = new ByteCollector()
 				response.on('data', (chunk: Buffer) => {
 					collector.add(chunk)
@@ -94,8 +105,8 @@
 					if (!response.complete) reject(new Error('answer broken off'))
 					else
 						resolve({
-							status: response.statusCode ?? 0,
-							headers: response.headers,
+							status,
+							headers,
 							text: collector.concat().toString('utf8'),
 							tookMs: performance.now() - startedAt,
 						})
