--- a/packages/gateway/src/lib/balance/movingCallers.test.ts
+++ b/packages/gateway/src/lib/balance/movingCallers.test.ts
@@ -156,9 +156,10 @@
 			parts: full.gateway.status().parts,
 		}
 		expect(gauges.filter((name) => /link|moved|box_load/.test(name))).toEqual([])
-		// The intake of requests is the only part that runs on every deployment.
-		const { intake, ...others } = parts
+		// The intake of requests and the limits on connections are the only parts that run on every deployment.
+		const { connections, intake, ...others } = parts
 		expect(intake).toMatchObject({ isBehind: false, closedUnread: 0, refused: 0 })
+		expect(connections).toMatchObject({ closed: [] })
 		expect(others).toEqual({})
 		expect(status).toBe(200)
 		expect(boxes.flatMap(({ logEvents }) => logEvents).map(({ name }) => name)).not.toContain(
