Leave a body as it was sent when its connection is closed over a limit

What could happen: a connection is closed while the body of a request arrives that was handed over. The rest of the read was overwritten so that the parser stops; a body of stated length would have ended there with zeros in it, and its request could have gone on to a target before it learned that its caller was gone. Seen in reading the change, not in a run.

Change: only what lies behind that body is overwritten; a request that the parser still finds there stops it for good.

--- a/packages/http/src/lib/ConnectionTable.ts
+++ b/packages/http/src/lib/ConnectionTable.ts
@@ -138,8 +138,12 @@
 	/** Adds a request. Returns false if its connection was closed instead. */
 	open(message: IncomingMessage, response: ServerResponse): boolean {
 		const connection = this.connections.get(message.socket)
-		if (!connection || connection.isClosing) return false
+		if (!connection) return false
 		const { input, requests } = connection
+		if (connection.isClosing) {
+			input.cutAll()
+			return false
+		}
 		input.noteHead(message)
 		if (requests.size >= this.limits.maxOpenRequests) {
 			this.closeConnection(connection, 'too-many-requests')
@@ -212,7 +216,7 @@
 		this.close(socket, { ...describe(socket), reason, openRequests: requests.size, heldBytes })
 	}
 
-	/** What a closing connection holds counts until it is gone. */
+	/** Estimates what a connection holds. What a closing one holds counts until it is gone. */
 	private measure(connection: Connection): void {
 		const isOpen = !connection.isClosing && this.connections.has(connection.socket)
 		if (isOpen) this.setHeld(connection, heldBytesOf(connection))
--- a/packages/http/src/lib/InputMeter.ts
+++ b/packages/http/src/lib/InputMeter.ts
@@ -76,9 +76,17 @@
 		return count
 	}
 
-	/** Makes the parser fail at the rest of the current read: to close the connection does not stop it. */
+	/**
+	 * Makes the parser fail at the next message of the current read: to close the connection does not stop it. A body of
+	 * stated length stays as it was sent, because its request may have been handed over.
+	 */
 	cut(): void {
 		// The parser rejects a head, or the size of a chunk, that begins with a zero byte.
+		this.read?.fill(0, this.nextMessageAt)
+	}
+
+	/** Makes the parser fail at the rest of the current read, wherever the next message begins. */
+	cutAll(): void {
 		this.read?.fill(0)
 	}
 
