Tiny chunks without end: the earlier bound of the test is back

That was a check made weaker, and a time bound fitted to this machine. CollectedChunks.test.ts does not replace it: a read joins its chunks before they are counted there, so it does not show that such an answer is cut off in time. Not run again after this commit.

--- a/packages/gateway/src/lib/attempts/garbageAnswers.test.ts
+++ b/packages/gateway/src/lib/attempts/garbageAnswers.test.ts
@@ -150,12 +150,11 @@
 		await expectClosed()
 	})
 
-	it('as tiny chunks of an answer is cut off by the memory that they take, or by the deadline', async () => {
+	it('as tiny chunks of an answer is cut off by the memory that they take, before the deadline', async () => {
 		await startTarget({ name: 'chunks', head: CHUNKED, piece: '5\r\nhello\r\n' })
 		const { response, tookMs, grownBytes } = await send('/once/x')
 		expect(response.isComplete && response.status === 200).toBe(false)
-		// Behind small chunks, reading is slowed, so that a slow machine meets the deadline first.
-		expect(tookMs).toBeLessThan(DEADLINE_MS + 500)
+		expect(tookMs).toBeLessThan(DEADLINE_MS)
 		expect(grownBytes).toBeLessThan(MAX_GROWTH_BYTES)
 		await expectClosed()
 	})
